--- /dev/null
+++ b/cmd/nutmegshift/main.go
@@ -0,0 +1,4 @@
+// Command nutmegshift runs an entry host and the operators' tools.
+package main
+
+func main() {}
--- /dev/null
+++ b/pipeline/doc.go
@@ -0,0 +1,2 @@
+// Package pipeline runs the stages of one request under one deadline.
+package pipeline
--- /dev/null
+++ b/upstream/doc.go
@@ -0,0 +1,2 @@
+// Package upstream chooses the upstream that serves a stage.
+package upstream
