--- /dev/null
+++ b/document/doc.go
@@ -0,0 +1,2 @@
+// Package document holds the service documents that operators apply.
+package document
