--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,334 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"gopkg.in/ini.v1"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+)
+
+// ErrInvalid reports a settings file that cannot be used; its text lists every fault.
+const ErrInvalid = errors.ConstError("settings are invalid")
+
+// Settings are the checked settings of one entry host.
+type Settings struct {
+	Host     ident.HostID
+	Domain   ident.FailureDomain
+	Region   ident.Region
+	Callers  ident.Address
+	Operator ident.Address
+	Peers    ident.Address
+	Store    ident.Address
+	Hosts    ident.Address
+	Call     time.Duration // longest single call of the store
+	Body     int64         // largest body of a request, bytes
+	Header   time.Duration // longest time to receive the head of a request
+	Receive  time.Duration // longest time to receive a whole request
+	Stop     time.Duration // longest graceful shutdown
+	Drain    time.Duration // time between failing readiness and closing the callers' port
+	Level    string
+	Events   int
+}
+
+// row describes one setting; the same rows drive parsing, checks and help.
+type row struct {
+	section  string
+	key      string
+	unit     string
+	fallback string // empty means required
+	help     string
+	set      func(s *Settings, value string) error
+}
+
+var rows = []row{
+	{
+		section: "entry",
+		key:     "host",
+		unit:    "name",
+		help:    "name of this host in the host list",
+		set:     func(s *Settings, v string) error { return text(&s.Host, v) },
+	},
+	{
+		section: "entry",
+		key:     "domain",
+		unit:    "name",
+		help:    "failure domain of this host",
+		set:     func(s *Settings, v string) error { return text(&s.Domain, v) },
+	},
+	{
+		section: "entry",
+		key:     "region",
+		unit:    "name",
+		help:    "region of this host",
+		set:     func(s *Settings, v string) error { return text(&s.Region, v) },
+	},
+	{
+		section: "entry",
+		key:     "callers",
+		unit:    "ip:port",
+		help:    "address for callers",
+		set:     func(s *Settings, v string) error { return address(&s.Callers, v) },
+	},
+	{
+		section: "entry",
+		key:     "operator",
+		unit:    "ip:port",
+		help:    "address for operators",
+		set:     func(s *Settings, v string) error { return address(&s.Operator, v) },
+	},
+	{
+		section: "entry",
+		key:     "peers",
+		unit:    "ip:port",
+		help:    "address for other entry hosts",
+		set:     func(s *Settings, v string) error { return address(&s.Peers, v) },
+	},
+	{
+		section: "platform",
+		key:     "store",
+		unit:    "ip:port",
+		help:    "address of the key-value service",
+		set:     func(s *Settings, v string) error { return address(&s.Store, v) },
+	},
+	{
+		section: "platform",
+		key:     "hosts",
+		unit:    "ip:port",
+		help:    "address of the host list",
+		set:     func(s *Settings, v string) error { return address(&s.Hosts, v) },
+	},
+	{
+		section:  "platform",
+		key:      "call",
+		unit:     "duration",
+		fallback: "2s",
+		help:     "longest single call of the key-value service",
+		set:      func(s *Settings, v string) error { return duration(&s.Call, v) },
+	},
+	{
+		section:  "limits",
+		key:      "body",
+		unit:     "bytes",
+		fallback: "1048576",
+		help:     "largest body of a request",
+		set:      func(s *Settings, v string) error { return count(&s.Body, v) },
+	},
+	{
+		section:  "limits",
+		key:      "header",
+		unit:     "duration",
+		fallback: "5s",
+		help:     "longest time to receive the head of a request",
+		set:      func(s *Settings, v string) error { return duration(&s.Header, v) },
+	},
+	{
+		section:  "limits",
+		key:      "receive",
+		unit:     "duration",
+		fallback: "10s",
+		help:     "longest time to receive a whole request",
+		set:      func(s *Settings, v string) error { return duration(&s.Receive, v) },
+	},
+	{
+		section:  "stop",
+		key:      "longest",
+		unit:     "duration",
+		fallback: "30s",
+		help:     "longest graceful shutdown",
+		set:      func(s *Settings, v string) error { return duration(&s.Stop, v) },
+	},
+	{
+		section:  "stop",
+		key:      "drain",
+		unit:     "duration",
+		fallback: "1s",
+		help:     "time between failing readiness and closing the port for callers",
+		set:      func(s *Settings, v string) error { return duration(&s.Drain, v) },
+	},
+	{
+		section:  "log",
+		key:      "level",
+		unit:     "debug|info|warn|error",
+		fallback: "info",
+		help:     "lowest level that is logged",
+		set:      level,
+	},
+	{
+		section:  "timeline",
+		key:      "events",
+		unit:     "count",
+		fallback: "65536",
+		help:     "events that the process keeps",
+		set:      events,
+	},
+}
+
+// listener is one of the host's own ports.
+type listener struct {
+	key     string
+	address ident.Address
+}
+
+// Parse checks the text of a settings file named name; ErrInvalid lists every fault.
+func Parse(name string, content []byte) (*Settings, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{
+		IgnoreInlineComment: true,
+	}, content)
+	if err != nil {
+		return nil, errors.Annotatef(ErrInvalid, "%s: %v", name, err)
+	}
+	faults := unknown(file)
+	parsed := &Settings{}
+	for _, r := range rows {
+		value := r.fallback
+		if section, err := file.GetSection(r.section); err == nil && section.HasKey(r.key) {
+			value = strings.TrimSpace(section.Key(r.key).String())
+		}
+		if value == "" {
+			faults = append(faults, fmt.Sprintf("[%s] %s: missing, expected %s", r.section, r.key, r.unit))
+			continue
+		}
+		if err := r.set(parsed, value); err != nil {
+			faults = append(faults, fmt.Sprintf("[%s] %s = %q: %v", r.section, r.key, value, err))
+		}
+	}
+	faults = append(faults, contradictions(parsed)...)
+	if len(faults) > 0 {
+		return nil, errors.Annotatef(ErrInvalid, "%s:\n  %s\n", name, strings.Join(faults, "\n  "))
+	}
+	return parsed, nil
+}
+
+// Help lists every setting with its unit and default.
+func Help() string {
+	var b strings.Builder
+	section := ""
+	for _, r := range rows {
+		if r.section != section {
+			section = r.section
+			fmt.Fprintf(&b, "[%s]\n", section)
+		}
+		fallback := "required"
+		if r.fallback != "" {
+			fallback = "default " + r.fallback
+		}
+		fmt.Fprintf(&b, "  %-9s %-22s %-16s %s\n", r.key, r.unit, fallback, r.help)
+	}
+	return b.String()
+}
+
+func unknown(file *ini.File) []string {
+	known := make(map[string]bool, len(rows))
+	for _, r := range rows {
+		known[r.section+" "+r.key] = true
+		known[r.section] = true
+	}
+	var faults []string
+	for _, section := range file.Sections() {
+		if section.Name() == ini.DefaultSection && len(section.Keys()) == 0 {
+			continue
+		}
+		if !known[section.Name()] {
+			faults = append(faults, fmt.Sprintf("[%s]: unknown section", section.Name()))
+			continue
+		}
+		for _, key := range section.Keys() {
+			if !known[section.Name()+" "+key.Name()] {
+				faults = append(faults, fmt.Sprintf("[%s] %s: unknown key", section.Name(), key.Name()))
+			}
+		}
+	}
+	return faults
+}
+
+func contradictions(s *Settings) []string {
+	var faults []string
+	own := map[ident.Address]string{}
+	ports := []listener{
+		{
+			key:     "callers",
+			address: s.Callers,
+		},
+		{
+			key:     "operator",
+			address: s.Operator,
+		},
+		{
+			key:     "peers",
+			address: s.Peers,
+		},
+	}
+	for _, port := range ports {
+		if first, taken := own[port.address]; taken && port.address != "" {
+			faults = append(faults, fmt.Sprintf("[entry] %s: same address as %s", port.key, first))
+		}
+		own[port.address] = port.key
+	}
+	if s.Drain > 0 && s.Stop > 0 && s.Drain >= s.Stop {
+		faults = append(faults, "[stop] drain: must be shorter than longest")
+	}
+	if s.Header > s.Receive {
+		faults = append(faults, "[limits] header: must not be longer than receive")
+	}
+	return faults
+}
+
+func text[T ~string](to *T, value string) error {
+	if strings.ContainsAny(value, " \t/") {
+		return errors.New("a name has no blanks or slashes")
+	}
+	*to = T(value)
+	return nil
+}
+
+func address(to *ident.Address, value string) error {
+	parsed, err := netip.ParseAddrPort(value)
+	if err != nil || parsed.Port() == 0 {
+		return errors.New("expected an IP number and a port, as in 127.0.0.1:8080")
+	}
+	*to = ident.Address(parsed.String())
+	return nil
+}
+
+func duration(to *time.Duration, value string) error {
+	parsed, err := time.ParseDuration(value)
+	if err != nil || parsed <= 0 {
+		return errors.New("expected a positive duration with a unit, as in 500ms or 2s")
+	}
+	*to = parsed
+	return nil
+}
+
+func count(to *int64, value string) error {
+	parsed, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || parsed <= 0 {
+		return errors.New("expected a positive whole number")
+	}
+	*to = parsed
+	return nil
+}
+
+func events(s *Settings, value string) error {
+	var n int64
+	if err := count(&n, value); err != nil {
+		return err
+	}
+	s.Events = int(n)
+	return nil
+}
+
+func level(s *Settings, value string) error {
+	switch value {
+	case "debug", "info", "warn", "error":
+		s.Level = value
+		return nil
+	default:
+		return errors.New("expected debug, info, warn or error")
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,87 @@
+package settings_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"github.com/nutmegshift/nutmegshift/internal/settings"
+)
+
+const valid = `[entry]
+host = entry-1
+domain = erie-hall
+region = great-lakes
+callers = 127.0.1.1:8080
+operator = 127.0.1.1:8081
+peers = 127.0.1.1:8082
+[platform]
+store = 127.0.0.10:7000
+hosts = 127.0.0.10:7000
+`
+
+func TestParseDefaults(t *testing.T) {
+	c := qt.New(t)
+	parsed, err := settings.Parse("a.ini", []byte(valid))
+	c.Assert(err, qt.IsNil)
+	c.Assert(parsed.Stop.String(), qt.Equals, "30s")
+	c.Assert(parsed.Events, qt.Equals, 65536)
+}
+
+// A wrong setting must stop the start with a message that names it.
+func TestParseFaults(t *testing.T) {
+	cases := map[string]struct {
+		text string
+		want []string
+	}{
+		"unknown key": {
+			text: valid + "[log]\nlevl = info\n",
+			want: []string{"[log] levl: unknown key"},
+		},
+		"unknown section": {
+			text: valid + "[logs]\nlevel = info\n",
+			want: []string{"[logs]: unknown section"},
+		},
+		"wrong unit": {
+			text: valid + "[stop]\nlongest = 30\n",
+			want: []string{"[stop] longest", "with a unit"},
+		},
+		"address without port": {
+			text: strings.Replace(valid, "127.0.1.1:8080", "localhost", 1),
+			want: []string{"[entry] callers", "IP number and a port"},
+		},
+		"two ports on one address": {
+			text: strings.Replace(valid, "127.0.1.1:8081", "127.0.1.1:8080", 1),
+			want: []string{"[entry] operator: same address as callers"},
+		},
+		"drain longer than stop": {
+			text: valid + "[stop]\nlongest = 1s\ndrain = 2s\n",
+			want: []string{"[stop] drain: must be shorter than longest"},
+		},
+		"several faults at once": {
+			text: "[entry]\nhost = a b\n[log]\nlevel = loud\n",
+			want: []string{"[entry] host", "[entry] domain: missing", "[platform] store: missing", "[log] level"},
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			_, err := settings.Parse("a.ini", []byte(tc.text))
+			c.Assert(errors.Is(err, settings.ErrInvalid), qt.IsTrue)
+			for _, want := range tc.want {
+				c.Check(err.Error(), qt.Contains, want)
+			}
+		})
+	}
+}
+
+// The README must show every setting, so that operators need not read code.
+func TestReadmeListsSettings(t *testing.T) {
+	c := qt.New(t)
+	readme, err := os.ReadFile("../../README.md")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(readme), qt.Contains, settings.Help())
+}
