--- /dev/null
+++ b/internal/hostlist/client_test.go
@@ -0,0 +1,65 @@
+package hostlist_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/hostlist"
+)
+
+// Guards against a partial or malformed answer that is taken for a host list:
+// hosts absent from it would be treated as gone.
+func TestFetch(t *testing.T) {
+	tests := map[string]struct {
+		status int
+		length string
+		body   string
+		want   error
+	}{
+		"complete":      {status: 200, body: `{"version":3,"hosts":[{"name":"a","kind":"entry","state":"live"}]}`},
+		"cut":           {status: 200, length: "500", body: `{"version":3,"hosts":[`, want: hostlist.ErrUnavailable},
+		"not JSON":      {status: 200, body: `<html>`, want: hostlist.ErrInvalid},
+		"wrong type":    {status: 200, body: `{"version":"x"}`, want: hostlist.ErrInvalid},
+		"unknown kind":  {status: 200, body: `{"hosts":[{"name":"a","kind":"x","state":"live"}]}`, want: hostlist.ErrInvalid},
+		"unknown state": {status: 200, body: `{"hosts":[{"name":"a","kind":"entry","state":"x"}]}`, want: hostlist.ErrInvalid},
+		"no name":       {status: 200, body: `{"hosts":[{"kind":"entry","state":"live"}]}`, want: hostlist.ErrInvalid},
+		"server error":  {status: 500, body: `{}`, want: hostlist.ErrUnavailable},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if test.length != "" {
+					w.Header().Set("Content-Length", test.length)
+				}
+				w.WriteHeader(test.status)
+				_, _ = io.WriteString(w, test.body)
+			}))
+			defer server.Close()
+			client := hostlist.New(ident.Address(server.Listener.Addr().String()), server.Client())
+			list, err := client.Fetch(context.Background())
+			if test.want != nil {
+				c.Assert(err, qt.ErrorIs, test.want)
+				return
+			}
+			c.Assert(err, qt.IsNil)
+			c.Assert(list.Version, qt.Equals, uint64(3))
+			c.Assert(list.Hosts, qt.HasLen, 1)
+		})
+	}
+}
+
+// Guards against an unreachable platform that is taken for an empty host list.
+func TestFetchUnreachable(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	_, err := hostlist.New(ident.Address(server.Listener.Addr().String()), server.Client()).Fetch(context.Background())
+	c.Assert(err, qt.ErrorIs, hostlist.ErrUnavailable)
+}
