--- /dev/null
+++ b/internal/standin/upstreams/orders.go
@@ -0,0 +1,107 @@
+package upstreams
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+)
+
+// Order changes the state of an engine; repeating it changes nothing.
+type Order struct {
+	Kind  string          `json:"kind"` // load, unload or role
+	Model ident.ModelName `json:"model,omitempty"`
+	Role  string          `json:"role,omitempty"`
+}
+
+// EngineState is the state of an engine that orders change.
+type EngineState struct {
+	Models  []ident.ModelName   `json:"models"`
+	Role    string              `json:"role"`
+	Fencing ident.FencingNumber `json:"fencing"` // highest accepted number
+	Orders  int                 `json:"orders"`  // accepted so far
+}
+
+// orders holds the state that orders change.
+type orders struct {
+	checks bool // reject a fencing number lower than the highest accepted one
+
+	mu    sync.Mutex
+	state EngineState
+}
+
+func (o *orders) current() EngineState {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	state := o.state
+	state.Models = append([]ident.ModelName{}, state.Models...)
+	return state
+}
+
+// serves reports whether the engine has the model loaded; an engine that was
+// never given a model serves all.
+func (o *orders) serves(model ident.ModelName) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return model == "" || o.state.Models == nil || slices.Contains(o.state.Models, model)
+}
+
+// accept reports whether the fencing number may still give orders.
+func (o *orders) accept(number ident.FencingNumber) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.checks && number < o.state.Fencing {
+		return false
+	}
+	o.state.Fencing = max(o.state.Fencing, number)
+	o.state.Orders++
+	return true
+}
+
+func (o *orders) apply(order Order) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch order.Kind {
+	case "load":
+		if !slices.Contains(o.state.Models, order.Model) {
+			o.state.Models = append(o.state.Models, order.Model)
+		}
+	case "unload":
+		o.state.Models = slices.DeleteFunc(append([]ident.ModelName{}, o.state.Models...),
+			func(model ident.ModelName) bool { return model == order.Model })
+	case "role":
+		o.state.Role = order.Role
+	default:
+		return false
+	}
+	return true
+}
+
+func (e *Engine) getOrders(c echo.Context) error {
+	return c.JSON(http.StatusOK, e.orders.current())
+}
+
+func (e *Engine) postOrder(c echo.Context) error {
+	var order Order
+	if err := c.Bind(&order); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	number, err := strconv.ParseUint(c.Request().Header.Get("Fencing-Number"), 10, 64)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "order needs a Fencing-Number")
+	}
+	if !e.orders.accept(ident.FencingNumber(number)) {
+		return c.JSON(http.StatusConflict, e.orders.current())
+	}
+	if order.Kind == "load" {
+		e.wait(c.Request().Context(), e.config.LoadTime)
+	}
+	if !e.orders.apply(order) {
+		return echo.NewHTTPError(http.StatusBadRequest, "unknown kind of order")
+	}
+	return c.JSON(http.StatusOK, e.orders.current())
+}
