Choose upstreams from a table of rows

Stages need an upstream that is alive, close and little loaded, although the host list and the load reports lag. The table combines them with this host's own in-flight counts, which are exact, and never gives new work to a row that any source marked as leaving.

--- /dev/null
+++ b/upstream/member.go
@@ -0,0 +1,35 @@
+package upstream
+
+import (
+	"github.com/nutmegshift/nutmegshift/document"
+	"github.com/nutmegshift/nutmegshift/ident"
+)
+
+// Member is one upstream as the host list reports it.
+type Member struct {
+	Pool        document.PoolRef
+	Upstream    ident.UpstreamID
+	Incarnation ident.Incarnation
+	Address     ident.Address
+	Domain      ident.FailureDomain
+	Region      ident.Region
+	Leaving     bool
+}
+
+// Mark names one incarnation of an upstream that is leaving.
+type Mark struct {
+	Upstream    ident.UpstreamID
+	Incarnation ident.Incarnation
+}
+
+// State says which work a row receives.
+type State string
+
+// The states of a row.
+const (
+	StateStarting State = "starting" // slow start: a growing part of its share
+	StateLive     State = "live"
+	StateLeaving  State = "leaving" // no new work, final for the incarnation
+	StateEjected  State = "ejected" // no new work but for one trial at a time
+	StateGone     State = "gone"    // no longer listed; no new work
+)
--- /dev/null
+++ b/upstream/table_test.go
@@ -0,0 +1,568 @@
+package upstream_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+	"pgregory.net/rapid"
+
+	"github.com/nutmegshift/nutmegshift/document"
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/upstream"
+)
+
+const tick = 100 * time.Millisecond
+
+var engines = document.PoolRef{
+	Service: "nutmeg-pool",
+	Pool:    "engines",
+}
+
+// fixture is a table under a manual clock.
+type fixture struct {
+	table *upstream.Table
+	now   time.Time
+}
+
+func newFixture(host ident.HostID, domain ident.FailureDomain, seed uint64) *fixture {
+	f := &fixture{
+		now: time.Unix(1_000_000, 0),
+	}
+	f.table = upstream.New(upstream.Config{
+		Host:   host,
+		Domain: domain,
+		Region: "great-lakes",
+		Now:    func() time.Time { return f.now },
+		Random: rand.New(rand.NewPCG(seed, 1)),
+	})
+	return f
+}
+
+func (f *fixture) offer(members []upstream.Member) {
+	f.table.Offer(members)
+	f.table.Tick(f.now)
+}
+
+func (f *fixture) pass(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(tick)
+		f.table.Tick(f.now)
+	}
+}
+
+func (f *fixture) query() upstream.Query {
+	return upstream.Query{
+		Pool:       engines,
+		Repeatable: true,
+	}
+}
+
+// serve runs n attempts one after the other and counts them by upstream.
+func (f *fixture) serve(c *qt.C, n int, q upstream.Query, report func(upstream.Lease) upstream.Report) map[ident.UpstreamID]int {
+	counts := make(map[ident.UpstreamID]int)
+	for range n {
+		lease, err := f.table.Choose(f.now, q)
+		c.Assert(err, qt.IsNil)
+		counts[lease.Upstream]++
+		f.now = f.now.Add(10 * time.Millisecond)
+		f.table.Done(lease, report(lease))
+		f.table.Tick(f.now)
+	}
+	return counts
+}
+
+func (f *fixture) state(id ident.UpstreamID, incarnation ident.Incarnation) upstream.State {
+	for _, row := range f.table.Snapshot().Rows {
+		if row.Member.Upstream == id && row.Member.Incarnation == incarnation {
+			return row.State
+		}
+	}
+	return ""
+}
+
+func completed(latency time.Duration) upstream.Report {
+	return upstream.Report{
+		Latency: latency,
+		Result:  upstream.Completed{},
+	}
+}
+
+func fast(upstream.Lease) upstream.Report { return completed(10 * time.Millisecond) }
+
+// pool returns n members e0, e1, ... spread over the failure domains in turn.
+func pool(n int, domains ...ident.FailureDomain) []upstream.Member {
+	members := make([]upstream.Member, n)
+	for i := range members {
+		members[i] = upstream.Member{
+			Pool:        engines,
+			Upstream:    ident.UpstreamID(fmt.Sprintf("e%d", i)),
+			Incarnation: 1,
+			Address:     ident.Address(fmt.Sprintf("127.0.0.1:%d", 9000+i)),
+			Domain:      domains[i%len(domains)],
+			Region:      "great-lakes",
+		}
+	}
+	return members
+}
+
+// Guards against new work for a leaving upstream, whichever source marked it,
+// and against a lagging host list that takes the mark back.
+func TestLeavingReceivesNoWork(t *testing.T) {
+	listed := pool(3, "erie-hall")
+	tests := map[string]func(c *qt.C, f *fixture){
+		"host list": func(_ *qt.C, f *fixture) {
+			leaving := pool(3, "erie-hall")
+			leaving[1].Leaving = true
+			f.offer(leaving)
+		},
+		"peer": func(_ *qt.C, f *fixture) {
+			f.table.MarkLeaving("e1", 1)
+		},
+		"peer before the host list has it": func(_ *qt.C, f *fixture) {
+			f.table = newFixture("h1", "erie-hall", 1).table
+			f.table.MarkLeaving("e1", 1)
+			f.offer(listed)
+		},
+		"peer and first listed as leaving": func(_ *qt.C, f *fixture) {
+			f.table = newFixture("h1", "erie-hall", 1).table
+			f.table.MarkLeaving("e1", 1)
+			leaving := pool(3, "erie-hall")
+			leaving[1].Leaving = true
+			f.offer(leaving)
+		},
+		"own refusal": func(c *qt.C, f *fixture) {
+			refused := false
+			for !refused {
+				f.serve(c, 1, f.query(), func(l upstream.Lease) upstream.Report {
+					if l.Upstream == "e1" {
+						refused = true
+						return upstream.Report{
+							Result: upstream.Leaving{},
+						}
+					}
+					return completed(10 * time.Millisecond)
+				})
+			}
+			c.Assert(f.table.Observations(), qt.DeepEquals, []upstream.Mark{
+				{
+					Upstream:    "e1",
+					Incarnation: 1,
+				},
+			})
+			c.Assert(f.table.Observations(), qt.HasLen, 0)
+		},
+		"removed from the list": func(_ *qt.C, f *fixture) {
+			f.offer(append(pool(1, "erie-hall"), listed[2]))
+		},
+	}
+	for name, mark := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture("h1", "erie-hall", 1)
+			f.offer(listed)
+			mark(c, f)
+			c.Assert(f.serve(c, 100, f.query(), fast)["e1"], qt.Equals, 0)
+			if name != "removed from the list" {
+				f.offer(listed)
+				c.Assert(f.serve(c, 100, f.query(), fast)["e1"], qt.Equals, 0, qt.Commentf("the lagging list took the mark back"))
+			}
+			returned := pool(3, "erie-hall")
+			returned[1].Incarnation = 2
+			f.offer(returned)
+			f.pass(11 * time.Second)
+			c.Assert(f.serve(c, 100, f.query(), fast)["e1"] > 0, qt.IsTrue, qt.Commentf("the new incarnation received no work"))
+			f.offer(listed)
+			c.Assert(f.state("e1", 2), qt.Equals, upstream.StateLive, qt.Commentf("an older incarnation in the list replaced the newer one"))
+		})
+	}
+}
+
+// Guards against losing count of work in flight on an upstream that leaves.
+func TestLeavingKeepsWorkInFlight(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture("h1", "erie-hall", 1)
+	f.offer(pool(1, "erie-hall"))
+	lease, err := f.table.Choose(f.now, f.query())
+	c.Assert(err, qt.IsNil)
+	f.table.MarkLeaving("e0", 1)
+	f.pass(2 * time.Minute)
+	c.Assert(f.table.InFlight("e0"), qt.Equals, 1)
+	_, err = f.table.Choose(f.now, f.query())
+	c.Assert(errors.Is(err, upstream.ErrNoUpstream), qt.IsTrue)
+	f.table.Done(lease, completed(time.Second))
+	f.table.Done(lease, completed(time.Second))
+	c.Assert(f.table.InFlight("e0"), qt.Equals, 0)
+}
+
+// Guards against reporting overload as absence and the reverse.
+func TestChooseErrors(t *testing.T) {
+	tests := map[string]struct {
+		members []upstream.Member
+		result  upstream.Result
+		want    error
+	}{
+		"empty pool": {
+			want: upstream.ErrNoUpstream,
+		},
+		"all overloaded": {
+			members: pool(1, "erie-hall"),
+			result:  upstream.Overloaded{},
+			want:    upstream.ErrOverloaded,
+		},
+		"all leaving": {
+			members: pool(1, "erie-hall"),
+			result:  upstream.Leaving{},
+			want:    upstream.ErrNoUpstream,
+		},
+		"lost but the only one": {
+			members: pool(1, "erie-hall"),
+			result:  upstream.Lost{},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture("h1", "erie-hall", 1)
+			f.offer(test.members)
+			if lease, err := f.table.Choose(f.now, f.query()); err == nil {
+				f.table.Done(lease, upstream.Report{
+					Result: test.result,
+				})
+			}
+			_, err := f.table.Choose(f.now, f.query())
+			if test.want == nil {
+				c.Assert(err, qt.IsNil)
+				return
+			}
+			c.Assert(errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
+
+// Guards against ejecting more than a third of a pool, new work for ended rows
+// and miscounted attempts under any sequence of events.
+func TestInvariantsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 80).Draw(rt, "rows")
+		f := newFixture("h1", "erie-hall", rapid.Uint64().Draw(rt, "seed"))
+		members := pool(n, "erie-hall", "huron-hall")
+		f.offer(members)
+		var leases []upstream.Lease
+		marked := make(map[ident.UpstreamID]ident.Incarnation)
+		results := []upstream.Result{
+			upstream.Completed{},
+			upstream.Completed{Failed: true},
+			upstream.Overloaded{},
+			upstream.Lost{},
+			upstream.NotSent{},
+			upstream.Cancelled{},
+		}
+		check := func() {
+			counted, ejected := 0, 0
+			inFlight := make(map[ident.UpstreamID]int)
+			for _, row := range f.table.Snapshot().Rows {
+				if !row.Used {
+					continue
+				}
+				switch row.State {
+				case upstream.StateLive, upstream.StateStarting:
+					counted++
+				case upstream.StateEjected:
+					counted++
+					ejected++
+				case upstream.StateLeaving, upstream.StateGone:
+				}
+			}
+			for _, lease := range leases {
+				inFlight[lease.Upstream]++
+			}
+			for _, m := range members {
+				if got := f.table.InFlight(m.Upstream); got != inFlight[m.Upstream] {
+					rt.Fatalf("in flight at %s: %d, want %d", m.Upstream, got, inFlight[m.Upstream])
+				}
+			}
+			if 3*ejected > counted {
+				rt.Fatalf("%d of %d ejected", ejected, counted)
+			}
+		}
+		pick := func() *upstream.Member {
+			return &members[rapid.IntRange(0, n-1).Draw(rt, "upstream")]
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"": func(*rapid.T) {
+				f.pass(tick)
+				check()
+			},
+			"choose": func(rt *rapid.T) {
+				q := f.query()
+				q.Repeatable = rapid.Bool().Draw(rt, "repeatable")
+				lease, err := f.table.Choose(f.now, q)
+				if err != nil {
+					return
+				}
+				if incarnation, ok := marked[lease.Upstream]; ok && lease.Incarnation <= incarnation {
+					rt.Fatalf("new work for leaving %s/%d", lease.Upstream, lease.Incarnation)
+				}
+				leases = append(leases, lease)
+			},
+			"done": func(rt *rapid.T) {
+				if len(leases) == 0 {
+					return
+				}
+				f.table.Done(leases[0], upstream.Report{
+					Latency: time.Duration(rapid.IntRange(1, 2000).Draw(rt, "ms")) * time.Millisecond,
+					Result:  rapid.SampledFrom(results).Draw(rt, "result"),
+				})
+				leases = leases[1:]
+			},
+			"crash": func(*rapid.T) {
+				m := pick()
+				f.table.Crashed(m.Upstream, m.Incarnation)
+			},
+			"leave": func(*rapid.T) {
+				m := pick()
+				f.table.MarkLeaving(m.Upstream, m.Incarnation)
+				marked[m.Upstream] = m.Incarnation
+			},
+			"restart": func(*rapid.T) {
+				pick().Incarnation++
+				f.table.Offer(members)
+			},
+			"unlist": func(rt *rapid.T) {
+				f.table.Offer(members[rapid.IntRange(0, n-1).Draw(rt, "from"):])
+			},
+			"time": func(rt *rapid.T) {
+				f.pass(time.Duration(rapid.IntRange(1, 20).Draw(rt, "s")) * time.Second)
+			},
+		})
+	})
+}
+
+// Guards against a straggler that keeps its share, and against one that is never
+// re-admitted after it has recovered.
+func TestStragglerEjectedAndReadmitted(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture("h1", "erie-hall", 1)
+	f.offer(pool(9, "erie-hall"))
+	slow := func(l upstream.Lease) upstream.Report {
+		if l.Upstream == "e4" {
+			return completed(500 * time.Millisecond)
+		}
+		return completed(50 * time.Millisecond)
+	}
+	// Attempts that overlap reach every row.
+	for range 10 {
+		var leases []upstream.Lease
+		for range 40 {
+			lease, err := f.table.Choose(f.now, f.query())
+			c.Assert(err, qt.IsNil)
+			leases = append(leases, lease)
+		}
+		for _, lease := range leases {
+			f.table.Done(lease, slow(lease))
+		}
+		f.pass(tick)
+	}
+	c.Assert(f.state("e4", 1), qt.Equals, upstream.StateEjected)
+	for range 10 {
+		trials := f.serve(c, 100, f.query(), slow)["e4"]
+		c.Assert(trials <= 1, qt.IsTrue, qt.Commentf("%d attempts in a second", trials))
+	}
+	f.pass(time.Minute)
+	once := f.query()
+	once.Repeatable = false
+	c.Assert(f.serve(c, 50, once, slow)["e4"], qt.Equals, 0, qt.Commentf("non-idempotent work was used as a trial"))
+	f.serve(c, 1, f.query(), fast)
+	c.Assert(f.state("e4", 1), qt.Equals, upstream.StateStarting)
+	f.pass(11 * time.Second)
+	c.Assert(f.state("e4", 1), qt.Equals, upstream.StateLive)
+}
+
+// Guards against paying for another failure domain without a matching gain.
+func TestCrossDomainPrice(t *testing.T) {
+	tests := map[string]struct {
+		weight, price float64
+		local         int // attempts in flight at the local upstream
+		domain        ident.FailureDomain
+		cross         bool
+	}{
+		"equal load stays local": {
+			domain: "erie-hall",
+		},
+		"far more loaded, free": {
+			domain: "erie-hall",
+			local:  10,
+			cross:  true,
+		},
+		"far more loaded, expensive": {
+			domain: "erie-hall",
+			local:  10,
+			price:  100,
+		},
+		"expensive, but attainment counts": {
+			domain: "erie-hall",
+			local:  10,
+			price:  100,
+			weight: 1,
+			cross:  true,
+		},
+		"no local upstream": {
+			domain: "superior-hall",
+			price:  100,
+			cross:  true,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture("h1", test.domain, 1)
+			f.offer(pool(2, "erie-hall", "huron-hall"))
+			q := f.query()
+			q.Exclude = []ident.UpstreamID{"e1"}
+			for range test.local {
+				_, err := f.table.Choose(f.now, q)
+				c.Assert(err, qt.IsNil)
+			}
+			f.table.Tick(f.now)
+			f.table.Loaded("e1", 1, upstream.Load{
+				At: f.now,
+			})
+			q = f.query()
+			q.Weight = test.weight
+			q.CrossCost = test.price
+			lease, err := f.table.Choose(f.now, q)
+			c.Assert(err, qt.IsNil)
+			c.Assert(lease.Cross, qt.Equals, test.cross)
+		})
+	}
+}
+
+// Guards against counting this host's own attempts twice, once in flight and
+// once in the report.
+func TestReportExcludesOwnAttempts(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture("h1", "erie-hall", 1)
+	f.offer(pool(1, "erie-hall"))
+	for range 5 {
+		_, err := f.table.Choose(f.now, f.query())
+		c.Assert(err, qt.IsNil)
+	}
+	f.pass(time.Second)
+	f.table.Loaded("e0", 1, upstream.Load{
+		Running: 5,
+		Queued:  3,
+		At:      f.now.Add(-300 * time.Millisecond),
+	})
+	f.pass(tick)
+	c.Assert(f.table.Snapshot().Rows[0].Others, qt.Equals, 3.0)
+	f.pass(20 * time.Second)
+	c.Assert(f.table.Snapshot().Rows[0].Others, qt.Equals, 0.0)
+}
+
+// Guards against affinity to a prefix that the upstream no longer holds, and
+// against memory that grows with the events.
+func TestPrefixAffinity(t *testing.T) {
+	prefix := upstream.NewPrefix("You are a fair clerk.")
+	event := func(sequence uint64, change upstream.CacheChange) upstream.CacheEvent {
+		return upstream.CacheEvent{
+			Sequence: sequence,
+			Change:   change,
+			Prefix:   prefix,
+		}
+	}
+	hashed := func(c *qt.C) ident.UpstreamID {
+		f := newFixture("h2", "erie-hall", 2)
+		f.offer(pool(9, "erie-hall"))
+		q := f.query()
+		q.Prefix = prefix
+		lease, err := f.table.Choose(f.now, q)
+		c.Assert(err, qt.IsNil)
+		return lease.Upstream
+	}
+	var many []upstream.CacheEvent
+	for i := range 100_000 {
+		many = append(many, upstream.CacheEvent{
+			Sequence: uint64(i + 1),
+			Prefix:   upstream.Prefix(i + 1),
+		})
+	}
+	tests := map[string]struct {
+		batches [][]upstream.CacheEvent
+		pass    time.Duration
+		held    bool
+	}{
+		"nothing known":      {},
+		"stored":             {batches: [][]upstream.CacheEvent{{event(7, upstream.Stored)}}, held: true},
+		"evicted":            {batches: [][]upstream.CacheEvent{{event(7, upstream.Stored)}, {event(8, upstream.Evicted)}}},
+		"out of order":       {batches: [][]upstream.CacheEvent{{event(8, upstream.Evicted), event(7, upstream.Stored)}}},
+		"late":               {batches: [][]upstream.CacheEvent{{event(7, upstream.Stored)}, {event(6, upstream.Evicted)}}, held: true},
+		"gap":                {batches: [][]upstream.CacheEvent{{event(7, upstream.Stored)}, {{Sequence: 9, Prefix: 1}}}},
+		"stored after a gap": {batches: [][]upstream.CacheEvent{{event(7, upstream.Evicted)}, {event(9, upstream.Stored)}}, held: true},
+		"silent feed":        {batches: [][]upstream.CacheEvent{{event(7, upstream.Stored)}}, pass: time.Minute},
+		"displaced":          {batches: [][]upstream.CacheEvent{{event(0, upstream.Stored)}, many}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture("h1", "erie-hall", 1)
+			f.offer(pool(9, "erie-hall"))
+			other := hashed(c)
+			holder := ident.UpstreamID("e3")
+			if other == holder {
+				holder = "e4"
+			}
+			for _, batch := range test.batches {
+				f.table.Cached(holder, 1, batch)
+			}
+			f.pass(test.pass)
+			for _, row := range f.table.Snapshot().Rows {
+				c.Assert(row.Prefixes <= 256, qt.IsTrue)
+			}
+			q := f.query()
+			q.Prefix = prefix
+			want := other
+			if test.held {
+				want = holder
+			}
+			c.Assert(f.serve(c, 20, q, fast), qt.DeepEquals, map[ident.UpstreamID]int{
+				want: 20,
+			})
+		})
+	}
+}
+
+// Guards against a subset that ends with the local failure domain, and against
+// upstreams of a large pool that no host uses.
+func TestSubset(t *testing.T) {
+	c := qt.New(t)
+	members := pool(600, "a", "b", "c", "d", "e", "f")
+	for i := range members {
+		if i%6 > 2 {
+			members[i].Region = "other"
+		}
+	}
+	covered := make(map[ident.UpstreamID]bool)
+	for h := range 60 {
+		f := newFixture(ident.HostID(fmt.Sprintf("h%d", h)), ident.FailureDomain("abcdef"[h%6:h%6+1]), 1)
+		f.offer(members)
+		used := make(map[ident.FailureDomain]int)
+		for _, row := range f.table.Snapshot().Rows {
+			if row.Used {
+				used[row.Member.Domain]++
+				covered[row.Member.Upstream] = true
+			}
+		}
+		total := 0
+		for _, n := range used {
+			total += n
+		}
+		c.Assert(total, qt.Equals, 64)
+		c.Assert(len(used) > 1, qt.IsTrue)
+	}
+	t.Logf("60 hosts use %d of 600 upstreams", len(covered))
+	c.Assert(len(covered) > 590, qt.IsTrue)
+}
