--- /dev/null
+++ b/upstream/bench_test.go
@@ -0,0 +1,77 @@
+package upstream_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/nutmegshift/nutmegshift/document"
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/upstream"
+)
+
+// fleets are the numbers of rows and of pools they are spread over.
+var fleets = map[string]struct{ rows, pools int }{
+	"0009": {rows: 9, pools: 1},
+	"0120": {rows: 120, pools: 4},
+	"1000": {rows: 1000, pools: 10},
+	"3700": {rows: 3700, pools: 11},
+}
+
+func fleet(rows, pools int) (*fixture, []upstream.Member) {
+	members := pool(rows, "a", "b", "c", "d", "e")
+	for i := range members {
+		members[i].Pool.Pool = ident.PoolName(fmt.Sprint(i / 5 % pools))
+	}
+	f := newFixture("h1", "a", 1)
+	f.offer(members)
+	return f, members
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for name, size := range fleets {
+		for kind, prefix := range map[string]upstream.Prefix{"plain": 0, "prefix": 42} {
+			b.Run(name+"/"+kind, func(b *testing.B) {
+				f, _ := fleet(size.rows, size.pools)
+				queries := make([]upstream.Query, size.pools)
+				for i := range queries {
+					queries[i] = upstream.Query{
+						Pool: document.PoolRef{
+							Service: engines.Service,
+							Pool:    ident.PoolName(fmt.Sprint(i)),
+						},
+						Prefix: prefix,
+					}
+				}
+				b.ReportAllocs()
+				i := 0
+				for b.Loop() {
+					lease, err := f.table.Choose(f.now, queries[i%size.pools])
+					if err != nil {
+						b.Fatal(err)
+					}
+					f.table.Done(lease, completed(10*time.Millisecond))
+					i++
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	for name, size := range fleets {
+		for kind, merge := range map[string]bool{"steady": false, "merge": true} {
+			b.Run(name+"/"+kind, func(b *testing.B) {
+				f, members := fleet(size.rows, size.pools)
+				b.ReportAllocs()
+				for b.Loop() {
+					f.now = f.now.Add(tick)
+					if merge {
+						f.table.Offer(members)
+					}
+					f.table.Tick(f.now)
+				}
+			})
+		}
+	}
+}
