--- /dev/null
+++ b/internal/standin/settings.go
@@ -0,0 +1,190 @@
+package standin
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"gopkg.in/ini.v1"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/standin/upstreams"
+)
+
+const (
+	upstreamPrefix  = "upstream "
+	platformSection = "platform"
+)
+
+// The kinds of upstream besides those of upstreams.PoolKind.
+const (
+	engineKind = "engine"
+	plainKind  = "plain"
+)
+
+// Upstream holds the settings of one upstream; its keys in the file are the
+// field names in lower case with underscores.
+type Upstream struct {
+	Name    ident.UpstreamID `ini:"-"`
+	Kind    string           // encode, retrieve, rerank, engine or plain
+	Service ident.ServiceName
+	Pool    ident.PoolName
+	Address ident.Address // on loopback
+	Domain  ident.FailureDomain
+	Region  ident.Region
+
+	Slots   int
+	Queue   int
+	LoadLag time.Duration
+	Time    time.Duration // service time of pools and plain services
+
+	Tokens       int
+	TokenRate    float64 // tokens per second
+	FirstToken   time.Duration
+	CacheEntries int
+	PrefixLength int
+	CacheFactor  float64
+	EventDelay   time.Duration
+	EventGap     int
+	Models       []string
+	Role         string
+	LoadTime     time.Duration
+	Fencing      string // check or ignore, which is the default
+}
+
+// Settings are the contents of a settings file.
+type Settings struct {
+	Upstreams []Upstream
+	Platform  map[string]string // keys of the platform section; nil if there is none
+}
+
+// Parse reads a settings file and reports all of its faults at once.
+func Parse(text []byte) (Settings, error) {
+	file, err := ini.Load(text)
+	if err != nil {
+		return Settings{}, errors.Annotate(err, "parse settings")
+	}
+	file.NameMapper = ini.TitleUnderscore
+	known, err := knownKeys()
+	if err != nil {
+		return Settings{}, err
+	}
+	var settings Settings
+	var faults []string
+	for _, section := range file.Sections() {
+		name := section.Name()
+		switch {
+		case name == ini.DefaultSection && len(section.Keys()) == 0:
+		case name == platformSection:
+			settings.Platform = section.KeysHash()
+		case strings.HasPrefix(name, upstreamPrefix):
+			upstream := Upstream{
+				Name: ident.UpstreamID(strings.TrimSpace(strings.TrimPrefix(name, upstreamPrefix))),
+			}
+			for _, key := range section.KeyStrings() {
+				if !slices.Contains(known, key) {
+					faults = append(faults, fmt.Sprintf("[%s] %s: unknown key", name, key))
+				}
+			}
+			if err := section.StrictMapTo(&upstream); err != nil {
+				faults = append(faults, fmt.Sprintf("[%s]: %v", name, err))
+			}
+			for _, fault := range upstream.faults() {
+				faults = append(faults, fmt.Sprintf("[%s] %s", name, fault))
+			}
+			settings.Upstreams = append(settings.Upstreams, upstream)
+		default:
+			faults = append(faults, fmt.Sprintf("[%s]: unknown section", name))
+		}
+	}
+	if len(faults) > 0 {
+		return Settings{}, errors.Errorf("settings: %s", strings.Join(faults, "; "))
+	}
+	return settings, nil
+}
+
+// knownKeys returns the keys of an upstream section.
+func knownKeys() ([]string, error) {
+	file := ini.Empty()
+	file.NameMapper = ini.TitleUnderscore
+	section := file.Section(upstreamPrefix)
+	if err := section.ReflectFrom(&Upstream{}); err != nil {
+		return nil, errors.Annotate(err, "list known keys")
+	}
+	return section.KeyStrings(), nil
+}
+
+func (u Upstream) faults() []string {
+	var faults []string
+	switch u.Kind {
+	case string(upstreams.Encoder), string(upstreams.Retriever), string(upstreams.Reranker), engineKind, plainKind:
+	default:
+		faults = append(faults, fmt.Sprintf("kind: %q is not a kind of upstream", u.Kind))
+	}
+	if u.Fencing != "" && u.Fencing != "check" && u.Fencing != "ignore" {
+		faults = append(faults, fmt.Sprintf("fencing: %q is neither check nor ignore", u.Fencing))
+	}
+	address, err := netip.ParseAddrPort(string(u.Address))
+	if err != nil || !address.Addr().IsLoopback() {
+		faults = append(faults, fmt.Sprintf("address: %q is not a loopback address with a port", u.Address))
+	}
+	if u.Name == "" {
+		faults = append(faults, "upstream without a name")
+	}
+	return faults
+}
+
+// Component returns the upstream as a component of Run.
+func (u Upstream) Component() Component {
+	return Component{
+		Name:    string(u.Name),
+		Address: u.Address,
+		Serve:   u.build().Serve,
+	}
+}
+
+func (u Upstream) build() upstreams.Upstream {
+	common := upstreams.Common{
+		Name:    u.Name,
+		Clock:   upstreams.SystemClock{},
+		Slots:   u.Slots,
+		Queue:   u.Queue,
+		LoadLag: u.LoadLag,
+	}
+	switch u.Kind {
+	case plainKind:
+		return upstreams.NewPlain(upstreams.PlainConfig{
+			Common: common,
+			Time:   u.Time,
+		})
+	case engineKind:
+		var models []ident.ModelName
+		for _, model := range u.Models {
+			models = append(models, ident.ModelName(model))
+		}
+		return upstreams.NewEngine(upstreams.EngineConfig{
+			Common:       common,
+			Tokens:       u.Tokens,
+			TokenRate:    u.TokenRate,
+			FirstToken:   u.FirstToken,
+			CacheEntries: u.CacheEntries,
+			PrefixLength: u.PrefixLength,
+			CacheFactor:  u.CacheFactor,
+			EventDelay:   u.EventDelay,
+			EventGap:     u.EventGap,
+			Models:       models,
+			Role:         u.Role,
+			LoadTime:     u.LoadTime,
+			ChecksFence:  u.Fencing == "check",
+		})
+	default:
+		return upstreams.NewPool(upstreams.PoolConfig{
+			Common: common,
+			Kind:   upstreams.PoolKind(u.Kind),
+			Time:   u.Time,
+		})
+	}
+}
