--- a/document/service.go
+++ b/document/service.go
@@ -76,9 +76,11 @@
 type Versioned struct {
 	Revision ident.Revision
 	Change   ident.ChangeID
-	Team     ident.TeamName
+	Base     ident.Revision // revision that the change was based on
+	Owner    ident.TeamName // team that may make the next change
+	Team     ident.TeamName // team that made this change
 	Author   string
 	Time     time.Time
 	Text     []byte
-	Service  *Service // parsed Text; read-only
+	Service  *Service // parsed Text; read-only, nil in a history
 }
