--- /dev/null
+++ b/document/stored.go
@@ -0,0 +1,175 @@
+package document
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/kv"
+)
+
+const (
+	// Prefix is the key prefix of all documents in the store.
+	Prefix kv.Key = "service/"
+	// KeptRevisions is the number of preceding revisions in a stored value.
+	KeptRevisions = 20
+	// maxHistoryBytes bounds a decompressed history, so that a damaged value
+	// cannot exhaust memory: 20 texts, each escaped to at most six times its size.
+	maxHistoryBytes = KeptRevisions * (MaxTextBytes*6 + 4096)
+)
+
+// ErrMalformed marks a stored or received value that is not a document.
+const ErrMalformed = errors.ConstError("malformed document value")
+
+// Stored is the value of a document's key.
+type Stored struct {
+	Current Versioned
+	History []Versioned // preceding revisions, newest first; an old Text may be nil
+}
+
+// record is one revision in the value's JSON.
+type record struct {
+	Revision ident.Revision `json:"revision"`
+	Change   ident.ChangeID `json:"change"`
+	Base     ident.Revision `json:"base"`
+	Owner    ident.TeamName `json:"owner"`
+	Team     ident.TeamName `json:"team"`
+	Author   string         `json:"author"`
+	Time     time.Time      `json:"time"`
+	Text     *string        `json:"text,omitempty"`
+}
+
+// value is the JSON of a stored value. The history is compressed because every
+// host lists all values each minute and revisions differ in a few lines only.
+type value struct {
+	record
+	History []byte `json:"history,omitempty"` // gzip of a JSON array of record
+}
+
+// KeyOf returns the store key of a service's document.
+func KeyOf(name ident.ServiceName) kv.Key {
+	return Prefix + kv.Key(name)
+}
+
+// EncodeStored returns the store value. It omits the oldest texts of the history,
+// but not their other fields, if the value exceeds kv.MaxValueBytes.
+func EncodeStored(stored Stored) ([]byte, error) {
+	history := make([]record, 0, len(stored.History))
+	for _, old := range stored.History {
+		history = append(history, recordOf(old))
+	}
+	for keep := len(history); ; keep-- {
+		encoded, err := encode(recordOf(stored.Current), history)
+		if err != nil {
+			return nil, errors.Annotate(err, "encode document")
+		}
+		if len(encoded) <= kv.MaxValueBytes {
+			return encoded, nil
+		}
+		if keep == 0 {
+			return nil, errors.Annotate(kv.ErrTooLarge, "encode document")
+		}
+		history[keep-1].Text = nil
+	}
+}
+
+// DecodeStored reads a store value and parses its current text. An error is
+// ErrMalformed, or a *ParseError together with the value if only the text is
+// not valid; its Service is nil then.
+func DecodeStored(name ident.ServiceName, encoded []byte) (Stored, error) {
+	var v value
+	if err := json.Unmarshal(encoded, &v); err != nil {
+		return Stored{}, errors.Annotatef(ErrMalformed, "decode document %q: %v", name, err)
+	}
+	if v.Revision == 0 || v.Text == nil {
+		return Stored{}, errors.Annotatef(ErrMalformed, "decode document %q: no revision or text", name)
+	}
+	stored := Stored{
+		Current: versionedOf(v.record),
+	}
+	if len(v.History) > 0 {
+		history, err := inflate(v.History)
+		if err != nil {
+			return Stored{}, errors.Annotatef(ErrMalformed, "decode history of document %q: %v", name, err)
+		}
+		for _, old := range history {
+			stored.History = append(stored.History, versionedOf(old))
+		}
+	}
+	service, err := Parse(name, stored.Current.Text)
+	if err != nil {
+		return stored, errors.Annotatef(err, "parse revision %d", stored.Current.Revision)
+	}
+	stored.Current.Service = service
+	return stored, nil
+}
+
+func recordOf(v Versioned) record {
+	r := record{
+		Revision: v.Revision,
+		Change:   v.Change,
+		Base:     v.Base,
+		Owner:    v.Owner,
+		Team:     v.Team,
+		Author:   v.Author,
+		Time:     v.Time,
+	}
+	if v.Text != nil {
+		text := string(v.Text)
+		r.Text = &text
+	}
+	return r
+}
+
+func versionedOf(r record) Versioned {
+	v := Versioned{
+		Revision: r.Revision,
+		Change:   r.Change,
+		Base:     r.Base,
+		Owner:    r.Owner,
+		Team:     r.Team,
+		Author:   r.Author,
+		Time:     r.Time,
+	}
+	if r.Text != nil {
+		v.Text = []byte(*r.Text)
+	}
+	return v
+}
+
+func encode(current record, history []record) ([]byte, error) {
+	v := value{
+		record: current,
+	}
+	if len(history) > 0 {
+		var packed bytes.Buffer
+		writer := gzip.NewWriter(&packed)
+		if err := json.NewEncoder(writer).Encode(history); err != nil {
+			return nil, err
+		}
+		if err := writer.Close(); err != nil {
+			return nil, err
+		}
+		v.History = packed.Bytes()
+	}
+	return json.Marshal(v)
+}
+
+func inflate(packed []byte) ([]record, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, err
+	}
+	text, err := io.ReadAll(io.LimitReader(reader, maxHistoryBytes))
+	if err != nil {
+		return nil, err
+	}
+	var history []record
+	err = json.Unmarshal(text, &history)
+	return history, err
+}
