--- a/organisation/limit.go
+++ b/organisation/limit.go
@@ -19,12 +19,12 @@
 	// queue would raise the next one.
 	baselineAge = 30 * time.Second
 	probePart   = 0.5
-	// baselineGain is the weight of a window below the baseline. Taking the least
-	// of many noisy windows instead lowered goodput by a quarter at 70% load.
+	// baselineGain is the weight of a window below the baseline, so that one fast
+	// window does not set it.
 	baselineGain = 0.2
 	// deviations is how many mean deviations above the mean count as service time.
-	// With the mean alone, a third of the admitted requests at twice the capacity
-	// ended late and goodput fell to 74% of the peak.
+	// With the mean alone, a quarter of the requests admitted in
+	// TestGoodputAndRecovery at twice the capacity ended late.
 	deviations  = 2
 	serviceGain = 0.1 // weight of a new sample in the expected service time
 )
