--- a/document/stored.go
+++ b/document/stored.go
@@ -5,6 +5,8 @@
 	"compress/gzip"
 	"encoding/json"
 	"io"
+	"slices"
+	"sort"
 	"time"
 
 	"github.com/juju/errors"
@@ -63,19 +65,23 @@
 	for _, old := range stored.History {
 		history = append(history, recordOf(old))
 	}
-	for keep := len(history); ; keep-- {
-		encoded, err := encode(recordOf(stored.Current), history)
-		if err != nil {
-			return nil, errors.Annotate(err, "encode document")
-		}
-		if len(encoded) <= kv.MaxValueBytes {
-			return encoded, nil
-		}
-		if keep == 0 {
-			return nil, errors.Annotate(kv.ErrTooLarge, "encode document")
-		}
-		history[keep-1].Text = nil
+	encoded, err := encode(recordOf(stored.Current), history)
+	if err == nil && len(encoded) > kv.MaxValueBytes {
+		// Each encoding compresses the history anew, so search instead of
+		// dropping one text at a time.
+		dropped := 1 + sort.Search(len(history), func(i int) bool {
+			shorter, err := encode(recordOf(stored.Current), without(history, i+1))
+			return err != nil || len(shorter) <= kv.MaxValueBytes
+		})
+		encoded, err = encode(recordOf(stored.Current), without(history, dropped))
+	}
+	if err != nil {
+		return nil, errors.Annotate(err, "encode document")
+	}
+	if len(encoded) > kv.MaxValueBytes {
+		return nil, errors.Annotate(kv.ErrTooLarge, "encode document")
 	}
+	return encoded, nil
 }
 
 // DecodeStored reads a store value and parses its current text. An error is
@@ -142,6 +148,15 @@
 	return v
 }
 
+// without returns the history without its oldest count texts.
+func without(history []record, count int) []record {
+	shorter := slices.Clone(history)
+	for i := max(0, len(shorter)-count); i < len(shorter); i++ {
+		shorter[i].Text = nil
+	}
+	return shorter
+}
+
 func encode(current record, history []record) ([]byte, error) {
 	v := value{
 		record: current,
