--- a/cmd/nutmegshift/main.go
+++ b/cmd/nutmegshift/main.go
@@ -1,4 +1,13 @@
 // Command nutmegshift runs an entry host and the operators' tools.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"github.com/nutmegshift/nutmegshift/internal/command"
+)
+
+func main() {
+	os.Exit(command.Run(context.Background(), os.Args, os.Stdout, os.Stderr))
+}
--- a/cmd/standins/main.go
+++ b/cmd/standins/main.go
@@ -7,11 +7,21 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/standin"
+	"github.com/nutmegshift/nutmegshift/internal/standin/platform"
+)
+
+// The weight store of the stand-in.
+const (
+	weightRate  = 2 // reads a second
+	weightBurst = 4
+	weightBytes = 1 << 16
 )
 
 func main() {
@@ -19,15 +29,49 @@
 	defer stop()
 	command := &cli.Command{
 		Name:  "standins",
-		Usage: "run stand-ins of the platform on loopback",
-		Flags: []cli.Flag{
-			&cli.StringFlag{
-				Name:     "settings",
-				Usage:    "INI `FILE` that lists the stand-ins",
-				Required: true,
+		Usage: "stand-ins of the platform and the upstreams on loopback",
+		Commands: []*cli.Command{
+			callCommand(),
+			{
+				Name:  "run",
+				Usage: "run the stand-ins that a settings file lists",
+				Flags: []cli.Flag{
+					&cli.StringFlag{
+						Name:     "settings",
+						Usage:    "INI `FILE` that lists the stand-ins",
+						Required: true,
+					},
+				},
+				Action: serve,
+			},
+			{
+				Name:  "layout",
+				Usage: "write the settings files of a deployment and its entry hosts",
+				Flags: []cli.Flag{
+					&cli.StringFlag{
+						Name:     "deployment",
+						Usage:    "`NAME`: franchise or roues",
+						Required: true,
+					},
+					&cli.StringFlag{
+						Name:     "dir",
+						Usage:    "`DIRECTORY` for the files",
+						Required: true,
+					},
+					&cli.IntFlag{
+						Name:  "net",
+						Usage: "second `NUMBER` of the loopback addresses",
+						Value: 10,
+					},
+					&cli.IntFlag{
+						Name:  "entries",
+						Usage: "`NUMBER` of entry hosts",
+						Value: 3,
+					},
+				},
+				Action: layout,
 			},
 		},
-		Action: serve,
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "standins:", err)
@@ -45,10 +89,33 @@
 		return err
 	}
 	var components []standin.Component
-	// TODO: add the platform stand-in here, built from settings.Platform and
-	// served with standin.ServeHandler.
+	if address := settings.Platform["address"]; address != "" {
+		components = append(components, standin.Component{
+			Name:    "platform",
+			Address: ident.Address(address),
+			Serve: standin.ServeHandler(platform.New(platform.Config{
+				Now:         time.Now,
+				Hosts:       settings.Hosts(),
+				WeightRate:  weightRate,
+				WeightBurst: weightBurst,
+				WeightBytes: weightBytes,
+			}).Handler()),
+		})
+	}
 	for _, upstream := range settings.Upstreams {
 		components = append(components, upstream.Component())
 	}
 	return standin.Run(ctx, components, command.Root().Writer)
 }
+
+func layout(_ context.Context, command *cli.Command) error {
+	deployment, ok := standin.Deployments()[command.String("deployment")]
+	if !ok {
+		return errors.Errorf("deployment %q does not exist", command.String("deployment"))
+	}
+	return standin.Layout{
+		Deployment: deployment,
+		Net:        command.Int("net"),
+		Entries:    command.Int("entries"),
+	}.Write(command.String("dir"))
+}
--- a/document/service.go
+++ b/document/service.go
@@ -57,6 +57,9 @@
 	MaxBody            int64   // bytes
 }
 
+// Others is the key of [shares] that admits organisations which it does not list.
+const Others ident.OrganisationID = "others"
+
 // Service is the checked content of one service document.
 type Service struct {
 	Name             ident.ServiceName
@@ -67,7 +70,7 @@
 	CrossCost        float64 // price of one attempt in another failure domain
 	Model            ident.ModelName
 	MaxTokens        int
-	Shares           map[ident.OrganisationID]float64 // organisations not listed have share 1
+	Shares           map[ident.OrganisationID]float64 // if not empty, others are served only with a share for Others
 	Stages           []Stage                          // in order; empty for a plain service
 	Routes           []Route
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -21,7 +21,7 @@
 // Config holds what the callers' port needs.
 type Config struct {
 	Server   Server
-	Services func() map[ident.ServiceName]document.Versioned // immutable snapshot
+	Services func() *document.Set
 	NewID    func() ident.RequestID
 	Now      func() time.Time
 	MaxBody  int64 // bytes
@@ -62,7 +62,12 @@
 	c.Response().Header().Set("X-Request-Id", string(id))
 	request, bad := h.read(c, id)
 	if bad != nil {
-		return c.JSON(bad.status, failed(id, outcome.Invalid, bad.message, false))
+		reason := outcome.Invalid
+		if bad.status == http.StatusServiceUnavailable {
+			reason = outcome.Unready
+			c.Response().Header().Set("Retry-After", retryAfter)
+		}
+		return c.JSON(bad.status, failed(id, reason, bad.message, false))
 	}
 	sink := &stream{
 		request: id,
@@ -133,10 +138,7 @@
 			c.Response().Header().Set("Retry-After", retryAfter)
 		}
 	case outcome.Failed:
-		status = http.StatusBadGateway
-		if o.Reason == outcome.Deadline {
-			status = http.StatusGatewayTimeout
-		}
+		status = failedStatus(o.Reason)
 		body = failed(request.ID, o.Reason, o.Message, true)
 	case outcome.Unknown:
 		status = http.StatusConflict
@@ -169,3 +171,14 @@
 		return http.StatusServiceUnavailable
 	}
 }
+
+func failedStatus(reason outcome.Reason) int {
+	switch reason {
+	case outcome.Deadline:
+		return http.StatusGatewayTimeout
+	case outcome.NotKept:
+		return http.StatusConflict
+	default:
+		return http.StatusBadGateway
+	}
+}
--- /dev/null
+++ b/internal/caller/caller_test.go
@@ -0,0 +1,289 @@
+package caller_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/nutmegshift/nutmegshift/document"
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/caller"
+	"github.com/nutmegshift/nutmegshift/outcome"
+)
+
+// fakeServer answers every request with its outcome after the tokens.
+type fakeServer struct {
+	tokens  []string
+	outcome outcome.Outcome
+	last    caller.Request
+}
+
+func (f *fakeServer) Serve(_ context.Context, request caller.Request, sink caller.Sink) outcome.Outcome {
+	f.last = request
+	for _, token := range f.tokens {
+		if err := sink.Token(token); err != nil {
+			break
+		}
+	}
+	return f.outcome
+}
+
+func services() *document.Set {
+	registry := document.NewRegistry()
+	for _, v := range []document.Versioned{
+		{
+			Revision: 1,
+			Service: &document.Service{
+				Name:     "entries-api",
+				Kind:     document.Plain,
+				Deadline: time.Second,
+				Shares: map[ident.OrganisationID]float64{
+					"rindworks": 1,
+				},
+				Routes: []document.Route{
+					{
+						Name:               "enter",
+						Method:             http.MethodPost,
+						Path:               "/entries",
+						IdentityHeader:     "Idempotency-Key",
+						IdentityField:      "submission",
+						OrganisationHeader: "X-Organisation",
+					},
+				},
+			},
+		},
+		{
+			Revision: 1,
+			Service: &document.Service{
+				Name:      "nutmeg-pool",
+				Kind:      document.Pipeline,
+				Deadline:  time.Second,
+				MaxTokens: 100,
+				Routes: []document.Route{
+					{
+						Name:               "chat",
+						Method:             http.MethodPost,
+						Path:               "/chat",
+						Repeatable:         true,
+						OrganisationHeader: "X-Organisation",
+					},
+				},
+			},
+		},
+	} {
+		registry.Offer(v)
+	}
+	return registry.Snapshot()
+}
+
+func serve(t *testing.T, server caller.Server) *httptest.Server {
+	started := httptest.NewServer(caller.New(caller.Config{
+		Server:   server,
+		Services: services,
+		NewID:    func() ident.RequestID { return "r1" },
+		Now:      time.Now,
+		MaxBody:  1024,
+		Log:      zerolog.Nop(),
+	}))
+	t.Cleanup(started.Close)
+	return started
+}
+
+type errorBody struct {
+	Error struct {
+		Reason outcome.Reason `json:"reason"`
+		Ran    any            `json:"ran"`
+	} `json:"error"`
+}
+
+// A request that cannot be accepted must get a clear status and say that it did not run.
+func TestBadRequests(t *testing.T) {
+	cases := map[string]struct {
+		method string
+		path   string
+		org    string
+		body   string
+		status int
+	}{
+		"unknown service": {
+			method: http.MethodPost,
+			path:   "/nothing/entries",
+			org:    "rindworks",
+			status: http.StatusNotFound,
+		},
+		"unknown route": {
+			method: http.MethodPost,
+			path:   "/entries-api/other",
+			org:    "rindworks",
+			status: http.StatusNotFound,
+		},
+		"wrong method": {
+			method: http.MethodGet,
+			path:   "/entries-api/entries",
+			org:    "rindworks",
+			status: http.StatusMethodNotAllowed,
+		},
+		"no organisation": {
+			method: http.MethodPost,
+			path:   "/entries-api/entries",
+			body:   `{}`,
+			status: http.StatusBadRequest,
+		},
+		"unknown organisation": {
+			method: http.MethodPost,
+			path:   "/entries-api/entries",
+			org:    "stranger",
+			body:   `{}`,
+			status: http.StatusForbidden,
+		},
+		"broken JSON": {
+			method: http.MethodPost,
+			path:   "/entries-api/entries",
+			org:    "rindworks",
+			body:   `{"submission":`,
+			status: http.StatusBadRequest,
+		},
+		"oversized body": {
+			method: http.MethodPost,
+			path:   "/entries-api/entries",
+			org:    "rindworks",
+			body:   `{"a":"` + strings.Repeat("x", 2000) + `"}`,
+			status: http.StatusRequestEntityTooLarge,
+		},
+		"chat without a message": {
+			method: http.MethodPost,
+			path:   "/nutmeg-pool/chat",
+			org:    "any",
+			body:   `{"messages":[]}`,
+			status: http.StatusBadRequest,
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			fake := &fakeServer{}
+			status, body := send(t, serve(t, fake).URL+tc.path, tc.method, tc.org, tc.body)
+			c.Assert(status, qt.Equals, tc.status)
+			var decoded errorBody
+			c.Assert(json.Unmarshal([]byte(body), &decoded), qt.IsNil, qt.Commentf(body))
+			c.Assert(decoded.Error.Ran, qt.Equals, false)
+			c.Assert(fake.last.ID, qt.Equals, ident.RequestID(""))
+		})
+	}
+}
+
+// The status and the "ran" field of an error must tell a caller whether its request ran.
+func TestOutcomes(t *testing.T) {
+	cases := map[string]struct {
+		outcome outcome.Outcome
+		status  int
+		ran     any
+	}{
+		"overload":          {outcome.Refused{Reason: outcome.Overload}, http.StatusServiceUnavailable, false},
+		"quarantined":       {outcome.Refused{Reason: outcome.Quarantined}, http.StatusUnprocessableEntity, false},
+		"store unavailable": {outcome.Refused{Reason: outcome.StoreUnavailable}, http.StatusServiceUnavailable, false},
+		"upstream error":    {outcome.Failed{Reason: outcome.UpstreamError}, http.StatusBadGateway, true},
+		"deadline":          {outcome.Failed{Reason: outcome.Deadline}, http.StatusGatewayTimeout, true},
+		"answer not kept":   {outcome.Failed{Reason: outcome.NotKept}, http.StatusConflict, true},
+		"unknown":           {outcome.Unknown{Reason: outcome.ConnectionLost}, http.StatusConflict, "unknown"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			status, body := send(t, serve(t, &fakeServer{
+				outcome: tc.outcome,
+			}).URL+"/entries-api/entries", http.MethodPost, "rindworks", `{"submission":"s1"}`)
+			c.Assert(status, qt.Equals, tc.status)
+			var decoded errorBody
+			c.Assert(json.Unmarshal([]byte(body), &decoded), qt.IsNil)
+			c.Assert(decoded.Error.Ran, qt.Equals, tc.ran)
+		})
+	}
+}
+
+// A stream that cannot be completed must not look complete.
+func TestStreams(t *testing.T) {
+	cases := map[string]struct {
+		outcome outcome.Outcome
+		done    bool
+	}{
+		"complete": {outcome.Answered{Stream: true}, true},
+		"broken":   {outcome.Failed{Reason: outcome.Incomplete}, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			status, body := send(t, serve(t, &fakeServer{
+				tokens:  []string{"a ", "b "},
+				outcome: tc.outcome,
+			}).URL+"/nutmeg-pool/chat", http.MethodPost, "any", `{"stream":true,"messages":[{"role":"user","content":"q"}]}`)
+			c.Assert(status, qt.Equals, http.StatusOK)
+			c.Assert(strings.Contains(body, "[DONE]"), qt.Equals, tc.done)
+			c.Assert(strings.Contains(body, "event: error"), qt.Equals, !tc.done)
+		})
+	}
+}
+
+// What the service document names must be read from the header and the body.
+func TestFields(t *testing.T) {
+	c := qt.New(t)
+	fake := &fakeServer{
+		outcome: outcome.Answered{Status: http.StatusCreated, Type: "application/json"},
+	}
+	status, _ := send(t, serve(t, fake).URL+"/entries-api/entries?season=2", http.MethodPost, "rindworks", `{"submission":"s1"}`)
+	c.Assert(status, qt.Equals, http.StatusCreated)
+	c.Assert(fake.last.Identity, qt.Equals, "s1")
+	c.Assert(fake.last.Organisation, qt.Equals, ident.OrganisationID("rindworks"))
+	c.Assert(fake.last.Path, qt.Equals, "/entries?season=2")
+}
+
+// Garbage and half-closed connections must not disturb other requests.
+func TestGarbageConnection(t *testing.T) {
+	cases := map[string]string{
+		"garbage bytes": "\x00\x01\x02 garbage\r\n\r\n",
+		"half request":  "POST /entries-api/entries HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\n{\"sub",
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			fake := &fakeServer{
+				outcome: outcome.Answered{Status: http.StatusOK},
+			}
+			server := serve(t, fake)
+			conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", server.Listener.Addr().String())
+			c.Assert(err, qt.IsNil)
+			_, err = io.WriteString(conn, text)
+			c.Assert(err, qt.IsNil)
+			c.Assert(conn.(*net.TCPConn).CloseWrite(), qt.IsNil)
+			_, err = io.ReadAll(conn)
+			c.Assert(err, qt.IsNil)
+			c.Assert(fake.last.ID, qt.Equals, ident.RequestID(""))
+			status, _ := send(t, server.URL+"/entries-api/entries", http.MethodPost, "rindworks", `{"submission":"s1"}`)
+			c.Assert(status, qt.Equals, http.StatusOK)
+		})
+	}
+}
+
+func send(t *testing.T, url, method, org, body string) (status int, answer string) {
+	c := qt.New(t)
+	request, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	c.Assert(err, qt.IsNil)
+	if org != "" {
+		request.Header.Set("X-Organisation", org)
+	}
+	response, err := http.DefaultClient.Do(request)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	received, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	return response.StatusCode, string(received)
+}
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -72,9 +72,15 @@
 }
 
 // route finds the service and route that a path names.
-func route(services map[ident.ServiceName]document.Versioned, method, path string) (*document.Service, *document.Route, *fault) {
+func route(services *document.Set, method, path string) (*document.Service, *document.Route, *fault) {
+	if len(services.Names()) == 0 {
+		return nil, nil, &fault{
+			status:  http.StatusServiceUnavailable,
+			message: "no service document is in force yet",
+		}
+	}
 	name, rest, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	found, ok := services[ident.ServiceName(name)]
+	found, ok := services.Document(ident.ServiceName(name))
 	if !ok {
 		return nil, nil, &fault{
 			status:  http.StatusNotFound,
@@ -117,7 +123,7 @@
 			message: "request names no organisation",
 		}
 	}
-	if _, listed := request.Service.Shares[request.Organisation]; !listed && len(request.Service.Shares) > 0 {
+	if !admits(request.Service, request.Organisation) {
 		return &fault{
 			status:  http.StatusForbidden,
 			message: "organisation " + quote(string(request.Organisation)) + " is not admitted to service " + quote(string(request.Service.Name)),
@@ -138,6 +144,14 @@
 	return nil
 }
 
+// admits reports whether a service serves an organisation. A document that lists
+// shares serves only these organisations, unless it has a share for all others.
+func admits(service *document.Service, organisation ident.OrganisationID) bool {
+	_, listed := service.Shares[organisation]
+	_, open := service.Shares[document.Others]
+	return listed || open || len(service.Shares) == 0
+}
+
 // decode parses the body as far as the route needs it.
 func decode(request *Request) (map[string]json.RawMessage, *fault) {
 	needsFields := request.Route.IdentityField != "" || request.Route.OrganisationField != ""
--- /dev/null
+++ b/internal/entry/active.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+)
+
+// active is the table of requests in progress.
+type active struct {
+	mu       sync.Mutex
+	requests map[ident.RequestID]bool
+	finished uint64
+	stopping bool
+}
+
+func newActive() *active {
+	return &active{
+		requests: make(map[ident.RequestID]bool),
+	}
+}
+
+func (a *active) begin(id ident.RequestID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.requests[id] = true
+}
+
+func (a *active) end(id ident.RequestID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.requests, id)
+	a.finished++
+}
+
+// stop fails readiness and returns the number of requests finished so far.
+func (a *active) stop() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stopping = true
+	return a.finished
+}
+
+func (a *active) isStopping() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.stopping
+}
+
+func (a *active) done() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.finished
+}
+
+// list returns the ids of the requests in progress.
+func (a *active) list() []ident.RequestID {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	ids := make([]ident.RequestID, 0, len(a.requests))
+	for id := range a.requests {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/entry/host.go
@@ -0,0 +1,331 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"github.com/oklog/run"
+	"github.com/rs/zerolog"
+
+	"github.com/nutmegshift/nutmegshift/claim"
+	"github.com/nutmegshift/nutmegshift/document"
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/caller"
+	"github.com/nutmegshift/nutmegshift/internal/hostlist"
+	"github.com/nutmegshift/nutmegshift/internal/operator"
+	"github.com/nutmegshift/nutmegshift/internal/settings"
+	"github.com/nutmegshift/nutmegshift/internal/stagehttp"
+	"github.com/nutmegshift/nutmegshift/kv"
+	"github.com/nutmegshift/nutmegshift/kv/httpkv"
+	"github.com/nutmegshift/nutmegshift/pipeline"
+	"github.com/nutmegshift/nutmegshift/timeline"
+	"github.com/nutmegshift/nutmegshift/upstream"
+)
+
+const (
+	tickInterval  = 100 * time.Millisecond
+	hostsInterval = time.Second
+	// watchWait is shorter than common idle limits of connections on the way.
+	watchWait = 20 * time.Second
+)
+
+// ErrInterrupted reports a stop that cut off requests in progress.
+const ErrInterrupted = errors.ConstError("stop interrupted requests in progress")
+
+// Host is one entry host.
+type Host struct {
+	settings  *settings.Settings
+	log       zerolog.Logger
+	boot      ident.Incarnation
+	counter   atomic.Uint64
+	clock     *timeline.Clock
+	ring      *timeline.Ring
+	metrics   *metrics.Set
+	meter     *meter
+	store     kv.Store
+	hosts     *hostlist.Client
+	table     *upstream.Table
+	transport *stagehttp.Client
+	ledger    *claim.Ledger
+	registry  *document.Registry
+	syncer    *document.Syncer
+	server    *Server
+}
+
+// New wires the parts of an entry host.
+func New(s *settings.Settings, log zerolog.Logger) *Host {
+	h := &Host{
+		settings: s,
+		log:      log,
+		boot:     ident.Incarnation(time.Now().UnixMilli()),
+		clock:    timeline.NewClock(time.Now),
+		metrics:  metrics.NewSet(),
+		hosts:    hostlist.New(s.Hosts, newClient()),
+		registry: document.NewRegistry(),
+	}
+	h.ring = timeline.NewRing(s.Host, h.clock, s.Events)
+	h.meter = newMeter(h.metrics)
+	h.store = httpkv.New(httpkv.Config{
+		Address: s.Store,
+		Client:  newClient(),
+		Limit:   s.Call,
+		Wait:    watchWait,
+	})
+	h.table = upstream.New(upstream.Config{
+		Host:   s.Host,
+		Domain: s.Domain,
+		Region: s.Region,
+		Now:    time.Now,
+		Random: newRandom(),
+	})
+	h.transport = stagehttp.New(stagehttp.Config{})
+	h.ledger = claim.New(claim.Config{
+		Store: h.store,
+		Host:  s.Host,
+	})
+	h.syncer = document.NewSyncer(document.SyncerConfig{
+		Store:    h.store,
+		Peers:    noPeers{},
+		Registry: h.registry,
+		Spreader: document.NewSpreader(h.registry, newRandom()),
+		Around:   h.around,
+		Now:      time.Now,
+		Log:      log,
+	})
+	h.server = NewServer(ServerConfig{
+		Ledger:     h.ledger,
+		Recorder:   h.ring,
+		Metrics:    h.metrics,
+		NewAttempt: h.newAttempt,
+		Now:        time.Now,
+		Runner: pipeline.New(pipeline.Config{
+			Transport:  h.transport,
+			Selector:   h.table,
+			Guard:      openGuard{},
+			Meter:      h.meter,
+			Recorder:   h.ring,
+			Now:        time.Now,
+			NewAttempt: h.newAttempt,
+		}),
+	})
+	return h
+}
+
+// Run serves until ctx ends, then stops gracefully: it fails readiness, closes
+// the callers' port, lets every request in progress end and writes its outcome.
+// It returns ErrInterrupted if requests were cut off by the longest stop or by
+// the end of force.
+func (h *Host) Run(ctx, force context.Context) error {
+	callers, err := listen(ctx, h.settings.Callers)
+	if err != nil {
+		return err
+	}
+	operators, err := listen(ctx, h.settings.Operator)
+	if err != nil {
+		return err
+	}
+	// Parts outlive ctx, since requests in progress need them until they end.
+	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopParts()
+	var group run.Group
+	h.add(&group, parts, "ledger", h.ledger.Run)
+	h.add(&group, parts, "upstreams", h.runTable)
+	h.add(&group, parts, "host list", h.runHosts)
+	h.add(&group, parts, "documents", h.syncer.Run)
+	h.add(&group, parts, "operators", func(ctx context.Context) error {
+		return serveHTTP(ctx, operators, h.operatorHandler(), h.settings)
+	})
+	var interrupted error
+	group.Add(func() error {
+		interrupted = h.serveCallers(ctx, force, callers)
+		return interrupted
+	}, func(error) {
+		stopParts()
+	})
+	h.log.Info().Str("host", string(h.settings.Host)).Str("callers", string(h.settings.Callers)).Msg("entry: started")
+	if err := group.Run(); err != nil {
+		return err
+	}
+	return interrupted
+}
+
+// add runs one part as an actor of the group.
+func (h *Host) add(group *run.Group, ctx context.Context, name string, part func(context.Context) error) { //nolint:revive // the group owns the context
+	ctx, cancel := context.WithCancel(ctx)
+	group.Add(func() error {
+		err := part(ctx)
+		if err != nil {
+			h.log.Error().Err(err).Msg(name + ": ended")
+		}
+		return err
+	}, func(error) {
+		cancel()
+	})
+}
+
+// serveCallers serves callers until ctx ends and then drains.
+func (h *Host) serveCallers(ctx, force context.Context, listener net.Listener) error {
+	server := newHTTPServer(caller.New(caller.Config{
+		Server:   h.server,
+		Services: h.registry.Snapshot,
+		NewID:    h.newRequest,
+		Now:      time.Now,
+		MaxBody:  h.settings.Body,
+		Log:      h.log,
+	}), h.settings)
+	ended := make(chan error, 1)
+	go func(context.Context) {
+		ended <- server.Serve(listener)
+	}(ctx)
+	select {
+	case err := <-ended:
+		return errors.Annotate(err, "serve callers")
+	case <-ctx.Done():
+	}
+	return h.drain(force, server, ended)
+}
+
+// drain is the graceful shutdown of the callers' port.
+func (h *Host) drain(force context.Context, server *http.Server, ended <-chan error) error {
+	before := h.server.active.stop()
+	h.log.Info().Int("requests", len(h.server.active.list())).Msg("entry: stopping")
+	limit, cancel := context.WithTimeout(force, h.settings.Stop)
+	defer cancel()
+	// The platform's balancer needs time to see that the host is not ready.
+	select {
+	case <-time.After(h.settings.Drain):
+	case <-limit.Done():
+	}
+	err := server.Shutdown(limit)
+	if served := <-ended; !errors.Is(served, http.ErrServerClosed) {
+		h.log.Warn().Err(served).Msg("entry: callers' port failed while stopping")
+	}
+	left := h.server.active.list()
+	pending := h.ledger.Drain(limit)
+	if err != nil {
+		_ = server.Close()
+		h.log.Error().Interface("requests", left).Int("outcomes", pending).Msg("entry: stop interrupted requests")
+		return errors.Annotatef(ErrInterrupted, "%d requests", len(left))
+	}
+	h.log.Info().
+		Uint64("finished", h.server.active.done()-before).
+		Uint64("total", h.server.active.done()).
+		Int("outcomes unwritten", pending).
+		Msg("entry: stopped, every request in progress finished")
+	return nil
+}
+
+// runTable ticks the upstream table.
+func (h *Host) runTable(ctx context.Context) error {
+	return every(ctx, tickInterval, func() {
+		h.table.Tick(time.Now())
+	})
+}
+
+// runHosts reads the host list.
+func (h *Host) runHosts(ctx context.Context) error {
+	read := func() {
+		list, err := h.hosts.Fetch(ctx)
+		if err != nil {
+			h.log.Debug().Err(err).Msg("host list: not read")
+			return
+		}
+		h.table.Offer(members(list))
+	}
+	read()
+	return every(ctx, hostsInterval, read)
+}
+
+// members are the upstreams of a host list.
+func members(list hostlist.List) []upstream.Member {
+	found := make([]upstream.Member, 0, len(list.Hosts))
+	for _, host := range list.Hosts {
+		if host.Kind != hostlist.UpstreamHost {
+			continue
+		}
+		found = append(found, upstream.Member{
+			Pool: document.PoolRef{
+				Service: host.Service,
+				Pool:    host.Pool,
+			},
+			Upstream:    ident.UpstreamID(host.Name),
+			Incarnation: host.Incarnation,
+			Address:     host.Address,
+			Domain:      host.Domain,
+			Region:      host.Region,
+			Leaving:     host.State == hostlist.Leaving,
+		})
+	}
+	return found
+}
+
+func (h *Host) operatorHandler() http.Handler {
+	return operator.New(operator.Config{
+		Ready:   h.ready,
+		Status:  h.status,
+		Ring:    h.ring,
+		Metrics: h.metrics,
+	})
+}
+
+func (h *Host) ready() operator.Readiness {
+	switch {
+	case h.server.active.isStopping():
+		return operator.Readiness{
+			Reason: "stopping",
+		}
+	case len(h.registry.Snapshot().Names()) == 0:
+		return operator.Readiness{
+			Reason: "no service document is known",
+		}
+	default:
+		return operator.Readiness{
+			Ready: true,
+		}
+	}
+}
+
+// around tells the document spreader about the other hosts.
+func (h *Host) around() document.Surroundings {
+	return document.Surroundings{
+		Watcher: true,
+	}
+}
+
+func (h *Host) newRequest() ident.RequestID {
+	return ident.RequestID(h.unique())
+}
+
+func (h *Host) newAttempt() ident.AttemptID {
+	return ident.AttemptID(h.unique())
+}
+
+// unique returns an id that no other host and no earlier life of this host uses.
+func (h *Host) unique() string {
+	return fmt.Sprintf("%s-%s-%d", h.settings.Host, strconv.FormatUint(uint64(h.boot), 36), h.counter.Add(1))
+}
+
+func every(ctx context.Context, interval time.Duration, do func()) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			do()
+		}
+	}
+}
+
+func newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
--- /dev/null
+++ b/internal/entry/http.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/settings"
+)
+
+// idleTimeout closes connections of callers that keep them open without use.
+const idleTimeout = 60 * time.Second
+
+// listen opens a port.
+func listen(ctx context.Context, address ident.Address) (net.Listener, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", string(address))
+	return listener, errors.Annotatef(err, "listen at %s", address)
+}
+
+func newHTTPServer(handler http.Handler, s *settings.Settings) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: s.Header,
+		ReadTimeout:       s.Receive,
+		IdleTimeout:       idleTimeout,
+	}
+}
+
+// serveHTTP serves until ctx ends.
+func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, s *settings.Settings) error {
+	server := newHTTPServer(handler, s)
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Annotate(err, "serve")
+	}
+	return nil
+}
+
+// newClient returns a client with connections of its own.
+func newClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: 16,
+			IdleConnTimeout:     idleTimeout,
+		},
+	}
+}
--- /dev/null
+++ b/internal/entry/serve.go
@@ -0,0 +1,271 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"github.com/nutmegshift/nutmegshift/claim"
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/caller"
+	"github.com/nutmegshift/nutmegshift/organisation"
+	"github.com/nutmegshift/nutmegshift/outcome"
+	"github.com/nutmegshift/nutmegshift/pipeline"
+	"github.com/nutmegshift/nutmegshift/timeline"
+)
+
+const (
+	servePart = "entry"
+	// recordWait bounds how long an answer waits for its outcome to be stored;
+	// after it the answer goes out and the ledger keeps writing.
+	recordWait = 250 * time.Millisecond
+)
+
+// ServerConfig holds what a Server needs.
+type ServerConfig struct {
+	Ledger     *claim.Ledger
+	Runner     *pipeline.Runner
+	Recorder   timeline.Recorder
+	Metrics    *metrics.Set
+	NewAttempt func() ident.AttemptID
+	Now        func() time.Time
+}
+
+// Server runs the requests of callers.
+type Server struct {
+	cfg      ServerConfig
+	active   *active
+	services *services
+}
+
+var _ caller.Server = (*Server)(nil)
+
+// NewServer returns a server without requests.
+func NewServer(cfg ServerConfig) *Server {
+	return &Server{
+		cfg:      cfg,
+		active:   newActive(),
+		services: newServices(cfg.Now),
+	}
+}
+
+// Serve implements caller.Server.
+func (s *Server) Serve(ctx context.Context, request caller.Request, sink caller.Sink) outcome.Outcome {
+	s.active.begin(request.ID)
+	defer s.active.end(request.ID)
+	s.record(request, "arrived", field("service", string(request.Service.Name)), field("organisation", string(request.Organisation)))
+	ended := s.admit(ctx, request, sink)
+	s.finished(request, ended)
+	return ended
+}
+
+// admit waits for the organisation's turn at the service and runs the request.
+func (s *Server) admit(ctx context.Context, request caller.Request, sink caller.Sink) outcome.Outcome {
+	limits := s.services.of(request.Service)
+	permit, err := limits.limiter.Acquire(ctx, request.Organisation, 1, request.Deadline)
+	switch {
+	case errors.Is(err, organisation.ErrDeadline):
+		return outcome.Refused{
+			Reason:  outcome.Deadline,
+			Message: err.Error(),
+		}
+	case err != nil:
+		return outcome.Refused{
+			Reason:  outcome.Overload,
+			Message: err.Error(),
+		}
+	}
+	s.record(request, "admitted")
+	ended := s.admitted(ctx, request, sink, limits)
+	permit.Release(released(ended))
+	return ended
+}
+
+// released tells the limiter how a request ended.
+func released(ended outcome.Outcome) organisation.Result {
+	reason := outcome.Reason("")
+	switch o := ended.(type) {
+	case outcome.Answered:
+		return organisation.Completed{}
+	case outcome.Refused:
+		reason = o.Reason
+	case outcome.Failed:
+		reason = o.Reason
+	case outcome.Unknown:
+		reason = o.Reason
+	}
+	if reason == outcome.Overload || reason == outcome.Deadline {
+		return organisation.Overloaded{}
+	}
+	return organisation.Abandoned{}
+}
+
+// admitted runs a request that has been admitted.
+func (s *Server) admitted(ctx context.Context, request caller.Request, sink caller.Sink, limits *service) outcome.Outcome {
+	if request.Route.Repeatable {
+		return s.cfg.Runner.Run(ctx, job(request, limits), sink)
+	}
+	// A caller that leaves must not end a non-repeatable request halfway: its
+	// outcome is recorded for the repeat.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), request.Deadline)
+	defer cancel()
+	if request.Identity == "" {
+		return s.cfg.Runner.Run(ctx, job(request, limits), sink)
+	}
+	return s.claimed(ctx, request, sink, limits)
+}
+
+// claimed runs a non-repeatable request if its identity can be claimed.
+func (s *Server) claimed(ctx context.Context, request caller.Request, sink caller.Sink, limits *service) outcome.Outcome {
+	identity := claim.NewIdentity(request.Service.Name, request.Organisation, request.Identity)
+	attempt := s.cfg.NewAttempt()
+	decision, err := s.cfg.Ledger.Claim(ctx, identity, attempt)
+	switch {
+	case errors.Is(err, claim.ErrUndecided):
+		s.record(request, "claim undecided")
+		return outcome.Unknown{
+			Reason:  outcome.StoreUnavailable,
+			Message: "the store did not confirm the claim; the request was not dispatched by this attempt",
+		}
+	case err != nil:
+		s.record(request, "claim not written", field("error", err.Error()))
+		return outcome.Refused{
+			Reason:  outcome.StoreUnavailable,
+			Message: "the request could not be claimed: " + err.Error(),
+		}
+	}
+	switch d := decision.(type) {
+	case claim.Granted:
+		s.record(request, "claimed", field("identity", identity.String()))
+		ended := s.cfg.Runner.Run(ctx, job(request, limits), sink)
+		s.settle(ctx, request, identity, attempt, ended)
+		return ended
+	case claim.InProgress:
+		s.record(request, "repeat in progress", field("identity", identity.String()))
+		return outcome.Unknown{
+			Reason:  outcome.InProgress,
+			Message: "the same request was accepted before and its outcome is not known; it is not run again",
+		}
+	case claim.Completed:
+		s.record(request, "repeat answered", field("identity", identity.String()))
+		return repeated(d)
+	default:
+		panic("claim: unknown decision")
+	}
+}
+
+// settle records the outcome of a claimed request.
+func (s *Server) settle(ctx context.Context, request caller.Request, identity claim.Identity, attempt ident.AttemptID, ended outcome.Outcome) {
+	var result claim.Result
+	switch o := ended.(type) {
+	case outcome.Answered:
+		result = claim.Done{
+			Status: o.Status,
+			Type:   o.Type,
+			Body:   o.Body,
+		}
+	case outcome.Refused:
+		result = claim.Released{}
+	case outcome.Failed, outcome.Unknown:
+		return // stays claimed, so that no repeat runs
+	}
+	wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordWait)
+	defer cancel()
+	if err := s.cfg.Ledger.Finish(wait, identity, attempt, result); err != nil {
+		s.record(request, "outcome not yet stored", field("error", err.Error()))
+		return
+	}
+	s.record(request, "outcome stored")
+}
+
+// finished records the end of a request.
+func (s *Server) finished(request caller.Request, ended outcome.Outcome) {
+	name, reason := "answered", outcome.Reason("")
+	switch o := ended.(type) {
+	case outcome.Answered:
+	case outcome.Refused:
+		name, reason = "refused", o.Reason
+	case outcome.Failed:
+		name, reason = "failed", o.Reason
+	case outcome.Unknown:
+		name, reason = "unknown", o.Reason
+	}
+	took := s.cfg.Now().Sub(request.Arrived)
+	s.record(request, name, field("reason", string(reason)), field("took", took.String()))
+	label := `{service="` + string(request.Service.Name) + `",outcome="` + name + `",reason="` + string(reason) + `"}`
+	s.cfg.Metrics.GetOrCreateCounter("nutmegshift_requests_total" + label).Inc()
+	s.cfg.Metrics.GetOrCreateHistogram(`nutmegshift_request_seconds{service="` + string(request.Service.Name) + `"}`).Update(took.Seconds())
+}
+
+func (s *Server) record(request caller.Request, name string, fields ...timeline.Field) {
+	s.cfg.Recorder.Record(timeline.Event{
+		Request: request.ID,
+		Part:    servePart,
+		Name:    name,
+		Fields:  fields,
+	})
+}
+
+// repeated answers a repeat with the outcome of the first request.
+func repeated(first claim.Completed) outcome.Outcome {
+	if !first.Kept {
+		return outcome.Failed{
+			Reason:  outcome.NotKept,
+			Message: "the same request completed before; its answer is no longer kept",
+		}
+	}
+	return outcome.Answered{
+		Status: first.Status,
+		Type:   first.Type,
+		Body:   first.Body,
+	}
+}
+
+func job(request caller.Request, limits *service) pipeline.Job {
+	return pipeline.Job{
+		Request:      request.ID,
+		Service:      request.Service,
+		Route:        request.Route,
+		Organisation: request.Organisation,
+		Fingerprint:  fingerprint(request),
+		Prompt:       request.Prompt,
+		MaxTokens:    request.MaxTokens,
+		Stream:       request.Stream,
+		Method:       request.Method,
+		Path:         request.Path,
+		Headers:      request.Headers,
+		Body:         request.Body,
+		Deadline:     request.Deadline,
+		Budget:       limits.budget,
+		Estimates:    limits.estimates,
+	}
+}
+
+// fingerprint hashes what an upstream would run, without the caller's own id,
+// since a caller sends a failed request again under a new one.
+func fingerprint(request caller.Request) pipeline.Fingerprint {
+	content := request.Prompt
+	if content == "" {
+		content = request.Path + "\n" + string(request.Body)
+	}
+	if request.Identity != "" {
+		content = strings.ReplaceAll(content, request.Identity, "")
+	}
+	hash := xxhash.New()
+	for _, text := range []string{string(request.Service.Name), request.Route.Name, content} {
+		_, _ = hash.WriteString(text)
+		_, _ = hash.Write([]byte{0})
+	}
+	return pipeline.Fingerprint(hash.Sum64())
+}
+
+func field(name, value string) timeline.Field {
+	return timeline.Field{
+		Name:  name,
+		Value: value,
+	}
+}
--- /dev/null
+++ b/internal/entry/status.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/upstream"
+)
+
+// UpstreamStatus is one upstream as this host sees it.
+type UpstreamStatus struct {
+	Service  ident.ServiceName `json:"service"`
+	Pool     ident.PoolName    `json:"pool"`
+	Upstream ident.UpstreamID  `json:"upstream"`
+	State    upstream.State    `json:"state"`
+	InFlight int               `json:"flight"`
+	Latency  float64           `json:"latency"` // seconds
+}
+
+// DocumentStatus is one service document in force.
+type DocumentStatus struct {
+	Service  ident.ServiceName `json:"service"`
+	Revision ident.Revision    `json:"revision"`
+	Team     ident.TeamName    `json:"team"`
+}
+
+// Status is what the operators' port shows of an entry host.
+type Status struct {
+	Host      ident.HostID        `json:"host"`
+	Domain    ident.FailureDomain `json:"domain"`
+	Ready     bool                `json:"ready"`
+	Reason    string              `json:"reason,omitempty"`
+	Active    int                 `json:"active"` // requests in progress
+	Finished  uint64              `json:"finished"`
+	Documents []DocumentStatus    `json:"documents"`
+	Upstreams []UpstreamStatus    `json:"upstreams"`
+	Costs     []StageCost         `json:"costs"`
+}
+
+func (h *Host) status() any {
+	readiness := h.ready()
+	status := Status{
+		Host:     h.settings.Host,
+		Domain:   h.settings.Domain,
+		Ready:    readiness.Ready,
+		Reason:   readiness.Reason,
+		Active:   len(h.server.active.list()),
+		Finished: h.server.active.done(),
+		Costs:    h.meter.costs(),
+	}
+	set := h.registry.Snapshot()
+	for _, name := range set.Names() {
+		held, _ := set.Document(name)
+		status.Documents = append(status.Documents, DocumentStatus{
+			Service:  name,
+			Revision: held.Revision,
+			Team:     held.Owner,
+		})
+	}
+	for _, row := range h.table.Snapshot().Rows {
+		status.Upstreams = append(status.Upstreams, UpstreamStatus{
+			Service:  row.Member.Pool.Service,
+			Pool:     row.Member.Pool.Pool,
+			Upstream: row.Member.Upstream,
+			State:    row.State,
+			InFlight: row.InFlight,
+			Latency:  row.Latency.Seconds(),
+		})
+	}
+	return status
+}
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -16,6 +16,7 @@
 
 const (
 	upstreamPrefix  = "upstream "
+	entryPrefix     = "entry "
 	platformSection = "platform"
 )
 
@@ -55,9 +56,19 @@
 	Fencing      string // check or ignore, which is the default
 }
 
+// Entry is an entry host that the host list shows from the start.
+type Entry struct {
+	Name     string `ini:"-"`
+	Domain   ident.FailureDomain
+	Region   ident.Region
+	Peer     ident.Address
+	Operator ident.Address
+}
+
 // Settings are the contents of a settings file.
 type Settings struct {
 	Upstreams []Upstream
+	Entries   []Entry
 	Platform  map[string]string // keys of the platform section; nil if there is none
 }
 
@@ -96,6 +107,14 @@
 				faults = append(faults, fmt.Sprintf("[%s] %s", name, fault))
 			}
 			settings.Upstreams = append(settings.Upstreams, upstream)
+		case strings.HasPrefix(name, entryPrefix):
+			entry := Entry{
+				Name: strings.TrimSpace(strings.TrimPrefix(name, entryPrefix)),
+			}
+			if err := section.StrictMapTo(&entry); err != nil {
+				faults = append(faults, fmt.Sprintf("[%s]: %v", name, err))
+			}
+			settings.Entries = append(settings.Entries, entry)
 		default:
 			faults = append(faults, fmt.Sprintf("[%s]: unknown section", name))
 		}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -17,6 +17,7 @@
 	UpstreamError    Reason = "upstream_error"
 	ConnectionLost   Reason = "connection_lost"
 	Incomplete       Reason = "incomplete"
+	NotKept          Reason = "answer_not_kept"
 )
 
 // Outcome is the sealed set of ends of a request.
--- /dev/null
+++ b/pipeline/attempt.go
@@ -0,0 +1,183 @@
+package pipeline
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/nutmegshift/nutmegshift/document"
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/outcome"
+	"github.com/nutmegshift/nutmegshift/upstream"
+)
+
+// maxPlacements bounds the upstreams that one stage of a job may try, counting
+// those that did not run it.
+const maxPlacements = 4
+
+// haltedError ends a stage for a reason that the caller learns.
+type haltedError struct {
+	reason outcome.Reason
+	cause  error
+}
+
+// Error implements error.
+func (e haltedError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e haltedError) Unwrap() error { return e.cause }
+
+func halt(reason outcome.Reason, cause error) error {
+	return haltedError{
+		reason: reason,
+		cause:  cause,
+	}
+}
+
+// attempt is one attempt at a stage on one upstream.
+type attempt struct {
+	id      ident.AttemptID
+	lease   upstream.Lease
+	stage   document.Stage
+	start   time.Time
+	suspect bool
+}
+
+// place chooses an upstream for a new attempt at the stage.
+func (r *run) place(stage document.Stage, prefix upstream.Prefix, exclude []ident.UpstreamID) (attempt, error) {
+	now := r.cfg.Now()
+	if r.job.Suspect {
+		exclude = r.suspects.occupied(exclude)
+	}
+	lease, err := r.cfg.Selector.Choose(now, upstream.Query{
+		Pool:       stage.Pool,
+		Prefix:     prefix,
+		Exclude:    exclude,
+		Weight:     r.job.Service.AttainmentWeight,
+		CrossCost:  r.job.Service.CrossCost,
+		Cost:       stage.Cost,
+		Repeatable: r.job.Route.Repeatable && !r.job.Suspect,
+	})
+	switch {
+	case errors.Is(err, upstream.ErrOverloaded):
+		return attempt{}, halt(outcome.Overload, err)
+	case err != nil:
+		return attempt{}, halt(outcome.NoUpstream, err)
+	}
+	placed := attempt{
+		id:      r.cfg.NewAttempt(),
+		lease:   lease,
+		stage:   stage,
+		start:   now,
+		suspect: r.job.Suspect,
+	}
+	if placed.suspect {
+		r.suspects.enter(lease.Upstream)
+	}
+	r.event("attempt", placed.id, field("stage", string(stage.Name)), field("upstream", string(lease.Upstream)), field("domain", string(lease.Domain)))
+	return placed, nil
+}
+
+// settle reports the end of an attempt to the selector, the meter and the timeline.
+func (r *run) settle(a attempt, load *upstream.Load, err error, wasted bool) {
+	took := r.cfg.Now().Sub(a.start)
+	if a.suspect {
+		r.suspects.leave(a.lease.Upstream)
+	}
+	r.cfg.Selector.Done(a.lease, upstream.Report{
+		Latency: took,
+		Load:    load,
+		Result:  result(err),
+	})
+	use := Use{
+		Service: r.job.Service.Name,
+		Stage:   a.stage.Name,
+		Time:    took,
+		Price:   took.Seconds() * a.stage.Cost,
+		Crossed: a.lease.Cross,
+		Wasted:  wasted || err != nil,
+	}
+	if use.Crossed {
+		use.Price += r.job.Service.CrossCost
+	}
+	r.cfg.Meter.Add(use)
+	if err != nil {
+		r.event("attempt failed", a.id, field("upstream", string(a.lease.Upstream)), field("error", err.Error()))
+		return
+	}
+	r.event("attempt done", a.id, field("stage", string(a.stage.Name)), field("took", took.String()))
+	if !wasted {
+		r.job.Estimates.Record(a.stage.Name, took)
+	}
+}
+
+// result turns the error of a transport into the selector's result.
+func result(err error) upstream.Result {
+	var status StatusError
+	switch {
+	case err == nil:
+		return upstream.Completed{}
+	case errors.Is(err, ErrNotSent):
+		return upstream.NotSent{}
+	case errors.Is(err, ErrLeaving):
+		return upstream.Leaving{}
+	case errors.Is(err, ErrOverloaded):
+		return upstream.Overloaded{}
+	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		return upstream.Cancelled{}
+	case errors.As(err, &status):
+		return upstream.Completed{
+			Failed: status.Status >= 500,
+		}
+	default:
+		return upstream.Lost{}
+	}
+}
+
+// notRun reports whether the upstream certainly did not run the attempt.
+func notRun(err error) bool {
+	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrLeaving) || errors.Is(err, ErrOverloaded)
+}
+
+// again decides whether a repeatable stage may be tried again after err, and
+// returns the reason why not. A lost connection makes the content a suspect,
+// which is recorded before anything else happens.
+func (r *run) again(ctx context.Context, a attempt, err error) error {
+	if !notRun(err) {
+		r.ran = true
+	}
+	var status StatusError
+	switch {
+	case ctx.Err() != nil:
+		return halt(outcome.Deadline, ctx.Err())
+	case errors.Is(err, ErrNotSent), errors.Is(err, ErrLeaving):
+		return nil
+	case errors.Is(err, ErrOverloaded):
+		return r.budgeted(halt(outcome.Overload, err))
+	case errors.As(err, &status) && status.Status < 500:
+		return halt(outcome.UpstreamError, err)
+	case errors.Is(err, ErrLost):
+		if !r.cfg.Guard.Lost(ctx, r.job.Fingerprint, a.lease) {
+			return halt(outcome.Quarantined, err)
+		}
+		r.job.Suspect = true
+	}
+	return r.budgeted(halt(outcome.UpstreamError, err))
+}
+
+// budgeted returns nil if the retry budget pays for one more attempt, else denied.
+func (r *run) budgeted(denied error) error {
+	if r.job.Budget.Take() {
+		return nil
+	}
+	r.event("retry denied", "")
+	return denied
+}
+
+// cleared tells the guard that a suspect job finished a stage on its second try.
+func (r *run) cleared(ctx context.Context) {
+	if r.job.Suspect {
+		r.cfg.Guard.Done(ctx, r.job.Fingerprint)
+	}
+}
--- /dev/null
+++ b/pipeline/runner.go
@@ -0,0 +1,157 @@
+package pipeline
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/nutmegshift/nutmegshift/document"
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/outcome"
+	"github.com/nutmegshift/nutmegshift/timeline"
+)
+
+// part is the prefix of this package's events.
+const part = "pipeline"
+
+// Config holds what a Runner needs.
+type Config struct {
+	Transport  Transport
+	Selector   Selector
+	Guard      Guard
+	Meter      Meter
+	Recorder   timeline.Recorder
+	Now        func() time.Time
+	NewAttempt func() ident.AttemptID
+}
+
+// Runner runs jobs.
+type Runner struct {
+	cfg      Config
+	suspects *placements
+}
+
+// New returns a runner.
+func New(cfg Config) *Runner {
+	return &Runner{
+		cfg:      cfg,
+		suspects: newPlacements(),
+	}
+}
+
+// run is the progress of one job.
+type run struct {
+	*Runner
+	job  Job
+	sink Sink
+	ran  bool // some upstream may have executed a part of the job
+}
+
+// Run runs the job to its end; tokens of a streamed answer go to sink.
+func (r *Runner) Run(ctx context.Context, job Job, sink Sink) outcome.Outcome {
+	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
+	defer cancel()
+	state := &run{
+		Runner: r,
+		job:    job,
+		sink:   sink,
+	}
+	if job.Service.Kind == document.Plain {
+		return state.plain(ctx)
+	}
+	return state.stages(ctx)
+}
+
+// stages runs the pipeline; the output of a stage is the input of the next.
+func (r *run) stages(ctx context.Context) outcome.Outcome {
+	stages := r.job.Service.Stages
+	text := r.job.Prompt
+	for i, stage := range stages {
+		if r.late(stages[i:]) {
+			return r.end(outcome.Deadline, "the remaining stages take longer than the time left")
+		}
+		var err error
+		if stage.Kind == document.Generate {
+			text, err = r.generate(ctx, stage, text)
+		} else {
+			text, err = r.transform(ctx, stage, text)
+		}
+		if err != nil {
+			return r.failed(ctx, stage, err)
+		}
+	}
+	if r.job.Stream {
+		return outcome.Answered{
+			Status: http.StatusOK,
+			Stream: true,
+		}
+	}
+	return completed(r.job.Request, text)
+}
+
+// late reports whether the remaining stages cannot finish before the deadline.
+func (r *run) late(remaining []document.Stage) bool {
+	left := r.job.Deadline.Sub(r.cfg.Now())
+	return left <= 0 || r.job.Estimates.Remaining(names(remaining)) > left
+}
+
+func names(stages []document.Stage) []ident.StageName {
+	found := make([]ident.StageName, 0, len(stages))
+	for _, stage := range stages {
+		found = append(found, stage.Name)
+	}
+	return found
+}
+
+// failed turns the error of a stage into an outcome.
+func (r *run) failed(ctx context.Context, stage document.Stage, err error) outcome.Outcome {
+	message := fmt.Sprintf("stage %s: %v", stage.Name, err)
+	if ctx.Err() != nil {
+		return r.end(outcome.Deadline, message)
+	}
+	var halted haltedError
+	if errors.As(err, &halted) {
+		return r.end(halted.reason, message)
+	}
+	return r.end(outcome.UpstreamError, message)
+}
+
+// end returns Refused if no upstream ran any part of the job, else Failed.
+func (r *run) end(reason outcome.Reason, message string) outcome.Outcome {
+	r.event("end", "", field("reason", string(reason)))
+	if !r.ran {
+		return outcome.Refused{
+			Reason:  reason,
+			Message: message,
+		}
+	}
+	status := http.StatusBadGateway
+	if reason == outcome.Deadline {
+		status = http.StatusGatewayTimeout
+	}
+	return outcome.Failed{
+		Status:  status,
+		Reason:  reason,
+		Message: message,
+	}
+}
+
+func (r *run) event(name string, attempt ident.AttemptID, fields ...timeline.Field) {
+	r.cfg.Recorder.Record(timeline.Event{
+		Request: r.job.Request,
+		Attempt: attempt,
+		Part:    part,
+		Name:    name,
+		Fields:  fields,
+	})
+}
+
+func field(name, value string) timeline.Field {
+	return timeline.Field{
+		Name:  name,
+		Value: value,
+	}
+}
--- /dev/null
+++ b/pipeline/runner_test.go
@@ -0,0 +1,435 @@
+package pipeline_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"github.com/nutmegshift/nutmegshift/document"
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/outcome"
+	"github.com/nutmegshift/nutmegshift/pipeline"
+	"github.com/nutmegshift/nutmegshift/timeline"
+	"github.com/nutmegshift/nutmegshift/upstream"
+)
+
+// step is the scripted end of one attempt: a stream fails after the tokens.
+type step struct {
+	err    error
+	tokens int
+	resend int  // tokens before the offset that the stream repeats
+	wrong  bool // answers with another attempt's id
+	hang   bool // answers only when cancelled
+}
+
+// fakeTransport plays a script and logs what it executed.
+type fakeTransport struct {
+	mu       sync.Mutex
+	calls    []step // for Call, in order; success when it runs out
+	streams  []step // for Generate
+	executed []string
+}
+
+const answerTokens = 6
+
+func (f *fakeTransport) next(script *[]step) step {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(*script) == 0 {
+		return step{
+			tokens: answerTokens,
+		}
+	}
+	s := (*script)[0]
+	*script = (*script)[1:]
+	return s
+}
+
+func (f *fakeTransport) log(what string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.executed = append(f.executed, what)
+}
+
+func (f *fakeTransport) Call(ctx context.Context, _ ident.Address, call pipeline.Call) (pipeline.Reply, error) {
+	s := f.next(&f.calls)
+	if s.hang {
+		<-ctx.Done()
+		return pipeline.Reply{}, ctx.Err()
+	}
+	if s.err != nil {
+		return pipeline.Reply{}, s.err
+	}
+	f.log(call.Path)
+	var in struct {
+		Input string `json:"input"`
+	}
+	_ = json.Unmarshal(call.Body, &in)
+	body, err := json.Marshal(map[string]string{
+		"output": call.Path + "(" + in.Input + ")",
+	})
+	reply := pipeline.Reply{
+		Attempt: call.Attempt,
+		Status:  http.StatusOK,
+		Type:    "application/json",
+		Body:    body,
+	}
+	if s.wrong {
+		reply.Attempt = "another"
+	}
+	return reply, err
+}
+
+func (f *fakeTransport) Generate(_ context.Context, _ ident.Address, g pipeline.Generation) (pipeline.Tokens, error) {
+	s := f.next(&f.streams)
+	if s.tokens == 0 && s.err != nil {
+		return nil, s.err
+	}
+	f.log("generate")
+	return &fakeTokens{
+		step: s,
+		next: g.Offset - s.resend,
+		left: s.tokens,
+	}, nil
+}
+
+type fakeTokens struct {
+	step step
+	next int
+	left int
+}
+
+func (t *fakeTokens) Next() (pipeline.Token, error) {
+	if t.next >= answerTokens {
+		return pipeline.Token{}, io.EOF
+	}
+	if t.left == 0 {
+		return pipeline.Token{}, t.step.err
+	}
+	t.left--
+	t.next++
+	return pipeline.Token{
+		Offset: t.next - 1,
+		Text:   fmt.Sprintf("t%d ", t.next-1),
+	}, nil
+}
+
+func (t *fakeTokens) Load() *upstream.Load { return nil }
+
+func (t *fakeTokens) Close() error { return nil }
+
+// fakeGuard records which contents lost an upstream.
+type fakeGuard struct {
+	allow bool
+	lost  int
+	done  int
+}
+
+func (g *fakeGuard) Lost(context.Context, pipeline.Fingerprint, upstream.Lease) bool {
+	g.lost++
+	return g.allow
+}
+
+func (g *fakeGuard) Done(context.Context, pipeline.Fingerprint) { g.done++ }
+
+type fakeMeter struct{}
+
+func (fakeMeter) Add(pipeline.Use) {}
+
+type fakeRecorder struct{}
+
+func (fakeRecorder) Record(timeline.Event) {}
+
+type fakeSink struct {
+	text strings.Builder
+	err  error
+}
+
+func (s *fakeSink) Token(text string) error {
+	s.text.WriteString(text)
+	return s.err
+}
+
+func assistant() *document.Service {
+	service := &document.Service{
+		Name:             "nutmeg-pool",
+		Kind:             document.Pipeline,
+		Deadline:         time.Second,
+		AttainmentWeight: 1,
+	}
+	for _, kind := range []document.StageKind{document.Encode, document.Rerank, document.Generate} {
+		service.Stages = append(service.Stages, document.Stage{
+			Name: ident.StageName(kind),
+			Kind: kind,
+			Pool: pool(),
+			Cost: 1,
+		})
+	}
+	return service
+}
+
+func plainService() *document.Service {
+	return &document.Service{
+		Name: "entries-api",
+		Kind: document.Plain,
+	}
+}
+
+func pool() document.PoolRef {
+	return document.PoolRef{
+		Service: "nutmeg-pool",
+		Pool:    "all",
+	}
+}
+
+func newRunner(transport pipeline.Transport, guard pipeline.Guard) *pipeline.Runner {
+	table := upstream.New(upstream.Config{
+		Host:   "h",
+		Domain: "erie-hall",
+		Now:    time.Now,
+		Random: rand.New(rand.NewPCG(1, 2)),
+	})
+	var members []upstream.Member
+	for i := range 5 {
+		members = append(members, upstream.Member{
+			Pool:        pool(),
+			Upstream:    ident.UpstreamID(fmt.Sprintf("u%d", i)),
+			Incarnation: 1,
+			Address:     ident.Address(fmt.Sprintf("127.0.0.1:%d", 9000+i)),
+			Domain:      "erie-hall",
+		})
+	}
+	table.Offer(members)
+	table.Tick(time.Now())
+	attempts := 0
+	var mu sync.Mutex
+	return pipeline.New(pipeline.Config{
+		Transport: transport,
+		Selector:  table,
+		Guard:     guard,
+		Meter:     fakeMeter{},
+		Recorder:  fakeRecorder{},
+		Now:       time.Now,
+		NewAttempt: func() ident.AttemptID {
+			mu.Lock()
+			defer mu.Unlock()
+			attempts++
+			return ident.AttemptID(fmt.Sprintf("a%d", attempts))
+		},
+	})
+}
+
+func newJob(service *document.Service, repeatable bool) pipeline.Job {
+	return pipeline.Job{
+		Request: "r1",
+		Service: service,
+		Route: &document.Route{
+			Repeatable: repeatable,
+			Pool:       pool(),
+		},
+		Prompt:    "q",
+		Path:      "/entries",
+		Method:    http.MethodPost,
+		Stream:    true,
+		Deadline:  time.Now().Add(5 * time.Second),
+		Budget:    pipeline.NewBudget(time.Now),
+		Estimates: pipeline.NewEstimates(time.Now),
+	}
+}
+
+const wholeText = "t0 t1 t2 t3 t4 t5 "
+
+// A pipeline must deliver the whole answer once, or end visibly, whatever happens to its attempts.
+func TestRunPipeline(t *testing.T) {
+	cases := map[string]struct {
+		calls   []step
+		streams []step
+		denied  bool // the guard allows no second try
+		want    outcome.Outcome
+		text    string
+		lost    int
+	}{
+		"no fault": {
+			want: outcome.Answered{},
+			text: wholeText,
+		},
+		"upstream refuses the connection": {
+			calls: []step{{err: pipeline.ErrNotSent}},
+			want:  outcome.Answered{},
+			text:  wholeText,
+		},
+		"upstream is leaving": {
+			calls: []step{{err: pipeline.ErrLeaving}, {err: pipeline.ErrLeaving}},
+			want:  outcome.Answered{},
+			text:  wholeText,
+		},
+		"every upstream refuses": {
+			calls: []step{{err: pipeline.ErrNotSent}, {err: pipeline.ErrNotSent}, {err: pipeline.ErrNotSent}, {err: pipeline.ErrNotSent}},
+			want:  outcome.Refused{},
+		},
+		"answer of another attempt": {
+			calls: []step{{wrong: true}},
+			want:  outcome.Answered{},
+			text:  wholeText,
+		},
+		"connection lost in a stage": {
+			calls: []step{{err: pipeline.ErrLost}},
+			want:  outcome.Answered{},
+			text:  wholeText,
+			lost:  1,
+		},
+		"connection lost and no second try": {
+			calls:  []step{{err: pipeline.ErrLost}},
+			denied: true,
+			want:   outcome.Failed{},
+			lost:   1,
+		},
+		"bad request at an upstream": {
+			calls: []step{{err: pipeline.StatusError{Status: 400}}},
+			want:  outcome.Failed{},
+		},
+		"stream breaks": {
+			streams: []step{{tokens: 2, err: pipeline.ErrLost}},
+			want:    outcome.Answered{},
+			text:    wholeText,
+			lost:    1,
+		},
+		"stream breaks and the next one repeats tokens": {
+			streams: []step{{tokens: 3, err: pipeline.ErrLost}, {tokens: answerTokens, resend: 2}},
+			want:    outcome.Answered{},
+			text:    wholeText,
+			lost:    1,
+		},
+		"next stream leaves a gap": {
+			streams: []step{{tokens: 2, err: pipeline.ErrLost}, {tokens: answerTokens, resend: -1}},
+			want:    outcome.Answered{},
+			text:    wholeText,
+			lost:    2,
+		},
+		"streams break beyond the retry budget": {
+			streams: []step{{tokens: 1, err: pipeline.ErrLost}, {tokens: 1, err: pipeline.ErrLost}, {tokens: 1, err: pipeline.ErrLost}},
+			want:    outcome.Failed{},
+			text:    "t0 t1 t2 ",
+			lost:    3,
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			guard := &fakeGuard{
+				allow: !tc.denied,
+			}
+			sink := &fakeSink{}
+			transport := &fakeTransport{
+				calls:   tc.calls,
+				streams: tc.streams,
+			}
+			got := newRunner(transport, guard).Run(context.Background(), newJob(assistant(), true), sink)
+			c.Check(fmt.Sprintf("%T", got), qt.Equals, fmt.Sprintf("%T", tc.want), qt.Commentf("%+v", got))
+			c.Check(sink.text.String(), qt.Equals, tc.text)
+			c.Check(guard.lost, qt.Equals, tc.lost)
+			if _, refused := got.(outcome.Refused); refused {
+				c.Check(transport.executed, qt.HasLen, 0)
+			}
+		})
+	}
+}
+
+// A non-repeatable call must be executed at most once, and "refused" must mean never.
+func TestRunPlainNonRepeatable(t *testing.T) {
+	cases := map[string]struct {
+		calls    []step
+		want     outcome.Outcome
+		executed int
+	}{
+		"no fault": {
+			want:     outcome.Answered{},
+			executed: 1,
+		},
+		"not sent, then sent": {
+			calls:    []step{{err: pipeline.ErrNotSent}},
+			want:     outcome.Answered{},
+			executed: 1,
+		},
+		"connection lost after it was sent": {
+			calls: []step{{err: pipeline.ErrLost}},
+			want:  outcome.Unknown{},
+		},
+		"answer of another attempt": {
+			calls:    []step{{wrong: true}},
+			want:     outcome.Unknown{},
+			executed: 1,
+		},
+		"all leaving": {
+			calls: []step{{err: pipeline.ErrLeaving}, {err: pipeline.ErrLeaving}, {err: pipeline.ErrLeaving}, {err: pipeline.ErrLeaving}},
+			want:  outcome.Refused{},
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			transport := &fakeTransport{
+				calls: tc.calls,
+			}
+			got := newRunner(transport, &fakeGuard{
+				allow: true,
+			}).Run(context.Background(), newJob(plainService(), false), nil)
+			c.Check(fmt.Sprintf("%T", got), qt.Equals, fmt.Sprintf("%T", tc.want), qt.Commentf("%+v", got))
+			c.Check(transport.executed, qt.HasLen, tc.executed)
+		})
+	}
+}
+
+// A straggling attempt must be hedged once the stage's duration is known, and cancelled after the other one answers.
+func TestRunHedgesStraggler(t *testing.T) {
+	c := qt.New(t)
+	transport := &fakeTransport{
+		calls: []step{{hang: true}},
+	}
+	job := newJob(assistant(), true)
+	for range 50 {
+		job.Estimates.Record("encode", time.Millisecond)
+	}
+	got := newRunner(transport, &fakeGuard{}).Run(context.Background(), job, &fakeSink{})
+	c.Assert(got, qt.Satisfies, func(o outcome.Outcome) bool {
+		_, ok := o.(outcome.Answered)
+		return ok
+	})
+}
+
+// A request that cannot finish before its deadline must not start.
+func TestRunRefusesLateRequest(t *testing.T) {
+	c := qt.New(t)
+	transport := &fakeTransport{}
+	job := newJob(assistant(), true)
+	for range 50 {
+		job.Estimates.Record("generate", 10*time.Second)
+	}
+	got := newRunner(transport, &fakeGuard{}).Run(context.Background(), job, &fakeSink{})
+	refused, ok := got.(outcome.Refused)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(refused.Reason, qt.Equals, outcome.Deadline)
+	c.Assert(transport.executed, qt.HasLen, 0)
+}
+
+// A caller that stops reading must end its generation.
+func TestRunStopsWhenCallerLeaves(t *testing.T) {
+	c := qt.New(t)
+	sink := &fakeSink{
+		err: errors.New("closed"),
+	}
+	got := newRunner(&fakeTransport{}, &fakeGuard{}).Run(context.Background(), newJob(assistant(), true), sink)
+	failed, ok := got.(outcome.Failed)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(failed.Reason, qt.Equals, outcome.Incomplete)
+}
--- /dev/null
+++ b/pipeline/transform.go
@@ -0,0 +1,182 @@
+package pipeline
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/nutmegshift/nutmegshift/document"
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/outcome"
+)
+
+// hedgeFactor delays a hedge beyond the 95th percentile of a stage, so that
+// hedges stay rarer than the budget allows when the stage is healthy.
+const hedgeFactor = 1.5
+
+type stageInput struct {
+	Input string `json:"input"`
+}
+
+type stageOutput struct {
+	Output string `json:"output"`
+}
+
+// ended is the end of one attempt at a transforming stage.
+type ended struct {
+	attempt attempt
+	reply   Reply
+	err     error
+}
+
+// transform runs one stage that turns a text into another.
+func (r *run) transform(ctx context.Context, stage document.Stage, input string) (string, error) {
+	body, err := json.Marshal(stageInput{
+		Input: input,
+	})
+	if err != nil {
+		return "", errors.Annotatef(err, "encode input of stage %q", stage.Name)
+	}
+	call := Call{
+		Method:   http.MethodPost,
+		Path:     stagePath(stage),
+		Body:     body,
+		Priority: r.job.Priority,
+	}
+	r.job.Budget.First()
+	var exclude []ident.UpstreamID
+	for {
+		done, err := r.hedged(ctx, stage, call, &exclude)
+		if err != nil {
+			return "", err
+		}
+		if done.err == nil {
+			r.ran = true
+			r.cleared(ctx)
+			return decodeOutput(stage, done.reply)
+		}
+		if err := r.again(ctx, done.attempt, done.err); err != nil {
+			return "", err
+		}
+		if len(exclude) >= maxPlacements {
+			return "", halt(outcome.NoUpstream, done.err)
+		}
+	}
+}
+
+// hedged runs one attempt, and a second one if the first straggles; the first
+// success wins and the other is cancelled. It returns when both have ended.
+func (r *run) hedged(ctx context.Context, stage document.Stage, call Call, exclude *[]ident.UpstreamID) (ended, error) {
+	ctx, cancel := r.limit(ctx, stage)
+	defer cancel()
+	ends := make(chan ended)
+	running, err := r.launch(ctx, stage, call, exclude, ends)
+	if err != nil {
+		return ended{}, err
+	}
+	hedge := time.NewTimer(r.hedgeDelay(stage))
+	defer hedge.Stop()
+	var winner *ended
+	var last ended
+	for running > 0 {
+		select {
+		case <-hedge.C:
+			if r.job.Suspect || winner != nil || !r.job.Budget.Take() {
+				continue
+			}
+			// A hedge that finds no upstream is given up; the first attempt goes on.
+			started, err := r.launch(ctx, stage, call, exclude, ends)
+			if err != nil {
+				r.job.Budget.Return()
+				continue
+			}
+			r.event("hedge", "", field("stage", string(stage.Name)))
+			running += started
+		case last = <-ends:
+			running--
+			r.settle(last.attempt, last.reply.Load, last.err, winner != nil)
+			if !notRun(last.err) {
+				r.ran = true
+			}
+			if winner == nil && last.err == nil {
+				kept := last
+				winner = &kept
+				cancel()
+			}
+		}
+	}
+	if winner != nil {
+		return *winner, nil
+	}
+	return last, nil
+}
+
+// launch starts one attempt whose end arrives at ends, and returns how many it started.
+func (r *run) launch(ctx context.Context, stage document.Stage, call Call, exclude *[]ident.UpstreamID, ends chan<- ended) (int, error) {
+	placed, err := r.place(stage, 0, *exclude)
+	if err != nil {
+		return 0, err
+	}
+	*exclude = append(*exclude, placed.lease.Upstream)
+	call.Attempt = placed.id
+	go func(ctx context.Context) {
+		reply, err := r.cfg.Transport.Call(ctx, placed.lease.Address, call)
+		ends <- ended{
+			attempt: placed,
+			reply:   reply,
+			err:     checked(reply, call.Attempt, err),
+		}
+	}(ctx)
+	return 1, nil
+}
+
+// limit bounds one attempt by the stage's timeout.
+func (r *run) limit(ctx context.Context, stage document.Stage) (context.Context, context.CancelFunc) {
+	if stage.Timeout > 0 {
+		return context.WithTimeout(ctx, stage.Timeout)
+	}
+	return context.WithCancel(ctx)
+}
+
+func (r *run) hedgeDelay(stage document.Stage) time.Duration {
+	slow := r.job.Estimates.Stage(stage.Name).High
+	if slow <= 0 {
+		return time.Until(r.job.Deadline)
+	}
+	return time.Duration(float64(slow) * hedgeFactor)
+}
+
+// checked drops the result of another attempt and turns error statuses into errors.
+func checked(reply Reply, want ident.AttemptID, err error) error {
+	switch {
+	case err != nil:
+		return err
+	case reply.Attempt != want:
+		return ErrMismatch
+	case reply.Status < 200 || reply.Status > 299:
+		return StatusError{
+			Status: reply.Status,
+			Body:   reply.Body,
+		}
+	default:
+		return nil
+	}
+}
+
+func stagePath(stage document.Stage) string {
+	if stage.Path != "" {
+		return stage.Path
+	}
+	return "/v1/" + string(stage.Kind)
+}
+
+func decodeOutput(stage document.Stage, reply Reply) (string, error) {
+	var decoded stageOutput
+	if err := json.Unmarshal(reply.Body, &decoded); err != nil {
+		return "", halt(outcome.UpstreamError, errors.Annotatef(err, "decode output of stage %q", stage.Name))
+	}
+	return decoded.Output, nil
+}
