Poll load reports and cache events at a fixed rate

A host that sends no work to an upstream learned nothing about it, so another failure domain looked as loaded as its own.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -21,6 +21,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/caller"
 	"github.com/nutmegshift/nutmegshift/internal/hostlist"
 	"github.com/nutmegshift/nutmegshift/internal/operator"
+	"github.com/nutmegshift/nutmegshift/internal/reporthttp"
 	"github.com/nutmegshift/nutmegshift/internal/settings"
 	"github.com/nutmegshift/nutmegshift/internal/stagehttp"
 	"github.com/nutmegshift/nutmegshift/kv"
@@ -57,6 +58,7 @@
 	ledger    *claim.Ledger
 	registry  *document.Registry
 	syncer    *document.Syncer
+	poller    *reporthttp.Poller
 	server    *Server
 }
 
@@ -100,6 +102,11 @@
 		Now:      time.Now,
 		Log:      log,
 	})
+	h.poller = reporthttp.New(reporthttp.Config{
+		Client:  newClient(),
+		Table:   h.table,
+		Engines: h.enginePools,
+	})
 	h.server = NewServer(ServerConfig{
 		Ledger:     h.ledger,
 		Recorder:   h.ring,
@@ -139,6 +146,7 @@
 	h.add(&group, parts, "ledger", h.ledger.Run)
 	h.add(&group, parts, "upstreams", h.runTable)
 	h.add(&group, parts, "host list", h.runHosts)
+	h.add(&group, parts, "reports", h.poller.Run)
 	h.add(&group, parts, "documents", h.syncer.Run)
 	h.add(&group, parts, "operators", func(ctx context.Context) error {
 		return serveHTTP(ctx, operators, h.operatorHandler(), h.settings)
@@ -293,6 +301,21 @@
 	}
 }
 
+// enginePools are the pools of the generating stages of all documents.
+func (h *Host) enginePools() map[document.PoolRef]bool {
+	pools := make(map[document.PoolRef]bool)
+	set := h.registry.Snapshot()
+	for _, name := range set.Names() {
+		held, _ := set.Document(name)
+		for _, stage := range held.Service.Stages {
+			if stage.Kind == document.Generate {
+				pools[stage.Pool] = true
+			}
+		}
+	}
+	return pools
+}
+
 // around tells the document spreader about the other hosts.
 func (h *Host) around() document.Surroundings {
 	return document.Surroundings{
--- a/pipeline/attempt.go
+++ b/pipeline/attempt.go
@@ -42,6 +42,7 @@
 	stage   document.Stage
 	start   time.Time
 	suspect bool
+	first   time.Duration // until the first token; answers differ in length, first tokens compare
 }
 
 // place chooses an upstream for a new attempt at the stage.
@@ -82,11 +83,15 @@
 // settle reports the end of an attempt to the selector, the meter and the timeline.
 func (r *run) settle(a attempt, load *upstream.Load, err error, wasted bool) {
 	took := r.cfg.Now().Sub(a.start)
+	latency := took
+	if a.first > 0 {
+		latency = a.first
+	}
 	if a.suspect {
 		r.suspects.leave(a.lease.Upstream)
 	}
 	r.cfg.Selector.Done(a.lease, upstream.Report{
-		Latency: took,
+		Latency: latency,
 		Load:    load,
 		Result:  result(err),
 	})
--- a/pipeline/generate.go
+++ b/pipeline/generate.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"github.com/nutmegshift/nutmegshift/document"
@@ -78,12 +77,12 @@
 
 // attemptTokens runs one attempt and appends its tokens to made.
 func (r *run) attemptTokens(ctx context.Context, placed attempt, prompt string, made *generation) error {
-	load, err := r.readTokens(ctx, placed, prompt, made)
+	load, err := r.readTokens(ctx, &placed, prompt, made)
 	r.settle(placed, load, err, false)
 	return err
 }
 
-func (r *run) readTokens(ctx context.Context, placed attempt, prompt string, made *generation) (*upstream.Load, error) {
+func (r *run) readTokens(ctx context.Context, placed *attempt, prompt string, made *generation) (*upstream.Load, error) {
 	stream, err := r.cfg.Transport.Generate(ctx, placed.lease.Address, Generation{
 		Attempt:   placed.id,
 		Model:     r.job.Service.Model,
@@ -106,6 +105,10 @@
 		if err != nil {
 			return stream.Load(), err
 		}
+		if placed.first == 0 {
+			placed.first = r.cfg.Now().Sub(placed.start)
+			r.event("first token", placed.id, field("took", placed.first.String()))
+		}
 		if token.Offset < made.tokens {
 			continue // resent after a resume
 		}
@@ -138,7 +141,7 @@
 	if len(prompt) < shared {
 		return 0
 	}
-	return upstream.Prefix(xxhash.Sum64String(prompt[:shared]))
+	return upstream.NewPrefix(prompt[:shared])
 }
 
 // completed is the answer to a caller that does not stream.
