--- /dev/null
+++ b/internal/system/deployment_test.go
@@ -0,0 +1,309 @@
+package system
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/hostlist"
+	"github.com/nutmegshift/nutmegshift/internal/standin"
+	"github.com/nutmegshift/nutmegshift/internal/standin/platform"
+	"github.com/nutmegshift/nutmegshift/internal/standin/upstreams"
+)
+
+const (
+	entries      = 3
+	examples     = "../../examples/franchise"
+	organisation = "lakeshore-creamery"
+	entriesAPI   = "entries-api"
+	nutmegPool   = "nutmeg-pool"
+	enterPath    = "/entries-api/entries"
+	standingPath = "/entries-api/standing"
+	chatPath     = "/nutmeg-pool/v1/chat/completions"
+	// maxRunning bounds the deployments that run at once, four processes each,
+	// so that parallel tests do not time out on a small machine.
+	maxRunning = 4
+)
+
+var running = make(chan struct{}, maxRunning)
+
+// deployment is the stand-ins and entry hosts of one test.
+type deployment struct {
+	t         *testing.T
+	layout    standin.Layout
+	directory string
+	client    *http.Client
+	platform  []hostlist.Host // the host list at the start
+	hosts     [entries + 1]*process
+}
+
+// setup changes a deployment before it starts.
+type setup struct {
+	store     func(l standin.Layout) ident.Address       // of entry host 1; nil: the platform's
+	documents func(service, text string) (edited string) // nil: the examples as they are
+	settings  string                                     // appended to the settings of entry hosts
+}
+
+// start starts a deployment, applies the example documents and waits until all
+// entry hosts are ready.
+func start(t *testing.T, s setup) *deployment {
+	t.Helper()
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
+	d := &deployment{
+		t: t,
+		layout: standin.Layout{
+			Deployment: standin.Deployments()["franchise"],
+			Net:        reserveNet(t),
+			Entries:    entries,
+		},
+		directory: t.TempDir(),
+		client: &http.Client{
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: 64,
+			},
+		},
+	}
+	t.Cleanup(d.client.CloseIdleConnections)
+	d.write("standins.ini", d.layout.Standins())
+	parsed, err := standin.Parse([]byte(d.layout.Standins()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.platform = parsed.Hosts()
+	for i := 1; i <= entries; i++ {
+		text := d.layout.Entry(i)
+		if i == 1 && s.store != nil {
+			text = strings.Replace(text, "store = "+string(d.layout.Platform()), "store = "+string(s.store(d.layout)), 1)
+		}
+		d.write(fmt.Sprintf("entry-%d.ini", i), text+s.settings)
+	}
+	standins := launch(t, "standins", "run", "--settings", d.path("standins.ini"))
+	await(t, "stand-ins", func() bool { return standins.output.line("components listen") != "" })
+	names, err := filepath.Glob(filepath.Join(examples, "*.ini"))
+	if err != nil || len(names) == 0 {
+		t.Fatalf("no example documents in %s: %v", examples, err)
+	}
+	for _, name := range names {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		service := strings.TrimSuffix(filepath.Base(name), ".ini")
+		edited := string(text)
+		if s.documents != nil {
+			edited = s.documents(service, edited)
+		}
+		d.write(filepath.Base(name), edited)
+		apply := d.apply(service, filepath.Base(name), 0, "setup")
+		if code := apply.exit(t); code != 0 {
+			t.Fatalf("apply %s: exit code %d: %s", service, code, apply.output)
+		}
+	}
+	for i := 1; i <= entries; i++ {
+		d.startHost(i)
+	}
+	for i := 1; i <= entries; i++ {
+		d.awaitReady(i)
+	}
+	return d
+}
+
+// reserveNet reserves a loopback network for the test, also against other runs
+// of these tests on the machine.
+func reserveNet(t *testing.T) int {
+	t.Helper()
+	for number := 100; number < 250; number++ {
+		lock, err := new(net.ListenConfig).Listen(context.Background(), "tcp", fmt.Sprintf("127.%d.255.254:6999", number))
+		if err == nil {
+			t.Cleanup(func() { _ = lock.Close() })
+			return number
+		}
+	}
+	t.Fatal("no free loopback network")
+	return 0
+}
+
+func (d *deployment) path(name string) string { return filepath.Join(d.directory, name) }
+
+func (d *deployment) write(name, text string) {
+	d.t.Helper()
+	const private = 0o600
+	if err := os.WriteFile(d.path(name), []byte(text), private); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// apply starts the command that applies a document file.
+func (d *deployment) apply(service, file string, base ident.Revision, author string) *process {
+	d.t.Helper()
+	text, err := os.ReadFile(d.path(file))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(text), "team = ")
+	team, _, _ := strings.Cut(rest, "\n")
+	return launch(d.t, "nutmegshift", "config", "apply", "--store", string(d.layout.Platform()), "--service", service,
+		"--base", fmt.Sprint(base), "--author", author, "--team", team, "--file", d.path(file))
+}
+
+// startHost starts entry host i, from 1.
+func (d *deployment) startHost(i int) {
+	d.t.Helper()
+	d.hosts[i] = launch(d.t, "nutmegshift", "entry", "--settings", d.path(fmt.Sprintf("entry-%d.ini", i)))
+}
+
+// ready reports whether entry host i asks for callers, as a balancer reads it.
+func (d *deployment) ready(i int) bool {
+	return d.get(d.layout.Operator(i), "/ready", nil) == http.StatusOK
+}
+
+func (d *deployment) awaitReady(i int) {
+	d.t.Helper()
+	await(d.t, fmt.Sprintf("readiness of entry host %d", i), func() bool { return d.ready(i) })
+}
+
+// get reads a page into a value unless it is nil, and returns 0 without an answer.
+func (d *deployment) get(at ident.Address, path string, into any) int {
+	return d.call(http.MethodGet, at, path, nil, into)
+}
+
+func (d *deployment) call(method string, at ident.Address, path string, body, into any) int {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return 0
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+string(at)+path, bytes.NewReader(encoded))
+	if err != nil {
+		return 0
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := d.client.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	read, err := io.ReadAll(response.Body)
+	if err != nil || into != nil && json.Unmarshal(read, into) != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// put sends a PUT that must succeed.
+func (d *deployment) put(at ident.Address, path string, body any) {
+	d.t.Helper()
+	if status := d.call(http.MethodPut, at, path, body, nil); status < 200 || status > 299 {
+		d.t.Errorf("PUT %s at %s: status %d", path, at, status)
+	}
+}
+
+// storeFaults replaces the faults of the platform.
+func (d *deployment) storeFaults(faults platform.Faults) {
+	d.t.Helper()
+	d.put(d.layout.Platform(), "/faults", faults)
+}
+
+// pool returns the upstreams of a pool.
+func (d *deployment) pool(service ident.ServiceName, pool ident.PoolName) []hostlist.Host {
+	var found []hostlist.Host
+	for _, host := range d.platform {
+		if host.Service == service && host.Pool == pool {
+			found = append(found, host)
+		}
+	}
+	return found
+}
+
+// servers returns the upstreams of entries-api.
+func (d *deployment) servers() []hostlist.Host { return d.pool(entriesAPI, "servers") }
+
+// upstreamFaults replaces the faults of upstreams.
+func (d *deployment) upstreamFaults(faults upstreams.Faults, at ...hostlist.Host) {
+	d.t.Helper()
+	for _, host := range at {
+		d.put(host.Address, "/faults", faults)
+	}
+}
+
+// executions returns the execution log of a plain upstream.
+func (d *deployment) executions(at hostlist.Host) []upstreams.Execution {
+	d.t.Helper()
+	var log struct {
+		Executions []upstreams.Execution `json:"executions"`
+	}
+	if status := d.get(at.Address, "/executions", &log); status != http.StatusOK {
+		d.t.Errorf("read executions of %s: status %d", at.Name, status)
+	}
+	return log.Executions
+}
+
+// reply is what a caller received.
+type reply struct {
+	request    string // id that the entry host gave it
+	status     int
+	kind       string // content type
+	body       []byte // as far as received
+	err        error  // the reply is not complete
+	begin, end time.Time
+}
+
+// send sends a caller's request through entry host i.
+func (d *deployment) send(i int, method, path, body string) (r reply) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	r.begin = time.Now()
+	defer func() { r.end = time.Now() }()
+	var request *http.Request
+	request, r.err = http.NewRequestWithContext(ctx, method, "http://"+string(d.layout.Callers(i))+path, strings.NewReader(body))
+	if r.err != nil {
+		return r
+	}
+	request.Header.Set("X-Organisation", organisation)
+	response, err := d.client.Do(request)
+	if err != nil {
+		r.err = err
+		return r
+	}
+	defer func() { _ = response.Body.Close() }()
+	r.request = response.Header.Get("X-Request-Id")
+	r.status = response.StatusCode
+	r.kind = response.Header.Get("Content-Type")
+	r.body, r.err = io.ReadAll(response.Body)
+	return r
+}
+
+// ran returns what an error reply states about the request: false, true,
+// "unknown", or nil if it states nothing.
+func (r reply) ran() any {
+	var failure struct {
+		Error struct {
+			Ran any `json:"ran"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(r.body, &failure) != nil {
+		return nil
+	}
+	return failure.Error.Ran
+}
+
+// output returns the output field of an answer of a plain service.
+func (r reply) output() string {
+	var answer struct {
+		Output string `json:"output"`
+	}
+	_ = json.Unmarshal(r.body, &answer)
+	return answer.Output
+}
