Report readiness only once an upstream is known

An entry host was ready as soon as it had a document, up to a tick (100 ms) before the first host list was merged, and refused the requests of that time as no_upstream. The store and the stand-ins were ruled out: the refusal came from the choice of an upstream, after the claim was granted.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -294,6 +294,11 @@
 		return operator.Readiness{
 			Reason: "no service document is known",
 		}
+	case len(h.table.Snapshot().Rows) == 0:
+		// The host list is read and merged up to a tick after the documents.
+		return operator.Readiness{
+			Reason: "no upstream is known",
+		}
 	default:
 		return operator.Readiness{
 			Ready: true,
--- a/internal/system/deployment_test.go
+++ b/internal/system/deployment_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/entry"
 	"github.com/nutmegshift/nutmegshift/internal/hostlist"
 	"github.com/nutmegshift/nutmegshift/internal/standin"
 	"github.com/nutmegshift/nutmegshift/internal/standin/platform"
@@ -52,6 +53,7 @@
 	store     func(l standin.Layout) ident.Address       // of entry host 1; nil: the platform's
 	documents func(service, text string) (edited string) // nil: the examples as they are
 	settings  string                                     // appended to the settings of entry hosts
+	unlisted  bool                                       // entry host 1 cannot read the host list and is not awaited
 }
 
 // start starts a deployment, applies the example documents and waits until all
@@ -86,6 +88,9 @@
 		if i == 1 && s.store != nil {
 			text = strings.Replace(text, "store = "+string(d.layout.Platform()), "store = "+string(s.store(d.layout)), 1)
 		}
+		if i == 1 && s.unlisted {
+			text = strings.Replace(text, "hosts = "+string(d.layout.Platform()), "hosts = "+string(d.layout.Peers(entries+1)), 1)
+		}
 		d.write(fmt.Sprintf("entry-%d.ini", i), text+s.settings)
 	}
 	standins := launch(t, "standins", "run", "--settings", d.path("standins.ini"))
@@ -114,7 +119,9 @@
 		d.startHost(i)
 	}
 	for i := 1; i <= entries; i++ {
-		d.awaitReady(i)
+		if i > 1 || !s.unlisted {
+			d.awaitReady(i)
+		}
 	}
 	return d
 }
@@ -173,6 +180,12 @@
 	await(d.t, fmt.Sprintf("readiness of entry host %d", i), func() bool { return d.ready(i) })
 }
 
+// status reads the status of entry host i; ok is false if it does not answer.
+func (d *deployment) status(i int) (status entry.Status, ok bool) {
+	ok = d.get(d.layout.Operator(i), "/status", &status) == http.StatusOK
+	return status, ok
+}
+
 // get reads a page into a value unless it is nil, and returns 0 without an answer.
 func (d *deployment) get(at ident.Address, path string, into any) int {
 	return d.call(http.MethodGet, at, path, nil, into)
