--- a/internal/system/deployment_test.go
+++ b/internal/system/deployment_test.go
@@ -20,6 +20,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/standin"
 	"github.com/nutmegshift/nutmegshift/internal/standin/platform"
 	"github.com/nutmegshift/nutmegshift/internal/standin/upstreams"
+	"github.com/nutmegshift/nutmegshift/timeline"
 )
 
 const (
@@ -186,6 +187,21 @@
 	return status, ok
 }
 
+// events returns the number of events with a name on all entry hosts that answer.
+func (d *deployment) events(name string) int {
+	n := 0
+	for i := 1; i <= entries; i++ {
+		var events []timeline.Event
+		d.get(d.layout.Operator(i), "/timeline", &events)
+		for _, event := range events {
+			if event.Name == name {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // get reads a page into a value unless it is nil, and returns 0 without an answer.
 func (d *deployment) get(at ident.Address, path string, into any) int {
 	return d.call(http.MethodGet, at, path, nil, into)
