Name document keys by one word and admit listed organisations only

The style asks for short one-word names in own formats. identity and organisation take header:NAME or field:NAME, so a document cannot name both. A document with shares refuses organisations that it does not list unless it has a share for others.

--- a/document/parse.go
+++ b/document/parse.go
@@ -23,7 +23,7 @@
 	// MaxDeadline stays below the shutdown timeout of 30 s, so that a graceful
 	// shutdown never interrupts a request within its deadline.
 	MaxDeadline    = 25 * time.Second
-	DefaultMaxBody = 1 << 20 // bytes, for routes without max_body
+	DefaultMaxBody = 1 << 20 // bytes, for routes without body
 	MaxMaxBody     = 8 << 20 // bytes
 	maxStages      = 16
 	maxTokens      = 1 << 20
@@ -250,10 +250,10 @@
 	service.Team = ident.TeamName(s.match("team", nameSyntax, true))
 	service.Kind = Kind(s.choice("kind", serviceKinds))
 	service.Deadline = s.duration("deadline", MaxDeadline, true)
-	service.AttainmentWeight = s.number("attainment_weight", 1, true)
-	service.CrossCost = s.number("cross_cost", math.MaxInt32, false)
+	service.AttainmentWeight = s.number("weight", 1, true)
+	service.CrossCost = s.number("crossing", math.MaxInt32, false)
 	service.Model = ident.ModelName(s.match("model", modelSyntax, false))
-	service.MaxTokens = s.integer("max_tokens", maxTokens)
+	service.MaxTokens = s.integer("tokens", maxTokens)
 	s.done()
 }
 
@@ -293,35 +293,28 @@
 func (p *parser) route(service *Service, s *section) {
 	_, label, _ := strings.Cut(s.name, " ")
 	route := Route{
-		Name:               label,
-		Method:             s.choice("method", methods),
-		Path:               s.match("path", pathSyntax, true),
-		IdentityHeader:     s.match("identity_header", headerSyntax, false),
-		IdentityField:      s.match("identity_field", fieldSyntax, false),
-		OrganisationHeader: s.match("organisation_header", headerSyntax, false),
-		OrganisationField:  s.match("organisation_field", fieldSyntax, false),
-		MaxBody:            s.size("max_body", MaxMaxBody, DefaultMaxBody),
+		Name:    label,
+		Method:  s.choice("method", methods),
+		Path:    s.match("path", pathSyntax, true),
+		MaxBody: s.size("body", MaxMaxBody, DefaultMaxBody),
 	}
+	route.IdentityHeader, route.IdentityField = s.source("identity")
+	route.OrganisationHeader, route.OrganisationField = s.source("organisation")
 	repeatable := s.choice("repeatable", []string{"true", "false"})
 	route.Repeatable = repeatable == "true"
 	identity := route.IdentityHeader != "" || route.IdentityField != ""
 	switch {
-	case route.IdentityHeader != "" && route.IdentityField != "":
-		p.fault(s.name, "identity_field", "contradicts identity_header, name one of them")
 	case repeatable == "false" && !identity:
-		p.fault(s.name, "identity_header", "missing, a route that is not repeatable needs identity_header or identity_field")
+		s.require("identity", false, "a route that is not repeatable")
 	case repeatable == "true" && identity:
 		p.fault(s.name, "repeatable", "contradicts the identity, which only a route that is not repeatable has")
 	}
-	if route.OrganisationHeader != "" && route.OrganisationField != "" {
-		p.fault(s.name, "organisation_field", "contradicts organisation_header, name one of them")
-	}
 	if route.Method != "" && !slices.Contains(bodyMethods, route.Method) {
 		if route.IdentityField != "" {
-			p.fault(s.name, "identity_field", "contradicts method %s, which has no body", route.Method)
+			p.fault(s.name, "identity", "contradicts method %s, which has no body", route.Method)
 		}
 		if route.OrganisationField != "" {
-			p.fault(s.name, "organisation_field", "contradicts method %s, which has no body", route.Method)
+			p.fault(s.name, "organisation", "contradicts method %s, which has no body", route.Method)
 		}
 	}
 	if service.Kind == Pipeline {
@@ -367,14 +360,14 @@
 	}
 	if generates > 0 {
 		s.require("model", service.Model != "", "a generate stage")
-		s.require("max_tokens", service.MaxTokens > 0, "a generate stage")
+		s.require("tokens", service.MaxTokens > 0, "a generate stage")
 		return
 	}
 	if service.Model != "" {
 		p.fault("service", "model", "contradicts the stages, none of which generates")
 	}
 	if service.MaxTokens != 0 {
-		p.fault("service", "max_tokens", "contradicts the stages, none of which generates")
+		p.fault("service", "tokens", "contradicts the stages, none of which generates")
 	}
 }
 
@@ -428,6 +421,24 @@
 	return value
 }
 
+// source reads where a value of a request comes from: "header:NAME" or "field:NAME".
+func (s *section) source(key string) (header, field string) {
+	value, ok := s.take(key, false)
+	if !ok {
+		return "", ""
+	}
+	kind, name, _ := strings.Cut(value, ":")
+	switch {
+	case kind == "header" && headerSyntax.MatchString(name):
+		return name, ""
+	case kind == "field" && fieldSyntax.MatchString(name):
+		return "", name
+	default:
+		s.fault(key, "%q is not header:NAME or field:NAME", value)
+		return "", ""
+	}
+}
+
 func (s *section) choice(key string, allowed []string) string {
 	value, ok := s.take(key, true)
 	if ok && !slices.Contains(allowed, value) {
--- a/document/service.go
+++ b/document/service.go
@@ -57,9 +57,6 @@
 	MaxBody            int64   // bytes
 }
 
-// Others is the key of [shares] that admits organisations which it does not list.
-const Others ident.OrganisationID = "others"
-
 // Service is the checked content of one service document.
 type Service struct {
 	Name             ident.ServiceName
@@ -70,7 +67,7 @@
 	CrossCost        float64 // price of one attempt in another failure domain
 	Model            ident.ModelName
 	MaxTokens        int
-	Shares           map[ident.OrganisationID]float64 // if not empty, others are served only with a share for Others
+	Shares           map[ident.OrganisationID]float64 // if not empty, others are served only with a share for ident.OthersID
 	Stages           []Stage                          // in order; empty for a plain service
 	Routes           []Route
 }
--- a/ident/ident.go
+++ b/ident/ident.go
@@ -18,6 +18,9 @@
 // OrganisationID names the organisation on whose behalf a request runs.
 type OrganisationID string
 
+// OthersID stands for all organisations that a table of shares does not list.
+const OthersID OrganisationID = "others"
+
 // FailureDomain names a set of hosts that fail together.
 type FailureDomain string
 
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -117,13 +117,17 @@
 		return bad
 	}
 	request.Organisation = ident.OrganisationID(pick(header, fields, request.Route.OrganisationHeader, request.Route.OrganisationField))
+	sourced := request.Route.OrganisationHeader != "" || request.Route.OrganisationField != ""
+	if !sourced {
+		request.Organisation = ident.OthersID
+	}
 	if request.Organisation == "" {
 		return &fault{
 			status:  http.StatusBadRequest,
 			message: "request names no organisation",
 		}
 	}
-	if !admits(request.Service, request.Organisation) {
+	if sourced && !admits(request.Service, request.Organisation) {
 		return &fault{
 			status:  http.StatusForbidden,
 			message: "organisation " + quote(string(request.Organisation)) + " is not admitted to service " + quote(string(request.Service.Name)),
@@ -148,7 +152,7 @@
 // shares serves only these organisations, unless it has a share for all others.
 func admits(service *document.Service, organisation ident.OrganisationID) bool {
 	_, listed := service.Shares[organisation]
-	_, open := service.Shares[document.Others]
+	_, open := service.Shares[ident.OthersID]
 	return listed || open || len(service.Shares) == 0
 }
 
--- a/organisation/limiter.go
+++ b/organisation/limiter.go
@@ -22,7 +22,7 @@
 // Config holds the parameters of a Limiter; a zero number means its default.
 type Config struct {
 	Now     func() time.Time
-	Shares  map[ident.OrganisationID]float64 // organisations not listed have share 1
+	Shares  map[ident.OrganisationID]float64 // organisations not listed have that of ident.OthersID, or 1
 	Initial float64                          // concurrency limit at the start, 32
 	Least   float64                          // smallest concurrency limit, 4
 	Most    float64                          // largest concurrency limit, 4096
@@ -101,6 +101,9 @@
 
 func (l *Limiter) configured(organisation ident.OrganisationID) float64 {
 	share, ok := l.shares[organisation]
+	if !ok {
+		share, ok = l.shares[ident.OthersID]
+	}
 	if !ok {
 		return 1
 	}
