--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -109,6 +109,7 @@
 	})
 	h.server = NewServer(ServerConfig{
 		Ledger:     h.ledger,
+		Limits:     func() Limits { return NewLimits(time.Now) },
 		Recorder:   h.ring,
 		Metrics:    h.metrics,
 		NewAttempt: h.newAttempt,
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -29,6 +29,7 @@
 type ServerConfig struct {
 	Ledger     *claim.Ledger
 	Runner     *pipeline.Runner
+	Limits     func() Limits // made once for each service
 	Recorder   timeline.Recorder
 	Metrics    *metrics.Set
 	NewAttempt func() ident.AttemptID
@@ -49,7 +50,7 @@
 	return &Server{
 		cfg:      cfg,
 		active:   newActive(),
-		services: newServices(cfg.Now),
+		services: newServices(cfg.Limits),
 	}
 }
 
@@ -66,7 +67,7 @@
 // admit waits for the organisation's turn at the service and runs the request.
 func (s *Server) admit(ctx context.Context, request caller.Request, sink caller.Sink) outcome.Outcome {
 	limits := s.services.of(request.Service)
-	permit, err := limits.limiter.Acquire(ctx, request.Organisation, 1, request.Deadline)
+	permit, err := limits.Limiter.Acquire(ctx, request.Organisation, 1, request.Deadline)
 	switch {
 	case errors.Is(err, organisation.ErrDeadline):
 		return outcome.Refused{
@@ -240,8 +241,8 @@
 		Headers:      request.Headers,
 		Body:         request.Body,
 		Deadline:     request.Deadline,
-		Budget:       limits.budget,
-		Estimates:    limits.estimates,
+		Budget:       limits.Budget,
+		Estimates:    limits.Estimates,
 	}
 }
 
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -10,25 +10,41 @@
 	"github.com/nutmegshift/nutmegshift/pipeline"
 )
 
-// service is what this host has learned about the load of one service.
+// Limits are what bounds the work of one service on one host.
+type Limits struct {
+	Limiter   *organisation.Limiter
+	Budget    *pipeline.Budget
+	Estimates *pipeline.Estimates
+}
+
+// NewLimits returns limits that have learned nothing yet.
+func NewLimits(now func() time.Time) Limits {
+	return Limits{
+		Limiter: organisation.New(organisation.Config{
+			Now: now,
+		}),
+		Budget:    pipeline.NewBudget(now),
+		Estimates: pipeline.NewEstimates(now),
+	}
+}
+
+// service is a row of the table of services.
 type service struct {
-	document  *document.Service
-	limiter   *organisation.Limiter
-	budget    *pipeline.Budget
-	estimates *pipeline.Estimates
+	Limits
+	document *document.Service
 }
 
 // services is the table of services that this host has served.
 type services struct {
-	now  func() time.Time
-	mu   sync.Mutex
-	rows map[ident.ServiceName]*service
+	create func() Limits
+	mu     sync.Mutex
+	rows   map[ident.ServiceName]*service
 }
 
-func newServices(now func() time.Time) *services {
+func newServices(create func() Limits) *services {
 	return &services{
-		now:  now,
-		rows: make(map[ident.ServiceName]*service),
+		create: create,
+		rows:   make(map[ident.ServiceName]*service),
 	}
 }
 
@@ -39,18 +55,13 @@
 	row, ok := s.rows[current.Name]
 	if !ok {
 		row = &service{
-			limiter: organisation.New(organisation.Config{
-				Now:    s.now,
-				Shares: current.Shares,
-			}),
-			budget:    pipeline.NewBudget(s.now),
-			estimates: pipeline.NewEstimates(s.now),
+			Limits: s.create(),
 		}
 		s.rows[current.Name] = row
 	}
 	if row.document != current {
 		row.document = current
-		row.limiter.SetShares(current.Shares)
+		row.Limiter.SetShares(current.Shares)
 	}
 	return row
 }
