Add the contract test of the key-value store

The fake and the HTTP adapter with its stand-in must agree on every error and effect, because the coordination packages are tested against the fake only.

--- /dev/null
+++ b/kv/kvtest/doc.go
@@ -0,0 +1,6 @@
+// Package kvtest is the contract test of kv.Store. Each adapter runs it in its
+// own tests, so that the fake and the real protocol behave alike.
+//
+// Faults are those of memkv; an adapter over another service maps them to its
+// own. The package holds no state; each case starts a store of its own.
+package kvtest
