Add orders to engines under a lease

The fencing number is the version of the holder's key, and every tick compares each engine's actual state with the wanted one, so a late order of a former holder is undone even at engines that ignore the number.

--- /dev/null
+++ b/order/reconciler.go
@@ -0,0 +1,269 @@
+package order
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/kv"
+)
+
+const (
+	// listLimit keeps a page of wanted states far below 1 MB.
+	listLimit = 500
+	// releaseLimit bounds the release of the lease when Run ends.
+	releaseLimit = 2 * time.Second
+)
+
+// Errors that Reconciler returns, annotated.
+const (
+	ErrStore     = errors.ConstError("store does not answer, no orders sent")
+	ErrNotHolder = errors.ConstError("another host may issue orders")
+)
+
+// ErrStale is what Engines.Send returns if the engine refused the fencing number.
+const ErrStale = errors.ConstError("engine has seen a higher fencing number")
+
+// Engines reaches the engines.
+type Engines interface {
+	// Actual reads the state of an engine.
+	Actual(ctx context.Context, engine ident.UpstreamID) (Actual, error)
+	// Send gives an order to an engine; it returns ErrStale if the engine refused the number.
+	Send(ctx context.Context, engine ident.UpstreamID, fence ident.FencingNumber, order Order) error
+}
+
+// Config holds the dependencies of a Reconciler.
+type Config struct {
+	Host      ident.HostID
+	Store     kv.Store
+	Engines   Engines
+	Now       func() time.Time
+	Log       zerolog.Logger
+	TTL       time.Duration // of the lease
+	Limit     time.Duration // longest call to one engine
+	Workers   int           // engines handled at the same time, at least 1
+	LoadRate  rate.Limit    // model loads a second that the weight store admits
+	LoadBurst int           // model loads at once, at least 1
+}
+
+// Fault is an engine that a tick could not bring to its wanted state.
+type Fault struct {
+	Engine ident.UpstreamID
+	Err    error
+}
+
+// Report says what a tick did.
+type Report struct {
+	Holder   bool                // this host issues orders
+	Fence    ident.FencingNumber // 0 unless Holder
+	Engines  int                 // with a wanted state
+	Sent     int                 // orders
+	Deferred int                 // loads left for a later tick by the weight store's rate
+	Faults   []Fault
+}
+
+// Reconciler is the system that issues orders.
+type Reconciler struct {
+	config Config
+	lease  kv.LeaseID // 0 is none
+	until  time.Time  // the lease is valid until then, whatever happened to its renewals
+	fence  ident.FencingNumber
+	loads  *rate.Limiter
+	turn   int // rotates the engine that a tick begins with
+}
+
+// New returns a reconciler that holds no lease.
+func New(config Config) *Reconciler {
+	return &Reconciler{
+		config: config,
+	}
+}
+
+// Run makes a tick for each value of ticks until the context ends, then
+// releases the lease, so that the next holder need not wait for its end.
+func (r *Reconciler) Run(ctx context.Context, ticks <-chan time.Time) error {
+	for {
+		select {
+		case <-ctx.Done():
+			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseLimit)
+			defer cancel()
+			if err := r.Release(last); err != nil {
+				r.config.Log.Warn().Err(err).Msg("order: lease not released")
+			}
+			return ctx.Err()
+		case <-ticks:
+			report, err := r.Tick(ctx)
+			if err != nil {
+				r.config.Log.Warn().Err(err).Msg("order: tick failed")
+			}
+			for _, fault := range report.Faults {
+				r.config.Log.Warn().Err(fault.Err).Str("upstream", string(fault.Engine)).Msg("order: engine not reconciled")
+			}
+		}
+	}
+}
+
+// Tick takes or keeps the lease and, as its holder, reconciles every engine
+// once. It returns ErrStore if the store did not answer, and ErrNotHolder if
+// the lease ended or another host took it during the tick.
+func (r *Reconciler) Tick(ctx context.Context) (Report, error) {
+	held, err := r.hold(ctx)
+	if err != nil || !held {
+		return Report{}, err
+	}
+	rows, err := r.wanted(ctx)
+	if err != nil {
+		return Report{}, err
+	}
+	if len(rows) > 0 {
+		// The weight store's rate may leave loads over; the next tick begins
+		// with other engines, so that all get their turn.
+		first := r.turn % len(rows)
+		rows = append(rows[first:len(rows):len(rows)], rows[:first]...)
+		r.turn++
+	}
+	p := &pass{
+		config: r.config,
+		until:  r.until,
+		fence:  r.fence,
+		loads:  r.loads,
+		report: Report{
+			Holder:  true,
+			Fence:   r.fence,
+			Engines: len(rows),
+		},
+	}
+	err = p.run(ctx, rows)
+	return p.report, err
+}
+
+// Release gives up the lease, if any.
+func (r *Reconciler) Release(ctx context.Context) error {
+	if r.lease == 0 {
+		return nil
+	}
+	err := r.config.Store.Revoke(ctx, r.lease)
+	r.lease = 0
+	if err != nil && !errors.Is(err, kv.ErrLeaseLost) {
+		return errors.Annotatef(ErrStore, "release lease: %v", err)
+	}
+	return nil
+}
+
+// hold reports whether this host holds the key under a lease that is valid at
+// the time of the call. The key's lease id identifies the holder, so a
+// creation whose answer was lost is recognised on the next tick.
+func (r *Reconciler) hold(ctx context.Context) (bool, error) {
+	entry, err := r.config.Store.Get(ctx, holderKey)
+	switch {
+	case errors.Is(err, kv.ErrNotFound):
+		return r.acquire(ctx)
+	case err != nil:
+		return false, errors.Annotatef(ErrStore, "read holder: %v", err)
+	case r.lease == 0 || entry.Lease != r.lease:
+		r.lease = 0
+		return false, nil
+	}
+	r.begin(entry.Version)
+	return r.renew(ctx)
+}
+
+// acquire creates the key under a new lease.
+func (r *Reconciler) acquire(ctx context.Context) (bool, error) {
+	start := r.config.Now()
+	r.lease = 0
+	lease, err := r.config.Store.Grant(ctx, r.config.TTL)
+	if err != nil {
+		return false, errors.Annotatef(ErrStore, "grant lease: %v", err)
+	}
+	r.lease = lease
+	r.until = r.validity(start)
+	version, err := r.config.Store.Put(ctx, kv.Put{
+		Key:   holderKey,
+		Value: []byte(r.config.Host),
+		Lease: lease,
+	})
+	switch {
+	case errors.Is(err, kv.ErrConflict):
+		// Another host was faster; the unused lease ends by itself if this fails.
+		return false, r.Release(ctx)
+	case errors.Is(err, kv.ErrLeaseLost):
+		r.lease = 0
+		return false, nil
+	case err != nil:
+		return false, errors.Annotatef(ErrStore, "create holder key: %v", err)
+	}
+	r.begin(version)
+	return true, nil
+}
+
+// renew extends the lease once half of its validity has passed.
+func (r *Reconciler) renew(ctx context.Context) (bool, error) {
+	start := r.config.Now()
+	if r.until.Sub(start) > r.config.TTL/2 {
+		return true, nil
+	}
+	err := r.config.Store.Renew(ctx, r.lease)
+	switch {
+	case err == nil:
+		r.until = r.validity(start)
+	case errors.Is(err, kv.ErrLeaseLost):
+		r.lease = 0
+		return false, nil
+	case !r.config.Now().Before(r.until):
+		return false, errors.Annotatef(ErrStore, "renew lease: %v", err)
+	}
+	return true, nil
+}
+
+// validity returns until when a lease that was asked for at start is used. A
+// tenth of the ttl is left for the difference in speed of the two clocks.
+func (r *Reconciler) validity(start time.Time) time.Time {
+	return start.Add(r.config.TTL * 9 / 10)
+}
+
+// begin starts a tenure if the key's version is new. Its token bucket starts
+// empty, because the previous holder may just have used the whole burst.
+func (r *Reconciler) begin(version kv.Version) {
+	if r.fence == ident.FencingNumber(version) {
+		return
+	}
+	r.fence = ident.FencingNumber(version)
+	r.loads = rate.NewLimiter(r.config.LoadRate, r.config.LoadBurst)
+	r.loads.AllowN(r.config.Now(), r.config.LoadBurst)
+}
+
+// row is the desired state of one engine.
+type row struct {
+	engine ident.UpstreamID
+	wanted Wanted
+	err    error // the entry cannot be decoded
+}
+
+func (r *Reconciler) wanted(ctx context.Context) ([]row, error) {
+	var rows []row
+	after := kv.Key("")
+	for {
+		page, err := r.config.Store.List(ctx, wantedPrefix, after, listLimit)
+		if err != nil {
+			return nil, errors.Annotatef(ErrStore, "list wanted states: %v", err)
+		}
+		for _, entry := range page.Entries {
+			read := row{
+				engine: ident.UpstreamID(strings.TrimPrefix(string(entry.Key), string(wantedPrefix))),
+			}
+			read.err = errors.Annotate(json.Unmarshal(entry.Value, &read.wanted), "decode wanted state")
+			rows = append(rows, read)
+			after = entry.Key
+		}
+		if !page.More {
+			return rows, nil
+		}
+	}
+}
