Release forwarded claims that are refused and keep written ones in doubt

Generated fault sequences showed two faults. An owner could write a forwarded claim after its sender had been told that another attempt holds the identity, and nobody released it. A claim that was found written while its host stopped was reported as not written.

--- a/claim/doc.go
+++ b/claim/doc.go
@@ -23,6 +23,6 @@
 // Locking: a partition's mutex guards its queue and is held only for changes of
 // the queue. The state of a partition is owned by the partition's writer
 // goroutine and has no lock. Ledger has a mutex for the count of pending
-// outcomes. No lock is held during a call to the store or the forwarder, and no
-// method holds two locks.
+// outcomes, which may be taken while a queue's mutex is held and never the
+// other way round. No lock is held during a call to the store or the forwarder.
 package claim
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -54,7 +54,7 @@
 	}
 	close(l.drained)
 	for i := range l.queues {
-		l.queues[i] = newQueue()
+		l.queues[i] = newQueue(l.addPending)
 	}
 	return l
 }
@@ -68,9 +68,6 @@
 			partition: Partition(i),
 			queue:     queue,
 			state:     newState(l.cfg.Retention),
-			ended: func(n int) {
-				l.addPending(-n)
-			},
 		}
 		go func() {
 			w.run(ctx)
@@ -198,14 +195,7 @@
 		return made.decision, errors.Annotatef(made.err, "claim %s", op.identity)
 	case <-ctx.Done():
 	}
-	if op.own {
-		// Counted before the operation can become a withdrawal that ends.
-		l.addPending(1)
-	}
 	made, ok, unwritten := queue.abandon(op)
-	if op.own && (ok || unwritten) {
-		l.addPending(-1)
-	}
 	switch {
 	case ok:
 		return made.decision, errors.Annotatef(made.err, "claim %s", op.identity)
--- a/claim/operation.go
+++ b/claim/operation.go
@@ -28,7 +28,7 @@
 	answered chan answer // has room for the one answer
 
 	forwarded bool // sent to the owner without a definite answer
-	unsure    bool // part of a write without a definite answer
+	unsure    bool // part of a write that had no definite answer, and not known to have failed
 	busy      bool // part of the batch being written
 	abandoned bool // the caller has been told ErrUndecided
 }
@@ -48,11 +48,15 @@
 	ops    []*operation
 	unsure kv.Version // head version that a write without a definite answer expected
 	wake   chan struct{}
+	// pending counts background operations. It is called before the caller
+	// of an operation is answered, so that a later Drain sees the operation.
+	pending func(change int)
 }
 
-func newQueue() *queue {
+func newQueue(pending func(int)) *queue {
 	return &queue{
-		wake: make(chan struct{}, 1),
+		wake:    make(chan struct{}, 1),
+		pending: pending,
 	}
 }
 
@@ -109,8 +113,12 @@
 	switch {
 	case op.busy:
 		op.abandoned = true
+		if op.own {
+			q.pending(1)
+		}
 	case op.uncertain() && op.own:
 		op.kind = withdrawing
+		q.pending(1)
 		q.signal()
 	case op.uncertain():
 		q.remove(op)
@@ -130,40 +138,37 @@
 	}
 }
 
-// settle answers operations and removes them from the queue. A claim that its
-// caller has abandoned becomes a withdrawal if it is or may get written.
-// It returns the number of background operations that ended.
-func (q *queue) settle(batch []*operation, answers []answer) int {
+// settle answers operations and removes them from the queue. A claim whose
+// attempt will not run becomes a withdrawal if it is or may get written.
+func (q *queue) settle(batch []*operation, answers []answer) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	ended := 0
 	for i, op := range batch {
 		op.busy = false
 		_, granted := answers[i].decision.(Granted)
-		if op.kind == claiming && op.abandoned && op.own {
-			if granted || op.forwarded {
+		if op.kind == claiming && op.own {
+			switch {
+			case op.abandoned && (granted || op.forwarded):
 				op.kind = withdrawing
 				q.signal()
 				continue
+			case op.abandoned:
+				q.pending(-1)
 			}
-			ended++
 		}
 		if op.background() {
-			ended++
+			q.pending(-1)
 		}
 		op.answered <- answers[i]
 		q.remove(op)
 	}
-	return ended
 }
 
 // fail ends what the store's failure decides and keeps the rest queued. The
 // answer to a claim that is certain not to be written comes from refusal.
-// It returns the number of background operations that ended.
-func (q *queue) fail(batch []*operation, refusal func(*operation) answer) int {
+func (q *queue) fail(batch []*operation, refusal func(*operation) answer) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	ended := 0
 	for _, op := range batch {
 		op.busy = false
 		switch {
@@ -180,13 +185,12 @@
 			q.remove(op)
 		default:
 			if op.abandoned && op.own {
-				ended++
+				q.pending(-1)
 			}
 			op.answered <- refusal(op)
 			q.remove(op)
 		}
 	}
-	return ended
 }
 
 // doubt records that a write of the batch that expected version may take effect later.
@@ -200,14 +204,15 @@
 }
 
 // resolve ends the doubt about writes that expected a version other than the
-// present one: they have taken effect or never will.
-func (q *queue) resolve(version kv.Version) {
+// present one: they have taken effect or never will. Operations whose write has
+// taken effect stay unsure until they are answered.
+func (q *queue) resolve(version kv.Version, written func(*operation) bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if version == q.unsure {
 		return
 	}
 	for _, op := range q.ops {
-		op.unsure = false
+		op.unsure = op.unsure && written(op)
 	}
 }
--- a/claim/partition.go
+++ b/claim/partition.go
@@ -35,7 +35,6 @@
 	partition Partition
 	queue     *queue
 	state     *state
-	ended     func(int) // background operations
 	last      time.Time // start of the last write
 	dropped   time.Time // last check for expired segments
 }
@@ -63,7 +62,7 @@
 			backoff = 0
 			continue
 		}
-		w.ended(w.queue.fail(batch, w.refusal))
+		w.queue.fail(batch, w.refusal)
 		backoff = min(max(2*backoff, writeInterval), maxBackoff)
 	}
 }
@@ -162,7 +161,7 @@
 			answers[i].decision = w.outcome(ctx, batch[i].identity, made.segment, segments)
 		}
 	}
-	w.ended(w.queue.settle(batch, answers))
+	w.queue.settle(batch, answers)
 }
 
 // outcome reads a stored outcome; one that cannot be read counts as not kept.
@@ -219,11 +218,11 @@
 	if err != nil {
 		return err
 	}
-	w.queue.resolve(version)
 	if sealing {
 		s.seal(s.records)
 	}
 	s.setHead(version, head.Records)
+	w.queue.resolve(version, s.written)
 	from := s.floor
 	s.drop(head.Floor)
 	w.deleteSegments(ctx, from, head.Floor)
@@ -329,7 +328,7 @@
 		}
 		w.state.drop(head.GetFloor())
 		w.state.setHead(version, head.GetRecords())
-		w.queue.resolve(version)
+		w.queue.resolve(version, w.state.written)
 		return nil
 	}
 	return errors.Annotatef(kv.ErrUnavailable, "claim partition %d changes while it is read", w.partition)
--- a/claim/state.go
+++ b/claim/state.go
@@ -178,6 +178,11 @@
 	return held
 }
 
+// written reports whether the attempt of an operation holds the identity.
+func (s *state) written(op *operation) bool {
+	return s.holder(op.identity, nil).attempt == op.attempt
+}
+
 func (s *state) released(identity Identity, attempt ident.AttemptID, more []*claimpb.Record) bool {
 	if _, ok := s.sealed.releases[release{
 		identity: identity,
@@ -245,7 +250,13 @@
 			ok.decision = InProgress{
 				Since: time.Unix(int64(held.since), 0),
 			}
-			return ok, nil
+			if !op.forwarded || s.released(op.identity, op.attempt, planned) {
+				return ok, nil
+			}
+			// The owner could still write the claim once the present holder has released its own.
+			appended.decision = ok.decision
+			record.State = claimpb.State_STATE_RELEASED
+			return appended, record
 		case s.released(op.identity, op.attempt, planned):
 			ok.err = ErrReleased
 			return ok, nil
