--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -159,7 +159,7 @@
 	}, func(error) {
 		stopParts()
 	})
-	h.log.Info().Str("host", string(h.settings.Host)).Str("callers", string(h.settings.Callers)).Msg("entry: started")
+	h.log.Info().Str("callers", string(h.settings.Callers)).Msg("entry: started")
 	if err := group.Run(); err != nil {
 		return err
 	}
--- a/internal/system/claims_test.go
+++ b/internal/system/claims_test.go
@@ -211,7 +211,7 @@
 	t.Parallel()
 	r := newClaimRun(t, setup{
 		documents: func(_, text string) string {
-			return strings.ReplaceAll(text, "identity_field = submission", "identity_field = send")
+			return strings.ReplaceAll(text, "identity = field:submission", "identity = field:send")
 		},
 	})
 	r.submit("s", []int{1, 2, 3})
