--- a/claim/ledger_test.go
+++ b/claim/ledger_test.go
@@ -53,17 +53,17 @@
 func TestFaults(t *testing.T) {
 	id := claim.NewIdentity("awards-ledger", "dairy", "fee-1")
 	tests := map[string]struct {
-		before, after memkv.Faults // around the claim; after takes effect once the claim has returned
-		want          error
-		repeat        claim.Decision // answer to another host's claim afterwards
+		faults memkv.Faults // during the claim
+		want   error
+		repeat claim.Decision // answer to another host's claim afterwards
 	}{
 		"healthy":             {repeat: claim.InProgress{}},
-		"lost answer":         {before: memkv.Faults{LoseAnswer: 1}, repeat: claim.InProgress{}},
-		"five lost answers":   {before: memkv.Faults{LoseAnswer: 5}, repeat: claim.InProgress{}},
-		"down":                {before: memkv.Faults{Down: true}, want: claim.ErrStore, repeat: claim.Granted{}},
-		"slow":                {before: memkv.Faults{Delay: time.Second}, repeat: claim.InProgress{}},
-		"slower than timeout": {before: memkv.Faults{Delay: time.Minute}, want: claim.ErrStore, repeat: claim.Granted{}},
-		"undecided":           {before: memkv.Faults{LoseAnswer: 1_000_000}, want: claim.ErrUndecided, repeat: claim.Granted{}},
+		"lost answer":         {faults: memkv.Faults{LoseAnswer: 1}, repeat: claim.InProgress{}},
+		"five lost answers":   {faults: memkv.Faults{LoseAnswer: 5}, repeat: claim.InProgress{}},
+		"down":                {faults: memkv.Faults{Down: true}, want: claim.ErrStore, repeat: claim.Granted{}},
+		"slow":                {faults: memkv.Faults{Delay: time.Second}, repeat: claim.InProgress{}},
+		"slower than timeout": {faults: memkv.Faults{Delay: time.Minute}, want: claim.ErrStore, repeat: claim.Granted{}},
+		"undecided":           {faults: memkv.Faults{LoseAnswer: 1_000_000}, want: claim.ErrUndecided, repeat: claim.Granted{}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -77,7 +77,7 @@
 				defer stopA()
 				b, stopB := start(store, "b")
 				defer stopB()
-				store.SetFaults(test.before)
+				store.SetFaults(test.faults)
 				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 				defer cancel()
 				decision, err := a.Claim(ctx, id, "a1")
@@ -87,7 +87,7 @@
 					c.Assert(err, qt.IsNil)
 					c.Assert(decision, qt.Equals, claim.Granted{})
 				}
-				store.SetFaults(test.after)
+				store.SetFaults(memkv.Faults{})
 				c.Assert(a.Drain(t.Context()), qt.Equals, 0)
 				repeat, err := b.Claim(t.Context(), id, "b1")
 				c.Assert(err, qt.IsNil)
