--- a/pipeline/attempt.go
+++ b/pipeline/attempt.go
@@ -163,10 +163,15 @@
 	case errors.As(err, &status) && status.Status < 500:
 		return halt(outcome.UpstreamError, err)
 	case errors.Is(err, ErrLost):
-		if !r.cfg.Guard.Lost(ctx, r.job.Fingerprint, a.lease) {
+		r.job.Guard.Lost(ctx, a.lease)
+		if denied := r.budgeted(halt(outcome.UpstreamError, err)); denied != nil {
+			return denied
+		}
+		if !r.job.Guard.Again(ctx) {
 			return halt(outcome.Quarantined, err)
 		}
 		r.job.Suspect = true
+		return nil
 	}
 	return r.budgeted(halt(outcome.UpstreamError, err))
 }
@@ -179,10 +184,3 @@
 	r.event("retry denied", "")
 	return denied
 }
-
-// cleared tells the guard that a suspect job finished a stage on its second try.
-func (r *run) cleared(ctx context.Context) {
-	if r.job.Suspect {
-		r.cfg.Guard.Done(ctx, r.job.Fingerprint)
-	}
-}
--- a/pipeline/generate.go
+++ b/pipeline/generate.go
@@ -58,7 +58,6 @@
 		err = r.attemptTokens(ctx, placed, prompt, made)
 		switch {
 		case err == nil:
-			r.cleared(ctx)
 			return made.text.String(), nil
 		case errors.Is(err, errCaller):
 			return "", halt(outcome.Incomplete, err)
--- a/pipeline/job.go
+++ b/pipeline/job.go
@@ -9,17 +9,14 @@
 	"github.com/nutmegshift/nutmegshift/upstream"
 )
 
-// Fingerprint identifies the content of a request without its ids.
-type Fingerprint uint64
-
 // Job is one request that has been admitted.
 type Job struct {
 	Request      ident.RequestID
 	Service      *document.Service
 	Route        *document.Route
 	Organisation ident.OrganisationID
-	Fingerprint  Fingerprint
-	Suspect      bool // runs alone, and only under a trial of the Guard
+	Suspect      bool // runs alone on an upstream
+	Guard        Guard
 	Prompt       string
 	MaxTokens    int
 	Stream       bool
@@ -44,14 +41,13 @@
 	Done(lease upstream.Lease, report upstream.Report)
 }
 
-// Guard isolates requests that crash upstreams.
+// Guard isolates one request if it crashes upstreams.
 type Guard interface {
-	// Lost records that the upstream's connection broke while it ran the
-	// content. It returns before any answer to the caller or second try, and
-	// reports whether a second try is allowed.
-	Lost(ctx context.Context, content Fingerprint, at upstream.Lease) bool
-	// Done records that a second try ended without breaking its upstream.
-	Done(ctx context.Context, content Fingerprint)
+	// Lost records that the connection to an upstream broke while it ran the
+	// request. It returns before any answer to the caller or second try.
+	Lost(ctx context.Context, at upstream.Lease)
+	// Again reports whether the request may be tried once more, alone.
+	Again(ctx context.Context) bool
 }
 
 // Use is what one attempt consumed.
--- a/pipeline/plain.go
+++ b/pipeline/plain.go
@@ -35,7 +35,6 @@
 		reply, err := r.call(ctx, placed)
 		if err == nil {
 			r.ran = true
-			r.cleared(ctx)
 			return outcome.Answered{
 				Status: reply.Status,
 				Type:   reply.Type,
@@ -74,7 +73,7 @@
 // unknown ends a non-repeatable job that may have run.
 func (r *run) unknown(ctx context.Context, placed attempt, err error) outcome.Outcome {
 	if errors.Is(err, ErrLost) {
-		r.cfg.Guard.Lost(ctx, r.job.Fingerprint, placed.lease)
+		r.job.Guard.Lost(ctx, placed.lease)
 	}
 	r.event("end", placed.id, field("reason", string(outcome.ConnectionLost)))
 	return outcome.Unknown{
--- a/pipeline/runner.go
+++ b/pipeline/runner.go
@@ -21,7 +21,6 @@
 type Config struct {
 	Transport  Transport
 	Selector   Selector
-	Guard      Guard
 	Meter      Meter
 	Recorder   timeline.Recorder
 	Now        func() time.Time
--- a/pipeline/runner_test.go
+++ b/pipeline/runner_test.go
@@ -132,15 +132,11 @@
 type fakeGuard struct {
 	allow bool
 	lost  int
-	done  int
 }
 
-func (g *fakeGuard) Lost(context.Context, pipeline.Fingerprint, upstream.Lease) bool {
-	g.lost++
-	return g.allow
-}
+func (g *fakeGuard) Lost(context.Context, upstream.Lease) { g.lost++ }
 
-func (g *fakeGuard) Done(context.Context, pipeline.Fingerprint) { g.done++ }
+func (g *fakeGuard) Again(context.Context) bool { return g.allow }
 
 type fakeMeter struct{}
 
@@ -192,7 +188,7 @@
 	}
 }
 
-func newRunner(transport pipeline.Transport, guard pipeline.Guard) *pipeline.Runner {
+func newRunner(transport pipeline.Transport) *pipeline.Runner {
 	table := upstream.New(upstream.Config{
 		Host:   "h",
 		Domain: "erie-hall",
@@ -216,7 +212,6 @@
 	return pipeline.New(pipeline.Config{
 		Transport: transport,
 		Selector:  table,
-		Guard:     guard,
 		Meter:     fakeMeter{},
 		Recorder:  fakeRecorder{},
 		Now:       time.Now,
@@ -229,7 +224,7 @@
 	})
 }
 
-func newJob(service *document.Service, repeatable bool) pipeline.Job {
+func newJob(service *document.Service, repeatable bool, guard pipeline.Guard) pipeline.Job {
 	return pipeline.Job{
 		Request: "r1",
 		Service: service,
@@ -237,6 +232,7 @@
 			Repeatable: repeatable,
 			Pool:       pool(),
 		},
+		Guard:     guard,
 		Prompt:    "q",
 		Path:      "/entries",
 		Method:    http.MethodPost,
@@ -334,7 +330,7 @@
 				calls:   tc.calls,
 				streams: tc.streams,
 			}
-			got := newRunner(transport, guard).Run(context.Background(), newJob(assistant(), true), sink)
+			got := newRunner(transport).Run(context.Background(), newJob(assistant(), true, guard), sink)
 			c.Check(fmt.Sprintf("%T", got), qt.Equals, fmt.Sprintf("%T", tc.want), qt.Commentf("%+v", got))
 			c.Check(sink.text.String(), qt.Equals, tc.text)
 			c.Check(guard.lost, qt.Equals, tc.lost)
@@ -381,9 +377,9 @@
 			transport := &fakeTransport{
 				calls: tc.calls,
 			}
-			got := newRunner(transport, &fakeGuard{
+			got := newRunner(transport).Run(context.Background(), newJob(plainService(), false, &fakeGuard{
 				allow: true,
-			}).Run(context.Background(), newJob(plainService(), false), nil)
+			}), nil)
 			c.Check(fmt.Sprintf("%T", got), qt.Equals, fmt.Sprintf("%T", tc.want), qt.Commentf("%+v", got))
 			c.Check(transport.executed, qt.HasLen, tc.executed)
 		})
@@ -396,11 +392,11 @@
 	transport := &fakeTransport{
 		calls: []step{{hang: true}},
 	}
-	job := newJob(assistant(), true)
+	job := newJob(assistant(), true, &fakeGuard{})
 	for range 50 {
 		job.Estimates.Record("encode", time.Millisecond)
 	}
-	got := newRunner(transport, &fakeGuard{}).Run(context.Background(), job, &fakeSink{})
+	got := newRunner(transport).Run(context.Background(), job, &fakeSink{})
 	c.Assert(got, qt.Satisfies, func(o outcome.Outcome) bool {
 		_, ok := o.(outcome.Answered)
 		return ok
@@ -411,11 +407,11 @@
 func TestRunRefusesLateRequest(t *testing.T) {
 	c := qt.New(t)
 	transport := &fakeTransport{}
-	job := newJob(assistant(), true)
+	job := newJob(assistant(), true, &fakeGuard{})
 	for range 50 {
 		job.Estimates.Record("generate", 10*time.Second)
 	}
-	got := newRunner(transport, &fakeGuard{}).Run(context.Background(), job, &fakeSink{})
+	got := newRunner(transport).Run(context.Background(), job, &fakeSink{})
 	refused, ok := got.(outcome.Refused)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(refused.Reason, qt.Equals, outcome.Deadline)
@@ -428,7 +424,7 @@
 	sink := &fakeSink{
 		err: errors.New("closed"),
 	}
-	got := newRunner(&fakeTransport{}, &fakeGuard{}).Run(context.Background(), newJob(assistant(), true), sink)
+	got := newRunner(&fakeTransport{}).Run(context.Background(), newJob(assistant(), true, &fakeGuard{}), sink)
 	failed, ok := got.(outcome.Failed)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(failed.Reason, qt.Equals, outcome.Incomplete)
--- a/pipeline/transform.go
+++ b/pipeline/transform.go
@@ -55,7 +55,6 @@
 		}
 		if done.err == nil {
 			r.ran = true
-			r.cleared(ctx)
 			return decodeOutput(stage, done.reply)
 		}
 		if err := r.again(ctx, done.attempt, done.err); err != nil {
