--- a/internal/stagehttp/client_test.go
+++ b/internal/stagehttp/client_test.go
@@ -449,7 +449,7 @@
 	notSent := make(map[ident.AttemptID]bool)
 	for i := range 600 {
 		ctx, cancel := context.WithCancel(t.Context())
-		yields := random.IntN(60)
+		yields := random.IntN(600)
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
@@ -488,6 +488,8 @@
 func TestAbandonedConnectionIsNotReused(t *testing.T) {
 	received := make(chan struct{})
 	proceed := make(chan struct{})
+	release := sync.OnceFunc(func() { close(proceed) })
+	defer release()
 	answered := reply(200, "own")
 	s := serve(t, func(conn *net.TCPConn, request *http.Request) bool {
 		if request.URL.Path == "/slow" {
@@ -510,7 +512,7 @@
 	_, err = client.Call(ctx, s.address, call)
 	qt.Assert(t, err, qt.ErrorIs, pipeline.ErrLost)
 	qt.Assert(t, err, qt.ErrorIs, context.Canceled)
-	close(proceed)
+	release()
 	got, err := client.Call(t.Context(), s.address, plainCall("c"))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, string(got.Body), qt.Equals, "own")
