--- a/internal/stagehttp/client_test.go
+++ b/internal/stagehttp/client_test.go
@@ -385,8 +385,8 @@
 				call.Attempt = "b"
 				call.Path = "/second"
 				_, err = client.Call(t.Context(), s.address, call)
+				qt.Check(t, s.requests.Load(), qt.Equals, int64(2))
 				qt.Assert(t, err, qt.ErrorIs, pipeline.ErrLost)
-				qt.Assert(t, s.requests.Load(), qt.Equals, int64(2))
 				qt.Assert(t, s.connections.Load(), qt.Equals, int64(1))
 			})
 		}
@@ -626,3 +626,16 @@
 		})
 	}
 }
+
+// Guards against a byte that goes out between the decision that nothing was
+// sent and the closing of the connection.
+func TestSealedConnectionWritesNothing(t *testing.T) {
+	s := serve(t, reply(200, ""))
+	client := newClient(t, Config{})
+	conn, err := client.connect(t.Context(), s.address)
+	qt.Assert(t, err, qt.IsNil)
+	conn.sealed = true
+	_, err = conn.Write([]byte("x"))
+	qt.Assert(t, err, qt.ErrorIs, net.ErrClosed)
+	qt.Assert(t, conn.discard(), qt.IsFalse)
+}
