Isolate requests that crash upstreams

A request whose upstream's connection breaks is recorded as a suspect before its caller is answered or it is tried again; a second try runs alone under the exclusive mark of the quarantine record. The crash of a trial always counts, as the host list may not show a restart between two crashes of one incarnation.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -27,13 +27,15 @@
 	"github.com/nutmegshift/nutmegshift/kv"
 	"github.com/nutmegshift/nutmegshift/kv/httpkv"
 	"github.com/nutmegshift/nutmegshift/pipeline"
+	"github.com/nutmegshift/nutmegshift/quarantine"
 	"github.com/nutmegshift/nutmegshift/timeline"
 	"github.com/nutmegshift/nutmegshift/upstream"
 )
 
 const (
-	tickInterval  = 100 * time.Millisecond
-	hostsInterval = time.Second
+	tickInterval       = 100 * time.Millisecond
+	hostsInterval      = time.Second
+	quarantineInterval = time.Minute
 	// watchWait is shorter than common idle limits of connections on the way.
 	watchWait = 20 * time.Second
 )
@@ -56,6 +58,7 @@
 	table     *upstream.Table
 	transport *stagehttp.Client
 	ledger    *claim.Ledger
+	keeper    *quarantine.Keeper
 	registry  *document.Registry
 	syncer    *document.Syncer
 	poller    *reporthttp.Poller
@@ -93,6 +96,10 @@
 		Store: h.store,
 		Host:  s.Host,
 	})
+	h.keeper = quarantine.New(quarantine.Config{
+		Store: h.store,
+		Host:  s.Host,
+	})
 	h.syncer = document.NewSyncer(document.SyncerConfig{
 		Store:    h.store,
 		Peers:    noPeers{},
@@ -109,6 +116,7 @@
 	})
 	h.server = NewServer(ServerConfig{
 		Ledger:     h.ledger,
+		Quarantine: h.keeper,
 		Limits:     func() Limits { return NewLimits(time.Now) },
 		Recorder:   h.ring,
 		Metrics:    h.metrics,
@@ -117,7 +125,6 @@
 		Runner: pipeline.New(pipeline.Config{
 			Transport:  h.transport,
 			Selector:   h.table,
-			Guard:      openGuard{},
 			Meter:      h.meter,
 			Recorder:   h.ring,
 			Now:        time.Now,
@@ -148,6 +155,7 @@
 	h.add(&group, parts, "upstreams", h.runTable)
 	h.add(&group, parts, "host list", h.runHosts)
 	h.add(&group, parts, "reports", h.poller.Run)
+	h.add(&group, parts, "quarantine", h.runQuarantine)
 	h.add(&group, parts, "documents", h.syncer.Run)
 	h.add(&group, parts, "operators", func(ctx context.Context) error {
 		return serveHTTP(ctx, operators, h.operatorHandler(), h.settings)
@@ -239,6 +247,17 @@
 	})
 }
 
+// runQuarantine reads the records of suspects at the start and from time to time.
+func (h *Host) runQuarantine(ctx context.Context) error {
+	refresh := func() {
+		if err := h.keeper.Refresh(ctx); err != nil {
+			h.log.Debug().Err(err).Msg("quarantine: records not read")
+		}
+	}
+	refresh()
+	return every(ctx, quarantineInterval, refresh)
+}
+
 // runHosts reads the host list.
 func (h *Host) runHosts(ctx context.Context) error {
 	read := func() {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"github.com/nutmegshift/nutmegshift/claim"
@@ -15,6 +13,7 @@
 	"github.com/nutmegshift/nutmegshift/organisation"
 	"github.com/nutmegshift/nutmegshift/outcome"
 	"github.com/nutmegshift/nutmegshift/pipeline"
+	"github.com/nutmegshift/nutmegshift/quarantine"
 	"github.com/nutmegshift/nutmegshift/timeline"
 )
 
@@ -29,6 +28,7 @@
 type ServerConfig struct {
 	Ledger     *claim.Ledger
 	Runner     *pipeline.Runner
+	Quarantine *quarantine.Keeper
 	Limits     func() Limits // made once for each service
 	Recorder   timeline.Recorder
 	Metrics    *metrics.Set
@@ -81,11 +81,22 @@
 		}
 	}
 	s.record(request, "admitted")
-	ended := s.admitted(ctx, request, sink, limits)
+	ended := s.isolated(ctx, request, sink, limits)
 	permit.Release(released(ended))
 	return ended
 }
 
+// isolated runs a request unless its content is in quarantine.
+func (s *Server) isolated(ctx context.Context, request caller.Request, sink caller.Sink, limits *service) outcome.Outcome {
+	g, refused := s.isolate(ctx, request)
+	if refused != nil {
+		return refused
+	}
+	ended := s.admitted(ctx, request, sink, limits, g)
+	g.finish(ctx, ended)
+	return ended
+}
+
 // released tells the limiter how a request ended.
 func released(ended outcome.Outcome) organisation.Result {
 	reason := outcome.Reason("")
@@ -106,22 +117,22 @@
 }
 
 // admitted runs a request that has been admitted.
-func (s *Server) admitted(ctx context.Context, request caller.Request, sink caller.Sink, limits *service) outcome.Outcome {
+func (s *Server) admitted(ctx context.Context, request caller.Request, sink caller.Sink, limits *service, g *guard) outcome.Outcome {
 	if request.Route.Repeatable {
-		return s.cfg.Runner.Run(ctx, job(request, limits), sink)
+		return s.cfg.Runner.Run(ctx, job(request, limits, g), sink)
 	}
 	// A caller that leaves must not end a non-repeatable request halfway: its
 	// outcome is recorded for the repeat.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), request.Deadline)
 	defer cancel()
 	if request.Identity == "" {
-		return s.cfg.Runner.Run(ctx, job(request, limits), sink)
+		return s.cfg.Runner.Run(ctx, job(request, limits, g), sink)
 	}
-	return s.claimed(ctx, request, sink, limits)
+	return s.claimed(ctx, request, sink, limits, g)
 }
 
 // claimed runs a non-repeatable request if its identity can be claimed.
-func (s *Server) claimed(ctx context.Context, request caller.Request, sink caller.Sink, limits *service) outcome.Outcome {
+func (s *Server) claimed(ctx context.Context, request caller.Request, sink caller.Sink, limits *service, g *guard) outcome.Outcome {
 	identity := claim.NewIdentity(request.Service.Name, request.Organisation, request.Identity)
 	attempt := s.cfg.NewAttempt()
 	decision, err := s.cfg.Ledger.Claim(ctx, identity, attempt)
@@ -142,7 +153,7 @@
 	switch d := decision.(type) {
 	case claim.Granted:
 		s.record(request, "claimed", field("identity", identity.String()))
-		ended := s.cfg.Runner.Run(ctx, job(request, limits), sink)
+		ended := s.cfg.Runner.Run(ctx, job(request, limits, g), sink)
 		s.settle(ctx, request, identity, attempt, ended)
 		return ended
 	case claim.InProgress:
@@ -226,13 +237,14 @@
 	}
 }
 
-func job(request caller.Request, limits *service) pipeline.Job {
+func job(request caller.Request, limits *service, g *guard) pipeline.Job {
 	return pipeline.Job{
 		Request:      request.ID,
 		Service:      request.Service,
 		Route:        request.Route,
 		Organisation: request.Organisation,
-		Fingerprint:  fingerprint(request),
+		Suspect:      g.trial != nil,
+		Guard:        g,
 		Prompt:       request.Prompt,
 		MaxTokens:    request.MaxTokens,
 		Stream:       request.Stream,
@@ -246,24 +258,6 @@
 	}
 }
 
-// fingerprint hashes what an upstream would run, without the caller's own id,
-// since a caller sends a failed request again under a new one.
-func fingerprint(request caller.Request) pipeline.Fingerprint {
-	content := request.Prompt
-	if content == "" {
-		content = request.Path + "\n" + string(request.Body)
-	}
-	if request.Identity != "" {
-		content = strings.ReplaceAll(content, request.Identity, "")
-	}
-	hash := xxhash.New()
-	for _, text := range []string{string(request.Service.Name), request.Route.Name, content} {
-		_, _ = hash.WriteString(text)
-		_, _ = hash.Write([]byte{0})
-	}
-	return pipeline.Fingerprint(hash.Sum64())
-}
-
 func field(name, value string) timeline.Field {
 	return timeline.Field{
 		Name:  name,
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -295,9 +295,12 @@
 
 // Crashed records the second strike and tells the peers.
 func (t *Trial) Crashed(ctx context.Context, crash Crash) error {
+	// The attempt keeps this strike apart from an earlier crash of the same
+	// incarnation: the host list may not show the restart in between.
 	made := strike{
-		Crash: crash,
-		Time:  t.keeper.cfg.Clock(),
+		Crash:   crash,
+		Attempt: t.attempt,
+		Time:    t.keeper.cfg.Clock(),
 	}
 	notified := t.keeper.announce(ctx, Rumour{
 		Fingerprint: t.fingerprint,
