--- a/order/order_test.go
+++ b/order/order_test.go
@@ -160,6 +160,16 @@
 	return f.fleet.Send(ctx, id, fence, o)
 }
 
+// wait returns once the host is frozen and fails if its tick ends before.
+func (f *frozen) wait(c *qt.C, ended <-chan error) {
+	c.Helper()
+	select {
+	case <-f.froze:
+	case err := <-ended:
+		c.Fatalf("tick ended without an order: %v", err)
+	}
+}
+
 // Guards against a late order of a paused former holder that stays in effect.
 func TestLateOrderOfFrozenHolder(t *testing.T) {
 	tests := map[string]struct {
@@ -200,7 +210,7 @@
 				_, err := former.Tick(context.Background())
 				ended <- err
 			}()
-			<-slow.froze
+			slow.wait(c, ended)
 			f.advance(ttl)
 			f.want(c, "e", version, "new")
 			second := f.tick(c, later)
@@ -245,7 +255,7 @@
 		_, err := r.Tick(context.Background())
 		ended <- err
 	}()
-	<-slow.froze
+	slow.wait(c, ended)
 	f.advance(ttl * 9 / 10)
 	close(slow.thaw)
 	c.Assert(<-ended, qt.ErrorIs, order.ErrNotHolder)
@@ -271,6 +281,26 @@
 	c.Assert(f.tick(c, b).Holder, qt.IsFalse)
 }
 
+// Guards against a holder that goes on, with the fencing number of its
+// successor, after the store ended its lease early.
+func TestLeaseEndedEarly(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(map[ident.UpstreamID]*engine{
+		"e": {},
+	})
+	a, b := f.host("a", f), f.host("b", f)
+	c.Assert(f.tick(c, a).Holder, qt.IsTrue)
+	f.store.SetFaults(memkv.Faults{
+		LapseLease: true,
+	})
+	_, err := f.store.Get(context.Background(), "order/holder")
+	c.Assert(err, qt.ErrorIs, kv.ErrNotFound)
+	f.store.SetFaults(memkv.Faults{})
+	c.Assert(f.tick(c, b).Holder, qt.IsTrue)
+	c.Assert(f.tick(c, a).Holder, qt.IsFalse)
+	c.Assert(f.tick(c, b).Holder, qt.IsTrue)
+}
+
 // lossy is a store that loses the answer to the write that follows a grant.
 type lossy struct {
 	*memkv.Store
