--- a/cmd/standins/main.go
+++ b/cmd/standins/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
 	"syscall"
@@ -93,13 +94,7 @@
 		components = append(components, standin.Component{
 			Name:    "platform",
 			Address: ident.Address(address),
-			Serve: standin.ServeHandler(platform.New(platform.Config{
-				Now:         time.Now,
-				Hosts:       settings.Hosts(),
-				WeightRate:  weightRate,
-				WeightBurst: weightBurst,
-				WeightBytes: weightBytes,
-			}).Handler()),
+			Serve:   servePlatform(settings),
 		})
 	}
 	for _, upstream := range settings.Upstreams {
@@ -108,6 +103,30 @@
 	return standin.Run(ctx, components, command.Root().Writer)
 }
 
+// servePlatform serves the platform and ends leases on time.
+func servePlatform(settings standin.Settings) func(context.Context, net.Listener) error {
+	server := platform.New(platform.Config{
+		Now:         time.Now,
+		Hosts:       settings.Hosts(),
+		WeightRate:  weightRate,
+		WeightBurst: weightBurst,
+		WeightBytes: weightBytes,
+	})
+	return func(ctx context.Context, listener net.Listener) error {
+		ctx, stop := context.WithCancel(ctx)
+		ended := make(chan error, 1)
+		go func(ctx context.Context) {
+			ended <- server.Run(ctx)
+		}(ctx)
+		err := standin.ServeHandler(server.Handler())(ctx, listener)
+		stop()
+		if ran := <-ended; err == nil && !errors.Is(ran, context.Canceled) {
+			err = ran
+		}
+		return err
+	}
+}
+
 func layout(_ context.Context, command *cli.Command) error {
 	deployment, ok := standin.Deployments()[command.String("deployment")]
 	if !ok {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -20,6 +20,7 @@
 			configCommand(),
 			statusCommand(),
 			timelineCommand(),
+			loadCommand(),
 		},
 	}
 	if err := root.Run(ctx, args); err != nil {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -79,7 +79,9 @@
 call 20 1 atelier-armorique /planning/reservations '{"submission":"slot-5","lathe":"2"}'
 echo "== Time line of request $chat"
 bin/nutmegshift timeline --hosts 127.10.0.1:7000 --request "$chat"
-
+echo "== Load"
+bin/nutmegshift load --hosts 127.10.0.1:7000 --callers 127.10.1.1:8080,127.10.1.2:8080,127.10.1.3:8080 --service nutmeg-pool --rate 20 --duration 3s --seed 1
+bin/nutmegshift load --hosts 127.20.0.1:7000 --callers 127.20.1.1:8080,127.20.1.2:8080,127.20.1.3:8080 --service atelier-llm --rate 20 --duration 3s --seed 1
 echo "== Stop"
 for pid in "${entries[@]}"; do kill -TERM "$pid"; done
 for pid in "${entries[@]}"; do wait "$pid"; done
