--- /dev/null
+++ b/peer/network_test.go
@@ -0,0 +1,177 @@
+package peer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/peer"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// node is one host of a network.
+type node struct {
+	row    peer.Row
+	table  *peer.Table
+	gossip *peer.Gossip
+	heard  []peer.Rumour
+	stop   bool
+	digest map[ident.HostID]uint64
+}
+
+// network delivers the messages of hosts in memory, with loss.
+type network struct {
+	random   *rand.Rand
+	now      time.Time
+	nodes    map[ident.Address]*node
+	order    []ident.Address
+	loss     float64
+	cut      func(a, b ident.Address) bool
+	messages int
+	rumours  int
+}
+
+func newNetwork(seed uint64, size int) *network {
+	n := &network{
+		random: rand.New(rand.NewPCG(seed, 0)),
+		now:    start,
+		nodes:  make(map[ident.Address]*node),
+		cut:    func(_, _ ident.Address) bool { return false },
+	}
+	for i := range size {
+		n.start(rowOf(i, 1))
+	}
+	n.list()
+	return n
+}
+
+func rowOf(i int, incarnation ident.Incarnation) peer.Row {
+	return peer.Row{
+		Host:        ident.HostID(fmt.Sprintf("host-%03d", i)),
+		Address:     ident.Address(fmt.Sprintf("127.0.%d.%d:7000", i/250, i%250+1)),
+		Domain:      ident.FailureDomain(fmt.Sprintf("domain-%d", i%4)),
+		Region:      "region",
+		Incarnation: incarnation,
+	}
+}
+
+// start runs a host, in place of an earlier one at its address.
+func (n *network) start(row peer.Row) {
+	started := &node{
+		row:    row,
+		table:  peer.NewTable(row),
+		digest: make(map[ident.HostID]uint64),
+	}
+	started.gossip = peer.NewGossip(peer.Config{
+		Table:     started.table,
+		Random:    rand.New(rand.NewPCG(n.random.Uint64(), 1)),
+		Documents: func() uint64 { return 42 },
+		Observe: func(from ident.HostID, documents uint64) {
+			started.digest[from] = documents
+		},
+	})
+	if _, ok := n.nodes[row.Address]; !ok {
+		n.order = append(n.order, row.Address)
+	}
+	n.nodes[row.Address] = started
+}
+
+// list gives every host the host list, which knows no incarnations.
+func (n *network) list() {
+	var rows []peer.Row
+	for _, address := range n.order {
+		row := n.nodes[address].row
+		row.Incarnation = 0
+		rows = append(rows, row)
+	}
+	for _, address := range n.order {
+		n.nodes[address].table.Merge(n.now, rows)
+	}
+}
+
+func (n *network) node(i int) *node {
+	return n.nodes[n.order[i]]
+}
+
+func (n *network) lost(a, b ident.Address) bool {
+	return n.cut(a, b) || n.random.Float64() < n.loss
+}
+
+// step runs one tick of every host, in random order.
+func (n *network) step() {
+	n.now = n.now.Add(peer.Interval)
+	for _, i := range n.random.Perm(len(n.order)) {
+		from := n.node(i)
+		if from.stop {
+			continue
+		}
+		for _, out := range from.gossip.Tick(n.now) {
+			n.messages++
+			n.rumours += len(out.Message.Rumours)
+			to := n.nodes[out.Address]
+			if to == nil || to.stop || n.lost(from.row.Address, out.Address) {
+				from.gossip.Failed(n.now, out.To)
+				continue
+			}
+			reply := to.gossip.Receive(n.now, out.Message)
+			n.rumours += len(reply.Rumours)
+			if n.lost(out.Address, from.row.Address) {
+				from.gossip.Failed(n.now, out.To)
+				continue
+			}
+			from.gossip.Answered(n.now, out.To, reply)
+		}
+	}
+	for _, address := range n.order {
+		n.nodes[address].drain()
+	}
+}
+
+func (n *node) drain() {
+	for {
+		select {
+		case rumour := <-n.gossip.Rumours():
+			n.heard = append(n.heard, rumour)
+		default:
+			return
+		}
+	}
+}
+
+// until steps until the condition holds and returns the ticks it took, or limit.
+func (n *network) until(limit int, holds func() bool) int {
+	for tick := range limit {
+		if holds() {
+			return tick
+		}
+		n.step()
+	}
+	return limit
+}
+
+// count returns how many hosts hold the condition.
+func (n *network) count(holds func(*node) bool) int {
+	total := 0
+	for _, address := range n.order {
+		if node := n.nodes[address]; !node.stop && holds(node) {
+			total++
+		}
+	}
+	return total
+}
+
+func state(n *node, host ident.HostID) peer.State {
+	row, _ := n.table.Snapshot().Row(host)
+	return row.State
+}
+
+func hasHeard(n *node, rumour peer.Rumour) bool {
+	for _, heard := range n.heard {
+		if heard == rumour {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/peer/rumour.go
@@ -0,0 +1,169 @@
+package peer
+
+import (
+	"fmt"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/kv"
+)
+
+// MaxOrganisations is the most organisations that a host reports.
+const MaxOrganisations = 16
+
+// Fingerprint identifies the content of a request.
+type Fingerprint [16]byte
+
+// Rumour is a fact that hosts pass on. It is one of HostSuspected, HostAlive,
+// HostLeaving, UpstreamLeaving, UpstreamCrashed, FingerprintStruck,
+// FingerprintCleared, DocumentRevised and TopOrganisations.
+//
+//sumtype:decl
+type Rumour interface{ rumour() }
+
+// HostSuspected says that a host does not respond.
+type HostSuspected struct {
+	Host        ident.HostID
+	Incarnation ident.Incarnation
+}
+
+// HostAlive says that a host runs, with a new incarnation.
+type HostAlive struct {
+	Row Row
+}
+
+// HostLeaving says that a host is about to stop.
+type HostLeaving struct {
+	Host        ident.HostID
+	Incarnation ident.Incarnation
+}
+
+// UpstreamLeaving says that an upstream accepts no new work.
+type UpstreamLeaving struct {
+	Upstream    ident.UpstreamID
+	Incarnation ident.Incarnation
+}
+
+// UpstreamCrashed says that an upstream broke its connections without a drain signal.
+type UpstreamCrashed struct {
+	Upstream    ident.UpstreamID
+	Incarnation ident.Incarnation
+}
+
+// FingerprintStruck says that a request was in flight on an upstream that crashed.
+type FingerprintStruck struct {
+	Fingerprint Fingerprint
+	Strikes     int
+	Version     kv.Version // of the store's record, orders the rumours of a fingerprint
+}
+
+// FingerprintCleared says that a suspect request ran without a crash.
+type FingerprintCleared struct {
+	Fingerprint Fingerprint
+	Version     kv.Version // of the store's record
+}
+
+// DocumentRevised says that a service document has a new revision.
+type DocumentRevised struct {
+	Service  ident.ServiceName
+	Revision ident.Revision
+}
+
+// TopOrganisations are the largest organisations at one host. Only that host
+// sends them: passed on by all hosts they would exceed the budget of 7 KB/s.
+type TopOrganisations struct {
+	Host  ident.HostID
+	Rates []OrganisationRate // at most MaxOrganisations
+}
+
+// OrganisationRate is the load of an organisation at one host.
+type OrganisationRate struct {
+	Service      ident.ServiceName
+	Organisation ident.OrganisationID
+	Rate         float64 // requests a second
+}
+
+func (HostSuspected) rumour()      {}
+func (HostAlive) rumour()          {}
+func (HostLeaving) rumour()        {}
+func (UpstreamLeaving) rumour()    {}
+func (UpstreamCrashed) rumour()    {}
+func (FingerprintStruck) rumour()  {}
+func (FingerprintCleared) rumour() {}
+func (DocumentRevised) rumour()    {}
+func (TopOrganisations) rumour()   {}
+
+// subject returns what a rumour is about; a later rumour replaces an earlier
+// one of the same subject.
+func subject(r Rumour) string {
+	switch r := r.(type) {
+	case HostSuspected:
+		return "host/" + string(r.Host)
+	case HostAlive:
+		return "host/" + string(r.Row.Host)
+	case HostLeaving:
+		return "host/" + string(r.Host)
+	case UpstreamLeaving:
+		return "upstream/" + string(r.Upstream)
+	case UpstreamCrashed:
+		return "upstream/" + string(r.Upstream)
+	case FingerprintStruck:
+		return "fingerprint/" + string(r.Fingerprint[:])
+	case FingerprintCleared:
+		return "fingerprint/" + string(r.Fingerprint[:])
+	case DocumentRevised:
+		return "document/" + string(r.Service)
+	case TopOrganisations:
+		return "organisations/" + string(r.Host)
+	default:
+		panic(fmt.Sprintf("rumour of type %T", r))
+	}
+}
+
+// order returns the place of a rumour in the sequence of its subject: a number
+// of the subject, and a rank that decides between equal numbers.
+func order(r Rumour) (number uint64, rank int) {
+	switch r := r.(type) {
+	case HostAlive:
+		return uint64(r.Row.Incarnation), 0
+	case HostSuspected:
+		return uint64(r.Incarnation), 1
+	case HostLeaving:
+		return uint64(r.Incarnation), 2
+	case UpstreamLeaving:
+		return uint64(r.Incarnation), 0
+	case UpstreamCrashed:
+		return uint64(r.Incarnation), 1
+	case FingerprintStruck:
+		return uint64(r.Version), 0
+	case FingerprintCleared:
+		return uint64(r.Version), 1
+	case DocumentRevised:
+		return uint64(r.Revision), 0
+	case TopOrganisations:
+		return 0, 0
+	default:
+		panic(fmt.Sprintf("rumour of type %T", r))
+	}
+}
+
+// newer reports whether a replaces b, a rumour of the same subject.
+func newer(a, b Rumour) bool {
+	aNumber, aRank := order(a)
+	bNumber, bRank := order(b)
+	if aNumber != bNumber {
+		return aNumber > bNumber
+	}
+	return aRank > bRank
+}
+
+// urgent reports whether a rumour precedes those about hosts.
+func urgent(r Rumour) bool {
+	switch r.(type) {
+	case UpstreamLeaving, UpstreamCrashed, FingerprintStruck, FingerprintCleared, DocumentRevised:
+		return true
+	case HostSuspected, HostAlive, HostLeaving, TopOrganisations:
+		return false
+	default:
+		panic(fmt.Sprintf("rumour of type %T", r))
+	}
+}
