--- a/internal/system/deployment_test.go
+++ b/internal/system/deployment_test.go
@@ -191,9 +191,7 @@
 func (d *deployment) events(name string) int {
 	n := 0
 	for i := 1; i <= entries; i++ {
-		var events []timeline.Event
-		d.get(d.layout.Operator(i), "/timeline", &events)
-		for _, event := range events {
+		for _, event := range d.timeline(i) {
 			if event.Name == name {
 				n++
 			}
@@ -202,6 +200,13 @@
 	return n
 }
 
+// timeline returns the events of entry host i, none if it does not answer.
+func (d *deployment) timeline(i int) []timeline.Event {
+	var events []timeline.Event
+	d.get(d.layout.Operator(i), "/timeline", &events)
+	return events
+}
+
 // get reads a page into a value unless it is nil, and returns 0 without an answer.
 func (d *deployment) get(at ident.Address, path string, into any) int {
 	return d.call(http.MethodGet, at, path, nil, into)
