--- a/internal/system/deployment_test.go
+++ b/internal/system/deployment_test.go
@@ -152,14 +152,19 @@
 	}
 }
 
-// apply starts the command that applies a document file.
-func (d *deployment) apply(service, file string, base ident.Revision, author string) *process {
+func (d *deployment) read(name string) string {
 	d.t.Helper()
-	text, err := os.ReadFile(d.path(file))
+	text, err := os.ReadFile(d.path(name))
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	_, rest, _ := strings.Cut(string(text), "team = ")
+	return string(text)
+}
+
+// apply starts the command that applies a document file.
+func (d *deployment) apply(service, file string, base ident.Revision, author string) *process {
+	d.t.Helper()
+	_, rest, _ := strings.Cut(d.read(file), "team = ")
 	team, _, _ := strings.Cut(rest, "\n")
 	return launch(d.t, "nutmegshift", "config", "apply", "--store", string(d.layout.Platform()), "--service", service,
 		"--base", fmt.Sprint(base), "--author", author, "--team", team, "--file", d.path(file))
