Exit with 1 when a stop leaves outcomes unwritten

With the store down until the longest stop was over, the daemon logged that every request had finished and exited with 0, although the outcome of an answered submission was not stored; a repeat at another host got Unknown. The ledger was ruled out: it kept trying and reported the outcome as pending, but the stop only looked at requests. The new test failed before the change, with exit code 0, and passes after it.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -40,7 +40,8 @@
 	watchWait = 20 * time.Second
 )
 
-// ErrInterrupted reports a stop that cut off requests in progress.
+// ErrInterrupted reports a stop that cut off requests in progress or left
+// outcomes of requests unwritten.
 const ErrInterrupted = errors.ConstError("stop interrupted requests in progress")
 
 // Host is one entry host.
@@ -136,8 +137,8 @@
 
 // Run serves until ctx ends, then stops gracefully: it fails readiness, closes
 // the callers' port, lets every request in progress end and writes its outcome.
-// It returns ErrInterrupted if requests were cut off by the longest stop or by
-// the end of force.
+// It returns ErrInterrupted if requests were cut off, or outcomes were left
+// unwritten, at the end of the longest stop or of force.
 func (h *Host) Run(ctx, force context.Context) error {
 	callers, err := listen(ctx, h.settings.Callers)
 	if err != nil {
@@ -227,15 +228,15 @@
 	}
 	left := h.server.active.list()
 	pending := h.ledger.Drain(limit)
-	if err != nil {
+	// An outcome that is not written is lost for repeats at other hosts.
+	if err != nil || pending > 0 {
 		_ = server.Close()
 		h.log.Error().Interface("requests", left).Int("outcomes", pending).Msg("entry: stop interrupted requests")
-		return errors.Annotatef(ErrInterrupted, "%d requests", len(left))
+		return errors.Annotatef(ErrInterrupted, "%d requests, %d unwritten outcomes", len(left), pending)
 	}
 	h.log.Info().
 		Uint64("finished", h.server.active.done()-before).
 		Uint64("total", h.server.active.done()).
-		Int("outcomes unwritten", pending).
 		Msg("entry: stopped, every request in progress finished")
 	return nil
 }
--- a/internal/system/shutdown_test.go
+++ b/internal/system/shutdown_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/nutmegshift/nutmegshift/internal/standin/platform"
 	"github.com/nutmegshift/nutmegshift/internal/standin/upstreams"
 )
 
@@ -187,3 +188,48 @@
 	}
 	return 0
 }
+
+// Guards against a stop that reports success although an outcome is lost: its
+// caller has the answer, but a repeat at another host cannot get it.
+func TestStopWritesOutcomes(t *testing.T) {
+	tests := map[string]struct {
+		back   bool // the store is back before the longest stop is over
+		code   int
+		line   string
+		repeat end
+	}{
+		"store back in time": {back: true, line: "every request in progress finished", repeat: answered},
+		"store stays down":   {code: 1, line: "stop interrupted requests", repeat: unknown},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newClaimRun(t, setup{
+				settings: "[stop]\nlongest = 2s\ndrain = 100ms\n",
+			})
+			r.upstreamFaults(upstreams.Faults{
+				Slow: 60, // 300 ms
+			}, r.servers()...)
+			first := make(chan send, 1)
+			go func() { first <- r.enter("s", 0, 1) }()
+			await(t, "execution", func() bool { return r.executed() == 1 })
+			r.storeFaults(platform.Faults{
+				Down: true,
+			})
+			qt.Assert(t, (<-first).end, qt.Equals, answered)
+			stopped := r.hosts[1]
+			stopped.signal(t, syscall.SIGTERM)
+			await(t, "stop", func() bool { return stopped.output.line("entry: stopping") != "" })
+			if test.back {
+				r.storeFaults(platform.Faults{})
+			}
+			qt.Check(t, stopped.exit(t), qt.Equals, test.code)
+			line := stopped.output.line(test.line)
+			qt.Check(t, line != "", qt.IsTrue)
+			qt.Check(t, strings.Contains(line, `"outcomes":1`), qt.Equals, !test.back, qt.Commentf("%s", line))
+			r.storeFaults(platform.Faults{})
+			qt.Check(t, r.enter("s", 1, 2).end, qt.Equals, test.repeat)
+			r.check(t)
+		})
+	}
+}
