--- a/internal/system/claims_test.go
+++ b/internal/system/claims_test.go
@@ -160,6 +160,15 @@
 	}, r.servers()...)
 }
 
+// crashUpstreams makes one submission of each worker crash the upstream that
+// executes it.
+func (r *claimRun) crashUpstreams(*testing.T) {
+	r.upstreamFaults(upstreams.Faults{
+		CrashOn:  `-2",`,
+		CrashFor: upstreams.Duration(200 * time.Millisecond),
+	}, r.servers()...)
+}
+
 // Guards against a submission that runs twice, an outcome that is lost or
 // swapped, and a "did not run" that is not true.
 func TestAtMostOnce(t *testing.T) {
@@ -173,6 +182,7 @@
 		"entry host killed":                       {faults: []func(*claimRun, *testing.T){(*claimRun).killHost}, least: map[end]int{answered: submissionsRun, broken: 1}},
 		"upstream loses answers":                  {faults: []func(*claimRun, *testing.T){(*claimRun).loseUpstreamAnswers}, least: map[end]int{answered: submissionsRun, unknown: 10}},
 		"store loses answers, entry host killed":  {faults: []func(*claimRun, *testing.T){(*claimRun).loseStoreAnswers, (*claimRun).killHost}, least: map[end]int{answered: submissionsRun, broken: 1}},
+		"upstreams crash":                         {faults: []func(*claimRun, *testing.T){(*claimRun).crashUpstreams}, least: map[end]int{answered: submissionsRun, unknown: claimWorkers}},
 		"upstream loses answers, then store down": {faults: []func(*claimRun, *testing.T){(*claimRun).loseUpstreamAnswers, (*claimRun).stopStore}, least: map[end]int{answered: submissionsRun, unknown: 10, notRun: 10}},
 	}
 	for name, test := range tests {
--- a/internal/system/shutdown_test.go
+++ b/internal/system/shutdown_test.go
@@ -150,11 +150,13 @@
 func TestRollingReplacement(t *testing.T) {
 	tests := map[string]struct {
 		signal syscall.Signal
+		faults platform.Faults
 		lossy  bool
 		code   int
 	}{
-		"stop": {signal: syscall.SIGTERM},
-		"kill": {signal: syscall.SIGKILL, lossy: true, code: -1},
+		"stop":                      {signal: syscall.SIGTERM},
+		"stop, store loses answers": {signal: syscall.SIGTERM, faults: platform.Faults{LoseAnswer: 50}},
+		"kill":                      {signal: syscall.SIGKILL, lossy: true, code: -1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -166,6 +168,7 @@
 				chats:      true,
 				workers:    12,
 			})
+			d.storeFaults(test.faults)
 			for i := 1; i <= entries; i++ {
 				more := l.count() + 30
 				await(t, "load", func() bool { return l.count() >= more })
