--- a/internal/system/deployment_test.go
+++ b/internal/system/deployment_test.go
@@ -152,14 +152,19 @@
 	}
 }
 
-// apply starts the command that applies a document file.
-func (d *deployment) apply(service, file string, base ident.Revision, author string) *process {
+func (d *deployment) read(name string) string {
 	d.t.Helper()
-	text, err := os.ReadFile(d.path(file))
+	text, err := os.ReadFile(d.path(name))
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	_, rest, _ := strings.Cut(string(text), "team = ")
+	return string(text)
+}
+
+// apply starts the command that applies a document file.
+func (d *deployment) apply(service, file string, base ident.Revision, author string) *process {
+	d.t.Helper()
+	_, rest, _ := strings.Cut(d.read(file), "team = ")
 	team, _, _ := strings.Cut(rest, "\n")
 	return launch(d.t, "nutmegshift", "config", "apply", "--store", string(d.layout.Platform()), "--service", service,
 		"--base", fmt.Sprint(base), "--author", author, "--team", team, "--file", d.path(file))
@@ -191,9 +196,7 @@
 func (d *deployment) events(name string) int {
 	n := 0
 	for i := 1; i <= entries; i++ {
-		var events []timeline.Event
-		d.get(d.layout.Operator(i), "/timeline", &events)
-		for _, event := range events {
+		for _, event := range d.timeline(i) {
 			if event.Name == name {
 				n++
 			}
@@ -202,6 +205,13 @@
 	return n
 }
 
+// timeline returns the events of entry host i, none if it does not answer.
+func (d *deployment) timeline(i int) []timeline.Event {
+	var events []timeline.Event
+	d.get(d.layout.Operator(i), "/timeline", &events)
+	return events
+}
+
 // get reads a page into a value unless it is nil, and returns 0 without an answer.
 func (d *deployment) get(at ident.Address, path string, into any) int {
 	return d.call(http.MethodGet, at, path, nil, into)
