Carry strikes between hosts in the encoding of the quarantine

A strike names a crash and its time, or the crashes that a success cleared; the record of the former message had neither. The receiver refuses empty and oversized payloads.

--- a/peer/grpcpeer/client.go
+++ b/peer/grpcpeer/client.go
@@ -160,8 +160,8 @@
 	return decodeDocuments(reply.GetDocuments()), nil
 }
 
-// Strike tells a peer of a strike that the store has recorded.
-func (c *Client) Strike(ctx context.Context, to ident.Address, strike peer.FingerprintStruck) error {
+// Strike tells a peer of a strike, in the encoding of the quarantine.
+func (c *Client) Strike(ctx context.Context, to ident.Address, payload []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, StrikeTimeout)
 	defer cancel()
 	stub, err := c.stub(to)
@@ -169,9 +169,9 @@
 		return err
 	}
 	reply, err := stub.Strike(ctx, &StrikeRequest{
-		Stamp:  c.stamper.stamp(),
-		From:   string(c.host),
-		Strike: encodeStrike(strike),
+		Stamp:   c.stamper.stamp(),
+		From:    string(c.host),
+		Payload: payload,
 	})
 	if err != nil {
 		return translate(err, "announce strike", to)
--- a/peer/grpcpeer/server.go
+++ b/peer/grpcpeer/server.go
@@ -21,6 +21,7 @@
 	callTimeout = 5 * time.Second // for callers that set a later deadline or none
 	replyBytes  = 1 << 20         // of document texts in one reply
 	stopTimeout = time.Second
+	maxStrike   = 16 << 10 // bytes
 )
 
 // Handler acts on the calls of other entry hosts. An error is returned to the
@@ -29,7 +30,7 @@
 	Exchange(message peer.Message) peer.Message
 	Claim(ctx context.Context, from ident.HostID, claims []ClaimItem) ([][]byte, error)
 	Documents(names []ident.ServiceName, known map[ident.ServiceName]ident.Revision, limit int) []document.Versioned
-	Strike(ctx context.Context, from ident.HostID, strike peer.FingerprintStruck) error
+	Strike(ctx context.Context, from ident.HostID, payload []byte) error
 }
 
 // Server serves the peer port.
@@ -170,15 +171,14 @@
 
 // Strike implements PeerServer.
 func (s *Server) Strike(ctx context.Context, request *StrikeRequest) (*StrikeReply, error) {
-	strike, err := decodeStrike(request.GetStrike())
-	if err == nil {
-		err = names(request.GetFrom())
-	}
-	if err != nil {
+	if err := names(request.GetFrom()); err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
+	if size := len(request.GetPayload()); size == 0 || size > maxStrike {
+		return nil, status.Errorf(codes.InvalidArgument, "strike of %d bytes", size)
+	}
 	s.stamper.observe(request.GetStamp())
-	if err := s.handler.Strike(ctx, ident.HostID(request.GetFrom()), strike); err != nil {
+	if err := s.handler.Strike(ctx, ident.HostID(request.GetFrom()), request.GetPayload()); err != nil {
 		return nil, status.Error(codes.FailedPrecondition, err.Error())
 	}
 	return &StrikeReply{
