order: Bound the engines and store calls of a tick

A tick that lists and reads all 3,700 engines of the target size takes longer than its interval and more than a node's share of the network. A tick now handles one page of wanted states and the next one continues, so it makes two reads of the store at any size. Hosts without the lease look at it seldom, because one read a second from each of 360 hosts is a fifth of the store's rate. Operators can read the wanted states, also broken ones.

--- a/order/reconciler.go
+++ b/order/reconciler.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -15,8 +13,8 @@
 )
 
 const (
-	// listLimit keeps a page of wanted states far below 1 MB.
-	listLimit = 500
+	// defaultPerTick bounds the engines of one tick if the configuration does not.
+	defaultPerTick = 500
 	// releaseLimit bounds the release of the lease when Run ends.
 	releaseLimit = 2 * time.Second
 )
@@ -48,6 +46,8 @@
 	TTL       time.Duration // of the lease
 	Limit     time.Duration // longest call to one engine
 	Workers   int           // engines handled at the same time, at least 1
+	PerTick   int           // engines handled in one tick, the others follow in later ticks; default 500
+	Idle      time.Duration // pause between two looks at a lease that another host holds; 0 looks on each tick
 	LoadRate  rate.Limit    // model loads a second that the weight store admits
 	LoadBurst int           // model loads at once, at least 1
 }
@@ -62,7 +62,7 @@
 type Report struct {
 	Holder   bool                // this host issues orders
 	Fence    ident.FencingNumber // 0 unless Holder
-	Engines  int                 // with a wanted state
+	Engines  int                 // with a wanted state, of this tick's turn
 	Sent     int                 // orders
 	Deferred int                 // loads left for a later tick by the weight store's rate
 	Faults   []Fault
@@ -75,11 +75,16 @@
 	until  time.Time  // the lease is valid until then, whatever happened to its renewals
 	fence  ident.FencingNumber
 	loads  *rate.Limiter
-	turn   int // rotates the engine that a tick begins with
+	turn   int       // rotates the engine that a tick begins with
+	after  kv.Key    // last wanted state of the previous tick; empty at the beginning of a round
+	look   time.Time // another host held the lease, which is not read again before
 }
 
 // New returns a reconciler that holds no lease.
 func New(config Config) *Reconciler {
+	if config.PerTick <= 0 {
+		config.PerTick = defaultPerTick
+	}
 	return &Reconciler{
 		config: config,
 	}
@@ -109,9 +114,11 @@
 	}
 }
 
-// Tick takes or keeps the lease and, as its holder, reconciles every engine
-// once. It returns ErrStore if the store did not answer, and ErrNotHolder if
-// the lease ended or another host took it during the tick.
+// Tick takes or keeps the lease and, as its holder, reconciles the engines whose
+// turn it is: all of them, or PerTick engines in the order of their ids, so that
+// the cost of a tick does not grow with the fleet. It returns ErrStore if the
+// store did not answer, and ErrNotHolder if the lease ended or another host took
+// it during the tick.
 func (r *Reconciler) Tick(ctx context.Context) (Report, error) {
 	held, err := r.hold(ctx)
 	if err != nil || !held {
@@ -160,6 +167,10 @@
 // the time of the call. The key's lease id identifies the holder, so a
 // creation whose answer was lost is recognised on the next tick.
 func (r *Reconciler) hold(ctx context.Context) (bool, error) {
+	now := r.config.Now()
+	if now.Before(r.look) {
+		return false, nil
+	}
 	entry, err := r.config.Store.Get(ctx, holderKey)
 	switch {
 	case errors.Is(err, kv.ErrNotFound):
@@ -168,6 +179,7 @@
 		return false, errors.Annotatef(ErrStore, "read holder: %v", err)
 	case r.lease == 0 || entry.Lease != r.lease:
 		r.lease = 0
+		r.look = now.Add(r.config.Idle)
 		return false, nil
 	}
 	r.begin(entry.Version)
@@ -246,24 +258,24 @@
 	err    error // the entry cannot be decoded
 }
 
+// wanted reads the next PerTick wanted states with one call of the store.
 func (r *Reconciler) wanted(ctx context.Context) ([]row, error) {
-	var rows []row
-	after := kv.Key("")
-	for {
-		page, err := r.config.Store.List(ctx, wantedPrefix, after, listLimit)
-		if err != nil {
-			return nil, errors.Annotatef(ErrStore, "list wanted states: %v", err)
-		}
-		for _, entry := range page.Entries {
-			read := row{
-				engine: ident.UpstreamID(strings.TrimPrefix(string(entry.Key), string(wantedPrefix))),
-			}
-			read.err = errors.Annotate(json.Unmarshal(entry.Value, &read.wanted), "decode wanted state")
-			rows = append(rows, read)
-			after = entry.Key
-		}
-		if !page.More {
-			return rows, nil
-		}
+	page, err := r.config.Store.List(ctx, wantedPrefix, r.after, r.config.PerTick)
+	if err != nil {
+		return nil, errors.Annotatef(ErrStore, "list wanted states: %v", err)
+	}
+	rows := make([]row, 0, len(page.Entries))
+	for _, entry := range page.Entries {
+		found, err := decodeWanted(entry)
+		rows = append(rows, row{
+			engine: found.Engine,
+			wanted: found.Wanted,
+			err:    err,
+		})
+		r.after = entry.Key
+	}
+	if !page.More {
+		r.after = ""
 	}
+	return rows, nil
 }
--- /dev/null
+++ b/order/round_test.go
@@ -0,0 +1,192 @@
+package order_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/kv"
+	"github.com/nutmegshift/nutmegshift/order"
+)
+
+const perTick = 64
+
+// large returns a fleet of engines that all want one model, and a host that
+// handles perTick of them in one tick.
+func large(tb testing.TB, engines int) (*fleet, *order.Reconciler) {
+	tb.Helper()
+	rows := make(map[ident.UpstreamID]*engine, engines)
+	for i := range engines {
+		rows[ident.UpstreamID(fmt.Sprintf("engine-%04d", i))] = &engine{}
+	}
+	f := newFleet(rows)
+	for id := range rows {
+		if _, err := order.SetWanted(context.Background(), f.store, id, order.Wanted{
+			Models: []ident.ModelName{"m"},
+		}, 0); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	return f, order.New(order.Config{
+		Host:      "a",
+		Store:     f.store,
+		Engines:   f,
+		Now:       f.Now,
+		Log:       zerolog.Nop(),
+		TTL:       ttl,
+		Limit:     time.Minute,
+		Workers:   4,
+		PerTick:   perTick,
+		LoadRate:  perTick,
+		LoadBurst: perTick,
+	})
+}
+
+// Guards against a tick that handles more than its share of the engines, and
+// against engines that a round leaves out.
+func TestRoundReachesEveryEngine(t *testing.T) {
+	tests := map[string]struct {
+		engines int
+		ticks   int // of a round
+	}{
+		"one page":        {engines: perTick, ticks: 1},
+		"one more":        {engines: perTick + 1, ticks: 2},
+		"many full pages": {engines: 4 * perTick, ticks: 4},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f, r := large(t, test.engines)
+			for range test.ticks { // the token bucket starts empty, so no model is loaded in the first tick
+				c.Assert(f.tick(c, r).Engines <= perTick, qt.IsTrue)
+			}
+			for range test.ticks {
+				c.Assert(f.tick(c, r).Engines <= perTick, qt.IsTrue)
+			}
+			for id := range f.engines {
+				c.Assert(f.models(id), qt.DeepEquals, []ident.ModelName{"m"})
+			}
+		})
+	}
+}
+
+// Guards against hosts without the lease whose reads use up the store's rate,
+// and against a successor that never looks again.
+func TestIdleHostReadsSeldom(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(nil)
+	holder := f.host("a", f)
+	idle := order.New(order.Config{
+		Host:      "b",
+		Store:     f.store,
+		Engines:   f,
+		Now:       f.Now,
+		Log:       zerolog.Nop(),
+		TTL:       ttl,
+		Limit:     time.Minute,
+		Workers:   1,
+		Idle:      5 * interval,
+		LoadRate:  1,
+		LoadBurst: 1,
+	})
+	c.Assert(f.tick(c, holder).Holder, qt.IsTrue)
+	before := f.store.Counts()
+	for range 5 {
+		c.Assert(f.tick(c, idle).Holder, qt.IsFalse)
+	}
+	after := f.store.Counts()
+	c.Assert(after.Reads-before.Reads, qt.Equals, 1)
+	c.Assert(after.Writes-before.Writes, qt.Equals, 0)
+	c.Assert(holder.Release(context.Background()), qt.IsNil)
+	c.Assert(f.tick(c, idle).Holder, qt.IsTrue)
+}
+
+// Guards against a store call for each engine.
+func TestStoreCallsPerTick(t *testing.T) {
+	c := qt.New(t)
+	f, r := large(t, 10*perTick)
+	f.tick(c, r) // takes the lease
+	for range 30 {
+		before := f.store.Counts()
+		f.tick(c, r)
+		after := f.store.Counts()
+		c.Assert(after.Reads-before.Reads, qt.Equals, 2)     // the holder and one page
+		c.Assert(after.Writes-before.Writes <= 1, qt.IsTrue) // the lease
+		c.Assert(after.Watches, qt.Equals, 0)
+	}
+}
+
+// Guards against an operator who cannot read or replace a broken entry.
+func TestReadWanted(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(nil)
+	ctx := context.Background()
+	_, err := order.GetWanted(ctx, f.store, "a")
+	c.Assert(err, qt.ErrorIs, kv.ErrNotFound)
+	version := f.want(c, "a", 0, "m")
+	broken, err := f.store.Put(ctx, kv.Put{
+		Key:   "order/wanted/b",
+		Value: []byte("{"),
+	})
+	c.Assert(err, qt.IsNil)
+	f.want(c, "c", 0)
+	found, err := order.GetWanted(ctx, f.store, "a")
+	c.Assert(err, qt.IsNil)
+	c.Assert(found, qt.DeepEquals, order.Declared{
+		Engine: "a",
+		Wanted: order.Wanted{
+			Models: []ident.ModelName{"m"},
+		},
+		Version: version,
+	})
+	found, err = order.GetWanted(ctx, f.store, "b")
+	c.Assert(err, qt.ErrorIs, order.ErrMalformed)
+	c.Assert(found.Version, qt.Equals, broken)
+	first, more, err := order.ListWanted(ctx, f.store, "", 2)
+	c.Assert(err, qt.IsNil)
+	c.Assert(more, qt.IsTrue)
+	c.Assert(first, qt.HasLen, 2)
+	rest, more, err := order.ListWanted(ctx, f.store, first[1].Engine, 2)
+	c.Assert(err, qt.IsNil)
+	c.Assert(more, qt.IsFalse)
+	c.Assert(rest, qt.HasLen, 1)
+	c.Assert(rest[0].Engine, qt.Equals, ident.UpstreamID("c"))
+}
+
+// BenchmarkTick measures a tick of the holder over engines that are in their
+// wanted state, and its calls of the store.
+func BenchmarkTick(b *testing.B) {
+	for _, engines := range []int{9, 120, 1000, 3700} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			f, r := large(b, engines)
+			step := func() order.Report {
+				f.advance(interval)
+				report, err := r.Tick(context.Background())
+				if err != nil {
+					b.Fatal(err)
+				}
+				return report
+			}
+			for range 2 * (engines/perTick + 1) {
+				step()
+			}
+			before := f.store.Counts()
+			handled := 0
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				handled += step().Engines
+			}
+			b.StopTimer()
+			after := f.store.Counts()
+			b.ReportMetric(float64(after.Reads-before.Reads)/float64(b.N), "reads/op")
+			b.ReportMetric(float64(after.Writes-before.Writes)/float64(b.N), "writes/op")
+			b.ReportMetric(float64(handled)/float64(b.N), "engines/op")
+		})
+	}
+}
--- a/order/state.go
+++ b/order/state.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strings"
 
 	"github.com/juju/errors"
 
@@ -18,6 +19,9 @@
 	holderKey kv.Key = "order/holder"
 )
 
+// ErrMalformed reports a desired state in the store that cannot be decoded.
+const ErrMalformed = errors.ConstError("malformed wanted state")
+
 // Role is the part of the work that an engine does.
 type Role string
 
@@ -27,6 +31,13 @@
 	Models []ident.ModelName `json:"models"`
 }
 
+// Declared is the desired state of an engine as the store holds it.
+type Declared struct {
+	Engine  ident.UpstreamID
+	Wanted  Wanted
+	Version kv.Version
+}
+
 // Actual is the state that an engine reports.
 type Actual struct {
 	Role    Role
@@ -73,6 +84,49 @@
 	return version, errors.Annotatef(err, "set wanted state of engine %q", engine)
 }
 
+// GetWanted reads the desired state of an engine. It returns the errors of
+// kv.Store, and ErrMalformed if the entry cannot be decoded; the version is
+// valid in that case too, so that the entry can be replaced.
+func GetWanted(ctx context.Context, store kv.Store, engine ident.UpstreamID) (Declared, error) {
+	entry, err := store.Get(ctx, wantedPrefix+kv.Key(engine))
+	if err != nil {
+		return Declared{}, errors.Annotatef(err, "get wanted state of engine %q", engine)
+	}
+	return decodeWanted(entry)
+}
+
+// ListWanted reads up to limit desired states in the order of the engines' ids,
+// from the one that follows after; more reports whether others follow. Entries
+// that cannot be decoded are returned without a Wanted.
+func ListWanted(ctx context.Context, store kv.Store, after ident.UpstreamID, limit int) (found []Declared, more bool, err error) {
+	from := kv.Key("")
+	if after != "" {
+		from = wantedPrefix + kv.Key(after)
+	}
+	page, err := store.List(ctx, wantedPrefix, from, limit)
+	if err != nil {
+		return nil, false, errors.Annotate(err, "list wanted states")
+	}
+	for _, entry := range page.Entries {
+		declared, _ := decodeWanted(entry)
+		found = append(found, declared)
+	}
+	return found, page.More, nil
+}
+
+func decodeWanted(entry kv.Entry) (Declared, error) {
+	found := Declared{
+		Engine:  ident.UpstreamID(strings.TrimPrefix(string(entry.Key), string(wantedPrefix))),
+		Version: entry.Version,
+	}
+	var wanted Wanted
+	if err := json.Unmarshal(entry.Value, &wanted); err != nil {
+		return found, errors.Annotatef(ErrMalformed, "decode wanted state of engine %q: %v", found.Engine, err)
+	}
+	found.Wanted = wanted
+	return found, nil
+}
+
 // difference returns the orders that lead from the actual to the wanted state.
 // Models are unloaded first, because engines have limited memory.
 func difference(wanted Wanted, actual Actual) []Order {
