--- a/order/reconciler.go
+++ b/order/reconciler.go
@@ -25,10 +25,14 @@
 	ErrNotHolder = errors.ConstError("another host may issue orders")
 )
 
-// ErrStale is what Engines.Send returns if the engine refused the fencing number.
-const ErrStale = errors.ConstError("engine has seen a higher fencing number")
+// Errors that Engines returns, annotated.
+const (
+	ErrStale    = errors.ConstError("engine has seen a higher fencing number")
+	ErrNoEngine = errors.ConstError("engine is not known") // left, or not yet in the host list
+)
 
-// Engines reaches the engines.
+// Engines reaches the engines. Any other error than those above is a fault of
+// the one engine, which the next round tries again.
 type Engines interface {
 	// Actual reads the state of an engine.
 	Actual(ctx context.Context, engine ident.UpstreamID) (Actual, error)
@@ -108,7 +112,11 @@
 				r.config.Log.Warn().Err(err).Msg("order: tick failed")
 			}
 			for _, fault := range report.Faults {
-				r.config.Log.Warn().Err(fault.Err).Str("upstream", string(fault.Engine)).Msg("order: engine not reconciled")
+				level := zerolog.WarnLevel
+				if errors.Is(fault.Err, ErrNoEngine) {
+					level = zerolog.DebugLevel // wanted states outlive engines
+				}
+				r.config.Log.WithLevel(level).Err(fault.Err).Str("upstream", string(fault.Engine)).Msg("order: engine not reconciled")
 			}
 		}
 	}
