--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -27,6 +28,7 @@
 	Store    ident.Address
 	Hosts    ident.Address
 	Call     time.Duration // longest single call of the store
+	Loads    float64       // model loads a second that the weight store admits
 	Body     int64         // largest body of a request, bytes
 	Header   time.Duration // longest time to receive the head of a request
 	Receive  time.Duration // longest time to receive a whole request
@@ -111,6 +113,14 @@
 		help:     "longest single call of the key-value service",
 		set:      func(s *Settings, v string) error { return duration(&s.Call, v) },
 	},
+	{
+		section:  "platform",
+		key:      "loads",
+		unit:     "per second",
+		fallback: "1",
+		help:     "model loads that the weight store admits",
+		set:      func(s *Settings, v string) error { return frequency(&s.Loads, v) },
+	},
 	{
 		section:  "limits",
 		key:      "body",
@@ -314,6 +324,15 @@
 	return nil
 }
 
+func frequency(to *float64, value string) error {
+	parsed, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(parsed > 0) || math.IsInf(parsed, 0) {
+		return errors.New("expected a positive number, as in 0.5 or 3")
+	}
+	*to = parsed
+	return nil
+}
+
 func events(s *Settings, value string) error {
 	var n int64
 	if err := count(&n, value); err != nil {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -29,6 +29,7 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(parsed.Stop.String(), qt.Equals, "30s")
 	c.Assert(parsed.Events, qt.Equals, 65536)
+	c.Assert(parsed.Loads, qt.Equals, 1.0)
 }
 
 // A wrong setting must stop the start with a message that names it.
@@ -49,6 +50,18 @@
 			text: valid + "[stop]\nlongest = 30\n",
 			want: []string{"[stop] longest", "with a unit"},
 		},
+		"rate of zero": {
+			text: valid + "loads = 0\n",
+			want: []string{"[platform] loads", "positive number"},
+		},
+		"rate that is not a number": {
+			text: valid + "loads = NaN\n",
+			want: []string{"[platform] loads", "positive number"},
+		},
+		"rate without a bound": {
+			text: valid + "loads = Inf\n",
+			want: []string{"[platform] loads", "positive number"},
+		},
 		"address without port": {
 			text: strings.Replace(valid, "127.0.1.1:8080", "localhost", 1),
 			want: []string{"[entry] callers", "IP number and a port"},
