--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -157,6 +157,7 @@
 	h.add(&group, parts, "reports", h.poller.Run)
 	h.add(&group, parts, "quarantine", h.runQuarantine)
 	h.add(&group, parts, "documents", h.syncer.Run)
+	h.add(&group, parts, "orders", h.runOrders(ctx))
 	h.add(&group, parts, "operators", func(ctx context.Context) error {
 		return serveHTTP(ctx, operators, h.operatorHandler(), h.settings)
 	})
