--- a/order/reconciler.go
+++ b/order/reconciler.go
@@ -274,11 +274,11 @@
 	}
 	rows := make([]row, 0, len(page.Entries))
 	for _, entry := range page.Entries {
-		found, err := decodeWanted(entry)
+		found := decodeWanted(entry)
 		rows = append(rows, row{
 			engine: found.Engine,
 			wanted: found.Wanted,
-			err:    err,
+			err:    found.Err,
 		})
 		r.after = entry.Key
 	}
--- a/order/round_test.go
+++ b/order/round_test.go
@@ -151,6 +151,8 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(more, qt.IsTrue)
 	c.Assert(first, qt.HasLen, 2)
+	c.Assert(first[0].Err, qt.IsNil)
+	c.Assert(first[1].Err, qt.ErrorIs, order.ErrMalformed)
 	rest, more, err := order.ListWanted(ctx, f.store, first[1].Engine, 2)
 	c.Assert(err, qt.IsNil)
 	c.Assert(more, qt.IsFalse)
--- a/order/state.go
+++ b/order/state.go
@@ -36,6 +36,7 @@
 	Engine  ident.UpstreamID
 	Wanted  Wanted
 	Version kv.Version
+	Err     error // ErrMalformed if the entry cannot be decoded; Wanted is empty then
 }
 
 // Actual is the state that an engine reports.
@@ -92,12 +93,12 @@
 	if err != nil {
 		return Declared{}, errors.Annotatef(err, "get wanted state of engine %q", engine)
 	}
-	return decodeWanted(entry)
+	found := decodeWanted(entry)
+	return found, found.Err
 }
 
 // ListWanted reads up to limit desired states in the order of the engines' ids,
-// from the one that follows after; more reports whether others follow. Entries
-// that cannot be decoded are returned without a Wanted.
+// from the one that follows after; more reports whether others follow.
 func ListWanted(ctx context.Context, store kv.Store, after ident.UpstreamID, limit int) (found []Declared, more bool, err error) {
 	from := kv.Key("")
 	if after != "" {
@@ -108,23 +109,23 @@
 		return nil, false, errors.Annotate(err, "list wanted states")
 	}
 	for _, entry := range page.Entries {
-		declared, _ := decodeWanted(entry)
-		found = append(found, declared)
+		found = append(found, decodeWanted(entry))
 	}
 	return found, page.More, nil
 }
 
-func decodeWanted(entry kv.Entry) (Declared, error) {
+func decodeWanted(entry kv.Entry) Declared {
 	found := Declared{
 		Engine:  ident.UpstreamID(strings.TrimPrefix(string(entry.Key), string(wantedPrefix))),
 		Version: entry.Version,
 	}
 	var wanted Wanted
 	if err := json.Unmarshal(entry.Value, &wanted); err != nil {
-		return found, errors.Annotatef(ErrMalformed, "decode wanted state of engine %q: %v", found.Engine, err)
+		found.Err = errors.Annotatef(ErrMalformed, "decode wanted state of engine %q: %v", found.Engine, err)
+		return found
 	}
 	found.Wanted = wanted
-	return found, nil
+	return found
 }
 
 // difference returns the orders that lead from the actual to the wanted state.
