--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -18,6 +18,7 @@
 		Commands: []*cli.Command{
 			entryCommand(),
 			configCommand(),
+			orderCommand(),
 			statusCommand(),
 			timelineCommand(),
 			loadCommand(),
--- a/internal/command/config.go
+++ b/internal/command/config.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"os"
 	"time"
 
@@ -12,7 +11,6 @@
 
 	"github.com/nutmegshift/nutmegshift/document"
 	"github.com/nutmegshift/nutmegshift/ident"
-	"github.com/nutmegshift/nutmegshift/kv/httpkv"
 )
 
 func configCommand() *cli.Command {
@@ -32,11 +30,7 @@
 
 func applyFlags() []cli.Flag {
 	return []cli.Flag{
-		&cli.StringFlag{
-			Name:     "store",
-			Usage:    "`ADDRESS` (ip:port) of the key-value service",
-			Required: true,
-		},
+		storeFlag(),
 		&cli.StringFlag{
 			Name:     "service",
 			Usage:    "`NAME` of the service",
@@ -70,11 +64,7 @@
 	if err != nil {
 		return errors.Annotate(err, "read document")
 	}
-	store := httpkv.New(httpkv.Config{
-		Address: ident.Address(command.String("store")),
-		Client:  &http.Client{},
-		Limit:   answerLimit,
-	})
+	store := newStore(command)
 	now := time.Now()
 	accepted, err := document.Apply(ctx, store, document.Change{
 		Service: ident.ServiceName(command.String("service")),
