--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -17,9 +17,9 @@
 const (
 	orderInterval = time.Second
 	orderTTL      = 10 * time.Second
-	// orderIdle bounds the reads of the hosts without the lease to 72 a second
-	// at 360 hosts, 4% of the store's rate.
-	orderIdle = 5 * time.Second
+	// orderIdle bounds the reads of the hosts without the lease to 120 a second
+	// at 360 hosts, 6% of the store's rate.
+	orderIdle = 3 * time.Second
 	// With these three a tick takes at most 2 s, also when no engine answers, so
 	// the lease, renewed at half of its time, stays valid.
 	orderPerTick = 64
--- a/internal/system/deployment_test.go
+++ b/internal/system/deployment_test.go
@@ -53,7 +53,9 @@
 type setup struct {
 	store     func(l standin.Layout) ident.Address       // of entry host 1; nil: the platform's
 	documents func(service, text string) (edited string) // nil: the examples as they are
+	standins  func(text string) (edited string)          // settings of the stand-ins; nil: the layout's
 	settings  string                                     // appended to the settings of entry hosts
+	firstNet  int                                        // first loopback network that is tried; 0: 100
 	unlisted  bool                                       // entry host 1 cannot read the host list and is not awaited
 }
 
@@ -67,7 +69,7 @@
 		t: t,
 		layout: standin.Layout{
 			Deployment: standin.Deployments()["franchise"],
-			Net:        reserveNet(t),
+			Net:        reserveNet(t, s.firstNet),
 			Entries:    entries,
 		},
 		directory: t.TempDir(),
@@ -78,8 +80,12 @@
 		},
 	}
 	t.Cleanup(d.client.CloseIdleConnections)
-	d.write("standins.ini", d.layout.Standins())
-	parsed, err := standin.Parse([]byte(d.layout.Standins()))
+	standinsText := d.layout.Standins()
+	if s.standins != nil {
+		standinsText = s.standins(standinsText)
+	}
+	d.write("standins.ini", standinsText)
+	parsed, err := standin.Parse([]byte(standinsText))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -129,9 +135,12 @@
 
 // reserveNet reserves a loopback network for the test, also against other runs
 // of these tests on the machine.
-func reserveNet(t *testing.T) int {
+func reserveNet(t *testing.T, first int) int {
 	t.Helper()
-	for number := 100; number < 250; number++ {
+	if first == 0 {
+		first = 100
+	}
+	for number := first; number < 250; number++ {
 		lock, err := new(net.ListenConfig).Listen(context.Background(), "tcp", fmt.Sprintf("127.%d.255.254:6999", number))
 		if err == nil {
 			t.Cleanup(func() { _ = lock.Close() })
