--- a/internal/system/claims_test.go
+++ b/internal/system/claims_test.go
@@ -225,7 +225,7 @@
 		},
 	})
 	r.submit("s", []int{1, 2, 3})
-	qt.Assert(t, faults(r.history.all(), r.allExecutions()), qt.HasLen, 1)
+	qt.Assert(t, faults(r.history.all(), r.allExecutions()), qt.HasLen, 1, qt.Commentf("%+v", r.history.all()))
 }
 
 // holder passes the store's calls on. It holds back the answer to one claim
--- a/internal/system/shutdown_test.go
+++ b/internal/system/shutdown_test.go
@@ -219,7 +219,8 @@
 			r.storeFaults(platform.Faults{
 				Down: true,
 			})
-			qt.Assert(t, (<-first).end, qt.Equals, answered)
+			made := <-first
+			qt.Assert(t, made.end, qt.Equals, answered, qt.Commentf("%s", made.output))
 			stopped := r.hosts[1]
 			stopped.signal(t, syscall.SIGTERM)
 			await(t, "stop", func() bool { return stopped.output.line("entry: stopping") != "" })
