--- a/internal/entry/guard.go
+++ b/internal/entry/guard.go
@@ -24,6 +24,7 @@
 
 // guard isolates one request by the records of the quarantine.
 type guard struct {
+	crashed     func(ctx context.Context, at ident.Address) bool
 	keeper      *quarantine.Keeper
 	fingerprint quarantine.Fingerprint
 	attempt     ident.AttemptID
@@ -33,8 +34,11 @@
 var _ pipeline.Guard = (*guard)(nil)
 
 // Lost implements pipeline.Guard. The record outlives the request's deadline.
-func (g *guard) Lost(ctx context.Context, at upstream.Lease) {
+func (g *guard) Lost(ctx context.Context, at upstream.Lease) bool {
 	ctx = context.WithoutCancel(ctx)
+	if !g.crashed(ctx, at.Address) {
+		return false
+	}
 	crash := quarantine.Crash{
 		Upstream:    at.Upstream,
 		Incarnation: at.Incarnation,
@@ -44,9 +48,10 @@
 	if g.trial != nil {
 		_ = g.trial.Crashed(ctx, crash)
 		g.trial = nil
-		return
+		return true
 	}
 	_ = g.keeper.Strike(ctx, g.fingerprint, crash)
+	return true
 }
 
 // Again implements pipeline.Guard.
@@ -85,6 +90,7 @@
 // which the guard holds; refused is nil if the request may run.
 func (s *Server) isolate(ctx context.Context, request caller.Request) (g *guard, refused outcome.Outcome) {
 	g = &guard{
+		crashed:     s.cfg.Crashed,
 		keeper:      s.cfg.Quarantine,
 		fingerprint: fingerprint(request),
 		attempt:     s.cfg.NewAttempt(),
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -26,6 +26,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/stagehttp"
 	"github.com/nutmegshift/nutmegshift/kv"
 	"github.com/nutmegshift/nutmegshift/kv/httpkv"
+	"github.com/nutmegshift/nutmegshift/peer"
 	"github.com/nutmegshift/nutmegshift/pipeline"
 	"github.com/nutmegshift/nutmegshift/quarantine"
 	"github.com/nutmegshift/nutmegshift/timeline"
@@ -61,6 +62,7 @@
 	keeper    *quarantine.Keeper
 	registry  *document.Registry
 	syncer    *document.Syncer
+	peers     *peers
 	poller    *reporthttp.Poller
 	server    *Server
 }
@@ -92,20 +94,30 @@
 		Random: newRandom(),
 	})
 	h.transport = stagehttp.New(stagehttp.Config{})
+	h.peers = newPeers(peer.Row{
+		Host:        s.Host,
+		Address:     s.Peers,
+		Domain:      s.Domain,
+		Region:      s.Region,
+		Incarnation: h.boot,
+		State:       peer.Alive,
+	}, h.clock, h.registry, log)
 	h.ledger = claim.New(claim.Config{
-		Store: h.store,
-		Host:  s.Host,
+		Store:     h.store,
+		Host:      s.Host,
+		Forwarder: h.peers,
 	})
 	h.keeper = quarantine.New(quarantine.Config{
-		Store: h.store,
-		Host:  s.Host,
+		Store:    h.store,
+		Host:     s.Host,
+		Notifier: h.peers,
 	})
 	h.syncer = document.NewSyncer(document.SyncerConfig{
 		Store:    h.store,
-		Peers:    noPeers{},
+		Peers:    h.peers,
 		Registry: h.registry,
-		Spreader: document.NewSpreader(h.registry, newRandom()),
-		Around:   h.around,
+		Spreader: h.peers.spreader,
+		Around:   h.peers.around,
 		Now:      time.Now,
 		Log:      log,
 	})
@@ -117,6 +129,7 @@
 	h.server = NewServer(ServerConfig{
 		Ledger:     h.ledger,
 		Quarantine: h.keeper,
+		Crashed:    crashed,
 		Limits:     func() Limits { return NewLimits(time.Now) },
 		Recorder:   h.ring,
 		Metrics:    h.metrics,
@@ -131,6 +144,10 @@
 			NewAttempt: h.newAttempt,
 		}),
 	})
+	h.peers.ledger = h.ledger
+	h.peers.keeper = h.keeper
+	h.peers.upstream = h.table
+	h.peers.services = h.server.services
 	return h
 }
 
@@ -147,6 +164,10 @@
 	if err != nil {
 		return err
 	}
+	others, err := listen(ctx, h.settings.Peers)
+	if err != nil {
+		return err
+	}
 	// Parts outlive ctx, since requests in progress need them until they end.
 	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
@@ -157,6 +178,10 @@
 	h.add(&group, parts, "reports", h.poller.Run)
 	h.add(&group, parts, "quarantine", h.runQuarantine)
 	h.add(&group, parts, "documents", h.syncer.Run)
+	h.add(&group, parts, "peers", h.peers.serve(others))
+	h.add(&group, parts, "gossip", h.peers.runner.Run)
+	h.add(&group, parts, "rumours", h.peers.hear)
+	h.add(&group, parts, "news", h.peers.publish)
 	h.add(&group, parts, "orders", h.runOrders(ctx))
 	h.add(&group, parts, "operators", func(ctx context.Context) error {
 		return serveHTTP(ctx, operators, h.operatorHandler(), h.settings)
@@ -214,6 +239,7 @@
 // drain is the graceful shutdown of the callers' port.
 func (h *Host) drain(force context.Context, server *http.Server, ended <-chan error) error {
 	before := h.server.active.stop()
+	h.peers.gossip.Leave()
 	h.log.Info().Int("requests", len(h.server.active.list())).Msg("entry: stopping")
 	limit, cancel := context.WithTimeout(force, h.settings.Stop)
 	defer cancel()
@@ -268,6 +294,7 @@
 			return
 		}
 		h.table.Offer(members(list))
+		h.peers.merge(list)
 	}
 	read()
 	return every(ctx, hostsInterval, read)
@@ -342,13 +369,6 @@
 	return pools
 }
 
-// around tells the document spreader about the other hosts.
-func (h *Host) around() document.Surroundings {
-	return document.Surroundings{
-		Watcher: true,
-	}
-}
-
 func (h *Host) newRequest() ident.RequestID {
 	return ident.RequestID(h.unique())
 }
--- /dev/null
+++ b/internal/entry/peerhandler.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/nutmegshift/nutmegshift/document"
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/peer"
+	"github.com/nutmegshift/nutmegshift/peer/grpcpeer"
+	"github.com/nutmegshift/nutmegshift/quarantine"
+)
+
+// peerHandler answers the calls of other hosts.
+type peerHandler struct {
+	peers *peers
+}
+
+var _ grpcpeer.Handler = (*peerHandler)(nil)
+
+// Exchange implements grpcpeer.Handler.
+func (h *peerHandler) Exchange(message peer.Message) peer.Message {
+	return h.peers.gossip.Receive(time.Now(), message)
+}
+
+// Claim implements grpcpeer.Handler: this host is the owner of the partitions.
+func (h *peerHandler) Claim(ctx context.Context, from ident.HostID, claims []grpcpeer.ClaimItem) ([][]byte, error) {
+	replies := make([][]byte, 0, len(claims))
+	for _, item := range claims {
+		reply, err := h.accept(ctx, from, item)
+		if err != nil {
+			return nil, err
+		}
+		encoded, err := encodeCall(reply)
+		if err != nil {
+			return nil, err
+		}
+		replies = append(replies, encoded)
+	}
+	return replies, nil
+}
+
+func (h *peerHandler) accept(ctx context.Context, from ident.HostID, item grpcpeer.ClaimItem) (claimMessage, error) {
+	call, err := decodeCall(item.Payload)
+	if err != nil {
+		return claimMessage{}, err
+	}
+	switch call.Kind {
+	case claimCall:
+		return decisionReply(h.peers.ledger.Accept(ctx, from, item.Identity, item.Attempt))
+	case doneCall, releasedCall:
+		if err := h.peers.ledger.AcceptFinish(ctx, from, item.Identity, item.Attempt, call.result()); err != nil {
+			return errorReply(err)
+		}
+		return claimMessage{
+			Kind: finishedReply,
+		}, nil
+	default:
+		return claimMessage{}, errors.Errorf("call of unknown kind %q", call.Kind)
+	}
+}
+
+// Documents implements grpcpeer.Handler.
+func (h *peerHandler) Documents(names []ident.ServiceName, known map[ident.ServiceName]ident.Revision, limit int) []document.Versioned {
+	return h.peers.registry.Snapshot().Select(names, known, limit)
+}
+
+// Strike implements grpcpeer.Handler.
+func (h *peerHandler) Strike(_ context.Context, _ ident.HostID, payload []byte) error {
+	var rumour quarantine.Rumour
+	if err := json.Unmarshal(payload, &rumour); err != nil {
+		return errors.Annotate(err, "decode strike")
+	}
+	h.peers.keeper.Observe(rumour)
+	return nil
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -29,7 +29,8 @@
 	Ledger     *claim.Ledger
 	Runner     *pipeline.Runner
 	Quarantine *quarantine.Keeper
-	Limits     func() Limits // made once for each service
+	Crashed    func(ctx context.Context, at ident.Address) bool // whether the process at an address has ended
+	Limits     func() Limits                                    // made once for each service
 	Recorder   timeline.Recorder
 	Metrics    *metrics.Set
 	NewAttempt func() ident.AttemptID
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -7,6 +7,7 @@
 	"github.com/nutmegshift/nutmegshift/document"
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/organisation"
+	"github.com/nutmegshift/nutmegshift/peer"
 	"github.com/nutmegshift/nutmegshift/pipeline"
 )
 
@@ -65,3 +66,39 @@
 	}
 	return row
 }
+
+// top returns the largest organisations of all services and the totals they belong to.
+func (s *services) top(host ident.HostID) peer.TopOrganisations {
+	top := peer.TopOrganisations{
+		Host: host,
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	each := peer.MaxOrganisations/max(1, len(s.rows)) - 1
+	for name, row := range s.rows {
+		used := row.Limiter.Top(max(1, each))
+		top.Rates = append(top.Rates, peer.OrganisationRate{
+			Service:      name,
+			Organisation: totalID,
+			Rate:         used.Total,
+		})
+		for _, rate := range used.Top {
+			top.Rates = append(top.Rates, peer.OrganisationRate{
+				Service:      name,
+				Organisation: rate.Organisation,
+				Rate:         rate.Rate,
+			})
+		}
+	}
+	return top
+}
+
+// remote corrects the shares of a service by the use at another host.
+func (s *services) remote(name ident.ServiceName, host ident.HostID, used organisation.Usage) {
+	s.mu.Lock()
+	row, ok := s.rows[name]
+	s.mu.Unlock()
+	if ok {
+		row.Limiter.Remote(host, used)
+	}
+}
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -22,6 +22,13 @@
 	Team     ident.TeamName    `json:"team"`
 }
 
+// PeerStatus is another entry host as this host sees it.
+type PeerStatus struct {
+	Host   ident.HostID        `json:"host"`
+	Domain ident.FailureDomain `json:"domain"`
+	State  string              `json:"state"`
+}
+
 // Status is what the operators' port shows of an entry host.
 type Status struct {
 	Host      ident.HostID        `json:"host"`
@@ -32,6 +39,7 @@
 	Finished  uint64              `json:"finished"`
 	Documents []DocumentStatus    `json:"documents"`
 	Upstreams []UpstreamStatus    `json:"upstreams"`
+	Peers     []PeerStatus        `json:"peers"`
 	Costs     []StageCost         `json:"costs"`
 }
 
@@ -55,6 +63,13 @@
 			Team:     held.Owner,
 		})
 	}
+	for _, row := range h.peers.table.Snapshot().Rows() {
+		status.Peers = append(status.Peers, PeerStatus{
+			Host:   row.Host,
+			Domain: row.Domain,
+			State:  row.State.String(),
+		})
+	}
 	for _, row := range h.table.Snapshot().Rows {
 		status.Upstreams = append(status.Upstreams, UpstreamStatus{
 			Service:  row.Member.Pool.Service,
--- a/peer/row.go
+++ b/peer/row.go
@@ -15,6 +15,22 @@
 	Down
 )
 
+// String returns the state in lower case.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	case Down:
+		return "down"
+	default:
+		return "unknown"
+	}
+}
+
 // MaxIncarnation bounds the incarnations that are believed, so that a damaged
 // message cannot bring a host to a number that it cannot exceed.
 const MaxIncarnation ident.Incarnation = 1 << 62
--- a/pipeline/attempt.go
+++ b/pipeline/attempt.go
@@ -163,14 +163,14 @@
 	case errors.As(err, &status) && status.Status < 500:
 		return halt(outcome.UpstreamError, err)
 	case errors.Is(err, ErrLost):
-		r.job.Guard.Lost(ctx, a.lease)
+		crashed := r.job.Guard.Lost(ctx, a.lease)
 		if denied := r.budgeted(halt(outcome.UpstreamError, err)); denied != nil {
 			return denied
 		}
-		if !r.job.Guard.Again(ctx) {
+		if crashed && !r.job.Guard.Again(ctx) {
 			return halt(outcome.Quarantined, err)
 		}
-		r.job.Suspect = true
+		r.job.Suspect = r.job.Suspect || crashed
 		return nil
 	}
 	return r.budgeted(halt(outcome.UpstreamError, err))
--- a/pipeline/job.go
+++ b/pipeline/job.go
@@ -43,10 +43,11 @@
 
 // Guard isolates one request if it crashes upstreams.
 type Guard interface {
-	// Lost records that the connection to an upstream broke while it ran the
-	// request. It returns before any answer to the caller or second try.
-	Lost(ctx context.Context, at upstream.Lease)
-	// Again reports whether the request may be tried once more, alone.
+	// Lost learns that the connection to an upstream broke while it ran the
+	// request, and reports whether the upstream crashed. A crash is recorded
+	// before Lost returns, so before any answer to the caller or second try.
+	Lost(ctx context.Context, at upstream.Lease) (crashed bool)
+	// Again reports whether a request that crashed an upstream may be tried once more, alone.
 	Again(ctx context.Context) bool
 }
 
--- a/pipeline/runner_test.go
+++ b/pipeline/runner_test.go
@@ -131,10 +131,14 @@
 // fakeGuard records which contents lost an upstream.
 type fakeGuard struct {
 	allow bool
+	alive bool // upstreams that lose a connection have not crashed
 	lost  int
 }
 
-func (g *fakeGuard) Lost(context.Context, upstream.Lease) { g.lost++ }
+func (g *fakeGuard) Lost(context.Context, upstream.Lease) bool {
+	g.lost++
+	return !g.alive
+}
 
 func (g *fakeGuard) Again(context.Context) bool { return g.allow }
 
@@ -250,7 +254,8 @@
 	cases := map[string]struct {
 		calls   []step
 		streams []step
-		denied  bool // the guard allows no second try
+		denied  bool // the guard allows no second try after a crash
+		alive   bool // the upstream has not crashed
 		want    outcome.Outcome
 		text    string
 		lost    int
@@ -290,6 +295,14 @@
 			want:   outcome.Failed{},
 			lost:   1,
 		},
+		"connection lost to a live upstream": {
+			calls:  []step{{err: pipeline.ErrLost}},
+			denied: true,
+			alive:  true,
+			want:   outcome.Answered{},
+			text:   wholeText,
+			lost:   1,
+		},
 		"bad request at an upstream": {
 			calls: []step{{err: pipeline.StatusError{Status: 400}}},
 			want:  outcome.Failed{},
@@ -324,6 +337,7 @@
 			c := qt.New(t)
 			guard := &fakeGuard{
 				allow: !tc.denied,
+				alive: tc.alive,
 			}
 			sink := &fakeSink{}
 			transport := &fakeTransport{
