--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -161,11 +161,12 @@
 	return Component{
 		Name:    string(u.Name),
 		Address: u.Address,
-		Serve:   u.build().Serve,
+		Serve:   u.Build().Serve,
 	}
 }
 
-func (u Upstream) build() upstreams.Upstream {
+// Build returns the stand-in of the upstream, which nobody serves yet.
+func (u Upstream) Build() upstreams.Upstream {
 	common := upstreams.Common{
 		Name:    u.Name,
 		Clock:   upstreams.SystemClock{},
--- a/pipeline/estimate.go
+++ b/pipeline/estimate.go
@@ -35,7 +35,8 @@
 }
 
 // Estimates learns the stage durations of one service from the most recent
-// attempts. It is safe for concurrent use; one mutex guards its state.
+// attempts. It is safe for concurrent use; one mutex guards its state. A nil
+// Estimates learns nothing, so that no request is hedged or stopped early.
 type Estimates struct {
 	now func() time.Time
 
@@ -62,6 +63,9 @@
 
 // Record adds the duration of one completed attempt at the stage.
 func (e *Estimates) Record(stage ident.StageName, duration time.Duration) {
+	if e == nil {
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
@@ -102,6 +106,9 @@
 
 // Stage returns the estimate of a stage, the zero value if it is not known.
 func (e *Estimates) Stage(stage ident.StageName) Estimate {
+	if e == nil {
+		return Estimate{}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.stage(stage)
@@ -130,6 +137,9 @@
 // Remaining returns the sum of the median durations of the stages. A stage that
 // is not known counts as 0, so that no request is stopped without evidence.
 func (e *Estimates) Remaining(stages []ident.StageName) time.Duration {
+	if e == nil {
+		return 0
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var total time.Duration
