Keep time-outs and cancelled connects out of quarantine and ejection

Cause: internal/stagehttp reports an attempt that its context cut off as lost or not sent. The pipeline took the first for a crash of the upstream, so that a stage slower than its timeout made each request a suspect, and the second for a failure of the upstream, so that hedges that lost while they connected counted towards its ejection.

Ruled out: taking every deadline for a cancellation; a dial timeout is one too.

--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -130,6 +130,15 @@
 			phases:   phases(8*second, 2*second),
 			variants: baselineAndNow,
 		},
+		{
+			Name:     "timeout",
+			Usage:    "one reranker slower than its timeout",
+			part:     0.6,
+			duration: 6 * second,
+			faults:   slowReranker,
+			phases:   phases(6*second, 2*second),
+			variants: baselineAndNow,
+		},
 		{
 			Name:     "domain",
 			Usage:    "one failure domain fails in the middle",
@@ -283,6 +292,16 @@
 	}
 }
 
+func slowReranker(standin.Deployment) []fault {
+	return []fault{{
+		at:   2 * time.Second,
+		hits: func(_ int, u standin.Upstream) bool { return strings.HasSuffix(string(u.Name), "rerankers-1") },
+		faults: upstreams.Faults{
+			Slow: 80,
+		},
+	}}
+}
+
 func slowRerankers(standin.Deployment) []fault {
 	hits := func(_ int, u standin.Upstream) bool { return u.Kind == string(upstreams.Reranker) }
 	return []fault{
--- a/pipeline/attempt.go
+++ b/pipeline/attempt.go
@@ -123,13 +123,17 @@
 	switch {
 	case err == nil:
 		return upstream.Completed{}
+	case errors.Is(err, context.Canceled):
+		// This comes before ErrNotSent: a hedge that lost while it connected says
+		// nothing against its upstream. A deadline does not, as dialling has one.
+		return upstream.Cancelled{}
 	case errors.Is(err, ErrNotSent):
 		return upstream.NotSent{}
 	case errors.Is(err, ErrLeaving):
 		return upstream.Leaving{}
 	case errors.Is(err, ErrOverloaded):
 		return upstream.Overloaded{}
-	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, context.DeadlineExceeded):
 		return upstream.Cancelled{}
 	case errors.As(err, &status):
 		return upstream.Completed{
@@ -145,6 +149,13 @@
 	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrLeaving) || errors.Is(err, ErrOverloaded)
 }
 
+// crashed reports whether the upstream broke the connection. An attempt that
+// this host cut off, such as one that took longer than the stage's timeout, is
+// lost too but says nothing about a crash.
+func crashed(err error) bool {
+	return errors.Is(err, ErrLost) && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded)
+}
+
 // again decides whether a repeatable stage may be tried again after err, and
 // returns the reason why not. A lost connection makes the content a suspect,
 // which is recorded before anything else happens.
@@ -162,7 +173,7 @@
 		return r.budgeted(halt(outcome.Overload, err))
 	case errors.As(err, &status) && status.Status < 500:
 		return halt(outcome.UpstreamError, err)
-	case errors.Is(err, ErrLost):
+	case crashed(err):
 		r.job.Guard.Lost(ctx, a.lease)
 		if denied := r.budgeted(halt(outcome.UpstreamError, err)); denied != nil {
 			return denied
--- a/pipeline/plain.go
+++ b/pipeline/plain.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/juju/errors"
-
 	"github.com/nutmegshift/nutmegshift/document"
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/outcome"
@@ -72,7 +70,7 @@
 
 // unknown ends a non-repeatable job that may have run.
 func (r *run) unknown(ctx context.Context, placed attempt, err error) outcome.Outcome {
-	if errors.Is(err, ErrLost) {
+	if crashed(err) {
 		r.job.Guard.Lost(ctx, placed.lease)
 	}
 	r.event("end", placed.id, field("reason", string(outcome.ConnectionLost)))
--- a/pipeline/runner_test.go
+++ b/pipeline/runner_test.go
@@ -65,7 +65,8 @@
 	s := f.next(&f.calls)
 	if s.hang {
 		<-ctx.Done()
-		return pipeline.Reply{}, ctx.Err()
+		// As internal/stagehttp reports a request that was cut off by its context.
+		return pipeline.Reply{}, fmt.Errorf("%w: %w", pipeline.ErrLost, ctx.Err())
 	}
 	if s.err != nil {
 		return pipeline.Reply{}, s.err
@@ -429,3 +430,86 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(failed.Reason, qt.Equals, outcome.Incomplete)
 }
+
+// Guards against slow upstreams that make every request a suspect of crashing
+// them: an attempt cut off by the stage's timeout is no lost connection.
+func TestRunTimeoutIsNoCrash(t *testing.T) {
+	tests := map[string]struct {
+		service    *document.Service
+		repeatable bool
+		want       outcome.Outcome
+	}{
+		"stage": {
+			service:    assistant(),
+			repeatable: true,
+			want:       outcome.Answered{},
+		},
+		"non-repeatable call": {
+			service: plainService(),
+			want:    outcome.Unknown{},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			for i := range test.service.Stages {
+				test.service.Stages[i].Timeout = 20 * time.Millisecond
+			}
+			transport := &fakeTransport{
+				calls: []step{{hang: true}},
+			}
+			guard := &fakeGuard{
+				allow: true,
+			}
+			job := newJob(test.service, test.repeatable, guard)
+			job.Deadline = time.Now().Add(200 * time.Millisecond)
+			ended := newRunner(transport).Run(context.Background(), job, &fakeSink{})
+			c.Assert(fmt.Sprintf("%T", ended), qt.Equals, fmt.Sprintf("%T", test.want))
+			c.Assert(guard.lost, qt.Equals, 0)
+		})
+	}
+}
+
+// cancelledTransport is cut off before it sends.
+type cancelledTransport struct {
+	fakeTransport
+}
+
+func (t *cancelledTransport) Call(ctx context.Context, _ ident.Address, _ pipeline.Call) (pipeline.Reply, error) {
+	<-ctx.Done()
+	return pipeline.Reply{}, fmt.Errorf("%w: %w", pipeline.ErrNotSent, ctx.Err())
+}
+
+// resultSelector remembers the results of attempts.
+type resultSelector struct {
+	results []upstream.Result
+}
+
+func (s *resultSelector) Choose(time.Time, upstream.Query) (upstream.Lease, error) {
+	return upstream.Lease{
+		Upstream: "u-1",
+	}, nil
+}
+
+func (s *resultSelector) Done(_ upstream.Lease, report upstream.Report) {
+	s.results = append(s.results, report.Result)
+}
+
+// Guards against the ejection of healthy upstreams because hedges that lost were
+// cancelled while they connected.
+func TestRunCancelledConnectIsNoFailure(t *testing.T) {
+	c := qt.New(t)
+	selector := &resultSelector{}
+	runner := pipeline.New(pipeline.Config{
+		Transport:  &cancelledTransport{},
+		Selector:   selector,
+		Meter:      fakeMeter{},
+		Recorder:   fakeRecorder{},
+		Now:        time.Now,
+		NewAttempt: func() ident.AttemptID { return "a" },
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	time.AfterFunc(time.Millisecond, cancel)
+	runner.Run(ctx, newJob(assistant(), true, &fakeGuard{}), &fakeSink{})
+	c.Assert(selector.results, qt.DeepEquals, []upstream.Result{upstream.Cancelled{}})
+}
