Count the whole time without an answer against a hedged straggler

Cause: attempts at a straggler lose to hedges and are cut off after about 25 ms, below the limit of ejection (3 times the median and 20 ms above it), so the straggler in the local failure domain kept its share and used up the budget.

--- a/upstream/row.go
+++ b/upstream/row.go
@@ -46,6 +46,7 @@
 	latency  float64 // seconds; 0 if not measured
 	samples  int     // since the latency estimate was reset
 	measured time.Time
+	cut      float64 // seconds of the attempts cut off since the last answer
 
 	errors   int // consecutive
 	failedAt time.Time
@@ -127,6 +128,7 @@
 	r.starts = now
 	r.latency = 0
 	r.samples = 0
+	r.cut = 0
 	r.errors = 0
 }
 
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -293,6 +293,7 @@
 			return
 		}
 		r.errors = 0
+		r.cut = 0
 		r.observe(now, report.Latency)
 	case Overloaded:
 		hold := min(overloadHold<<min(r.overloads, 8), overloadHoldMax)
@@ -309,9 +310,12 @@
 		r.fail(now)
 	case Cancelled:
 		// The latency is a lower bound. Without it the estimate of a straggler
-		// whose attempts all lose to a hedge would never rise.
-		if report.Latency.Seconds() > r.latency && r.latency > 0 {
-			r.observe(now, report.Latency)
+		// whose attempts all lose to a hedge would never rise. The time without
+		// any answer is a better bound: hedges cut attempts off so early that the
+		// single times stay below the limit of ejection.
+		r.cut += report.Latency.Seconds()
+		if r.cut > r.latency && r.latency > 0 {
+			r.observe(now, time.Duration(r.cut*float64(time.Second)))
 		}
 	}
 }
--- a/upstream/table_test.go
+++ b/upstream/table_test.go
@@ -566,3 +566,35 @@
 	t.Logf("60 hosts use %d of 600 upstreams", len(covered))
 	c.Assert(len(covered) > 590, qt.IsTrue)
 }
+
+// Guards against a straggler in the local failure domain whose attempts all lose
+// to hedges: each is cut off too early to look slow, so that it kept its share.
+func TestHedgedStragglerEjected(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture("h1", "erie-hall", 1)
+	f.offer(pool(3, "erie-hall", "huron-hall", "superior-hall"))
+	price := f.query()
+	price.CrossCost = 3
+	f.serve(c, 10, price, fast)
+	hedge := price
+	hedge.Exclude = []ident.UpstreamID{"e0"}
+	f.serve(c, 10, hedge, fast)
+	attempts := 0
+	for range 50 {
+		counts := f.serve(c, 1, price, func(l upstream.Lease) upstream.Report {
+			if l.Upstream != "e0" {
+				return fast(l)
+			}
+			return upstream.Report{
+				Latency: 25 * time.Millisecond,
+				Result:  upstream.Cancelled{},
+			}
+		})
+		if counts["e0"] > 0 {
+			attempts++
+			f.serve(c, 1, hedge, fast)
+		}
+	}
+	c.Assert(f.state("e0", 1), qt.Equals, upstream.StateEjected)
+	c.Assert(attempts <= 10, qt.IsTrue, qt.Commentf("%d of 50 attempts", attempts))
+}
