Take the lower median latency of an even number of upstreams

Cause: a host that measured only its local upstream and one other took the slower one as the median, so that it never counted as a straggler.

--- a/upstream/table_test.go
+++ b/upstream/table_test.go
@@ -598,3 +598,18 @@
 	c.Assert(f.state("e0", 1), qt.Equals, upstream.StateEjected)
 	c.Assert(attempts <= 10, qt.IsTrue, qt.Commentf("%d of 50 attempts", attempts))
 }
+
+// Guards against a median that is the straggler's own latency where a host has
+// measured only two upstreams of a pool.
+func TestStragglerOfTwoMeasuredEjected(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture("h1", "erie-hall", 1)
+	f.offer(pool(3, "erie-hall", "huron-hall", "superior-hall"))
+	local := f.query()
+	local.CrossCost = 1000
+	cross := f.query()
+	cross.Exclude = []ident.UpstreamID{"e0", "e2"}
+	f.serve(c, 5, cross, fast)
+	f.serve(c, 5, local, func(upstream.Lease) upstream.Report { return completed(300 * time.Millisecond) })
+	c.Assert(f.state("e0", 1), qt.Equals, upstream.StateEjected)
+}
--- a/upstream/tick.go
+++ b/upstream/tick.go
@@ -256,7 +256,9 @@
 	t.scratch = latencies
 	if len(latencies) > 0 {
 		slices.Sort(latencies)
-		p.median = latencies[len(latencies)/2]
+		// Of an even number the lower one: of two, the slow one would else be the
+		// median and never a straggler.
+		p.median = latencies[(len(latencies)-1)/2]
 	}
 	p.compareHosts(now, p.locals > 0)
 	// The local rows come first, since the prior of the others depends on them.
