Bound retries by stage, and admit work whose usual latency is near its deadline

Timeline events: 369 requests refused for their deadline by the limiter, whose expected time (mean and two deviations) exceeded the deadline, so that only one request a host ran at a time and corrected the estimate slowly. 140 hedges to the rerankers, paid for by the first tries of all stages, took half of their capacity; some were started at the deadline because no duration was known.

The margin of deviations now counts only for requests that wait; the budget has a bucket for each stage; a hedge needs an upstream that is expected to finish sooner than the first attempt has taken.

--- a/organisation/limiter.go
+++ b/organisation/limiter.go
@@ -151,11 +151,14 @@
 	}
 	// With nothing in flight the estimate may be outdated and would not change.
 	if l.inFlight > 0 {
-		wait := 0.0
+		// The margin for deviations is for requests that wait. Without a wait it
+		// would refuse nearly all requests of a service whose usual latency is
+		// close to its deadline, and the few others could not correct the estimate.
+		needed := l.limit.service
 		if !fits {
-			wait = l.queues.ahead(organisation, cost) * l.limit.service / l.limit.current()
+			needed = l.limit.expected() + l.queues.ahead(organisation, cost)*l.limit.service/l.limit.current()
 		}
-		if remaining.Seconds() < wait+l.limit.expected() {
+		if remaining.Seconds() < needed {
 			return nil, ErrDeadline
 		}
 	}
--- a/pipeline/attempt.go
+++ b/pipeline/attempt.go
@@ -45,8 +45,9 @@
 	first   time.Duration // until the first token; answers differ in length, first tokens compare
 }
 
-// place chooses an upstream for a new attempt at the stage.
-func (r *run) place(stage document.Stage, prefix upstream.Prefix, exclude []ident.UpstreamID) (attempt, error) {
+// place chooses an upstream for a new attempt at the stage. With within above 0
+// it is one that is expected to complete in that time.
+func (r *run) place(stage document.Stage, prefix upstream.Prefix, exclude []ident.UpstreamID, within time.Duration) (attempt, error) {
 	now := r.cfg.Now()
 	if r.job.Suspect {
 		exclude = r.suspects.occupied(exclude)
@@ -59,6 +60,7 @@
 		CrossCost:  r.job.Service.CrossCost,
 		Cost:       stage.Cost,
 		Repeatable: r.job.Route.Repeatable && !r.job.Suspect,
+		Within:     within,
 	})
 	switch {
 	case errors.Is(err, upstream.ErrOverloaded):
@@ -170,12 +172,12 @@
 	case errors.Is(err, ErrNotSent), errors.Is(err, ErrLeaving):
 		return nil
 	case errors.Is(err, ErrOverloaded):
-		return r.budgeted(halt(outcome.Overload, err))
+		return r.budgeted(a.stage, halt(outcome.Overload, err))
 	case errors.As(err, &status) && status.Status < 500:
 		return halt(outcome.UpstreamError, err)
 	case crashed(err):
 		r.job.Guard.Lost(ctx, a.lease)
-		if denied := r.budgeted(halt(outcome.UpstreamError, err)); denied != nil {
+		if denied := r.budgeted(a.stage, halt(outcome.UpstreamError, err)); denied != nil {
 			return denied
 		}
 		if !r.job.Guard.Again(ctx) {
@@ -184,12 +186,12 @@
 		r.job.Suspect = true
 		return nil
 	}
-	return r.budgeted(halt(outcome.UpstreamError, err))
+	return r.budgeted(a.stage, halt(outcome.UpstreamError, err))
 }
 
 // budgeted returns nil if the retry budget pays for one more attempt, else denied.
-func (r *run) budgeted(denied error) error {
-	if r.job.Budget.Take() {
+func (r *run) budgeted(stage document.Stage, denied error) error {
+	if r.job.Budget.Take(stage.Name) {
 		return nil
 	}
 	r.event("retry denied", "")
--- a/pipeline/budget.go
+++ b/pipeline/budget.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/nutmegshift/nutmegshift/ident"
 )
 
 const (
@@ -18,51 +20,88 @@
 )
 
 // Budget limits the retries and hedged requests of one service with a token
-// bucket. It is safe for concurrent use; one mutex guards its state.
+// bucket for each stage: with one for the service, a slow stage would receive
+// the retries that all of them have earned. It is safe for concurrent use; one
+// mutex guards its state.
 type Budget struct {
 	now func() time.Time
 
 	mu     sync.Mutex
+	stages map[ident.StageName]*bucket
+}
+
+type bucket struct {
 	tokens float64
 	at     time.Time // of the last refill
 }
 
-// NewBudget returns a budget that holds its floor.
+// NewBudget returns a budget that holds its floor for each stage.
 func NewBudget(now func() time.Time) *Budget {
 	return &Budget{
 		now:    now,
-		tokens: budgetFloor,
-		at:     now(),
+		stages: make(map[ident.StageName]*bucket),
+	}
+}
+
+// stage returns the bucket of a stage; b.mu is held.
+func (b *Budget) stage(name ident.StageName) *bucket {
+	s := b.stages[name]
+	if s == nil {
+		if len(b.stages) >= estimateStages {
+			b.forget()
+		}
+		s = &bucket{
+			tokens: budgetFloor,
+			at:     b.now(),
+		}
+		b.stages[name] = s
+	}
+	return s
+}
+
+// forget removes the stage that was refilled longest ago.
+func (b *Budget) forget() {
+	var oldest ident.StageName
+	var at time.Time
+	for name, s := range b.stages {
+		if at.IsZero() || s.at.Before(at) {
+			oldest = name
+			at = s.at
+		}
 	}
+	delete(b.stages, oldest)
 }
 
-// First records a first try, which earns a part of a retry.
-func (b *Budget) First() {
+// First records a first try at the stage, which earns a part of a retry.
+func (b *Budget) First(stage ident.StageName) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(budgetMost, b.tokens+budgetRatio)
+	s := b.stage(stage)
+	s.tokens = min(budgetMost, s.tokens+budgetRatio)
 }
 
-// Take reports whether a retry or hedged request may be sent, and takes it from
-// the budget.
-func (b *Budget) Take() bool {
+// Take reports whether a retry or hedged request of the stage may be sent, and
+// takes it from the budget.
+func (b *Budget) Take(stage ident.StageName) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	if b.tokens < budgetFloor {
-		b.tokens = min(budgetFloor, b.tokens+max(0, now.Sub(b.at).Seconds())*budgetFloorRate)
+	s := b.stage(stage)
+	if s.tokens < budgetFloor {
+		s.tokens = min(budgetFloor, s.tokens+max(0, now.Sub(s.at).Seconds())*budgetFloorRate)
 	}
-	b.at = now
-	if b.tokens < 1 {
+	s.at = now
+	if s.tokens < 1 {
 		return false
 	}
-	b.tokens--
+	s.tokens--
 	return true
 }
 
 // Return gives back what Take took if the request was not sent.
-func (b *Budget) Return() {
+func (b *Budget) Return(stage ident.StageName) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(budgetMost, b.tokens+1)
+	s := b.stage(stage)
+	s.tokens = min(budgetMost, s.tokens+1)
 }
--- a/pipeline/budget_test.go
+++ b/pipeline/budget_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/pipeline"
 )
 
@@ -33,8 +34,8 @@
 			for second := range test.quiet + test.fail {
 				for range test.rate {
 					now = now.Add(time.Second / time.Duration(test.rate))
-					b.First()
-					if second >= test.quiet && b.Take() {
+					b.First("rerank")
+					if second >= test.quiet && b.Take("rerank") {
 						retries++
 					}
 				}
@@ -52,15 +53,33 @@
 	now := time.Unix(1_000_000, 0)
 	b := pipeline.NewBudget(func() time.Time { return now })
 	for range 100 {
-		c.Assert(b.Take(), qt.IsTrue)
-		b.Return()
+		c.Assert(b.Take("rerank"), qt.IsTrue)
+		b.Return("rerank")
 	}
 }
 
+// Guards against a slow stage that receives the retries earned by all stages.
+func TestBudgetOfStage(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_000_000, 0)
+	b := pipeline.NewBudget(func() time.Time { return now })
+	retries := 0
+	for range 1000 {
+		for _, stage := range []ident.StageName{"encode", "retrieve", "rerank"} {
+			b.First(stage)
+		}
+		if b.Take("rerank") {
+			retries++
+		}
+	}
+	c.Assert(retries >= 100, qt.IsTrue)
+	c.Assert(retries <= 102, qt.IsTrue, qt.Commentf("%d retries for 1000 first tries", retries))
+}
+
 func BenchmarkBudget(b *testing.B) {
 	budget := pipeline.NewBudget(time.Now)
 	for b.Loop() {
-		budget.First()
-		budget.Take()
+		budget.First("rerank")
+		budget.Take("rerank")
 	}
 }
--- a/pipeline/generate.go
+++ b/pipeline/generate.go
@@ -46,11 +46,11 @@
 func (r *run) generate(ctx context.Context, stage document.Stage, prompt string) (string, error) {
 	ctx, cancel := r.limit(ctx, stage)
 	defer cancel()
-	r.job.Budget.First()
+	r.job.Budget.First(stage.Name)
 	made := &generation{}
 	var exclude []ident.UpstreamID
 	for {
-		placed, err := r.place(stage, prefixOf(prompt), exclude)
+		placed, err := r.place(stage, prefixOf(prompt), exclude, 0)
 		if err != nil {
 			return "", err
 		}
--- a/pipeline/plain.go
+++ b/pipeline/plain.go
@@ -22,10 +22,10 @@
 	if r.late(nil) {
 		return r.end(outcome.Deadline, "no time left")
 	}
-	r.job.Budget.First()
+	r.job.Budget.First(stage.Name)
 	var exclude []ident.UpstreamID
 	for {
-		placed, err := r.place(stage, 0, exclude)
+		placed, err := r.place(stage, 0, exclude, 0)
 		if err != nil {
 			return r.failed(ctx, stage, err)
 		}
--- a/pipeline/transform.go
+++ b/pipeline/transform.go
@@ -46,7 +46,7 @@
 		Body:     body,
 		Priority: r.job.Priority,
 	}
-	r.job.Budget.First()
+	r.job.Budget.First(stage.Name)
 	var exclude []ident.UpstreamID
 	for {
 		done, err := r.hedged(ctx, stage, call, &exclude)
@@ -72,24 +72,27 @@
 	ctx, cancel := r.limit(ctx, stage)
 	defer cancel()
 	ends := make(chan ended)
-	running, err := r.launch(ctx, stage, call, exclude, ends)
+	start := r.cfg.Now()
+	running, err := r.launch(ctx, stage, call, exclude, 0, ends)
 	if err != nil {
 		return ended{}, err
 	}
-	hedge := time.NewTimer(r.hedgeDelay(stage))
-	defer hedge.Stop()
+	hedge, stop := r.hedgeTimer(stage)
+	defer stop()
 	var winner *ended
 	var last ended
 	for running > 0 {
 		select {
-		case <-hedge.C:
-			if r.job.Suspect || winner != nil || !r.job.Budget.Take() {
+		case <-hedge:
+			if r.job.Suspect || winner != nil || !r.job.Budget.Take(stage.Name) {
 				continue
 			}
-			// A hedge that finds no upstream is given up; the first attempt goes on.
-			started, err := r.launch(ctx, stage, call, exclude, ends)
+			// A hedge that finds no upstream expected to finish sooner than the
+			// first attempt has taken is given up: the whole pool is slow, and
+			// hedges would take capacity from it.
+			started, err := r.launch(ctx, stage, call, exclude, r.cfg.Now().Sub(start), ends)
 			if err != nil {
-				r.job.Budget.Return()
+				r.job.Budget.Return(stage.Name)
 				continue
 			}
 			r.event("hedge", "", field("stage", string(stage.Name)))
@@ -114,8 +117,8 @@
 }
 
 // launch starts one attempt whose end arrives at ends, and returns how many it started.
-func (r *run) launch(ctx context.Context, stage document.Stage, call Call, exclude *[]ident.UpstreamID, ends chan<- ended) (int, error) {
-	placed, err := r.place(stage, 0, *exclude)
+func (r *run) launch(ctx context.Context, stage document.Stage, call Call, exclude *[]ident.UpstreamID, within time.Duration, ends chan<- ended) (int, error) {
+	placed, err := r.place(stage, 0, *exclude, within)
 	if err != nil {
 		return 0, err
 	}
@@ -140,12 +143,15 @@
 	return context.WithCancel(ctx)
 }
 
-func (r *run) hedgeDelay(stage document.Stage) time.Duration {
+// hedgeTimer fires when an attempt has become a straggler; it never does while
+// the stage's duration is not known.
+func (r *run) hedgeTimer(stage document.Stage) (<-chan time.Time, func() bool) {
 	slow := r.job.Estimates.Stage(stage.Name).High
 	if slow <= 0 {
-		return time.Until(r.job.Deadline)
+		return nil, func() bool { return false }
 	}
-	return time.Duration(float64(slow) * hedgeFactor)
+	timer := time.NewTimer(time.Duration(float64(slow) * hedgeFactor))
+	return timer.C, timer.Stop
 }
 
 // checked drops the result of another attempt and turns error statuses into errors.
--- a/upstream/choose.go
+++ b/upstream/choose.go
@@ -28,14 +28,16 @@
 	Pool       document.PoolRef
 	Prefix     Prefix
 	Exclude    []ident.UpstreamID
-	Weight     float64 // attainment weight of the service, 0..1
-	CrossCost  float64 // price of an attempt in another failure domain
-	Cost       float64 // price of one second at the stage; 0 means 1
-	Repeatable bool    // idempotent work; only such work is used for trials
+	Weight     float64       // attainment weight of the service, 0..1
+	CrossCost  float64       // price of an attempt in another failure domain
+	Cost       float64       // price of one second at the stage; 0 means 1
+	Repeatable bool          // idempotent work; only such work is used for trials
+	Within     time.Duration // longest expected completion, as for a hedge; 0: any
 }
 
 // Choose returns a lease on the upstream with the least expected completion time
-// and price, ErrNoUpstream, or ErrOverloaded if all that remain are overloaded.
+// and price, ErrNoUpstream, or ErrOverloaded if all that remain are overloaded or
+// slower than the query permits.
 func (t *Table) Choose(now time.Time, q Query) (Lease, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -52,7 +54,7 @@
 			continue
 		}
 		switch {
-		case r.state == StateEjected && q.Repeatable && !r.trial && !now.Before(r.retrial):
+		case r.state == StateEjected && q.Repeatable && q.Within == 0 && !r.trial && !now.Before(r.retrial):
 			r.trial = true
 			return lease(r, true), nil
 		case !r.open():
@@ -74,10 +76,15 @@
 	}
 	local, localTime := t.best(now, q.Prefix, places[:front])
 	cross, crossTime := t.best(now, q.Prefix, places[back:])
+	chosen, expected := local, localTime
 	if local == nil || cross != nil && q.worthCrossing(local, localTime, cross, crossTime) {
-		return lease(cross, false), nil
+		chosen, expected = cross, crossTime
 	}
-	return lease(local, false), nil
+	// Nothing is expected of an upstream that has not been measured.
+	if q.Within > 0 && chosen.latency > 0 && expected > q.Within.Seconds() {
+		return Lease{}, errors.Annotatef(ErrOverloaded, "choosing in %s/%s within %s", q.Pool.Service, q.Pool.Pool, q.Within)
+	}
+	return lease(chosen, false), nil
 }
 
 // worthCrossing compares the best candidates within and outside the local
