--- a/pipeline/attempt.go
+++ b/pipeline/attempt.go
@@ -45,8 +45,9 @@
 	first   time.Duration // until the first token; answers differ in length, first tokens compare
 }
 
-// place chooses an upstream for a new attempt at the stage.
-func (r *run) place(stage document.Stage, prefix upstream.Prefix, exclude []ident.UpstreamID) (attempt, error) {
+// place chooses an upstream for a new attempt at the stage. With within above 0
+// it is one that is expected to complete in that time.
+func (r *run) place(stage document.Stage, prefix upstream.Prefix, exclude []ident.UpstreamID, within time.Duration) (attempt, error) {
 	now := r.cfg.Now()
 	if r.job.Suspect {
 		exclude = r.suspects.occupied(exclude)
@@ -59,6 +60,7 @@
 		CrossCost:  r.job.Service.CrossCost,
 		Cost:       stage.Cost,
 		Repeatable: r.job.Route.Repeatable && !r.job.Suspect,
+		Within:     within,
 	})
 	switch {
 	case errors.Is(err, upstream.ErrOverloaded):
@@ -123,13 +125,17 @@
 	switch {
 	case err == nil:
 		return upstream.Completed{}
+	case errors.Is(err, context.Canceled):
+		// This comes before ErrNotSent: a hedge that lost while it connected says
+		// nothing against its upstream. A deadline does not, as dialling has one.
+		return upstream.Cancelled{}
 	case errors.Is(err, ErrNotSent):
 		return upstream.NotSent{}
 	case errors.Is(err, ErrLeaving):
 		return upstream.Leaving{}
 	case errors.Is(err, ErrOverloaded):
 		return upstream.Overloaded{}
-	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, context.DeadlineExceeded):
 		return upstream.Cancelled{}
 	case errors.As(err, &status):
 		return upstream.Completed{
@@ -145,6 +151,13 @@
 	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrLeaving) || errors.Is(err, ErrOverloaded)
 }
 
+// broken reports whether the upstream broke the connection. An attempt that
+// this host cut off, such as one that took longer than the stage's timeout, is
+// lost too but says nothing about a crash.
+func broken(err error) bool {
+	return errors.Is(err, ErrLost) && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded)
+}
+
 // again decides whether a repeatable stage may be tried again after err, and
 // returns the reason why not. A lost connection makes the content a suspect,
 // which is recorded before anything else happens.
@@ -159,12 +172,12 @@
 	case errors.Is(err, ErrNotSent), errors.Is(err, ErrLeaving):
 		return nil
 	case errors.Is(err, ErrOverloaded):
-		return r.budgeted(halt(outcome.Overload, err))
+		return r.budgeted(a.stage, halt(outcome.Overload, err))
 	case errors.As(err, &status) && status.Status < 500:
 		return halt(outcome.UpstreamError, err)
-	case errors.Is(err, ErrLost):
+	case broken(err):
 		crashed := r.job.Guard.Lost(ctx, a.lease)
-		if denied := r.budgeted(halt(outcome.UpstreamError, err)); denied != nil {
+		if denied := r.budgeted(a.stage, halt(outcome.UpstreamError, err)); denied != nil {
 			return denied
 		}
 		if crashed && !r.job.Guard.Again(ctx) {
@@ -173,12 +186,12 @@
 		r.job.Suspect = r.job.Suspect || crashed
 		return nil
 	}
-	return r.budgeted(halt(outcome.UpstreamError, err))
+	return r.budgeted(a.stage, halt(outcome.UpstreamError, err))
 }
 
 // budgeted returns nil if the retry budget pays for one more attempt, else denied.
-func (r *run) budgeted(denied error) error {
-	if r.job.Budget.Take() {
+func (r *run) budgeted(stage document.Stage, denied error) error {
+	if r.job.Budget.Take(stage.Name) {
 		return nil
 	}
 	r.event("retry denied", "")
--- a/pipeline/example_test.go
+++ b/pipeline/example_test.go
@@ -13,10 +13,10 @@
 	now := time.Unix(1_800_000_000, 0)
 	budget := pipeline.NewBudget(func() time.Time { return now })
 	for range 35 {
-		budget.First() // once for each request, before its first attempt
+		budget.First("rerank") // once for each request, before its first attempt
 	}
 	retries := 0
-	for budget.Take() { // before each retry or hedged request
+	for budget.Take("rerank") { // before each retry or hedged request
 		retries++
 	}
 	fmt.Println("retries:", retries) // 3.5 earned, 2 of the floor
--- a/pipeline/plain.go
+++ b/pipeline/plain.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/juju/errors"
-
 	"github.com/nutmegshift/nutmegshift/document"
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/outcome"
@@ -24,10 +22,10 @@
 	if r.late(nil) {
 		return r.end(outcome.Deadline, "no time left")
 	}
-	r.job.Budget.First()
+	r.job.Budget.First(stage.Name)
 	var exclude []ident.UpstreamID
 	for {
-		placed, err := r.place(stage, 0, exclude)
+		placed, err := r.place(stage, 0, exclude, 0)
 		if err != nil {
 			return r.failed(ctx, stage, err)
 		}
@@ -72,7 +70,7 @@
 
 // unknown ends a non-repeatable job that may have run.
 func (r *run) unknown(ctx context.Context, placed attempt, err error) outcome.Outcome {
-	if errors.Is(err, ErrLost) {
+	if broken(err) {
 		r.job.Guard.Lost(ctx, placed.lease)
 	}
 	r.event("end", placed.id, field("reason", string(outcome.ConnectionLost)))
