order: Retry deferred loads on the next ticks

Where engines take several ticks, a page that wants many loads got one burst of them in a round while the weight store idled: 8 loads in 43 ticks at two a second. Engines whose loads were deferred now go first as soon as the rate admits them, within the bound on engines of a tick.

--- a/order/pass.go
+++ b/order/pass.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,9 @@
 	loads  *rate.Limiter
 	mu     sync.Mutex
 	report Report
+	// deferred holds the engines with a load that the weight store's rate left
+	// for a later tick.
+	deferred []ident.UpstreamID
 }
 
 // run hands the rows to the workers and waits for them. It returns
@@ -84,7 +88,7 @@
 			return errors.Annotatef(ErrNotHolder, "lease ended before an order to engine %q", row.engine)
 		}
 		if _, load := order.(Load); load && !p.loads.AllowN(now, 1) {
-			p.count(0, 1)
+			p.putOff(row.engine)
 			continue
 		}
 		err := p.config.Engines.Send(ctx, row.engine, p.fence, order)
@@ -94,7 +98,7 @@
 		if err != nil {
 			return errors.Annotatef(err, "send order to engine %q", row.engine)
 		}
-		p.count(1, 0)
+		p.sent()
 	}
 	return nil
 }
@@ -106,9 +110,18 @@
 	return err == nil && ident.FencingNumber(entry.Version) == p.fence
 }
 
-func (p *pass) count(sent, deferred int) {
+func (p *pass) sent() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.report.Sent += sent
-	p.report.Deferred += deferred
+	p.report.Sent++
+}
+
+// putOff records a deferred load. One worker handles all orders to an engine.
+func (p *pass) putOff(engine ident.UpstreamID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.report.Deferred++
+	if !slices.Contains(p.deferred, engine) {
+		p.deferred = append(p.deferred, engine)
+	}
 }
--- a/order/reconciler.go
+++ b/order/reconciler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -82,6 +83,11 @@
 	turn   int       // rotates the engine that a tick begins with
 	after  kv.Key    // last wanted state of the previous tick; empty at the beginning of a round
 	look   time.Time // another host held the lease, which is not read again before
+	paged  bool      // the fleet has more than one page
+	// backlog holds the engines whose loads were deferred. Without it a page that
+	// wants many loads would get one burst of them in a round, and the weight
+	// store would idle on the other pages.
+	backlog []ident.UpstreamID
 }
 
 // New returns a reconciler that holds no lease.
@@ -132,17 +138,10 @@
 	if err != nil || !held {
 		return Report{}, err
 	}
-	rows, err := r.wanted(ctx)
+	rows, err := r.next(ctx)
 	if err != nil {
 		return Report{}, err
 	}
-	if len(rows) > 0 {
-		// The weight store's rate may leave loads over; the next tick begins
-		// with other engines, so that all get their turn.
-		first := r.turn % len(rows)
-		rows = append(rows[first:len(rows):len(rows)], rows[:first]...)
-		r.turn++
-	}
 	p := &pass{
 		config: r.config,
 		until:  r.until,
@@ -155,6 +154,7 @@
 		},
 	}
 	err = p.run(ctx, rows)
+	r.remember(rows, p.deferred)
 	return p.report, err
 }
 
@@ -257,6 +257,7 @@
 	r.fence = ident.FencingNumber(version)
 	r.loads = rate.NewLimiter(r.config.LoadRate, r.config.LoadBurst)
 	r.loads.AllowN(r.config.Now(), r.config.LoadBurst)
+	r.backlog = nil
 }
 
 // row is the desired state of one engine.
@@ -266,20 +267,53 @@
 	err    error // the entry cannot be decoded
 }
 
-// wanted reads the next PerTick wanted states with one call of the store.
-func (r *Reconciler) wanted(ctx context.Context) ([]row, error) {
-	page, err := r.config.Store.List(ctx, wantedPrefix, r.after, r.config.PerTick)
+// next returns the engines of this tick, at most PerTick: those of the backlog
+// that the weight store's rate admits, then the next page.
+func (r *Reconciler) next(ctx context.Context) ([]row, error) {
+	var rows []row
+	if r.paged {
+		waiting := min(len(r.backlog), int(r.loads.TokensAt(r.config.Now())), r.config.PerTick/2)
+		for _, engine := range r.backlog[:waiting] {
+			found, err := GetWanted(ctx, r.config.Store, engine)
+			switch {
+			case errors.Is(err, kv.ErrNotFound):
+			case err != nil && found.Err == nil:
+				return nil, errors.Annotatef(ErrStore, "read backlog: %v", err)
+			default:
+				rows = append(rows, newRow(found))
+			}
+		}
+		r.backlog = r.backlog[waiting:]
+	}
+	page, err := r.page(ctx, r.config.PerTick-len(rows))
+	if err != nil {
+		return nil, err
+	}
+	for _, row := range page {
+		if !contains(rows, row.engine) {
+			rows = append(rows, row)
+		}
+	}
+	if !r.paged && len(rows) > 0 {
+		// The weight store's rate may leave loads over; the next tick begins
+		// with other engines, so that all get their turn.
+		first := r.turn % len(rows)
+		rows = append(rows[first:len(rows):len(rows)], rows[:first]...)
+		r.turn++
+	}
+	return rows, nil
+}
+
+// page reads the next wanted states with one call of the store.
+func (r *Reconciler) page(ctx context.Context, limit int) ([]row, error) {
+	page, err := r.config.Store.List(ctx, wantedPrefix, r.after, limit)
 	if err != nil {
 		return nil, errors.Annotatef(ErrStore, "list wanted states: %v", err)
 	}
+	r.paged = page.More || r.after != ""
 	rows := make([]row, 0, len(page.Entries))
 	for _, entry := range page.Entries {
-		found := decodeWanted(entry)
-		rows = append(rows, row{
-			engine: found.Engine,
-			wanted: found.Wanted,
-			err:    found.Err,
-		})
+		rows = append(rows, newRow(decodeWanted(entry)))
 		r.after = entry.Key
 	}
 	if !page.More {
@@ -287,3 +321,27 @@
 	}
 	return rows, nil
 }
+
+// remember updates the backlog after a tick that handled rows.
+func (r *Reconciler) remember(handled []row, deferred []ident.UpstreamID) {
+	if !r.paged {
+		r.backlog = nil // every tick handles all engines
+		return
+	}
+	r.backlog = slices.DeleteFunc(slices.Clone(r.backlog), func(engine ident.UpstreamID) bool {
+		return contains(handled, engine)
+	})
+	r.backlog = append(r.backlog, deferred...)
+}
+
+func newRow(found Declared) row {
+	return row{
+		engine: found.Engine,
+		wanted: found.Wanted,
+		err:    found.Err,
+	}
+}
+
+func contains(rows []row, engine ident.UpstreamID) bool {
+	return slices.ContainsFunc(rows, func(row row) bool { return row.engine == engine })
+}
--- a/order/round_test.go
+++ b/order/round_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -110,7 +111,12 @@
 func TestStoreCallsPerTick(t *testing.T) {
 	c := qt.New(t)
 	f, r := large(t, 10*perTick)
-	f.tick(c, r) // takes the lease
+	for range 30 { // loads of the backlog cost a read each
+		before := f.store.Counts()
+		f.tick(c, r)
+		after := f.store.Counts()
+		c.Assert(after.Reads-before.Reads <= 2+perTick/2, qt.IsTrue)
+	}
 	for range 30 {
 		before := f.store.Counts()
 		f.tick(c, r)
@@ -121,6 +127,59 @@
 	}
 }
 
+// Guards against a page that wants many loads and gets one burst of them in a
+// round, although the weight store idles during the rest of the round.
+func TestLoadsOfOnePage(t *testing.T) {
+	const (
+		pages = 10
+		burst = 2
+	)
+	c := qt.New(t)
+	f, settle := large(t, pages*perTick)
+	for range 3 * pages {
+		f.tick(c, settle)
+	}
+	c.Assert(settle.Release(context.Background()), qt.IsNil)
+	changed := make([]ident.UpstreamID, 0, perTick)
+	for i := range perTick {
+		id := ident.UpstreamID(fmt.Sprintf("engine-%04d", 3*perTick+i))
+		found, err := order.GetWanted(context.Background(), f.store, id)
+		c.Assert(err, qt.IsNil)
+		f.want(c, id, found.Version, "n")
+		changed = append(changed, id)
+	}
+	r := order.New(order.Config{
+		Host:      "b",
+		Store:     f.store,
+		Engines:   f,
+		Now:       f.Now,
+		Log:       zerolog.Nop(),
+		TTL:       ttl,
+		Limit:     time.Minute,
+		Workers:   4,
+		PerTick:   perTick,
+		LoadRate:  burst,
+		LoadBurst: burst,
+	})
+	loaded := func() int {
+		n := 0
+		for _, id := range changed {
+			if slices.Contains(f.models(id), ident.ModelName("n")) {
+				n++
+			}
+		}
+		return n
+	}
+	for tick := 1; loaded() < perTick; tick++ {
+		before := loaded()
+		report := f.tick(c, r)
+		c.Assert(report.Engines <= perTick, qt.IsTrue)
+		c.Assert(loaded()-before <= burst, qt.IsTrue)
+		// A round may pass before the page is reached, then every tick loads.
+		c.Assert(tick <= pages+perTick/burst, qt.IsTrue, qt.Commentf("%d loads after %d ticks", loaded(), tick))
+	}
+}
+
 // Guards against an operator who cannot read or replace a broken entry.
 func TestReadWanted(t *testing.T) {
 	c := qt.New(t)
