Report a peer call that outlives its deadline as undecided

A handler that returns when its context ends raced with the caller's own deadline, so TestFaults/slow_claim at times saw a refusal, which a caller may take for a definite answer.

--- a/peer/grpcpeer/server.go
+++ b/peer/grpcpeer/server.go
@@ -23,8 +23,8 @@
 	stopTimeout = time.Second
 )
 
-// Handler acts on the calls of other entry hosts. An error is returned to the
-// caller as ErrRefused.
+// Handler acts on the calls of other entry hosts. The caller sees an error as
+// ErrRefused, or as ErrUnreachable once the call's context has ended.
 type Handler interface {
 	Exchange(message peer.Message) peer.Message
 	Claim(ctx context.Context, from ident.HostID, claims []ClaimItem) ([][]byte, error)
@@ -131,7 +131,7 @@
 	s.stamper.observe(request.GetStamp())
 	decisions, err := s.handler.Claim(ctx, ident.HostID(request.GetFrom()), claims)
 	if err != nil {
-		return nil, status.Error(codes.FailedPrecondition, err.Error())
+		return nil, refusal(ctx, err)
 	}
 	reply := &ClaimDecisions{
 		Stamp: s.stamper.stamp(),
@@ -179,13 +179,22 @@
 	}
 	s.stamper.observe(request.GetStamp())
 	if err := s.handler.Strike(ctx, ident.HostID(request.GetFrom()), strike); err != nil {
-		return nil, status.Error(codes.FailedPrecondition, err.Error())
+		return nil, refusal(ctx, err)
 	}
 	return &StrikeReply{
 		Stamp: s.stamper.stamp(),
 	}, nil
 }
 
+// refusal returns the status of a handler's error. After the deadline it is that
+// of the deadline: the caller must not take an interrupted call for a refusal.
+func refusal(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return status.FromContextError(ctx.Err()).Err()
+	}
+	return status.Error(codes.FailedPrecondition, err.Error())
+}
+
 // limit bounds the time of a call.
 func limit(ctx context.Context, request any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
