--- a/internal/command/order.go
+++ b/internal/command/order.go
@@ -62,14 +62,6 @@
 	}
 }
 
-func storeFlag() cli.Flag {
-	return &cli.StringFlag{
-		Name:     "store",
-		Usage:    "`ADDRESS` (ip:port) of the key-value service",
-		Required: true,
-	}
-}
-
 func newStore(command *cli.Command) kv.Store {
 	return httpkv.New(httpkv.Config{
 		Address: ident.Address(command.String("store")),
