--- a/internal/system/claims_test.go
+++ b/internal/system/claims_test.go
@@ -17,11 +17,13 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/juju/errors"
 
+	"github.com/nutmegshift/nutmegshift/claim"
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/kvjson"
 	"github.com/nutmegshift/nutmegshift/internal/standin"
 	"github.com/nutmegshift/nutmegshift/internal/standin/platform"
 	"github.com/nutmegshift/nutmegshift/internal/standin/upstreams"
+	"github.com/nutmegshift/nutmegshift/peer"
 )
 
 const (
@@ -298,6 +300,38 @@
 	h.pass.ServeHTTP(w, request)
 }
 
+// ownedBy returns a submission whose claim entry host i writes itself, as the
+// owner of its partition.
+func (r *claimRun) ownedBy(t *testing.T, i int) string {
+	t.Helper()
+	host := func(i int) ident.HostID {
+		return ident.HostID(fmt.Sprintf("%s-%d", r.layout.Deployment.Name, i))
+	}
+	table := peer.NewTable(peer.Row{
+		Host:  host(1),
+		State: peer.Alive,
+	})
+	var others []peer.Row
+	for other := 2; other <= entries; other++ {
+		others = append(others, peer.Row{
+			Host:    host(other),
+			Address: r.layout.Peers(other),
+			State:   peer.Alive,
+		})
+	}
+	table.Merge(time.Now(), others)
+	view := table.Snapshot()
+	for number := range 1000 {
+		submission := fmt.Sprintf("frozen-%d", number)
+		identity := claim.NewIdentity(entriesAPI, organisation, submission)
+		if owner, ok := view.Owner(uint64(identity.Partition())); ok && owner == host(i) {
+			return submission
+		}
+	}
+	t.Fatalf("no submission is owned by entry host %d", i)
+	return ""
+}
+
 // Guards against a repeat that runs while the claim's holder is frozen, and
 // against a holder that dispatches after its deadline.
 func TestFrozenHost(t *testing.T) {
@@ -328,8 +362,13 @@
 			h.armed <- struct{}{}
 			first := make(chan send, 1)
 			begin := time.Now()
-			go func() { first <- r.enter("s", 0, 1) }()
-			<-h.held
+			submission := r.ownedBy(t, 1)
+			go func() { first <- r.enter(submission, 0, 1) }()
+			select {
+			case <-h.held:
+			case <-time.After(patience):
+				t.Fatal("entry host 1 wrote no claim")
+			}
 			r.hosts[1].freeze(t)
 			r.storeFaults(platform.Faults{
 				LoseAnswer: test.lose,
@@ -338,7 +377,7 @@
 			number := 0
 			repeat := func(host int) end {
 				number++
-				return r.enter("s", number, host).end
+				return r.enter(submission, number, host).end
 			}
 			for _, host := range []int{2, 3, 2, 3} {
 				qt.Check(t, repeat(host), qt.Equals, unknown)
