--- a/internal/system/claims_test.go
+++ b/internal/system/claims_test.go
@@ -199,6 +199,14 @@
 				<-r.ended
 			}
 			r.storeFaults(platform.Faults{})
+			await(t, "restart of crashed servers", func() bool {
+				for _, server := range r.servers() {
+					if r.get(server.Address, "/load", nil) != http.StatusOK {
+						return false
+					}
+				}
+				return true
+			})
 			r.upstreamFaults(upstreams.Faults{}, r.servers()...)
 			r.settle(t)
 			r.check(t)
