--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -149,6 +149,7 @@
 	h.peers.keeper = h.keeper
 	h.peers.upstream = h.table
 	h.peers.services = h.server.services
+	h.addGauges()
 	return h
 }
 
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -38,6 +38,7 @@
 	Active    int                 `json:"active"` // requests in progress
 	Finished  uint64              `json:"finished"`
 	Documents []DocumentStatus    `json:"documents"`
+	Broken    map[string]string   `json:"broken,omitempty"` // services whose stored document cannot be put into force
 	Upstreams []UpstreamStatus    `json:"upstreams"`
 	Peers     []PeerStatus        `json:"peers"`
 	Costs     []StageCost         `json:"costs"`
@@ -63,6 +64,12 @@
 			Team:     held.Owner,
 		})
 	}
+	for name, err := range h.syncer.Broken() {
+		if status.Broken == nil {
+			status.Broken = make(map[string]string)
+		}
+		status.Broken[string(name)] = err.Error()
+	}
 	for _, row := range h.peers.table.Snapshot().Rows() {
 		status.Peers = append(status.Peers, PeerStatus{
 			Host:   row.Host,
