Follow slow stages and refusals with the concurrency limit

Cause: while most requests are late, too few complete to end a window before 2 s, so that the limit stayed at its initial 32 a host for the first seconds; once it fell, a stage that had become slower kept it at its least value until the baseline was renewed after 30 s, and it rose by 1 a window. Refusals now end a window, a latency that is high at the least limit becomes the baseline, and the limit rises by a quarter while the latency is near the baseline.

--- a/organisation/limit.go
+++ b/organisation/limit.go
@@ -8,12 +8,20 @@
 const (
 	window        = 100 * time.Millisecond // shortest interval between changes of the limit
 	windowSamples = 20                     // fewest latencies that a change rests on
+	windowRounds  = 2                      // of the limit suffice if they are fewer
 	windowLongest = 2 * time.Second        // after which fewer will do
+	// windowRefusals end a window early: while most requests are refused or late,
+	// too few complete to fill it.
+	windowRefusals = 4
 	// tolerance is the factor over the baseline latency that counts as congestion.
 	tolerance = 1.75
 	decrease  = 0.85
-	refused   = 0.7 // factor when upstreams refuse work
-	usedPart  = 0.8 // of the limit that must be in use for it to rise
+	// Below uncongested times the baseline the limit rises by the factor growth instead
+	// of 1: from its least value it took over ten windows to recover.
+	uncongested = 1.2
+	growth      = 0.25
+	refused     = 0.7 // factor when upstreams refuse work
+	usedPart    = 0.8 // of the limit that must be in use for it to rise
 	// baselineAge is how long a baseline holds. Its renewal lowers the limit by
 	// probePart for two windows, as otherwise a baseline measured under a standing
 	// queue would raise the next one.
@@ -54,7 +62,7 @@
 	sum     float64
 	samples int
 	peak    float64 // largest cost in flight
-	refusal bool
+	refused int
 }
 
 // current returns the limit now, which is lower during a probe.
@@ -83,7 +91,7 @@
 }
 
 func (l *limit) refuse(now time.Time) {
-	l.refusal = true
+	l.refused++
 	l.adjust(now)
 }
 
@@ -96,13 +104,14 @@
 	age := now.Sub(l.start)
 	// Requests that started before the window say nothing about a new limit.
 	shortest := max(window, time.Duration(l.service*float64(time.Second)))
-	if age < shortest || l.samples < windowSamples && age < windowLongest {
+	samples := min(windowSamples, int(windowRounds*l.current()))
+	if age < shortest || l.samples+l.refused < samples && l.refused < windowRefusals && age < windowLongest {
 		return
 	}
 	if l.samples > 0 {
 		l.learn(now, l.sum/float64(l.samples))
 	}
-	if l.refusal {
+	if l.refused > 0 {
 		l.value *= refused
 	}
 	l.value = min(l.most, max(l.least, l.value))
@@ -110,7 +119,7 @@
 	l.sum = 0
 	l.samples = 0
 	l.peak = 0
-	l.refusal = false
+	l.refused = 0
 }
 
 func (l *limit) learn(now time.Time, latency float64) {
@@ -132,9 +141,16 @@
 		return
 	}
 	switch {
+	case latency > tolerance*l.baseline && l.value <= l.least:
+		// Less work of this host did not help, so a stage has become slower.
+		l.baseline = latency
+		l.renewed = now
 	case latency > tolerance*l.baseline:
 		l.value *= decrease
-	case l.peak >= usedPart*l.value:
+	case l.peak < usedPart*l.value:
+	case latency < uncongested*l.baseline:
+		l.value += max(1, growth*l.value)
+	default:
 		l.value++
 	}
 }
--- a/organisation/limiter_test.go
+++ b/organisation/limiter_test.go
@@ -328,3 +328,45 @@
 		c.Assert(l.Status().Organisations, qt.Equals, 0)
 	})
 }
+
+// rounds fills the limit and ends all requests after the latency, again and again.
+func rounds(c *qt.C, l *organisation.Limiter, now *time.Time, n int, latency time.Duration, end organisation.Result) {
+	for range n {
+		var permits []organisation.Permit
+		for range int(l.Status().Limit) {
+			permit, err := l.Acquire(context.Background(), "one", 1, now.Add(time.Hour))
+			c.Assert(err, qt.IsNil)
+			permits = append(permits, permit)
+		}
+		*now = now.Add(latency)
+		for _, permit := range permits {
+			permit.Release(end)
+		}
+	}
+}
+
+// Guards against a limit that stays at its least value because a stage has become
+// slower, and against one that takes long to rise after that.
+func TestSlowStageIsNoCongestion(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_000_000, 0)
+	l := organisation.New(organisation.Config{
+		Now: func() time.Time { return now },
+	})
+	rounds(c, l, &now, 20, 100*time.Millisecond, organisation.Completed{})
+	rounds(c, l, &now, 70, 400*time.Millisecond, organisation.Completed{})
+	c.Assert(l.Status().Limit >= 32, qt.IsTrue, qt.Commentf("limit %.0f", l.Status().Limit))
+}
+
+// Guards against a limit that falls only every two seconds while few requests
+// complete.
+func TestRefusalsLowerLimitSoon(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_000_000, 0)
+	l := organisation.New(organisation.Config{
+		Now: func() time.Time { return now },
+	})
+	rounds(c, l, &now, 1, 100*time.Millisecond, organisation.Completed{})
+	rounds(c, l, &now, 10, 100*time.Millisecond, organisation.Overloaded{})
+	c.Assert(l.Status().Limit <= 8, qt.IsTrue, qt.Commentf("limit %.0f", l.Status().Limit))
+}
