Stop a stage once the stages after it cannot finish

Cause: requests in the queue of a slow reranker stayed until their deadline, although the generation behind it needs 0.2 s of it, and were then tried again.

--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -188,10 +188,10 @@
 			Name:     "deadline",
 			Usage:    "a deadline of 1 s with rerankers that take 0.5 s",
 			part:     0.6,
-			duration: 8 * second,
+			duration: 9 * second,
 			deadline: second,
 			faults:   slowRerankers,
-			phases:   phases(8*second, 2*second, 5*second),
+			phases:   phases(9*second, 2*second, 7*second),
 			variants: baselineAndNow,
 		},
 		{
@@ -313,7 +313,7 @@
 			},
 		},
 		{
-			at:   5 * time.Second,
+			at:   7 * time.Second,
 			hits: hits,
 		},
 	}
--- a/pipeline/attempt.go
+++ b/pipeline/attempt.go
@@ -169,6 +169,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return halt(outcome.Deadline, ctx.Err())
+	case r.late(r.rest), r.late(append([]document.Stage{a.stage}, r.rest...)):
+		return halt(outcome.Deadline, err)
 	case errors.Is(err, ErrNotSent), errors.Is(err, ErrLeaving):
 		return nil
 	case errors.Is(err, ErrOverloaded):
--- a/pipeline/runner.go
+++ b/pipeline/runner.go
@@ -46,7 +46,8 @@
 	*Runner
 	job  Job
 	sink Sink
-	ran  bool // some upstream may have executed a part of the job
+	ran  bool             // some upstream may have executed a part of the job
+	rest []document.Stage // after the present one
 }
 
 // Run runs the job to its end; tokens of a streamed answer go to sink.
@@ -72,6 +73,7 @@
 		if r.late(stages[i:]) {
 			return r.end(outcome.Deadline, "the remaining stages take longer than the time left")
 		}
+		r.rest = stages[i+1:]
 		var err error
 		if stage.Kind == document.Generate {
 			text, err = r.generate(ctx, stage, text)
@@ -97,6 +99,18 @@
 	return left <= 0 || r.job.Estimates.Remaining(names(remaining)) > left
 }
 
+// limit bounds one attempt by the stage's timeout, and by the time from which
+// the stages after it cannot finish before the deadline.
+func (r *run) limit(ctx context.Context, stage document.Stage) (context.Context, context.CancelFunc) {
+	latest := r.job.Deadline.Add(-r.job.Estimates.Remaining(names(r.rest)))
+	if stage.Timeout > 0 {
+		if timeout := r.cfg.Now().Add(stage.Timeout); timeout.Before(latest) {
+			latest = timeout
+		}
+	}
+	return context.WithDeadline(ctx, latest)
+}
+
 func names(stages []document.Stage) []ident.StageName {
 	found := make([]ident.StageName, 0, len(stages))
 	for _, stage := range stages {
--- a/pipeline/runner_test.go
+++ b/pipeline/runner_test.go
@@ -513,3 +513,23 @@
 	runner.Run(ctx, newJob(assistant(), true, &fakeGuard{}), &fakeSink{})
 	c.Assert(selector.results, qt.DeepEquals, []upstream.Result{upstream.Cancelled{}})
 }
+
+// Guards against a request that holds an upstream although the stages after it
+// can no longer finish before the deadline.
+func TestRunStopsWhenLaterStagesCannotFinish(t *testing.T) {
+	c := qt.New(t)
+	transport := &fakeTransport{
+		calls: []step{{hang: true}},
+	}
+	job := newJob(assistant(), true, &fakeGuard{})
+	for range 50 {
+		job.Estimates.Record("generate", 10*time.Second)
+	}
+	start := time.Now()
+	job.Deadline = start.Add(10*time.Second + 200*time.Millisecond)
+	ended := newRunner(transport).Run(context.Background(), job, &fakeSink{})
+	failed, ok := ended.(outcome.Failed)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("%+v", ended))
+	c.Assert(failed.Reason, qt.Equals, outcome.Deadline)
+	c.Assert(time.Since(start) < 5*time.Second, qt.IsTrue)
+}
--- a/pipeline/transform.go
+++ b/pipeline/transform.go
@@ -135,14 +135,6 @@
 	return 1, nil
 }
 
-// limit bounds one attempt by the stage's timeout.
-func (r *run) limit(ctx context.Context, stage document.Stage) (context.Context, context.CancelFunc) {
-	if stage.Timeout > 0 {
-		return context.WithTimeout(ctx, stage.Timeout)
-	}
-	return context.WithCancel(ctx)
-}
-
 // hedgeTimer fires when an attempt has become a straggler; it never does while
 // the stage's duration is not known.
 func (r *run) hedgeTimer(stage document.Stage) (<-chan time.Time, func() bool) {
