Use failed domains again soon, and try suspects in another one

Upstreams that refused connections were tried after 5 s and then at twice the interval up to 60 s, so that capacity returned late. A suspect's second try now goes to another failure domain where there is one; trials after a refused connect run at intervals of 0.5 to 4 s.

--- a/pipeline/attempt.go
+++ b/pipeline/attempt.go
@@ -61,6 +61,7 @@
 		Cost:       stage.Cost,
 		Repeatable: r.job.Route.Repeatable && !r.job.Suspect,
 		Within:     within,
+		Avoid:      r.lost,
 	})
 	switch {
 	case errors.Is(err, upstream.ErrOverloaded):
@@ -185,7 +186,10 @@
 		if !r.job.Guard.Again(ctx) {
 			return halt(outcome.Quarantined, err)
 		}
+		// Upstreams of a failure domain fail together; a second crash there would
+		// put a harmless request into quarantine.
 		r.job.Suspect = true
+		r.lost = a.lease.Domain
 		return nil
 	}
 	return r.budgeted(a.stage, halt(outcome.UpstreamError, err))
--- a/pipeline/runner.go
+++ b/pipeline/runner.go
@@ -46,8 +46,9 @@
 	*Runner
 	job  Job
 	sink Sink
-	ran  bool             // some upstream may have executed a part of the job
-	rest []document.Stage // after the present one
+	ran  bool                // some upstream may have executed a part of the job
+	rest []document.Stage    // after the present one
+	lost ident.FailureDomain // in which an upstream crashed with the job; empty if none
 }
 
 // Run runs the job to its end; tokens of a streamed answer go to sink.
--- a/upstream/choose.go
+++ b/upstream/choose.go
@@ -28,11 +28,12 @@
 	Pool       document.PoolRef
 	Prefix     Prefix
 	Exclude    []ident.UpstreamID
-	Weight     float64       // attainment weight of the service, 0..1
-	CrossCost  float64       // price of an attempt in another failure domain
-	Cost       float64       // price of one second at the stage; 0 means 1
-	Repeatable bool          // idempotent work; only such work is used for trials
-	Within     time.Duration // longest expected completion, as for a hedge; 0: any
+	Weight     float64             // attainment weight of the service, 0..1
+	CrossCost  float64             // price of an attempt in another failure domain
+	Cost       float64             // price of one second at the stage; 0 means 1
+	Repeatable bool                // idempotent work; only such work is used for trials
+	Within     time.Duration       // longest expected completion, as for a hedge; 0: any
+	Avoid      ident.FailureDomain // used only if there is no other; empty: none
 }
 
 // Choose returns a lease on the upstream with the least expected completion time
@@ -41,6 +42,16 @@
 func (t *Table) Choose(now time.Time, q Query) (Lease, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if q.Avoid != "" {
+		if found, err := t.choose(now, q); err == nil {
+			return found, nil
+		}
+		q.Avoid = ""
+	}
+	return t.choose(now, q)
+}
+
+func (t *Table) choose(now time.Time, q Query) (Lease, error) {
 	p := t.pools[q.Pool]
 	if p == nil {
 		return Lease{}, errors.Annotatef(ErrNoUpstream, "choosing in %s/%s", q.Pool.Service, q.Pool.Pool)
@@ -50,7 +61,7 @@
 	front, back := 0, len(places)
 	overloaded := false
 	for _, r := range p.used {
-		if slices.Contains(q.Exclude, r.member.Upstream) {
+		if slices.Contains(q.Exclude, r.member.Upstream) || q.Avoid != "" && r.member.Domain == q.Avoid {
 			continue
 		}
 		switch {
--- a/upstream/row.go
+++ b/upstream/row.go
@@ -50,6 +50,7 @@
 
 	errors   int // consecutive
 	failedAt time.Time
+	refuses  bool // the last failure was a connect
 
 	overloads int // consecutive
 	held      time.Time
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -306,8 +306,12 @@
 				Incarnation: r.member.Incarnation,
 			})
 		}
-	case Lost, NotSent:
+	case Lost:
 		r.fail(now)
+		r.refuses = false
+	case NotSent:
+		r.fail(now)
+		r.refuses = true
 	case Cancelled:
 		// The latency is a lower bound. Without it the estimate of a straggler
 		// whose attempts all lose to a hedge would never rise. The time without
--- a/upstream/table_test.go
+++ b/upstream/table_test.go
@@ -613,3 +613,59 @@
 	f.serve(c, 5, local, func(upstream.Lease) upstream.Report { return completed(300 * time.Millisecond) })
 	c.Assert(f.state("e0", 1), qt.Equals, upstream.StateEjected)
 }
+
+// Guards against a second try in the failure domain in which the first one
+// crashed its upstream, and against none where there is no other.
+func TestAvoidedDomain(t *testing.T) {
+	tests := map[string]struct {
+		domains []ident.FailureDomain
+		want    ident.FailureDomain
+	}{
+		"another is there": {
+			domains: []ident.FailureDomain{"erie-hall", "erie-hall", "huron-hall"},
+			want:    "huron-hall",
+		},
+		"no other": {
+			domains: []ident.FailureDomain{"erie-hall"},
+			want:    "erie-hall",
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture("h1", "erie-hall", 1)
+			f.offer(pool(6, test.domains...))
+			query := f.query()
+			query.CrossCost = 1000
+			query.Avoid = "erie-hall"
+			lease, err := f.table.Choose(f.now, query)
+			c.Assert(err, qt.IsNil)
+			c.Assert(lease.Domain, qt.Equals, test.want)
+		})
+	}
+}
+
+// Guards against an upstream that stays unused for up to a minute after it
+// accepts connections again.
+func TestRefusingUpstreamReturnsSoon(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture("h1", "erie-hall", 1)
+	f.offer(pool(3, "erie-hall"))
+	down := func(l upstream.Lease) upstream.Report {
+		if l.Upstream == "e0" {
+			return upstream.Report{
+				Result: upstream.NotSent{},
+			}
+		}
+		return fast(l)
+	}
+	only := f.query()
+	only.Exclude = []ident.UpstreamID{"e1", "e2"}
+	f.serve(c, 3, only, down)
+	for range 30 {
+		f.serve(c, 100, f.query(), down)
+	}
+	c.Assert(f.state("e0", 1), qt.Equals, upstream.StateEjected)
+	f.serve(c, 500, f.query(), fast)
+	c.Assert(f.state("e0", 1), qt.Equals, upstream.StateStarting)
+}
--- a/upstream/tick.go
+++ b/upstream/tick.go
@@ -24,7 +24,11 @@
 	ejectShare   = 3 // at most one in so many
 	ejectHold    = 5 * time.Second
 	ejectHoldMax = time.Minute
-	trialFactor  = 2 // times the pool's median latency
+	// A trial at an upstream that refuses connections runs nothing and costs its
+	// request one connect, so such upstreams are tried sooner.
+	connectHold    = 500 * time.Millisecond
+	connectHoldMax = 4 * time.Second
+	trialFactor    = 2 // times the pool's median latency
 
 	rowExpiry    = 30 * time.Second
 	markExpiry   = 10 * time.Minute
@@ -375,7 +379,11 @@
 
 // suspend sets the time of the next trial, later after each failed one.
 func (r *row) suspend(now time.Time) {
-	r.retrial = now.Add(min(ejectHold<<min(r.ejections, 8), ejectHoldMax))
+	hold, most := ejectHold, ejectHoldMax
+	if r.refuses {
+		hold, most = connectHold, connectHoldMax
+	}
+	r.retrial = now.Add(min(hold<<min(r.ejections, 8), most))
 	r.ejections++
 }
 
