--- a/pipeline/attempt.go
+++ b/pipeline/attempt.go
@@ -61,6 +61,7 @@
 		Cost:       stage.Cost,
 		Repeatable: r.job.Route.Repeatable && !r.job.Suspect,
 		Within:     within,
+		Avoid:      r.lost,
 	})
 	switch {
 	case errors.Is(err, upstream.ErrOverloaded):
@@ -169,6 +170,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return halt(outcome.Deadline, ctx.Err())
+	case r.late(r.rest), r.late(append([]document.Stage{a.stage}, r.rest...)):
+		return halt(outcome.Deadline, err)
 	case errors.Is(err, ErrNotSent), errors.Is(err, ErrLeaving):
 		return nil
 	case errors.Is(err, ErrOverloaded):
@@ -183,7 +186,12 @@
 		if crashed && !r.job.Guard.Again(ctx) {
 			return halt(outcome.Quarantined, err)
 		}
-		r.job.Suspect = r.job.Suspect || crashed
+		if crashed {
+			// Upstreams of a failure domain fail together; a second crash there would
+			// put a harmless request into quarantine.
+			r.job.Suspect = true
+			r.lost = a.lease.Domain
+		}
 		return nil
 	}
 	return r.budgeted(a.stage, halt(outcome.UpstreamError, err))
