Let an entry host advertise another peer address than its own

Gossip carries the address that a host listens at and replaces the one of the host list, so a host behind a forwarder was contacted directly. The new setting names the address that other hosts connect to.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -97,7 +97,7 @@
 	h.transport = stagehttp.New(stagehttp.Config{})
 	h.peers = newPeers(peer.Row{
 		Host:        s.Host,
-		Address:     s.Peers,
+		Address:     s.Advertise,
 		Domain:      s.Domain,
 		Region:      s.Region,
 		Incarnation: h.boot,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,17 +25,19 @@
 	Callers  ident.Address
 	Operator ident.Address
 	Peers    ident.Address
-	Store    ident.Address
-	Hosts    ident.Address
-	Call     time.Duration // longest single call of the store
-	Loads    float64       // model loads a second that the weight store admits
-	Body     int64         // largest body of a request, bytes
-	Header   time.Duration // longest time to receive the head of a request
-	Receive  time.Duration // longest time to receive a whole request
-	Stop     time.Duration // longest graceful shutdown
-	Drain    time.Duration // time between failing readiness and closing the callers' port
-	Level    string
-	Events   int
+	// Advertise is the address that other entry hosts connect to.
+	Advertise ident.Address
+	Store     ident.Address
+	Hosts     ident.Address
+	Call      time.Duration // longest single call of the store
+	Loads     float64       // model loads a second that the weight store admits
+	Body      int64         // largest body of a request, bytes
+	Header    time.Duration // longest time to receive the head of a request
+	Receive   time.Duration // longest time to receive a whole request
+	Stop      time.Duration // longest graceful shutdown
+	Drain     time.Duration // time between failing readiness and closing the callers' port
+	Level     string
+	Events    int
 }
 
 // row describes one setting; the same rows drive parsing, checks and help.
@@ -43,7 +45,8 @@
 	section  string
 	key      string
 	unit     string
-	fallback string // empty means required
+	fallback string // empty means required, unless the row inherits
+	inherits string // key of the section whose value applies without an own one
 	help     string
 	set      func(s *Settings, value string) error
 }
@@ -91,6 +94,14 @@
 		help:    "address for other entry hosts",
 		set:     func(s *Settings, v string) error { return address(&s.Peers, v) },
 	},
+	{
+		section:  "entry",
+		key:      "advertise",
+		unit:     "ip:port",
+		inherits: "peers",
+		help:     "address that other entry hosts connect to, if a forwarder is in between",
+		set:      func(s *Settings, v string) error { return address(&s.Advertise, v) },
+	},
 	{
 		section: "platform",
 		key:     "store",
@@ -197,8 +208,15 @@
 	parsed := &Settings{}
 	for _, r := range rows {
 		value := r.fallback
-		if section, err := file.GetSection(r.section); err == nil && section.HasKey(r.key) {
-			value = strings.TrimSpace(section.Key(r.key).String())
+		if section, err := file.GetSection(r.section); err == nil {
+			for _, key := range []string{r.inherits, r.key} {
+				if section.HasKey(key) {
+					value = strings.TrimSpace(section.Key(key).String())
+				}
+			}
+		}
+		if value == "" && r.inherits != "" {
+			continue // the row that it inherits from reports the fault
 		}
 		if value == "" {
 			faults = append(faults, fmt.Sprintf("[%s] %s: missing, expected %s", r.section, r.key, r.unit))
@@ -228,6 +246,9 @@
 		if r.fallback != "" {
 			fallback = "default " + r.fallback
 		}
+		if r.inherits != "" {
+			fallback = "default " + r.inherits
+		}
 		fmt.Fprintf(&b, "  %-9s %-22s %-16s %s\n", r.key, r.unit, fallback, r.help)
 	}
 	return b.String()
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -30,6 +30,17 @@
 	c.Assert(parsed.Stop.String(), qt.Equals, "30s")
 	c.Assert(parsed.Events, qt.Equals, 65536)
 	c.Assert(parsed.Loads, qt.Equals, 1.0)
+	c.Assert(parsed.Advertise, qt.Equals, parsed.Peers)
+}
+
+// Guards against a host behind a forwarder that gossips the address it listens
+// at, which the others would connect to in place of the forwarder's.
+func TestParseAdvertise(t *testing.T) {
+	c := qt.New(t)
+	parsed, err := settings.Parse("a.ini", []byte(strings.Replace(valid, "[platform]", "advertise = 127.0.3.1:8082\n[platform]", 1)))
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(parsed.Peers), qt.Equals, "127.0.1.1:8082")
+	c.Assert(string(parsed.Advertise), qt.Equals, "127.0.3.1:8082")
 }
 
 // A wrong setting must stop the start with a message that names it.
@@ -66,6 +77,10 @@
 			text: strings.Replace(valid, "127.0.1.1:8080", "localhost", 1),
 			want: []string{"[entry] callers", "IP number and a port"},
 		},
+		"advertised address without port": {
+			text: strings.Replace(valid, "[platform]", "advertise = localhost\n[platform]", 1),
+			want: []string{"[entry] advertise", "IP number and a port"},
+		},
 		"two ports on one address": {
 			text: strings.Replace(valid, "127.0.1.1:8081", "127.0.1.1:8080", 1),
 			want: []string{"[entry] operator: same address as callers"},
