--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -82,18 +82,18 @@
 		}
 	}
 	s.record(request, "admitted")
-	ended := s.isolated(ctx, request, sink, limits)
+	ended := s.runIsolated(ctx, request, sink, limits)
 	permit.Release(released(ended))
 	return ended
 }
 
-// isolated runs a request unless its content is in quarantine.
-func (s *Server) isolated(ctx context.Context, request caller.Request, sink caller.Sink, limits *service) outcome.Outcome {
+// runIsolated runs a request unless its content is in quarantine.
+func (s *Server) runIsolated(ctx context.Context, request caller.Request, sink caller.Sink, limits *service) outcome.Outcome {
 	g, refused := s.isolate(ctx, request)
 	if refused != nil {
 		return refused
 	}
-	ended := s.admitted(ctx, request, sink, limits, g)
+	ended := s.dispatch(ctx, request, sink, limits, g)
 	g.finish(ctx, ended)
 	return ended
 }
@@ -117,8 +117,8 @@
 	return organisation.Abandoned{}
 }
 
-// admitted runs a request that has been admitted.
-func (s *Server) admitted(ctx context.Context, request caller.Request, sink caller.Sink, limits *service, g *guard) outcome.Outcome {
+// dispatch runs a request that has been admitted, under a claim if it may not be repeated.
+func (s *Server) dispatch(ctx context.Context, request caller.Request, sink caller.Sink, limits *service, g *guard) outcome.Outcome {
 	if request.Route.Repeatable {
 		return s.cfg.Runner.Run(ctx, job(request, limits, g), sink)
 	}
@@ -129,11 +129,11 @@
 	if request.Identity == "" {
 		return s.cfg.Runner.Run(ctx, job(request, limits, g), sink)
 	}
-	return s.claimed(ctx, request, sink, limits, g)
+	return s.runClaimed(ctx, request, sink, limits, g)
 }
 
-// claimed runs a non-repeatable request if its identity can be claimed.
-func (s *Server) claimed(ctx context.Context, request caller.Request, sink caller.Sink, limits *service, g *guard) outcome.Outcome {
+// runClaimed runs a non-repeatable request if its identity can be claimed.
+func (s *Server) runClaimed(ctx context.Context, request caller.Request, sink caller.Sink, limits *service, g *guard) outcome.Outcome {
 	identity := claim.NewIdentity(request.Service.Name, request.Organisation, request.Identity)
 	attempt := s.cfg.NewAttempt()
 	decision, err := s.cfg.Ledger.Claim(ctx, identity, attempt)
