Let requests that have run outwait overloaded upstreams

They now try again every 50 ms while the rest can still finish, and tell the limiter at once; a request that has not run is still refused.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -81,18 +81,18 @@
 		}
 	}
 	s.record(request, "admitted")
-	ended := s.isolated(ctx, request, sink, limits)
+	ended := s.isolated(ctx, request, sink, limits, permit)
 	permit.Release(released(ended))
 	return ended
 }
 
 // isolated runs a request unless its content is in quarantine.
-func (s *Server) isolated(ctx context.Context, request caller.Request, sink caller.Sink, limits *service) outcome.Outcome {
+func (s *Server) isolated(ctx context.Context, request caller.Request, sink caller.Sink, limits *service, permit organisation.Permit) outcome.Outcome {
 	g, refused := s.isolate(ctx, request)
 	if refused != nil {
 		return refused
 	}
-	ended := s.admitted(ctx, request, sink, limits, g)
+	ended := s.admitted(ctx, request, sink, job(request, limits, g, permit))
 	g.finish(ctx, ended)
 	return ended
 }
@@ -117,22 +117,22 @@
 }
 
 // admitted runs a request that has been admitted.
-func (s *Server) admitted(ctx context.Context, request caller.Request, sink caller.Sink, limits *service, g *guard) outcome.Outcome {
+func (s *Server) admitted(ctx context.Context, request caller.Request, sink caller.Sink, work pipeline.Job) outcome.Outcome {
 	if request.Route.Repeatable {
-		return s.cfg.Runner.Run(ctx, job(request, limits, g), sink)
+		return s.cfg.Runner.Run(ctx, work, sink)
 	}
 	// A caller that leaves must not end a non-repeatable request halfway: its
 	// outcome is recorded for the repeat.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), request.Deadline)
 	defer cancel()
 	if request.Identity == "" {
-		return s.cfg.Runner.Run(ctx, job(request, limits, g), sink)
+		return s.cfg.Runner.Run(ctx, work, sink)
 	}
-	return s.claimed(ctx, request, sink, limits, g)
+	return s.claimed(ctx, request, sink, work)
 }
 
 // claimed runs a non-repeatable request if its identity can be claimed.
-func (s *Server) claimed(ctx context.Context, request caller.Request, sink caller.Sink, limits *service, g *guard) outcome.Outcome {
+func (s *Server) claimed(ctx context.Context, request caller.Request, sink caller.Sink, work pipeline.Job) outcome.Outcome {
 	identity := claim.NewIdentity(request.Service.Name, request.Organisation, request.Identity)
 	attempt := s.cfg.NewAttempt()
 	decision, err := s.cfg.Ledger.Claim(ctx, identity, attempt)
@@ -153,7 +153,7 @@
 	switch d := decision.(type) {
 	case claim.Granted:
 		s.record(request, "claimed", field("identity", identity.String()))
-		ended := s.cfg.Runner.Run(ctx, job(request, limits, g), sink)
+		ended := s.cfg.Runner.Run(ctx, work, sink)
 		s.settle(ctx, request, identity, attempt, ended)
 		return ended
 	case claim.InProgress:
@@ -237,7 +237,7 @@
 	}
 }
 
-func job(request caller.Request, limits *service, g *guard) pipeline.Job {
+func job(request caller.Request, limits *service, g *guard, permit organisation.Permit) pipeline.Job {
 	return pipeline.Job{
 		Request:      request.ID,
 		Service:      request.Service,
@@ -255,6 +255,7 @@
 		Deadline:     request.Deadline,
 		Budget:       limits.Budget,
 		Estimates:    limits.Estimates,
+		Refused:      permit.Refused,
 	}
 }
 
--- a/organisation/limiter.go
+++ b/organisation/limiter.go
@@ -289,6 +289,20 @@
 	released bool // guarded by the limiter's mutex
 }
 
+// Refused records that an upstream refused the running request because of its
+// load. The request goes on, and the limit falls before it ends.
+func (p Permit) Refused() {
+	if p.grant == nil {
+		return
+	}
+	l := p.grant.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !p.grant.released {
+		l.limit.refuse(l.now())
+	}
+}
+
 // Release ends the permit. A second call has no effect.
 func (p Permit) Release(result Result) {
 	if p.grant == nil {
--- a/organisation/limiter_test.go
+++ b/organisation/limiter_test.go
@@ -370,3 +370,32 @@
 	rounds(c, l, &now, 10, 100*time.Millisecond, organisation.Overloaded{})
 	c.Assert(l.Status().Limit <= 8, qt.IsTrue, qt.Commentf("limit %.0f", l.Status().Limit))
 }
+
+// Guards against a limit that stays high while admitted requests wait for
+// overloaded upstreams, which they report before they end.
+func TestRefusedLowersLimitBeforeRelease(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_000_000, 0)
+	l := organisation.New(organisation.Config{
+		Now: func() time.Time { return now },
+	})
+	var permits []organisation.Permit
+	for range 8 {
+		permit, err := l.Acquire(context.Background(), "one", 1, now.Add(time.Hour))
+		c.Assert(err, qt.IsNil)
+		permits = append(permits, permit)
+	}
+	before := l.Status().Limit
+	for _, permit := range permits {
+		now = now.Add(100 * time.Millisecond)
+		permit.Refused()
+	}
+	c.Assert(l.Status().Limit < before/1.4, qt.IsTrue, qt.Commentf("limit %.0f", l.Status().Limit))
+	permits[0].Release(organisation.Completed{})
+	after := l.Status().Limit
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		permits[0].Refused()
+	}
+	c.Assert(l.Status().Limit, qt.Equals, after)
+}
--- a/pipeline/attempt.go
+++ b/pipeline/attempt.go
@@ -16,6 +16,10 @@
 // those that did not run it.
 const maxPlacements = 4
 
+// overloadPause is the time between two tries while every upstream of a stage
+// refuses work; the selector holds a refusing upstream back for 200 ms or more.
+const overloadPause = 50 * time.Millisecond
+
 // haltedError ends a stage for a reason that the caller learns.
 type haltedError struct {
 	reason outcome.Reason
@@ -195,6 +199,33 @@
 	return r.budgeted(a.stage, halt(outcome.UpstreamError, err))
 }
 
+// outwait waits after the refusal err of an overloaded stage and returns nil if
+// the stage is to be tried again. The results of earlier stages would be lost
+// otherwise; a request without any ends at once, and its caller learns that it
+// did not run.
+func (r *run) outwait(ctx context.Context, stage document.Stage, err error) error {
+	var halted haltedError
+	if !r.ran || !errors.As(err, &halted) || halted.reason != outcome.Overload {
+		return err
+	}
+	if r.job.Refused != nil {
+		r.job.Refused()
+		r.job.Refused = nil
+	}
+	timer := time.NewTimer(overloadPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return err
+	case <-timer.C:
+	}
+	if r.late(append([]document.Stage{stage}, r.rest...)) {
+		return err
+	}
+	r.event("outwaited", "", field("stage", string(stage.Name)))
+	return nil
+}
+
 // budgeted returns nil if the retry budget pays for one more attempt, else denied.
 func (r *run) budgeted(stage document.Stage, denied error) error {
 	if r.job.Budget.Take(stage.Name) {
--- a/pipeline/generate.go
+++ b/pipeline/generate.go
@@ -52,7 +52,11 @@
 	for {
 		placed, err := r.place(stage, prefixOf(prompt), exclude, 0)
 		if err != nil {
-			return "", err
+			if err := r.outwait(ctx, stage, err); err != nil {
+				return "", err
+			}
+			exclude = nil
+			continue
 		}
 		exclude = append(exclude, placed.lease.Upstream)
 		err = r.attemptTokens(ctx, placed, prompt, made)
@@ -63,7 +67,11 @@
 			return "", halt(outcome.Incomplete, err)
 		}
 		if err := r.again(ctx, placed, err); err != nil {
-			return "", err
+			if err := r.outwait(ctx, stage, err); err != nil {
+				return "", err
+			}
+			exclude = nil
+			continue
 		}
 		if len(exclude) >= maxPlacements {
 			return "", halt(outcome.Incomplete, err)
--- a/pipeline/job.go
+++ b/pipeline/job.go
@@ -28,6 +28,7 @@
 	Deadline     time.Time
 	Budget       *Budget    // of the service
 	Estimates    *Estimates // of the service
+	Refused      func()     // called at most once, when the job starts to wait for overloaded upstreams; may be nil
 }
 
 // Sink receives the tokens of a streamed answer in order.
--- a/pipeline/runner_test.go
+++ b/pipeline/runner_test.go
@@ -533,3 +533,36 @@
 	c.Assert(failed.Reason, qt.Equals, outcome.Deadline)
 	c.Assert(time.Since(start) < 5*time.Second, qt.IsTrue)
 }
+
+// Guards against a request that fails after its first stages because every engine
+// is full for a moment, and against one that waits before anything has run.
+func TestRunOutwaitsOverload(t *testing.T) {
+	refused := make([]step, 12)
+	for i := range refused {
+		refused[i].err = pipeline.ErrOverloaded
+	}
+	tests := map[string]struct {
+		transport *fakeTransport
+		want      outcome.Outcome
+	}{
+		"later stage": {
+			transport: &fakeTransport{
+				streams: refused,
+			},
+			want: outcome.Answered{},
+		},
+		"first stage": {
+			transport: &fakeTransport{
+				calls: refused,
+			},
+			want: outcome.Refused{},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ended := newRunner(test.transport).Run(context.Background(), newJob(assistant(), true, &fakeGuard{}), &fakeSink{})
+			c.Assert(fmt.Sprintf("%T", ended), qt.Equals, fmt.Sprintf("%T", test.want), qt.Commentf("%+v", ended))
+		})
+	}
+}
--- a/pipeline/transform.go
+++ b/pipeline/transform.go
@@ -51,14 +51,22 @@
 	for {
 		done, err := r.hedged(ctx, stage, call, &exclude)
 		if err != nil {
-			return "", err
+			if err := r.outwait(ctx, stage, err); err != nil {
+				return "", err
+			}
+			exclude = nil
+			continue
 		}
 		if done.err == nil {
 			r.ran = true
 			return decodeOutput(stage, done.reply)
 		}
 		if err := r.again(ctx, done.attempt, done.err); err != nil {
-			return "", err
+			if err := r.outwait(ctx, stage, err); err != nil {
+				return "", err
+			}
+			exclude = nil
+			continue
 		}
 		if len(exclude) >= maxPlacements {
 			return "", halt(outcome.NoUpstream, done.err)
