--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -82,18 +82,18 @@
 		}
 	}
 	s.record(request, "admitted")
-	ended := s.runIsolated(ctx, request, sink, limits)
+	ended := s.runIsolated(ctx, request, sink, limits, permit)
 	permit.Release(released(ended))
 	return ended
 }
 
 // runIsolated runs a request unless its content is in quarantine.
-func (s *Server) runIsolated(ctx context.Context, request caller.Request, sink caller.Sink, limits *service) outcome.Outcome {
+func (s *Server) runIsolated(ctx context.Context, request caller.Request, sink caller.Sink, limits *service, permit organisation.Permit) outcome.Outcome {
 	g, refused := s.isolate(ctx, request)
 	if refused != nil {
 		return refused
 	}
-	ended := s.dispatch(ctx, request, sink, limits, g)
+	ended := s.dispatch(ctx, request, sink, job(request, limits, g, permit))
 	g.finish(ctx, ended)
 	return ended
 }
@@ -118,22 +118,22 @@
 }
 
 // dispatch runs a request that has been admitted, under a claim if it may not be repeated.
-func (s *Server) dispatch(ctx context.Context, request caller.Request, sink caller.Sink, limits *service, g *guard) outcome.Outcome {
+func (s *Server) dispatch(ctx context.Context, request caller.Request, sink caller.Sink, work pipeline.Job) outcome.Outcome {
 	if request.Route.Repeatable {
-		return s.cfg.Runner.Run(ctx, job(request, limits, g), sink)
+		return s.cfg.Runner.Run(ctx, work, sink)
 	}
 	// A caller that leaves must not end a non-repeatable request halfway: its
 	// outcome is recorded for the repeat.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), request.Deadline)
 	defer cancel()
 	if request.Identity == "" {
-		return s.cfg.Runner.Run(ctx, job(request, limits, g), sink)
+		return s.cfg.Runner.Run(ctx, work, sink)
 	}
-	return s.runClaimed(ctx, request, sink, limits, g)
+	return s.runClaimed(ctx, request, sink, work)
 }
 
 // runClaimed runs a non-repeatable request if its identity can be claimed.
-func (s *Server) runClaimed(ctx context.Context, request caller.Request, sink caller.Sink, limits *service, g *guard) outcome.Outcome {
+func (s *Server) runClaimed(ctx context.Context, request caller.Request, sink caller.Sink, work pipeline.Job) outcome.Outcome {
 	identity := claim.NewIdentity(request.Service.Name, request.Organisation, request.Identity)
 	attempt := s.cfg.NewAttempt()
 	decision, err := s.cfg.Ledger.Claim(ctx, identity, attempt)
@@ -154,7 +154,7 @@
 	switch d := decision.(type) {
 	case claim.Granted:
 		s.record(request, "claimed", field("identity", identity.String()))
-		ended := s.cfg.Runner.Run(ctx, job(request, limits, g), sink)
+		ended := s.cfg.Runner.Run(ctx, work, sink)
 		s.settle(ctx, request, identity, attempt, ended)
 		return ended
 	case claim.InProgress:
@@ -238,7 +238,7 @@
 	}
 }
 
-func job(request caller.Request, limits *service, g *guard) pipeline.Job {
+func job(request caller.Request, limits *service, g *guard, permit organisation.Permit) pipeline.Job {
 	return pipeline.Job{
 		Request:      request.ID,
 		Service:      request.Service,
@@ -256,6 +256,7 @@
 		Deadline:     request.Deadline,
 		Budget:       limits.Budget,
 		Estimates:    limits.Estimates,
+		Refused:      permit.Refused,
 	}
 }
 
