Refuse a submission as not run if its claim was never sent to the owner

With the store down, a submission whose partition belonged to a killed, frozen or cut off host was answered after its deadline as unknown, 409. Cause: every error of a forwarded claim counted as a claim that the owner may have written. Ruled out: a claim that this host wrote itself, as the store was down before it started. gRPC tells whether a connection has taken the call; without one the claim counts as not forwarded.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -196,6 +196,9 @@
 			Payload:  payload,
 		},
 	})
+	if errors.Is(err, grpcpeer.ErrNotSent) {
+		return claimMessage{}, errors.Annotate(claim.ErrNotForwarded, err.Error())
+	}
 	if err != nil {
 		return claimMessage{}, errors.Annotatef(err, "forward claim to %s", owner)
 	}
--- a/peer/grpcpeer/client.go
+++ b/peer/grpcpeer/client.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	transport "google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 
 	"github.com/nutmegshift/nutmegshift/document"
@@ -23,6 +24,8 @@
 const (
 	// ErrUnreachable means that no reply arrived; the peer may have acted.
 	ErrUnreachable = errors.ConstError("peer did not reply")
+	// ErrNotSent means that no connection took a claim, so the peer has not acted.
+	ErrNotSent = errors.ConstError("peer not connected")
 	// ErrRefused means that the peer replied with an error.
 	ErrRefused = errors.ConstError("peer refused the call")
 	// ErrMalformed means that the peer's reply, or the call in the peer's view,
@@ -96,7 +99,8 @@
 	return decoded, nil
 }
 
-// Claim forwards claims and returns one opaque decision for each, in order.
+// Claim forwards claims and returns one opaque decision for each, in order. After
+// ErrNotSent the peer has none of them.
 func (c *Client) Claim(ctx context.Context, to ident.Address, claims []ClaimItem) ([][]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, ClaimTimeout)
 	defer cancel()
@@ -115,7 +119,12 @@
 			Payload:  claim.Payload,
 		})
 	}
-	reply, err := stub.Claim(ctx, request)
+	// gRPC fills this in once a connection has taken the call.
+	var taken transport.Peer
+	reply, err := stub.Claim(ctx, request, grpc.Peer(&taken))
+	if err != nil && taken.Addr == nil {
+		return nil, errors.Annotatef(ErrNotSent, "forward claims at %s: %v", to, err)
+	}
 	if err != nil {
 		return nil, translate(err, "forward claims", to)
 	}
--- a/peer/grpcpeer/contract_test.go
+++ b/peer/grpcpeer/contract_test.go
@@ -228,6 +228,8 @@
 	}{
 		"nothing listens":      {to: closed.Addr().String(), call: "exchange", want: grpcpeer.ErrUnreachable},
 		"not a gRPC server":    {to: silent.Addr().String(), call: "exchange", want: grpcpeer.ErrUnreachable},
+		"claim, no listener":   {to: closed.Addr().String(), call: "claim", want: grpcpeer.ErrNotSent},
+		"claim, not gRPC":      {to: silent.Addr().String(), call: "claim", want: grpcpeer.ErrNotSent},
 		"slow exchange":        {handler: &handler{delay: time.Second}, call: "exchange", want: grpcpeer.ErrUnreachable},
 		"slow claim":           {handler: &handler{delay: 2 * time.Second}, call: "claim", want: grpcpeer.ErrUnreachable},
 		"slow documents":       {handler: &handler{delay: 3 * time.Second}, call: "documents", want: grpcpeer.ErrUnreachable},
