--- a/internal/system/claims_test.go
+++ b/internal/system/claims_test.go
@@ -310,29 +310,26 @@
 
 // ownedBy returns a submission whose claim entry host i writes itself, as the
 // owner of its partition.
-func (r *claimRun) ownedBy(t *testing.T, i int) string {
+func (d *deployment) ownedBy(t *testing.T, i int) string {
 	t.Helper()
-	host := func(i int) ident.HostID {
-		return ident.HostID(fmt.Sprintf("%s-%d", r.layout.Deployment.Name, i))
-	}
 	table := peer.NewTable(peer.Row{
-		Host:  host(1),
+		Host:  d.hostID(1),
 		State: peer.Alive,
 	})
 	var others []peer.Row
 	for other := 2; other <= entries; other++ {
 		others = append(others, peer.Row{
-			Host:    host(other),
-			Address: r.layout.Peers(other),
+			Host:    d.hostID(other),
+			Address: d.layout.Peers(other),
 			State:   peer.Alive,
 		})
 	}
 	table.Merge(time.Now(), others)
 	view := table.Snapshot()
 	for number := range 1000 {
-		submission := fmt.Sprintf("frozen-%d", number)
+		submission := fmt.Sprintf("owned-%d", number)
 		identity := claim.NewIdentity(entriesAPI, organisation, submission)
-		if owner, ok := view.Owner(uint64(identity.Partition())); ok && owner == host(i) {
+		if owner, ok := view.Owner(uint64(identity.Partition())); ok && owner == d.hostID(i) {
 			return submission
 		}
 	}
--- a/internal/system/deployment_test.go
+++ b/internal/system/deployment_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -47,6 +48,7 @@
 	client    *http.Client
 	platform  []hostlist.Host // the host list at the start
 	hosts     [entries + 1]*process
+	links     *links // between entry hosts; nil: they connect directly
 }
 
 // setup changes a deployment before it starts.
@@ -55,6 +57,8 @@
 	documents func(service, text string) (edited string) // nil: the examples as they are
 	standins  func(text string) (edited string)          // settings of the stand-ins; nil: the layout's
 	settings  string                                     // appended to the settings of entry hosts
+	domains   [entries + 1]ident.FailureDomain           // of entry hosts; empty: the layout's
+	linked    bool                                       // entry hosts connect through links that can be cut
 	firstNet  int                                        // first loopback network that is tried; 0: 100
 	unlisted  bool                                       // entry host 1 cannot read the host list and is not awaited
 }
@@ -84,6 +88,11 @@
 	if s.standins != nil {
 		standinsText = s.standins(standinsText)
 	}
+	standinsText = s.place(d.layout, standinsText)
+	if s.linked {
+		d.links = newLinks(t, d.layout)
+		standinsText = d.links.list(standinsText)
+	}
 	d.write("standins.ini", standinsText)
 	parsed, err := standin.Parse([]byte(standinsText))
 	if err != nil {
@@ -98,6 +107,10 @@
 		if i == 1 && s.unlisted {
 			text = strings.Replace(text, "hosts = "+string(d.layout.Platform()), "hosts = "+string(d.layout.Peers(entries+1)), 1)
 		}
+		text = s.place(d.layout, text)
+		if s.linked {
+			text = d.links.advertise(i, text)
+		}
 		d.write(fmt.Sprintf("entry-%d.ini", i), text+s.settings)
 	}
 	standins := launch(t, "standins", "run", "--settings", d.path("standins.ini"))
@@ -133,6 +146,24 @@
 	return d
 }
 
+// place moves entry hosts to the failure domains of the setup, in the settings
+// of a host or of the stand-ins.
+func (s setup) place(l standin.Layout, text string) string {
+	sections := strings.SplitAfter(text, "\n[")
+	for i := range sections {
+		for host := 1; host <= entries; host++ {
+			name := fmt.Sprintf("%s-%d", l.Deployment.Name, host)
+			if s.domains[host] == "" || !strings.Contains(sections[i], "entry "+name+"]") && !strings.Contains(sections[i], "host = "+name+"\n") {
+				continue
+			}
+			before, rest, _ := strings.Cut(sections[i], "domain = ")
+			_, after, _ := strings.Cut(rest, "\n")
+			sections[i] = before + "domain = " + string(s.domains[host]) + "\n" + after
+		}
+	}
+	return strings.Join(sections, "")
+}
+
 // reserveNet reserves a loopback network for the test, also against other runs
 // of these tests on the machine.
 func reserveNet(t *testing.T, first int) int {
@@ -183,6 +214,9 @@
 func (d *deployment) startHost(i int) {
 	d.t.Helper()
 	d.hosts[i] = launch(d.t, "nutmegshift", "entry", "--settings", d.path(fmt.Sprintf("entry-%d.ini", i)))
+	if d.links != nil {
+		d.links.started(i, d.hosts[i].command.Process.Pid)
+	}
 }
 
 // ready reports whether entry host i asks for callers, as a balancer reads it.
@@ -201,6 +235,57 @@
 	return status, ok
 }
 
+// hostID returns the name of entry host i.
+func (d *deployment) hostID(i int) ident.HostID {
+	return ident.HostID(fmt.Sprintf("%s-%d", d.layout.Deployment.Name, i))
+}
+
+// peerState returns the state of entry host of as entry host i sees it.
+func (d *deployment) peerState(i, of int) string {
+	status, _ := d.status(i)
+	for _, row := range status.Peers {
+		if row.Host == d.hostID(of) {
+			return row.State
+		}
+	}
+	return ""
+}
+
+// awaitPeers waits until each of the entry hosts sees the others in one of the states.
+func (d *deployment) awaitPeers(hosts []int, states ...string) {
+	d.t.Helper()
+	for _, i := range hosts {
+		for _, of := range hosts {
+			if i != of {
+				await(d.t, fmt.Sprintf("entry host %d as %v at entry host %d", of, states, i), func() bool {
+					return slices.Contains(states, d.peerState(i, of))
+				})
+			}
+		}
+	}
+}
+
+// counts returns the calls at the platform.
+func (d *deployment) counts() platform.Counts {
+	d.t.Helper()
+	var counts platform.Counts
+	if status := d.get(d.layout.Platform(), "/counts", &counts); status != http.StatusOK {
+		d.t.Errorf("read counts of the platform: status %d", status)
+	}
+	return counts
+}
+
+// checkRead sends a repeatable request through entry host i and checks its answer.
+func (d *deployment) checkRead(i int, key string) {
+	d.t.Helper()
+	query := fmt.Sprintf("?n=%s-%d", key, i)
+	r := d.send(i, http.MethodGet, standingPath+query, "")
+	want := upstreams.PlainOutput(http.MethodGet, "/standing"+query, "")
+	if r.err != nil || r.status != http.StatusOK || r.output() != want {
+		d.t.Errorf("read through entry host %d: status %d, error %v, body %s", i, r.status, r.err, r.body)
+	}
+}
+
 // events returns the number of events with a name on all entry hosts that answer.
 func (d *deployment) events(name string) int {
 	n := 0
--- a/internal/system/process_test.go
+++ b/internal/system/process_test.go
@@ -49,6 +49,17 @@
 	return ""
 }
 
+// count returns the number of lines that contain the text.
+func (o *output) count(text string) int {
+	n := 0
+	for line := range strings.Lines(o.String()) {
+		if strings.Contains(line, text) {
+			n++
+		}
+	}
+	return n
+}
+
 // process is one program under test.
 type process struct {
 	name    string
