--- a/internal/system/peers_test.go
+++ b/internal/system/peers_test.go
@@ -3,10 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/standin"
 	"github.com/nutmegshift/nutmegshift/internal/standin/platform"
 )
 
@@ -16,6 +20,10 @@
 	noDocument    = "no service document is known"
 	// failedListings are several rounds of attempts, with pulls in between.
 	failedListings = 3
+	// The states of entry hosts in the status.
+	alive   = "alive"
+	suspect = "suspect"
+	down    = "down"
 )
 
 // Guards against an entry host that cannot start while the store is down though
@@ -77,3 +85,82 @@
 		d.hosts[i].kill(t)
 	}
 }
+
+// inForce waits until all entry hosts have a revision of entries-api, at most
+// effectLimit after its acceptance.
+func (d *deployment) inForce(t *testing.T, hosts []int, accepted acceptance) {
+	t.Helper()
+	for _, i := range hosts {
+		await(t, fmt.Sprintf("revision %d on entry host %d", accepted.revision, i), func() bool { return d.revision(i) >= accepted.revision })
+	}
+	took := time.Since(accepted.at)
+	t.Logf("revision %d in effect on %d hosts after %v", accepted.revision, len(hosts), took)
+	qt.Check(t, took < effectLimit, qt.IsTrue)
+}
+
+// change applies a change of entries-api through the command line.
+func (d *deployment) change(t *testing.T, base ident.Revision) acceptance {
+	t.Helper()
+	command := d.apply(entriesAPI, d.variant(int(base)), base, "operator")
+	qt.Assert(t, command.exit(t), qt.Equals, 0, qt.Commentf("%s", command.output))
+	return acceptance{
+		revision: base + 1,
+		at:       time.Now(),
+	}
+}
+
+// Guards against a host that does not watch and learns of a change by its next
+// listing only, a watch on every host, and a failure domain without a watch
+// after its watcher has failed.
+func TestDocumentsByGossip(t *testing.T) {
+	const one, two, three = "erie-hall", "huron-hall", "superior-hall"
+	tests := map[string]struct {
+		domains  [entries + 1]ident.FailureDomain
+		faults   platform.Faults
+		detached bool // entry host 1 cannot reach the store
+		kill     bool // each entry host in turn, which makes a watcher of the third
+		watches  int  // two for each failure domain, if it has as many hosts
+	}{
+		"a failure domain each":         {domains: [entries + 1]ident.FailureDomain{1: one, 2: two, 3: three}, watches: 3},
+		"two failure domains":           {domains: [entries + 1]ident.FailureDomain{1: one, 2: one, 3: three}, watches: 3},
+		"one failure domain":            {domains: [entries + 1]ident.FailureDomain{1: one, 2: one, 3: one}, watches: 2},
+		"one domain, slow store":        {domains: [entries + 1]ident.FailureDomain{1: one, 2: one, 3: one}, faults: platform.Faults{Delay: 300}, watches: 2},
+		"one domain, hosts killed":      {domains: [entries + 1]ident.FailureDomain{1: one, 2: one, 3: one}, kill: true, watches: 2},
+		"host without the store":        {domains: [entries + 1]ident.FailureDomain{1: one, 2: two, 3: three}, detached: true, watches: 2},
+		"no store for one, slow others": {domains: [entries + 1]ident.FailureDomain{1: one, 2: two, 3: three}, detached: true, faults: platform.Faults{Delay: 300}, watches: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := setup{
+				domains: test.domains,
+			}
+			if test.detached {
+				s.store = func(l standin.Layout) ident.Address { return l.Peers(entries + 1) }
+			}
+			d := start(t, s)
+			watched := func() {
+				t.Helper()
+				await(t, fmt.Sprintf("%d watches", test.watches), func() bool { return d.counts().Watches == test.watches })
+			}
+			watched()
+			d.storeFaults(test.faults)
+			hosts := []int{1, 2, 3}
+			d.inForce(t, hosts, d.change(t, 1))
+			watched()
+			if !test.kill {
+				return
+			}
+			for i, killed := range hosts {
+				d.hosts[killed].kill(t)
+				others := slices.Delete(slices.Clone(hosts), i, i+1)
+				watched()
+				d.inForce(t, others, d.change(t, ident.Revision(2+i)))
+				d.startHost(killed)
+				d.awaitReady(killed)
+				d.awaitPeers(hosts, alive)
+				watched()
+			}
+		})
+	}
+}
