--- /dev/null
+++ b/claim/bench_test.go
@@ -0,0 +1,100 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/nutmegshift/nutmegshift/claim"
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/kv"
+	"github.com/nutmegshift/nutmegshift/kv/memkv"
+)
+
+// sized counts the calls of a store and the bytes of the values written and read.
+type sized struct {
+	kv.Store
+	puts    atomic.Int64
+	written atomic.Int64
+	lists   atomic.Int64
+	read    atomic.Int64
+}
+
+func (s *sized) Put(ctx context.Context, put kv.Put) (kv.Version, error) {
+	s.puts.Add(1)
+	s.written.Add(int64(len(put.Value)))
+	return s.Store.Put(ctx, put)
+}
+
+func (s *sized) List(ctx context.Context, prefix, after kv.Key, limit int) (kv.Page, error) {
+	page, err := s.Store.List(ctx, prefix, after, limit)
+	s.lists.Add(1)
+	for _, entry := range page.Entries {
+		s.read.Add(int64(len(entry.Value)))
+	}
+	return page, err
+}
+
+// BenchmarkStoreLoad reports the writes a second and the bytes that all
+// partitions together write at a rate of claims with outcomes, and what a new
+// owner of all partitions reads afterwards.
+func BenchmarkStoreLoad(b *testing.B) {
+	const period = 5 * time.Second
+	for _, rate := range []int{10, 100, 440, 1000} {
+		for _, body := range []int{0, 512} {
+			b.Run(fmt.Sprintf("%d claims a second, body of %d B", rate, body), func(b *testing.B) {
+				store := &sized{
+					Store: memkv.New(time.Now),
+				}
+				ledger, stop := start(store, "host-0")
+				defer stop()
+				claims, waits := 0, atomic.Int64{}
+				var group sync.WaitGroup
+				began := time.Now()
+				for time.Since(began) < period {
+					for due := int(time.Since(began).Seconds() * float64(rate)); claims < due; claims++ {
+						n := claims
+						group.Go(func() {
+							id := claim.NewIdentity("s", "o", fmt.Sprint(n))
+							attempt := ident.AttemptID(fmt.Sprintf("host-000-mabcdefg-%06d", n))
+							asked := time.Now()
+							_, err := ledger.Claim(context.Background(), id, attempt)
+							waits.Add(int64(time.Since(asked)))
+							if err == nil {
+								err = ledger.Finish(context.Background(), id, attempt, claim.Done{
+									Status: 200,
+									Body:   make([]byte, body),
+								})
+							}
+							if err != nil {
+								b.Error(err)
+							}
+						})
+					}
+					time.Sleep(time.Millisecond)
+				}
+				group.Wait()
+				took := time.Since(began).Seconds()
+				b.ReportMetric(float64(store.puts.Load())/took, "writes/s")
+				b.ReportMetric(float64(store.written.Load())/took/1000, "written-KB/s")
+				b.ReportMetric(float64(waits.Load())/float64(claims)/1e6, "wait-ms/claim")
+				reader, stopReader := start(store, "host-1")
+				defer stopReader()
+				for p := range claim.Partitions {
+					var id claim.Identity
+					id[15] = byte(p)
+					if _, err := reader.Claim(context.Background(), id, "x"); err != nil {
+						b.Error(err)
+					}
+				}
+				b.ReportMetric(float64(store.read.Load())/float64(claims), "reload-B/claim")
+				b.ReportMetric(0, "ns/op")
+				for b.Loop() { //nolint:revive // the period is fixed
+				}
+			})
+		}
+	}
+}
--- a/upstream/bench_test.go
+++ b/upstream/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -75,3 +76,55 @@
 		}
 	}
 }
+
+// BenchmarkSnapshot measures a snapshot after a tick, as the poller of load
+// reports takes four times a second.
+func BenchmarkSnapshot(b *testing.B) {
+	for name, size := range fleets {
+		b.Run(name, func(b *testing.B) {
+			f, _ := fleet(size.rows, size.pools)
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				f.now = f.now.Add(tick)
+				f.table.Tick(f.now)
+				b.StartTimer()
+				f.table.Snapshot()
+			}
+		})
+	}
+}
+
+// BenchmarkMemory reports the heap that a table holds for each row, without and
+// with a full list of cached prefixes.
+func BenchmarkMemory(b *testing.B) {
+	for name, size := range fleets {
+		for kind, prefixes := range map[string]int{"plain": 0, "cached": 256} {
+			b.Run(name+"/"+kind, func(b *testing.B) {
+				members := pool(size.rows, "a", "b", "c", "d", "e")
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				f := newFixture("h1", "a", 1)
+				f.offer(members)
+				for _, m := range members {
+					events := make([]upstream.CacheEvent, prefixes)
+					for i := range events {
+						events[i] = upstream.CacheEvent{
+							Sequence: uint64(i + 1),
+							Change:   upstream.Stored,
+							Prefix:   upstream.Prefix(i + 1),
+						}
+					}
+					f.table.Cached(m.Upstream, m.Incarnation, events)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(f)
+				b.ReportMetric(float64(int64(after.HeapAlloc)-int64(before.HeapAlloc)), "heap-B")
+				for b.Loop() { //nolint:revive // the heap is measured, not the time
+				}
+			})
+		}
+	}
+}
