--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -130,7 +130,6 @@
 	h.server = NewServer(ServerConfig{
 		Ledger:     h.ledger,
 		Quarantine: h.keeper,
-		Crashed:    crashed,
 		Limits:     func() Limits { return NewLimits(time.Now) },
 		Recorder:   h.ring,
 		Metrics:    h.metrics,
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -29,7 +29,7 @@
 	Ledger     *claim.Ledger
 	Runner     *pipeline.Runner
 	Quarantine *quarantine.Keeper
-	Crashed    func(ctx context.Context, at ident.Address) bool // whether the process at an address has ended
+	Crashed    func(ctx context.Context, at ident.Address) bool // whether the process at an address has ended; nil asks by connecting
 	Limits     func() Limits                                    // made once for each service
 	Recorder   timeline.Recorder
 	Metrics    *metrics.Set
@@ -48,6 +48,9 @@
 
 // NewServer returns a server without requests.
 func NewServer(cfg ServerConfig) *Server {
+	if cfg.Crashed == nil {
+		cfg.Crashed = crashed
+	}
 	return &Server{
 		cfg:      cfg,
 		active:   newActive(),
