--- a/claim/atmostonce_test.go
+++ b/claim/claimhistory/atmostonce_test.go
@@ -1,4 +1,4 @@
-package claim_test
+package claimhistory
 
 import (
 	"context"
--- a/claim/ledger_test.go
+++ b/claim/ledger_test.go
@@ -3,10 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"flag"
 	"fmt"
 	"runtime"
-	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,12 +20,6 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	seed := flag.Lookup("rapid.seed")
-	if seed.Value.String() == "0" {
-		_ = seed.Value.Set(strconv.FormatInt(time.Now().UnixNano(), 10))
-	}
-	fmt.Printf("rapid.seed %s\n", seed.Value)
 	goleak.VerifyTestMain(m)
 }
 
--- a/peer/network_test.go
+++ b/peer/peernet/network.go
@@ -1,4 +1,4 @@
-package peer_test
+package peernet
 
 import (
 	"fmt"
