--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -96,3 +96,49 @@
 		}
 	}
 }
+
+// BenchmarkParted reports the calls of the store when hosts that cannot reach
+// each other write the same partitions, as the owners of parted regions do.
+func BenchmarkParted(b *testing.B) {
+	const (
+		period = 4 * time.Second
+		rate   = 440
+	)
+	for _, owners := range []int{1, 2, 4, 7} {
+		b.Run(fmt.Sprintf("%d owners", owners), func(b *testing.B) {
+			store := memkv.New(time.Now)
+			ledgers := make([]*claim.Ledger, owners)
+			for i := range ledgers {
+				ledger, stop := start(store, ident.HostID(fmt.Sprintf("host-%d", i)))
+				defer stop()
+				ledgers[i] = ledger
+			}
+			claims, failed, waits := 0, atomic.Int64{}, atomic.Int64{}
+			var group sync.WaitGroup
+			began := time.Now()
+			for time.Since(began) < period {
+				for due := int(time.Since(began).Seconds() * rate); claims < due; claims++ {
+					n := claims
+					group.Go(func() {
+						ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
+						defer cancel()
+						id := claim.NewIdentity("s", "o", fmt.Sprint(n))
+						asked := time.Now()
+						if _, err := ledgers[n%owners].Claim(ctx, id, ident.AttemptID(fmt.Sprintf("host-000-mabcdefg-%06d", n))); err != nil {
+							failed.Add(1)
+						}
+						waits.Add(int64(time.Since(asked)))
+					})
+				}
+				time.Sleep(time.Millisecond)
+			}
+			group.Wait()
+			took := time.Since(began).Seconds()
+			counts := store.Counts()
+			b.ReportMetric(float64(counts.Writes)/took, "writes/s")
+			b.ReportMetric(float64(counts.Reads)/took, "reads/s")
+			b.ReportMetric(float64(waits.Load())/float64(claims)/1e6, "wait-ms/claim")
+			b.ReportMetric(float64(failed.Load()), "failed")
+		})
+	}
+}
--- a/docs/capacity/process.sh
+++ b/docs/capacity/process.sh
@@ -64,8 +64,11 @@
   loader=$!
   sleep 1
 fi
+counts() { bin/standins call --url "http://127.$net.0.1:7000/counts"; }
+counts_a=$(counts)
 read -r cpu_a in_a out_a <<<"$(sample)"
 sleep "$seconds"
+counts_b=$(counts)
 read -r cpu_b in_b out_b <<<"$(sample)"
 rss=0 fds=0
 for pid in "${hosts[@]:0:$total}"; do
@@ -75,4 +78,5 @@
 awk -v u="$upstreams" -v p="$pools" -v e="$entries" -v r="$rate" -v n="$total" -v s="$seconds" -v rss="$rss" -v fds="$fds" \
   -v cpu=$((cpu_b - cpu_a)) -v in_=$((in_b - in_a)) -v out=$((out_b - out_a)) \
   'BEGIN { printf "upstreams=%d pools=%d entries=%d rate=%d: rss=%.1f MB cpu=%.2f %% read=%.2f KB/s written=%.2f KB/s fds=%.0f\n", u, p, e, r, rss / n / 1024, cpu / n / s, in_ / n / s / 1000, out / n / s / 1000, fds / n }'
+printf '  calls of the platform before and after %s s: %s | %s\n' "$seconds" "$counts_a" "$counts_b"
 if ((rate > 0)); then wait "$loader" || true; tail -n 3 "$dir/load.log"; fi
