--- a/internal/system/peers_test.go
+++ b/internal/system/peers_test.go
@@ -12,6 +12,7 @@
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/standin"
 	"github.com/nutmegshift/nutmegshift/internal/standin/platform"
+	"github.com/nutmegshift/nutmegshift/internal/standin/upstreams"
 )
 
 const (
@@ -164,3 +165,113 @@
 		})
 	}
 }
+
+// isolated waits until no entry host sees another one as alive, which shows
+// that the links are cut.
+func (d *deployment) isolated() {
+	d.t.Helper()
+	d.awaitPeers([]int{1, 2, 3}, suspect, down)
+}
+
+// readEverywhere shows that repeatable work goes on.
+func (r *claimRun) readEverywhere(hosts []int) {
+	r.t.Helper()
+	for _, i := range hosts {
+		r.checkRead(i, fmt.Sprint(r.history.count()))
+	}
+}
+
+// Guards against a submission that runs twice because hosts that cannot talk
+// both claim it, a claim that arrives late and counts again, and hosts that do
+// not find each other after a partition.
+func TestCutPeerLinks(t *testing.T) {
+	all := []int{1, 2, 3}
+	tests := map[string]struct {
+		before func(r *claimRun) // the submissions
+		during func(r *claimRun, t *testing.T)
+		least  map[end]int
+	}{
+		"all cut before": {
+			before: func(r *claimRun) { r.links.cutAll() },
+			during: func(r *claimRun, _ *testing.T) { r.isolated() },
+			least:  map[end]int{answered: submissionsRun},
+		},
+		"all cut during": {
+			during: func(r *claimRun, t *testing.T) {
+				r.reach(t, 20)
+				r.links.cutAll()
+				r.isolated()
+			},
+			least: map[end]int{answered: submissionsRun},
+		},
+		"cut and restored again and again": {
+			during: func(r *claimRun, t *testing.T) {
+				for range 4 {
+					sent := r.history.count()
+					r.links.cutAll()
+					r.reach(t, min(sent+15, submissionsRun*(2+lateRepeats)))
+					r.links.restore()
+				}
+				r.links.cutAll()
+				r.isolated()
+			},
+			least: map[end]int{answered: submissionsRun},
+		},
+		"one host cut off": {
+			before: func(r *claimRun) {
+				r.links.cut(1, 2)
+				r.links.cut(1, 3)
+			},
+			during: func(r *claimRun, _ *testing.T) {
+				r.awaitPeers([]int{1, 2}, suspect, down)
+				r.awaitPeers([]int{1, 3}, suspect, down)
+				r.awaitPeers([]int{2, 3}, alive)
+			},
+			least: map[end]int{answered: submissionsRun},
+		},
+		"all cut, store loses answers": {
+			before: func(r *claimRun) { r.links.cutAll() },
+			during: func(r *claimRun, t *testing.T) {
+				r.loseStoreAnswers(t)
+				r.isolated()
+			},
+			least: map[end]int{answered: submissionsRun},
+		},
+		"all cut, host killed": {
+			before: func(r *claimRun) {
+				r.links.cutAll()
+				r.isolated()
+			},
+			during: (*claimRun).killHost,
+			least:  map[end]int{answered: submissionsRun, broken: 1},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newClaimRun(t, setup{
+				linked: true,
+			})
+			r.awaitPeers(all, alive)
+			if test.before != nil {
+				test.before(r)
+			}
+			r.work(t)
+			test.during(r, t)
+			r.readEverywhere(all)
+			for range claimWorkers {
+				<-r.ended
+			}
+			r.readEverywhere(all)
+			r.storeFaults(platform.Faults{})
+			r.upstreamFaults(upstreams.Faults{}, r.servers()...)
+			r.links.restore()
+			r.awaitPeers(all, alive)
+			r.settle(t)
+			r.check(t)
+			for e, n := range test.least {
+				qt.Check(t, r.history.count(e) >= n, qt.IsTrue, qt.Commentf("%d sends ended as %q, want at least %d", r.history.count(e), e, n))
+			}
+		})
+	}
+}
