Transfer the host list only when it has changed

At today's size this alone passed the limit of 7 KB/s for control traffic, and at 3,700 upstreams it was 689 KB/s and most of 4.2% of a core.

A change of the list still sends all of it; differences are the next step.

--- a/internal/hostlist/client_test.go
+++ b/internal/hostlist/client_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -63,3 +65,29 @@
 	_, err := hostlist.New(ident.Address(server.Listener.Addr().String()), server.Client()).Fetch(context.Background())
 	c.Assert(err, qt.ErrorIs, hostlist.ErrUnavailable)
 }
+
+// An unchanged list must cost no transfer, and a changed one must be seen.
+func TestFetchUnchanged(t *testing.T) {
+	c := qt.New(t)
+	version, full := "1", 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		tag := `"` + version + `"`
+		w.Header().Set("ETag", tag)
+		if r.Header.Get("If-None-Match") == tag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		full++
+		_, _ = w.Write([]byte(`{"version":` + version + `,"hosts":[{"name":"a","kind":"entry","state":"live"}]}`))
+	}))
+	defer server.Close()
+	client := hostlist.New(ident.Address(strings.TrimPrefix(server.URL, "http://")), http.DefaultClient)
+	for _, want := range []string{"1", "1", "2", "2"} {
+		version = want
+		list, err := client.Fetch(t.Context())
+		c.Assert(err, qt.IsNil)
+		c.Assert(strconv.FormatUint(list.Version, 10), qt.Equals, want)
+		c.Assert(list.Hosts, qt.HasLen, 1)
+	}
+	c.Assert(full, qt.Equals, 2)
+}
--- a/internal/reporthttp/poller.go
+++ b/internal/reporthttp/poller.go
@@ -14,6 +14,9 @@
 	// pollInterval bounds the polls of one host to 4 a second, about 2 KB/s.
 	pollInterval = 250 * time.Millisecond
 	pollTimeout  = 200 * time.Millisecond
+	// rowsInterval is how long the rows of a snapshot are used: a snapshot for
+	// each poll took 1.6% of a core at 3,700 upstreams.
+	rowsInterval = 2 * time.Second
 )
 
 // Config holds what a Poller needs.
@@ -34,6 +37,8 @@
 	turns map[key]uint64 // turn at which the upstream was polled last
 	seen  map[key]uint64 // last cache event applied
 	turn  uint64
+	rows  []upstream.Status // as of read
+	read  time.Time
 }
 
 // New returns a poller; Run starts it.
@@ -61,8 +66,11 @@
 
 // poll reads the reports of the upstream whose turn is longest ago.
 func (p *Poller) poll(ctx context.Context) {
-	rows := p.cfg.Table.Snapshot().Rows
-	next, found := p.next(rows)
+	if now := time.Now(); now.Sub(p.read) >= rowsInterval {
+		p.rows = p.cfg.Table.Snapshot().Rows
+		p.read = now
+	}
+	next, found := p.next(p.rows)
 	if !found {
 		return
 	}
--- a/internal/standin/platform/hosts.go
+++ b/internal/standin/platform/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -63,7 +64,7 @@
 	for {
 		list, next, changed := h.visible()
 		if list.Version > after || c.QueryParam("wait_after") == "" {
-			return c.JSON(http.StatusOK, list)
+			return h.answer(c, list)
 		}
 		due := time.NewTimer(next)
 		select {
@@ -71,7 +72,7 @@
 		case <-due.C:
 		case <-timer.C:
 			due.Stop()
-			return c.JSON(http.StatusOK, list)
+			return h.answer(c, list)
 		case <-c.Request().Context().Done():
 			due.Stop()
 			return c.Request().Context().Err()
@@ -80,6 +81,16 @@
 	}
 }
 
+// answer sends the list unless the reader has it already.
+func (h *hosts) answer(c echo.Context, list hostlist.List) error {
+	tag := strconv.Quote(strconv.FormatUint(list.Version, 10))
+	c.Response().Header().Set("ETag", tag)
+	if c.Request().Header.Get("If-None-Match") == tag {
+		return c.NoContent(http.StatusNotModified)
+	}
+	return c.JSON(http.StatusOK, list)
+}
+
 func (h *hosts) put(c echo.Context) error {
 	var host hostlist.Host
 	if err := decode(c, &host); err != nil {
