--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -283,6 +283,12 @@
 		}
 	}
 	refresh()
+	// Hosts that start together read again at different times.
+	select {
+	case <-time.After(rand.N(quarantineInterval)):
+	case <-ctx.Done():
+		return nil
+	}
 	return every(ctx, quarantineInterval, refresh)
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -14,6 +14,7 @@
 	"github.com/nutmegshift/nutmegshift/document"
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/hostlist"
+	"github.com/nutmegshift/nutmegshift/kv"
 	"github.com/nutmegshift/nutmegshift/organisation"
 	"github.com/nutmegshift/nutmegshift/peer"
 	"github.com/nutmegshift/nutmegshift/peer/grpcpeer"
@@ -31,6 +32,9 @@
 	publishInterval = 200 * time.Millisecond
 	// totalID stands for all organisations of a service in published rates.
 	totalID ident.OrganisationID = "*"
+	// refreshPause joins the reads of quarantine records that rumours cause: a
+	// crash makes a rumour for each request that was in flight.
+	refreshPause = 200 * time.Millisecond
 	// usageTicks publishes the largest organisations once a second.
 	usageTicks = 5
 )
@@ -140,8 +144,10 @@
 	return row.Address, nil
 }
 
-// Notify implements quarantine.Notifier.
+// Notify implements quarantine.Notifier. The gossip carries a hint to hosts that
+// the call does not reach, by which they read the records.
 func (p *peers) Notify(ctx context.Context, rumour quarantine.Rumour) error {
+	p.gossip.Publish(hintOf(rumour))
 	payload, err := json.Marshal(rumour)
 	if err != nil {
 		return errors.Annotate(err, "encode strike")
@@ -166,6 +172,22 @@
 	return errors.Annotate(failed, "announce strike")
 }
 
+// hintOf returns the rumour by which other hosts learn that a record has changed;
+// its version only orders the hints of a fingerprint.
+func hintOf(rumour quarantine.Rumour) peer.Rumour {
+	if len(rumour.Cleared) > 0 {
+		return peer.FingerprintCleared{
+			Fingerprint: peer.Fingerprint(rumour.Fingerprint),
+			Version:     kv.Version(time.Now().UnixMilli()),
+		}
+	}
+	return peer.FingerprintStruck{
+		Fingerprint: peer.Fingerprint(rumour.Fingerprint),
+		Strikes:     1,
+		Version:     kv.Version(rumour.Time.UnixMilli()),
+	}
+}
+
 // Documents implements document.Puller.
 func (p *peers) Documents(ctx context.Context, from ident.HostID, names []ident.ServiceName, known map[ident.ServiceName]ident.Revision) ([]document.Versioned, error) {
 	address, err := p.address(from)
@@ -230,17 +252,26 @@
 
 // hear acts on the rumours of other hosts until ctx ends.
 func (p *peers) hear(ctx context.Context) error {
+	var due <-chan time.Time // of the next reading of the quarantine records
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case rumour := <-p.gossip.Rumours():
-			p.take(ctx, rumour)
+			if p.take(rumour) && due == nil {
+				due = time.After(refreshPause)
+			}
+		case <-due:
+			due = nil
+			if err := p.keeper.Refresh(ctx); err != nil {
+				p.log.Debug().Err(err).Msg("quarantine: records not read")
+			}
 		}
 	}
 }
 
-func (p *peers) take(ctx context.Context, rumour peer.Rumour) {
+// take acts on one rumour and reports whether quarantine records have changed.
+func (p *peers) take(rumour peer.Rumour) (quarantined bool) {
 	switch r := rumour.(type) {
 	case peer.UpstreamLeaving:
 		p.upstream.MarkLeaving(r.Upstream, r.Incarnation)
@@ -251,12 +282,11 @@
 	case peer.TopOrganisations:
 		p.usage(r)
 	case peer.FingerprintStruck, peer.FingerprintCleared:
-		if err := p.keeper.Refresh(ctx); err != nil {
-			p.log.Debug().Err(err).Msg("quarantine: records not read")
-		}
+		return true
 	case peer.HostSuspected, peer.HostAlive, peer.HostLeaving:
 		// The peer table has taken them in.
 	}
+	return false
 }
 
 // usage corrects the shares of organisations by their use at another host.
