--- a/document/syncer.go
+++ b/document/syncer.go
@@ -39,9 +39,10 @@
 
 // Syncer performs the actions of a Spreader.
 type Syncer struct {
-	config SyncerConfig
-	mu     sync.Mutex // guards broken
-	broken map[ident.ServiceName]error
+	config  SyncerConfig
+	mu      sync.Mutex // guards the fields below
+	broken  map[ident.ServiceName]error
+	failing bool // the last listing failed
 }
 
 // NewSyncer returns a syncer; Run starts it.
@@ -97,14 +98,30 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	loaded, err := Load(ctx, s.config.Store)
-	if err != nil {
-		s.config.Log.Warn().Err(err).Msg("document: listing failed")
-	} else {
+	s.logListing(err)
+	if err == nil {
 		s.compare(loaded)
 	}
 	s.config.Spreader.Listed(s.config.Now(), loaded, err)
 }
 
+// logListing logs the first failure and the end of an outage; an outage may last
+// for hours and a listing is tried each second.
+func (s *Syncer) logListing(err error) {
+	s.mu.Lock()
+	was := s.failing
+	s.failing = err != nil
+	s.mu.Unlock()
+	switch {
+	case err != nil && was:
+		s.config.Log.Debug().Err(err).Msg("document: listing failed")
+	case err != nil:
+		s.config.Log.Warn().Err(err).Msg("document: listing failed")
+	case was:
+		s.config.Log.Info().Msg("document: listing works again")
+	}
+}
+
 // compare records and logs the stored documents that cannot take effect.
 func (s *Syncer) compare(loaded Loaded) {
 	broken := make(map[ident.ServiceName]error)
--- a/order/reconciler.go
+++ b/order/reconciler.go
@@ -103,6 +103,7 @@
 // Run makes a tick for each value of ticks until the context ends, then
 // releases the lease, so that the next holder need not wait for its end.
 func (r *Reconciler) Run(ctx context.Context, ticks <-chan time.Time) error {
+	failing := false // the last tick failed; an outage is logged once
 	for {
 		select {
 		case <-ctx.Done():
@@ -114,9 +115,10 @@
 			return ctx.Err()
 		case <-ticks:
 			report, err := r.Tick(ctx)
-			if err != nil {
+			if err != nil && !failing {
 				r.config.Log.Warn().Err(err).Msg("order: tick failed")
 			}
+			failing = err != nil
 			for _, fault := range report.Faults {
 				level := zerolog.WarnLevel
 				if errors.Is(fault.Err, ErrNoEngine) {
