Test leaving marks by gossip and quarantine with links that are cut

The bound of the quarantine is two upstreams plus one for each entry host that the first ones cannot reach. The count of crashes waits for crashed engines, which counted as zero while they were down.

--- a/internal/system/links_test.go
+++ b/internal/system/links_test.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -32,6 +33,7 @@
 
 	mu   sync.Mutex
 	open map[link]chan struct{} // closed while the link passes data
+	used map[link]bool          // has passed data
 	pids [entries + 1]int
 }
 
@@ -44,6 +46,7 @@
 		layout: l,
 		ctx:    ctx,
 		open:   make(map[link]chan struct{}),
+		used:   make(map[link]bool),
 	}
 	for from := 1; from <= entries; from++ {
 		for to := 1; to <= entries; to++ {
@@ -114,6 +117,18 @@
 	}
 }
 
+// isCut reports whether the link is cut.
+func (l *links) isCut(from, to int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.open[link{from, to}]:
+		return false
+	default:
+		return true
+	}
+}
+
 // restore restores every link.
 func (l *links) restore() {
 	l.mu.Lock()
@@ -140,6 +155,21 @@
 	}
 }
 
+// pass records that a link has passed data.
+func (l *links) pass(k link) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.used[k] = true
+}
+
+// connected reports whether every link has been used, so that calls do not
+// have to connect first.
+func (l *links) connected() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.used) == entries*(entries-1)
+}
+
 func (l *links) accept(listener net.Listener, to int) {
 	for {
 		conn, err := listener.Accept()
@@ -188,6 +218,7 @@
 			if _, failed := to.Write(buffer[:n]); failed != nil {
 				break
 			}
+			l.pass(k)
 		}
 		if err != nil {
 			break
@@ -212,11 +243,11 @@
 	const localField, remoteField, inodeField = 1, 2, 9
 	local, remote := kernelAddress(conn.RemoteAddr()), kernelAddress(conn.LocalAddr())
 	inode := ""
-	for line := range strings.Lines(string(table)) {
-		if !strings.Contains(line, local) {
-			continue
-		}
-		fields := strings.Fields(line)
+	for at := bytes.Index(table, []byte(local)); at >= 0; {
+		line, rest, _ := bytes.Cut(table[bytes.LastIndexByte(table[:at], '\n')+1:], []byte("\n"))
+		table = rest
+		at = bytes.Index(table, []byte(local))
+		fields := strings.Fields(string(line))
 		if len(fields) > inodeField && fields[localField] == local && fields[remoteField] == remote && fields[inodeField] != "0" {
 			inode = fields[inodeField]
 		}
--- a/internal/system/load_test.go
+++ b/internal/system/load_test.go
@@ -25,6 +25,7 @@
 	deployment *deployment
 	pick       func(random *rand.Rand) int // entry host for the next request; 0: none
 	chats      bool                        // part of the requests are streams
+	reads      bool                        // all requests are reads
 	stop       chan struct{}
 	ended      chan int
 	workers    int
@@ -97,7 +98,7 @@
 			w.flaw += " not complete: " + a.detail
 		}
 		return w
-	case number%2 == 0:
+	case l.reads || number%2 == 0:
 		w.key = "/standing?n=" + name
 		w.reply = l.deployment.send(host, http.MethodGet, "/entries-api"+w.key, "")
 		want = upstreams.PlainOutput(http.MethodGet, w.key, "")
--- a/internal/system/peers_test.go
+++ b/internal/system/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"testing"
@@ -10,9 +11,11 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/hostlist"
 	"github.com/nutmegshift/nutmegshift/internal/standin"
 	"github.com/nutmegshift/nutmegshift/internal/standin/platform"
 	"github.com/nutmegshift/nutmegshift/internal/standin/upstreams"
+	"github.com/nutmegshift/nutmegshift/upstream"
 )
 
 const (
@@ -275,3 +278,148 @@
 		})
 	}
 }
+
+// Guards against an upstream that refused one entry host as leaving and still
+// gets new work from the others, which saw nothing and whose host list shows it
+// as live. With the links cut the same check must find such work.
+func TestLeavingMarkByGossip(t *testing.T) {
+	tests := map[string]struct {
+		before func(d *deployment, t *testing.T)
+		late   bool // the others send work after the limit
+	}{
+		"peers run":                      {before: func(*deployment, *testing.T) {}},
+		"store down":                     {before: func(d *deployment, _ *testing.T) { d.storeFaults(platform.Faults{Down: true}) }},
+		"direct link to one peer is cut": {before: func(d *deployment, _ *testing.T) { d.links.cut(1, 2) }},
+		"links of the host are cut": {
+			before: func(d *deployment, _ *testing.T) {
+				d.links.cut(1, 2)
+				d.links.cut(1, 3)
+			},
+			late: true,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := start(t, setup{
+				linked: true,
+			})
+			d.awaitPeers([]int{1, 2, 3}, alive)
+			// A rumour's transmissions also count while hosts still connect, so a
+			// mark in the first second of a host may reach nobody.
+			await(t, "connections between entry hosts", d.links.connected)
+			test.before(d, t)
+			leaving := d.servers()[0]
+			id := ident.UpstreamID(leaving.Name)
+			// Only entry host 1 sends requests while the upstream refuses.
+			d.upstreamFaults(upstreams.Faults{
+				Leaving: true,
+			}, leaving)
+			number := 0
+			await(t, "mark on entry host 1", func() bool {
+				number++
+				d.checkRead(1, fmt.Sprintf("first-%d", number))
+				return d.stateAt(1, id) == upstream.StateLeaving
+			})
+			marked := time.Now()
+			d.upstreamFaults(upstreams.Faults{}, leaving)
+			qt.Check(t, d.executions(leaving), qt.HasLen, 0)
+			l := startLoad(t, &load{
+				deployment: d,
+				pick:       func(random *rand.Rand) int { return 2 + random.IntN(entries-1) },
+				workers:    4,
+				reads:      true,
+			})
+			count := func(at hostlist.Host) int {
+				late := 0
+				for _, e := range d.executions(at) {
+					if e.Time.After(marked.Add(leavingLimit)) {
+						late++
+					}
+				}
+				return late
+			}
+			await(t, "time after the limit", func() bool {
+				return time.Since(marked) > leavingLimit+time.Second && count(d.servers()[1]) > 0 && (!test.late || count(leaving) > 0)
+			})
+			for _, w := range l.finish() {
+				if w.flaw != "" {
+					t.Errorf("host %d, %s: %s", w.host, w.key, w.flaw)
+				}
+			}
+			late := count(leaving)
+			qt.Check(t, late > 0, qt.Equals, test.late, qt.Commentf("%d executions after the limit", late))
+			qt.Check(t, count(d.servers()[1]) > 0, qt.IsTrue, qt.Commentf("no work elsewhere"))
+		})
+	}
+}
+
+// Guards against a content that crashes an upstream for each time it is sent,
+// because the hosts cannot tell each other. At most two upstreams are lost
+// among hosts that communicate; each host that the first ones cannot reach adds
+// one, since it runs the content once before it reads the record in the store.
+func TestCrashingRequestWithCutLinks(t *testing.T) {
+	tests := map[string]struct {
+		cut       func(l *links)
+		faults    platform.Faults
+		crashes   int // at most
+		least     int // else the cut had no effect
+		undecided bool
+	}{
+		"no link cut": {cut: func(*links) {}, crashes: maxLost, least: 1},
+		"one host cut off, sends first": {cut: func(l *links) {
+			l.cut(1, 2)
+			l.cut(1, 3)
+		}, crashes: maxLost + 1, least: maxLost + 1},
+		"one host cut off, sends last": {cut: func(l *links) {
+			l.cut(3, 1)
+			l.cut(3, 2)
+		}, crashes: maxLost + 1, least: maxLost + 1},
+		"all links cut":             {cut: (*links).cutAll, crashes: maxLost + entries - 1, least: maxLost + entries - 1},
+		"all links cut, store down": {cut: (*links).cutAll, faults: platform.Faults{Down: true}, crashes: entries, least: entries, undecided: true},
+		"no link cut, store down":   {cut: func(*links) {}, faults: platform.Faults{Down: true}, crashes: 1, least: 1, undecided: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			d := start(t, setup{
+				linked: true,
+			})
+			all := []int{1, 2, 3}
+			d.awaitPeers(all, alive)
+			await(t, "connections between entry hosts", d.links.connected)
+			test.cut(d.links)
+			d.storeFaults(test.faults)
+			for _, i := range all {
+				for _, of := range all {
+					if i != of && d.links.isCut(i, of) {
+						await(t, "suspicion", func() bool { return d.peerState(i, of) != alive })
+					}
+				}
+			}
+			d.upstreamFaults(upstreams.Faults{
+				CrashOn:  poison,
+				CrashFor: upstreams.Duration(200 * time.Millisecond),
+			}, d.pool(nutmegPool, "engines")...)
+			for i := range resends {
+				a := d.chat(chat{
+					prompt: poison,
+					host:   i/entries + 1,
+				})
+				c.Assert(a.failed, qt.IsTrue, qt.Commentf("%+v", a))
+
+			}
+			c.Check(d.crashes() <= test.crashes, qt.IsTrue, qt.Commentf("%d engines crashed", d.crashes()))
+			c.Check(d.crashes() >= test.least, qt.IsTrue, qt.Commentf("%d engines crashed", d.crashes()))
+			if test.undecided {
+				return
+			}
+			for _, i := range all {
+				r := d.send(i, http.MethodPost, chatPath, `{"messages":[{"role":"user","content":"`+poison+`"}]}`)
+				c.Check(r.status, qt.Equals, http.StatusUnprocessableEntity, qt.Commentf("host %d: %s", i, r.body))
+			}
+			c.Check(d.crashes() <= test.crashes, qt.IsTrue, qt.Commentf("%d engines crashed", d.crashes()))
+		})
+	}
+}
--- a/internal/system/quarantine_test.go
+++ b/internal/system/quarantine_test.go
@@ -17,14 +17,16 @@
 	resends = 9
 )
 
-// crashes returns the number of crashes of all engines.
+// crashes returns the number of crashes of all engines. A crashed engine does
+// not answer until it runs again.
 func (d *deployment) crashes() int {
+	d.t.Helper()
 	total := 0
 	for _, engine := range d.pool(nutmegPool, "engines") {
 		var state struct {
 			Crashes int `json:"crashes"`
 		}
-		d.get(engine.Address, "/faults", &state)
+		await(d.t, "answer of "+engine.Name, func() bool { return d.get(engine.Address, "/faults", &state) == http.StatusOK })
 		total += state.Crashes
 	}
 	return total
