--- a/internal/system/peers_test.go
+++ b/internal/system/peers_test.go
@@ -423,3 +423,37 @@
 		})
 	}
 }
+
+// Guards against a leaving mark that is lost because every transmission of its
+// rumour fell into a time without links.
+func TestLeavingMarkAfterRestoredLinks(t *testing.T) {
+	t.Parallel()
+	d := start(t, setup{
+		linked: true,
+	})
+	await(t, "connections between entry hosts", d.links.connected)
+	d.links.cutAll()
+	d.isolated()
+	leaving := d.servers()[0]
+	id := ident.UpstreamID(leaving.Name)
+	d.upstreamFaults(upstreams.Faults{
+		Leaving: true,
+	}, leaving)
+	number := 0
+	await(t, "mark on entry host 1", func() bool {
+		number++
+		d.checkRead(1, fmt.Sprint(number))
+		return d.stateAt(1, id) == upstream.StateLeaving
+	})
+	marked := time.Now()
+	d.upstreamFaults(upstreams.Faults{}, leaving)
+	await(t, "time for all transmissions", func() bool { return time.Since(marked) > 2*time.Second })
+	d.links.restore()
+	d.awaitPeers([]int{1, 2, 3}, alive)
+	restored := time.Now()
+	await(t, "mark on the others", func() bool {
+		return time.Since(restored) > leavingLimit || d.stateAt(2, id) == upstream.StateLeaving && d.stateAt(3, id) == upstream.StateLeaving
+	})
+	qt.Check(t, d.stateAt(2, id), qt.Equals, upstream.StateLeaving)
+	qt.Check(t, d.stateAt(3, id), qt.Equals, upstream.StateLeaving)
+}
