List the leaving mark of hosts that have just started as known red

One run on a busy machine sent 23 to 35 requests to a leaving upstream after the limit, in the three cases in which the mark has to arrive. The cause is not found.

--- a/internal/system/peers_test.go
+++ b/internal/system/peers_test.go
@@ -283,10 +283,7 @@
 // gets new work from the others, which saw nothing and whose host list shows it
 // as live. With the links cut the same check must find such work.
 func TestLeavingMarkByGossip(t *testing.T) {
-	tests := map[string]struct {
-		before func(d *deployment, t *testing.T)
-		late   bool // the others send work after the limit
-	}{
+	checkLeavingMarks(t, map[string]leavingMark{
 		"peers run":                      {before: func(*deployment, *testing.T) {}},
 		"store down":                     {before: func(d *deployment, _ *testing.T) { d.storeFaults(platform.Faults{Down: true}) }},
 		"direct link to one peer is cut": {before: func(d *deployment, _ *testing.T) { d.links.cut(1, 2) }},
@@ -297,7 +294,27 @@
 			},
 			late: true,
 		},
-	}
+	})
+}
+
+// Guards against a mark that is lost while entry hosts that have just started
+// still connect to each other.
+func TestLeavingMarkAtStart(t *testing.T) {
+	checkLeavingMarks(t, map[string]leavingMark{
+		"peers run":  {before: func(*deployment, *testing.T) {}, starting: true},
+		"store down": {before: func(d *deployment, _ *testing.T) { d.storeFaults(platform.Faults{Down: true}) }, starting: true},
+	})
+}
+
+// leavingMark is a case of a mark that only entry host 1 has seen.
+type leavingMark struct {
+	before   func(d *deployment, t *testing.T)
+	starting bool // the hosts may not be connected yet
+	late     bool // the others send work after the limit
+}
+
+func checkLeavingMarks(t *testing.T, tests map[string]leavingMark) {
+	t.Helper()
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -305,9 +322,9 @@
 				linked: true,
 			})
 			d.awaitPeers([]int{1, 2, 3}, alive)
-			// A rumour's transmissions also count while hosts still connect, so a
-			// mark in the first second of a host may reach nobody.
-			await(t, "connections between entry hosts", d.links.connected)
+			if !test.starting {
+				await(t, "connections between entry hosts", d.links.connected)
+			}
 			test.before(d, t)
 			leaving := d.servers()[0]
 			id := ident.UpstreamID(leaving.Name)
