Count transmissions of a rumour only if they arrive

Cause: a rumour was sent 3 log2(n) times whether or not the exchanges succeeded, 6 times or 1.2 s at three hosts. A host that could not reach anyone for that long, such as one whose connections were still being set up on a busy machine, gave its news up, and nothing makes up for a lost leaving mark.

A failed exchange now takes back the transmissions of its message, for up to a minute.

--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -34,8 +34,10 @@
 	// in time.
 	refuteTime = SuspicionTime / 3
 	// Rumours are remembered for longer than any of them circulates.
-	seenTime    = 10 * time.Minute
-	seenLimit   = 8192
+	seenTime  = 10 * time.Minute
+	seenLimit = 8192
+	// rumourTime bounds the retransmission of rumours that reach nobody.
+	rumourTime  = time.Minute
 	rumourQueue = 1024
 )
 
@@ -71,6 +73,7 @@
 	urgent  bool
 	sent    int    // times sent, or heard from a host that knows it already
 	number  uint64 // in order of arrival
+	at      time.Time
 }
 
 type seen struct {
@@ -92,8 +95,10 @@
 	number  uint64
 	seen    map[string]seen
 	top     TopOrganisations
-	refuted time.Time // when this host last raised its incarnation
-	correct []Rumour  // answers to outdated suspicions in the message at hand
+	refuted time.Time                   // when this host last raised its incarnation
+	correct []Rumour                    // answers to outdated suspicions in the message at hand
+	picked  []*pending                  // rumours of the message at hand
+	carried map[ident.HostID][]*pending // rumours of messages without a result yet
 	dropped int
 }
 
@@ -104,6 +109,7 @@
 		table:   config.Table,
 		rumours: make(chan Rumour, rumourQueue),
 		queued:  make(map[string]*pending),
+		carried: make(map[ident.HostID][]*pending),
 		seen:    make(map[string]seen),
 	}
 }
@@ -167,6 +173,7 @@
 		return nil
 	}
 	message := g.message(documents, to.Host, to.Incarnation, nil)
+	g.carried[to.Host] = append(g.carried[to.Host], g.picked...)
 	if g.tick%organisationTicks == 0 && len(g.top.Rates) > 0 {
 		message.Rumours = append(message.Rumours, g.top)
 	}
@@ -208,6 +215,9 @@
 	g.now = now
 	g.correct = nil
 	g.apply(reply)
+	if reply.From.Host == to {
+		delete(g.carried, to)
+	}
 	if e, ok := g.table.rows[to]; ok && reply.From.Host == to {
 		e.failures = 0
 	}
@@ -229,6 +239,23 @@
 	g.failed(to)
 }
 
+// restore takes back the transmissions of messages that a host did not receive,
+// so that a rumour of a host that is cut off for a time is sent afterwards.
+func (g *Gossip) restore(to ident.HostID) {
+	for _, p := range g.carried[to] {
+		if g.queued[p.subject] == p {
+			p.sent = max(0, p.sent-1)
+			continue
+		}
+		if g.queued[p.subject] == nil && g.now.Sub(p.at) < rumourTime {
+			p.sent--
+			g.queued[p.subject] = p
+			g.queue = append(g.queue, p)
+		}
+	}
+	delete(g.carried, to)
+}
+
 func (g *Gossip) observe(message Message) {
 	if g.config.Observe != nil && message.From.Host != "" {
 		g.config.Observe(message.From.Host, message.Documents)
@@ -236,6 +263,7 @@
 }
 
 func (g *Gossip) failed(to ident.HostID) {
+	g.restore(to)
 	e, ok := g.table.rows[to]
 	switch {
 	case !ok || to == g.table.self:
@@ -308,6 +336,7 @@
 			})
 		}
 	}
+	g.picked = nil
 	if len(g.queue) == 0 {
 		return message
 	}
@@ -341,6 +370,7 @@
 			urgent++
 		}
 		message.Rumours = append(message.Rumours, p.rumour)
+		g.picked = append(g.picked, p)
 		p.sent++
 	}
 	limit := RetransmitFactor * bits.Len(uint(g.table.live))
@@ -515,6 +545,7 @@
 	p.urgent = urgent(rumour)
 	p.sent = 0
 	p.number = g.number
+	p.at = g.now
 }
 
 // repeated counts a rumour that others know already, so that hosts lose
--- a/peer/peernet/gossip_test.go
+++ b/peer/peernet/gossip_test.go
@@ -164,6 +164,36 @@
 	}
 }
 
+// Guards against a rumour that is given up while its host cannot reach anyone:
+// a leaving mark that is lost so is not made up for by any digest.
+func TestRumourOutlastsCut(t *testing.T) {
+	t.Parallel()
+	for name, ticks := range map[string]int{"a second": 5, "ten seconds": 50} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			n := newNetwork(6, 3)
+			cut := true
+			first := n.node(0)
+			n.cut = func(a, b ident.Address) bool {
+				return cut && (a == first.row.Address || b == first.row.Address)
+			}
+			mark := peer.UpstreamLeaving{
+				Upstream:    "u",
+				Incarnation: 1,
+			}
+			first.gossip.Publish(mark)
+			for range ticks {
+				n.step()
+			}
+			c.Assert(n.count(func(x *node) bool { return hasHeard(x, mark) }), qt.Equals, 0)
+			cut = false
+			took := n.until(25, func() bool { return n.count(func(x *node) bool { return hasHeard(x, mark) }) == 2 })
+			c.Check(took < 25, qt.IsTrue, qt.Commentf("not heard within 5 s of the end of the cut"))
+		})
+	}
+}
+
 // Guards against a restarted host that others take for its earlier process, by
 // its own id or by the address it took over.
 func TestRestart(t *testing.T) {
