Separate the bench of the system tests from the tests

Processes, relays, load and history checkers are a bench that all tests share; no test or check changed. The entry host's stop and host list get files of their own.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -18,7 +17,6 @@
 	"github.com/nutmegshift/nutmegshift/claim"
 	"github.com/nutmegshift/nutmegshift/document"
 	"github.com/nutmegshift/nutmegshift/ident"
-	"github.com/nutmegshift/nutmegshift/internal/caller"
 	"github.com/nutmegshift/nutmegshift/internal/hostlist"
 	"github.com/nutmegshift/nutmegshift/internal/operator"
 	"github.com/nutmegshift/nutmegshift/internal/reporthttp"
@@ -215,59 +213,6 @@
 	})
 }
 
-// serveCallers serves callers until ctx ends and then drains.
-func (h *Host) serveCallers(ctx, force context.Context, listener net.Listener) error {
-	server := newHTTPServer(caller.New(caller.Config{
-		Server:   h.server,
-		Services: h.registry.Snapshot,
-		NewID:    h.newRequest,
-		Now:      time.Now,
-		MaxBody:  h.settings.Body,
-		Log:      h.log,
-	}), h.settings)
-	ended := make(chan error, 1)
-	go func(context.Context) {
-		ended <- server.Serve(listener)
-	}(ctx)
-	select {
-	case err := <-ended:
-		return errors.Annotate(err, "serve callers")
-	case <-ctx.Done():
-	}
-	return h.drain(force, server, ended)
-}
-
-// drain is the graceful shutdown of the callers' port.
-func (h *Host) drain(force context.Context, server *http.Server, ended <-chan error) error {
-	before := h.server.active.stop()
-	h.peers.gossip.Leave()
-	h.log.Info().Int("requests", len(h.server.active.list())).Msg("entry: stopping")
-	limit, cancel := context.WithTimeout(force, h.settings.Stop)
-	defer cancel()
-	// The platform's balancer needs time to see that the host is not ready.
-	select {
-	case <-time.After(h.settings.Drain):
-	case <-limit.Done():
-	}
-	err := server.Shutdown(limit)
-	if served := <-ended; !errors.Is(served, http.ErrServerClosed) {
-		h.log.Warn().Err(served).Msg("entry: callers' port failed while stopping")
-	}
-	left := h.server.active.list()
-	pending := h.ledger.Drain(limit)
-	// An outcome that is not written is lost for repeats at other hosts.
-	if err != nil || pending > 0 {
-		_ = server.Close()
-		h.log.Error().Interface("requests", left).Int("outcomes", pending).Msg("entry: stop interrupted requests")
-		return errors.Annotatef(ErrInterrupted, "%d requests, %d unwritten outcomes", len(left), pending)
-	}
-	h.log.Info().
-		Uint64("finished", h.server.active.done()-before).
-		Uint64("total", h.server.active.done()).
-		Msg("entry: stopped, every request in progress finished")
-	return nil
-}
-
 // runTable ticks the upstream table.
 func (h *Host) runTable(ctx context.Context) error {
 	return every(ctx, tickInterval, func() {
@@ -292,44 +237,6 @@
 	return every(ctx, quarantineInterval, refresh)
 }
 
-// runHosts reads the host list.
-func (h *Host) runHosts(ctx context.Context) error {
-	read := func() {
-		list, err := h.hosts.Fetch(ctx)
-		if err != nil {
-			h.log.Debug().Err(err).Msg("host list: not read")
-			return
-		}
-		h.table.Offer(members(list))
-		h.peers.merge(list)
-	}
-	read()
-	return every(ctx, hostsInterval, read)
-}
-
-// members are the upstreams of a host list.
-func members(list hostlist.List) []upstream.Member {
-	found := make([]upstream.Member, 0, len(list.Hosts))
-	for _, host := range list.Hosts {
-		if host.Kind != hostlist.UpstreamHost {
-			continue
-		}
-		found = append(found, upstream.Member{
-			Pool: document.PoolRef{
-				Service: host.Service,
-				Pool:    host.Pool,
-			},
-			Upstream:    ident.UpstreamID(host.Name),
-			Incarnation: host.Incarnation,
-			Address:     host.Address,
-			Domain:      host.Domain,
-			Region:      host.Region,
-			Leaving:     host.State == hostlist.Leaving,
-		})
-	}
-	return found
-}
-
 func (h *Host) operatorHandler() http.Handler {
 	return operator.New(operator.Config{
 		Ready:   h.ready,
--- a/internal/system/doc.go
+++ b/internal/system/doc.go
@@ -1,5 +1,6 @@
-// Package system holds tests of the invariants of docs/design.md against the
-// real programs.
+// Package system tests the invariants of docs/design.md against the real
+// programs. The files without _test are its bench: processes, deployments, cut
+// links, relays, load, and the checkers of histories and answers.
 //
 // A test starts the stand-ins and the entry hosts as processes on loopback
 // addresses, sends requests with unique content through all entry hosts,
