--- a/document/syncer.go
+++ b/document/syncer.go
@@ -64,9 +64,16 @@
 // Run performs actions until the context ends and all calls have returned.
 func (s *Syncer) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
-	var calls sync.WaitGroup
-	defer calls.Wait()
 	defer cancel()
+	ended := make(chan struct{})
+	running := 0
+	call := func(ctx context.Context, do func(context.Context)) {
+		running++
+		go func(ctx context.Context) {
+			do(ctx)
+			ended <- struct{}{}
+		}(ctx)
+	}
 	ticker := time.NewTicker(syncTick)
 	defer ticker.Stop()
 	unwatch := func() {}
@@ -75,22 +82,29 @@
 		for _, action := range s.config.Spreader.Tick(s.config.Now(), s.config.Around()) {
 			switch action := action.(type) {
 			case List:
-				calls.Go(func() { s.list(ctx) })
+				call(ctx, s.list)
 			case Watch:
 				watching, end := context.WithCancel(ctx)
 				unwatch = end
-				calls.Go(func() { s.watch(watching, action.After) })
+				call(watching, func(ctx context.Context) { s.watch(ctx, action.After) })
 			case Unwatch:
 				unwatch()
 			case Pull:
-				calls.Go(func() { s.pull(ctx, action) })
+				call(ctx, func(ctx context.Context) { s.pull(ctx, action) })
 			}
 		}
 		select {
-		case <-ctx.Done():
-			return nil
+		case <-ended:
+			running--
+			continue
 		case <-ticker.C:
+			continue
+		case <-ctx.Done():
+		}
+		for ; running > 0; running-- {
+			<-ended
 		}
+		return nil
 	}
 }
 
--- a/internal/system/main_test.go
+++ b/internal/system/main_test.go
@@ -11,9 +11,6 @@
 	"go.uber.org/goleak"
 )
 
-// programs is the directory of the programs under test.
-var programs string
-
 func TestMain(m *testing.M) {
 	os.Exit(buildAndRun(m))
 }
--- a/internal/system/process.go
+++ b/internal/system/process.go
@@ -13,6 +13,9 @@
 	"time"
 )
 
+// programs is the directory of the programs under test, set before the tests run.
+var programs string
+
 const (
 	// patience bounds the wait for an event that takes a few seconds at most;
 	// it allows for a busy machine.
--- a/peer/grpcpeer/runner.go
+++ b/peer/grpcpeer/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/nutmegshift/nutmegshift/ident"
@@ -32,29 +31,45 @@
 
 // Run ticks until the context ends and all calls have returned.
 func (r *Runner) Run(ctx context.Context) error {
-	var calls sync.WaitGroup
-	defer calls.Wait()
+	ended := make(chan struct{})
+	running := 0
 	ticker := time.NewTicker(peer.Interval)
 	defer ticker.Stop()
-	for tick := 1; ; tick++ {
+	for tick := 0; ; {
 		select {
+		case <-ended:
+			running--
+			continue
 		case <-ctx.Done():
+			for ; running > 0; running-- {
+				<-ended
+			}
 			return nil
 		case <-ticker.C:
+			tick++
 		}
 		for _, out := range r.gossip.Tick(r.now()) {
-			calls.Go(func() { r.exchange(ctx, out) })
+			running++
+			go func(ctx context.Context) {
+				r.exchange(ctx, out)
+				ended <- struct{}{}
+			}(ctx)
 		}
 		if tick%retainTicks == 0 {
-			known := make(map[ident.Address]bool)
-			for _, row := range r.table.Snapshot().Rows() {
-				known[row.Address] = true
-			}
-			r.client.Retain(known)
+			r.retain()
 		}
 	}
 }
 
+// retain closes the connections to addresses that no host has any more.
+func (r *Runner) retain() {
+	known := make(map[ident.Address]bool)
+	for _, row := range r.table.Snapshot().Rows() {
+		known[row.Address] = true
+	}
+	r.client.Retain(known)
+}
+
 func (r *Runner) exchange(ctx context.Context, out peer.Outgoing) {
 	reply, err := r.client.Exchange(ctx, out.Address, out.Message)
 	if ctx.Err() != nil {
