--- a/docs/capacity/process.sh
+++ b/docs/capacity/process.sh
@@ -28,7 +28,7 @@
       "$i" $((i % domains)) $((i % domains / 3)) "$net" $((100 + i / 200)) $((i % 200 + 1)) "$net" $((100 + i / 200)) $((i % 200 + 1))
   done
   for ((i = 0; i < upstreams; i++)); do
-    printf '\n[upstream engine-%04d]\nkind = engine\nservice = nutmeg-pool\npool = engines-%d\naddress = 127.%d.%d.%d:9000\ndomain = domain-%d\nregion = region-%d\nslots = 8\nqueue = 16\ntokens = 24\ntoken_rate = 200\nfirst_token = 60ms\ncache_entries = 64\nprefix_length = 256\ncache_factor = 0.5\nload_lag = 200ms\n' \
+    printf '\n[upstream engine-%04d]\nkind = engine\nservice = nutmeg-pool\npool = engines-%d\naddress = 127.%d.%d.%d:9000\ndomain = domain-%d\nregion = region-%d\nslots = 8\nqueue = 16\ntokens = 24\nrate = 200\nfirst = 60ms\ncache = 64\nprefix = 256\nfactor = 0.5\nlag = 200ms\n' \
       "$i" $((i % pools)) "$net" $((2 + i / 200)) $((i % 200 + 1)) $((i % domains)) $((i % domains / 3))
   done
 } >"$dir/standins.ini"
--- a/internal/standin/layout.go
+++ b/internal/standin/layout.go
@@ -175,10 +175,10 @@
 func timing(kind string) string {
 	switch kind {
 	case engineKind:
-		return "slots = 8\nqueue = 16\ntokens = 24\ntoken_rate = 200\nfirst_token = 60ms\ncache_entries = 64\nprefix_length = 256\ncache_factor = 0.5\nload_lag = 200ms\n"
+		return "slots = 8\nqueue = 16\ntokens = 24\nrate = 200\nfirst = 60ms\ncache = 64\nprefix = 256\nfactor = 0.5\nlag = 200ms\n"
 	case plainKind:
-		return "slots = 16\nqueue = 32\ntime = 5ms\nload_lag = 200ms\n"
+		return "slots = 16\nqueue = 32\ntime = 5ms\nlag = 200ms\n"
 	default:
-		return "slots = 16\nqueue = 32\ntime = 10ms\nload_lag = 200ms\n"
+		return "slots = 16\nqueue = 32\ntime = 10ms\nlag = 200ms\n"
 	}
 }
--- a/internal/standin/platform/hosts.go
+++ b/internal/standin/platform/hosts.go
@@ -48,7 +48,7 @@
 }
 
 func (h *hosts) get(c echo.Context) error {
-	after, err := number(c, "wait_after", 0)
+	after, err := number(c, "after", 0)
 	if err != nil {
 		return err
 	}
@@ -63,7 +63,7 @@
 	defer timer.Stop()
 	for {
 		list, next, changed := h.visible()
-		if list.Version > after || c.QueryParam("wait_after") == "" {
+		if list.Version > after || c.QueryParam("after") == "" {
 			return h.answer(c, list)
 		}
 		due := time.NewTimer(next)
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -40,12 +40,12 @@
 
 // Faults is the body of PUT /faults; it replaces all faults in effect.
 type Faults struct {
-	Down       bool  `json:"down"`        // every key-value call fails without effect
-	Delay      int64 `json:"delay"`       // milliseconds added to every key-value call
-	LoseAnswer int   `json:"lose_answer"` // next writes whose connection is dropped after they took effect
-	DropWatch  bool  `json:"drop_watch"`  // connections of watches are dropped
-	LapseLease bool  `json:"lapse_lease"` // every lease ends at its next use
-	Lag        int64 `json:"lag"`         // milliseconds by which the host list lags, at most 60,000
+	Down       bool  `json:"down"`  // every key-value call fails without effect
+	Delay      int64 `json:"delay"` // milliseconds added to every key-value call
+	LoseAnswer int   `json:"lose"`  // next writes whose connection is dropped after they took effect
+	DropWatch  bool  `json:"drop"`  // connections of watches are dropped
+	LapseLease bool  `json:"lapse"` // every lease ends at its next use
+	Lag        int64 `json:"lag"`   // milliseconds by which the host list lags, at most 60,000
 }
 
 // Counts answers GET /counts.
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -158,14 +158,14 @@
 	answered := make(chan hostlist.List, 1)
 	go func() {
 		var list hostlist.List
-		f.send(t, http.MethodGet, "/hosts?wait_after=1", nil, &list)
+		f.send(t, http.MethodGet, "/hosts?after=1", nil, &list)
 		answered <- list
 	}()
 	c.Assert(f.send(t, http.MethodPut, "/hosts", host("a", hostlist.Live), nil), qt.Equals, 200)
 	c.Assert((<-answered).Version, qt.Equals, uint64(2))
 
 	var unchanged hostlist.List
-	c.Assert(f.send(t, http.MethodGet, "/hosts?wait_after=2&wait=1", nil, &unchanged), qt.Equals, 200)
+	c.Assert(f.send(t, http.MethodGet, "/hosts?after=2&wait=1", nil, &unchanged), qt.Equals, 200)
 	c.Assert(unchanged.Version, qt.Equals, uint64(2))
 }
 
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -27,7 +27,7 @@
 )
 
 // Upstream holds the settings of one upstream; its keys in the file are the
-// field names in lower case with underscores.
+// lower-case field names or the tags.
 type Upstream struct {
 	Name    ident.UpstreamID `ini:"-"`
 	Kind    string           // encode, retrieve, rerank, engine or plain
@@ -39,21 +39,21 @@
 
 	Slots   int
 	Queue   int
-	LoadLag time.Duration
+	LoadLag time.Duration `ini:"lag"`
 	Time    time.Duration // service time of pools and plain services
 
 	Tokens       int
-	TokenRate    float64 // tokens per second
-	FirstToken   time.Duration
-	CacheEntries int
-	PrefixLength int
-	CacheFactor  float64
-	EventDelay   time.Duration
-	EventGap     int
+	TokenRate    float64       `ini:"rate"` // tokens per second
+	FirstToken   time.Duration `ini:"first"`
+	CacheEntries int           `ini:"cache"`
+	PrefixLength int           `ini:"prefix"`
+	CacheFactor  float64       `ini:"factor"`
+	EventDelay   time.Duration `ini:"delay"`
+	EventGap     int           `ini:"gap"`
 	Models       []string
 	Role         string
-	LoadTime     time.Duration
-	Fencing      string // check or ignore, which is the default
+	LoadTime     time.Duration `ini:"loading"`
+	Fencing      string        // check or ignore, which is the default
 }
 
 // Entry is an entry host that the host list shows from the start.
--- a/internal/system/orders_test.go
+++ b/internal/system/orders_test.go
@@ -28,7 +28,7 @@
 			sections := strings.Split(text, "\n[")
 			for i, section := range sections {
 				if strings.Contains(section, "kind = engine") {
-					sections[i] += "load_time = 300ms\n"
+					sections[i] += "loading = 300ms\n"
 					if i%2 == 0 {
 						sections[i] += "fencing = check\n"
 					}
