Record a crash as soon as an attempt ends by it

Cause: only the last of two hedged attempts was shown to the quarantine, and none when the deadline was near, so a request could crash a third upstream and a crash behind a successful hedge left no trace. Every ended attempt is now shown to the guard first; a retry is decided after it.

TestRunRecordsCrashBehindHedge: both cases failed before (0 and 1 crashes recorded instead of 1 and 2) and pass after.

--- a/pipeline/attempt.go
+++ b/pipeline/attempt.go
@@ -163,13 +163,37 @@
 	return errors.Is(err, ErrLost) && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded)
 }
 
+// strike records the crash of the upstream that an attempt ended by, before
+// anything else happens to the request, and makes the request a suspect.
+func (r *run) strike(ctx context.Context, a attempt, err error) {
+	if !broken(err) || !r.job.Guard.Lost(ctx, a.lease) {
+		return
+	}
+	r.crashed = true
+	r.job.Suspect = true
+	// Upstreams of a failure domain fail together; a second crash there would
+	// put a harmless request into quarantine.
+	r.lost = a.lease.Domain
+}
+
 // again decides whether a repeatable stage may be tried again after err, and
-// returns the reason why not. A lost connection makes the content a suspect,
-// which is recorded before anything else happens.
+// returns the reason why not. After a crash the guard has to allow it too.
 func (r *run) again(ctx context.Context, a attempt, err error) error {
 	if !notRun(err) {
 		r.ran = true
 	}
+	if denied := r.denied(ctx, a, err); denied != nil {
+		return denied
+	}
+	if r.crashed && !r.job.Guard.Again(ctx) {
+		return halt(outcome.Quarantined, err)
+	}
+	r.crashed = false
+	return nil
+}
+
+// denied returns why a stage may not be tried again after err, nil if it may.
+func (r *run) denied(ctx context.Context, a attempt, err error) error {
 	var status StatusError
 	switch {
 	case ctx.Err() != nil:
@@ -182,23 +206,9 @@
 		return r.budgeted(a.stage, halt(outcome.Overload, err))
 	case errors.As(err, &status) && status.Status < 500:
 		return halt(outcome.UpstreamError, err)
-	case broken(err):
-		crashed := r.job.Guard.Lost(ctx, a.lease)
-		if denied := r.budgeted(a.stage, halt(outcome.UpstreamError, err)); denied != nil {
-			return denied
-		}
-		if crashed && !r.job.Guard.Again(ctx) {
-			return halt(outcome.Quarantined, err)
-		}
-		if crashed {
-			// Upstreams of a failure domain fail together; a second crash there would
-			// put a harmless request into quarantine.
-			r.job.Suspect = true
-			r.lost = a.lease.Domain
-		}
-		return nil
+	default:
+		return r.budgeted(a.stage, halt(outcome.UpstreamError, err))
 	}
-	return r.budgeted(a.stage, halt(outcome.UpstreamError, err))
 }
 
 // outwait waits after the refusal err of an overloaded stage and returns nil if
--- a/pipeline/generate.go
+++ b/pipeline/generate.go
@@ -86,6 +86,7 @@
 func (r *run) attemptTokens(ctx context.Context, placed attempt, prompt string, made *generation) error {
 	load, err := r.readTokens(ctx, &placed, prompt, made)
 	r.settle(placed, load, err, false)
+	r.strike(ctx, placed, err)
 	return err
 }
 
--- a/pipeline/plain.go
+++ b/pipeline/plain.go
@@ -40,7 +40,7 @@
 			}
 		}
 		if !r.job.Route.Repeatable && !notRun(err) {
-			return r.unknown(ctx, placed, err)
+			return r.unknown(placed, err)
 		}
 		if denied := r.again(ctx, placed, err); denied != nil {
 			return r.failed(ctx, stage, denied)
@@ -65,14 +65,12 @@
 		err = ErrMismatch
 	}
 	r.settle(placed, reply.Load, err, false)
+	r.strike(ctx, placed, err)
 	return reply, err
 }
 
 // unknown ends a non-repeatable job that may have run.
-func (r *run) unknown(ctx context.Context, placed attempt, err error) outcome.Outcome {
-	if broken(err) {
-		r.job.Guard.Lost(ctx, placed.lease)
-	}
+func (r *run) unknown(placed attempt, err error) outcome.Outcome {
 	r.event("end", placed.id, field("reason", string(outcome.ConnectionLost)))
 	return outcome.Unknown{
 		Reason:  outcome.ConnectionLost,
--- a/pipeline/runner.go
+++ b/pipeline/runner.go
@@ -49,6 +49,8 @@
 	ran  bool                // some upstream may have executed a part of the job
 	rest []document.Stage    // after the present one
 	lost ident.FailureDomain // in which an upstream crashed with the job; empty if none
+	// crashed states that an upstream crashed since the guard last allowed a try.
+	crashed bool
 }
 
 // Run runs the job to its end; tokens of a streamed answer go to sink.
--- a/pipeline/runner_test.go
+++ b/pipeline/runner_test.go
@@ -30,6 +30,7 @@
 	resend int  // tokens before the offset that the stream repeats
 	wrong  bool // answers with another attempt's id
 	hang   bool // answers only when cancelled
+	hedged bool // ends only when a second attempt has started
 }
 
 // fakeTransport plays a script and logs what it executed.
@@ -38,6 +39,8 @@
 	calls    []step // for Call, in order; success when it runs out
 	streams  []step // for Generate
 	executed []string
+	started  int
+	second   chan struct{} // closed when the second call starts
 }
 
 const answerTokens = 6
@@ -63,6 +66,15 @@
 
 func (f *fakeTransport) Call(ctx context.Context, _ ident.Address, call pipeline.Call) (pipeline.Reply, error) {
 	s := f.next(&f.calls)
+	f.mu.Lock()
+	f.started++
+	if f.started == 2 && f.second != nil {
+		close(f.second)
+	}
+	f.mu.Unlock()
+	if s.hedged {
+		<-f.second
+	}
 	if s.hang {
 		<-ctx.Done()
 		// As internal/stagehttp reports a request that was cut off by its context.
@@ -418,6 +430,35 @@
 	})
 }
 
+// A crash behind a hedge must be recorded too: the hedge may crash a second
+// upstream, and a third try would go beyond the bound.
+func TestRunRecordsCrashBehindHedge(t *testing.T) {
+	cases := map[string]struct {
+		hedge step
+		lost  int
+	}{
+		"hedge answers": {step{}, 1},
+		"hedge crashes": {step{err: pipeline.ErrLost}, 2},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			guard := &fakeGuard{}
+			transport := &fakeTransport{
+				calls:  []step{{err: pipeline.ErrLost, hedged: true}, tc.hedge},
+				second: make(chan struct{}),
+			}
+			job := newJob(assistant(), true, guard)
+			for range 50 {
+				job.Estimates.Record("encode", time.Millisecond)
+			}
+			_ = newRunner(transport).Run(context.Background(), job, &fakeSink{})
+			c.Assert(guard.lost, qt.Equals, tc.lost)
+			c.Assert(len(transport.executed) > 0, qt.Equals, tc.lost == 1)
+		})
+	}
+}
+
 // A request that cannot finish before its deadline must not start.
 func TestRunRefusesLateRequest(t *testing.T) {
 	c := qt.New(t)
--- a/pipeline/transform.go
+++ b/pipeline/transform.go
@@ -108,6 +108,7 @@
 		case last = <-ends:
 			running--
 			r.settle(last.attempt, last.reply.Load, last.err, winner != nil)
+			r.strike(ctx, last.attempt, last.err)
 			if !notRun(last.err) {
 				r.ran = true
 			}
