--- a/peer/grpcpeer/codec.go
+++ b/peer/grpcpeer/codec.go
@@ -127,27 +127,59 @@
 func encodeRumour(rumour peer.Rumour) *Rumour {
 	switch r := rumour.(type) {
 	case peer.HostSuspected:
-		return &Rumour{Kind: &Rumour_HostSuspected{HostSuspected: encodeHost(r.Host, r.Incarnation)}}
+		return &Rumour{
+			Kind: &Rumour_HostSuspected{
+				HostSuspected: encodeHost(r.Host, r.Incarnation),
+			},
+		}
 	case peer.HostAlive:
-		return &Rumour{Kind: &Rumour_HostAlive{HostAlive: encodeRow(r.Row)}}
+		return &Rumour{
+			Kind: &Rumour_HostAlive{
+				HostAlive: encodeRow(r.Row),
+			},
+		}
 	case peer.HostLeaving:
-		return &Rumour{Kind: &Rumour_HostLeaving{HostLeaving: encodeHost(r.Host, r.Incarnation)}}
+		return &Rumour{
+			Kind: &Rumour_HostLeaving{
+				HostLeaving: encodeHost(r.Host, r.Incarnation),
+			},
+		}
 	case peer.UpstreamLeaving:
-		return &Rumour{Kind: &Rumour_UpstreamLeaving{UpstreamLeaving: encodeUpstream(r.Upstream, r.Incarnation)}}
+		return &Rumour{
+			Kind: &Rumour_UpstreamLeaving{
+				UpstreamLeaving: encodeUpstream(r.Upstream, r.Incarnation),
+			},
+		}
 	case peer.UpstreamCrashed:
-		return &Rumour{Kind: &Rumour_UpstreamCrashed{UpstreamCrashed: encodeUpstream(r.Upstream, r.Incarnation)}}
+		return &Rumour{
+			Kind: &Rumour_UpstreamCrashed{
+				UpstreamCrashed: encodeUpstream(r.Upstream, r.Incarnation),
+			},
+		}
 	case peer.FingerprintStruck:
-		return &Rumour{Kind: &Rumour_FingerprintStruck{FingerprintStruck: encodeStrike(r)}}
+		return &Rumour{
+			Kind: &Rumour_FingerprintStruck{
+				FingerprintStruck: encodeStrike(r),
+			},
+		}
 	case peer.FingerprintCleared:
-		return &Rumour{Kind: &Rumour_FingerprintCleared{FingerprintCleared: &Fingerprint{
-			Fingerprint: r.Fingerprint[:],
-			Version:     uint64(r.Version),
-		}}}
+		return &Rumour{
+			Kind: &Rumour_FingerprintCleared{
+				FingerprintCleared: &Fingerprint{
+					Fingerprint: r.Fingerprint[:],
+					Version:     uint64(r.Version),
+				},
+			},
+		}
 	case peer.DocumentRevised:
-		return &Rumour{Kind: &Rumour_DocumentRevised{DocumentRevised: &Document{
-			Service:  string(r.Service),
-			Revision: uint64(r.Revision),
-		}}}
+		return &Rumour{
+			Kind: &Rumour_DocumentRevised{
+				DocumentRevised: &Document{
+					Service:  string(r.Service),
+					Revision: uint64(r.Revision),
+				},
+			},
+		}
 	case peer.TopOrganisations:
 		top := &Organisations{
 			Host: string(r.Host),
@@ -159,7 +191,11 @@
 				Rate:         float32(rate.Rate),
 			})
 		}
-		return &Rumour{Kind: &Rumour_TopOrganisations{TopOrganisations: top}}
+		return &Rumour{
+			Kind: &Rumour_TopOrganisations{
+				TopOrganisations: top,
+			},
+		}
 	default:
 		return &Rumour{}
 	}
