Tell other hosts of a crashed upstream

The rumour existed and hosts acted on it, but none published it, so each entry host lost attempts of its own before it avoided the upstream. make check passes; the gain was not measured.

--- a/internal/entry/guard.go
+++ b/internal/entry/guard.go
@@ -25,6 +25,7 @@
 // guard isolates one request by the records of the quarantine.
 type guard struct {
 	crashed     func(ctx context.Context, at ident.Address) bool
+	announce    func(crash quarantine.Crash)
 	keeper      *quarantine.Keeper
 	fingerprint quarantine.Fingerprint
 	attempt     ident.AttemptID
@@ -43,6 +44,7 @@
 		Upstream:    at.Upstream,
 		Incarnation: at.Incarnation,
 	}
+	g.announce(crash)
 	// Errors leave the strike known to this host and the peers that were
 	// reached; Begin refuses a trial while the store is down.
 	if g.trial != nil {
@@ -91,6 +93,7 @@
 func (s *Server) isolate(ctx context.Context, request caller.Request) (g *guard, refused outcome.Outcome) {
 	g = &guard{
 		crashed:     s.cfg.Crashed,
+		announce:    s.cfg.Announce,
 		keeper:      s.cfg.Quarantine,
 		fingerprint: fingerprint(request),
 		attempt:     s.cfg.NewAttempt(),
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -128,6 +128,7 @@
 	h.server = NewServer(ServerConfig{
 		Ledger:     h.ledger,
 		Quarantine: h.keeper,
+		Announce:   h.peers.announce,
 		Limits:     func() Limits { return NewLimits(time.Now) },
 		Recorder:   h.ring,
 		Metrics:    h.metrics,
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -172,6 +172,14 @@
 	return errors.Annotate(failed, "announce strike")
 }
 
+// announce tells other hosts to avoid an upstream that has crashed.
+func (p *peers) announce(crash quarantine.Crash) {
+	p.gossip.Publish(peer.UpstreamCrashed{
+		Upstream:    crash.Upstream,
+		Incarnation: crash.Incarnation,
+	})
+}
+
 // hintOf returns the rumour by which other hosts learn that a record has changed;
 // its version only orders the hints of a fingerprint.
 func hintOf(rumour quarantine.Rumour) peer.Rumour {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -30,6 +30,7 @@
 	Runner     *pipeline.Runner
 	Quarantine *quarantine.Keeper
 	Crashed    func(ctx context.Context, at ident.Address) bool // whether the process at an address has ended; nil asks by connecting
+	Announce   func(crash quarantine.Crash)                     // tells other hosts of a crashed upstream; nil tells nobody
 	Limits     func() Limits                                    // made once for each service
 	Recorder   timeline.Recorder
 	Metrics    *metrics.Set
@@ -51,6 +52,9 @@
 	if cfg.Crashed == nil {
 		cfg.Crashed = crashed
 	}
+	if cfg.Announce == nil {
+		cfg.Announce = func(quarantine.Crash) {}
+	}
 	return &Server{
 		cfg:      cfg,
 		active:   newActive(),
