--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -55,7 +55,7 @@
 		Domain:      "domain-0",
 		Region:      "region-0",
 		Incarnation: 1,
-	}, timeline.NewClock(time.Now), document.NewRegistry(), zerolog.Nop())
+	}, timeline.NewClock(time.Now), nil, document.NewRegistry(), zerolog.Nop())
 	p.merge(list)
 	return p
 }
--- a/internal/entry/claimcall.go
+++ b/internal/entry/claimcall.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/nutmegshift/nutmegshift/claim"
+	"github.com/nutmegshift/nutmegshift/ident"
 )
 
 // The kinds of forwarded calls and of their answers.
@@ -34,6 +36,20 @@
 	Detail string    `json:"detail,omitempty"` // of an error
 }
 
+// claimSuffix ends the attempt id of a claim; what precedes it is the request id.
+const claimSuffix = "/claim"
+
+// claimAttempt returns the attempt id of a request's claim, by which the owner
+// of the partition records its part under the same request.
+func claimAttempt(request ident.RequestID) ident.AttemptID {
+	return ident.AttemptID(request) + claimSuffix
+}
+
+// requestOf returns the request of a claim's attempt id.
+func requestOf(attempt ident.AttemptID) ident.RequestID {
+	return ident.RequestID(strings.TrimSuffix(string(attempt), claimSuffix))
+}
+
 func encodeCall(message claimMessage) ([]byte, error) {
 	encoded, err := json.Marshal(message)
 	return encoded, errors.Annotate(err, "encode forwarded claim")
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -100,7 +100,7 @@
 		Region:      s.Region,
 		Incarnation: h.boot,
 		State:       peer.Alive,
-	}, h.clock, h.registry, log)
+	}, h.clock, h.ring, h.registry, log)
 	h.ledger = claim.New(claim.Config{
 		Store:     h.store,
 		Host:      s.Host,
--- a/internal/entry/peerhandler.go
+++ b/internal/entry/peerhandler.go
@@ -12,8 +12,12 @@
 	"github.com/nutmegshift/nutmegshift/peer"
 	"github.com/nutmegshift/nutmegshift/peer/grpcpeer"
 	"github.com/nutmegshift/nutmegshift/quarantine"
+	"github.com/nutmegshift/nutmegshift/timeline"
 )
 
+// peerPart names this host's work for other hosts in events.
+const peerPart = "peer"
+
 // peerHandler answers the calls of other hosts.
 type peerHandler struct {
 	peers *peers
@@ -48,9 +52,12 @@
 	if err != nil {
 		return claimMessage{}, err
 	}
+	h.record(item, "forwarded "+call.Kind, field("from", string(from)))
 	switch call.Kind {
 	case claimCall:
-		return decisionReply(h.peers.ledger.Accept(ctx, from, item.Identity, item.Attempt))
+		reply, err := decisionReply(h.peers.ledger.Accept(ctx, from, item.Identity, item.Attempt))
+		h.record(item, "claim decided", field("decision", reply.Kind))
+		return reply, err
 	case doneCall, releasedCall:
 		if err := h.peers.ledger.AcceptFinish(ctx, from, item.Identity, item.Attempt, call.result()); err != nil {
 			return errorReply(err)
@@ -63,6 +70,17 @@
 	}
 }
 
+// record records an event of a request that another host has accepted.
+func (h *peerHandler) record(item grpcpeer.ClaimItem, name string, fields ...timeline.Field) {
+	h.peers.recorder.Record(timeline.Event{
+		Request: requestOf(item.Attempt),
+		Attempt: item.Attempt,
+		Part:    peerPart,
+		Name:    name,
+		Fields:  fields,
+	})
+}
+
 // Documents implements grpcpeer.Handler.
 func (h *peerHandler) Documents(names []ident.ServiceName, known map[ident.ServiceName]ident.Revision, limit int) []document.Versioned {
 	return h.peers.registry.Snapshot().Select(names, known, limit)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -47,6 +47,7 @@
 	self     ident.HostID
 	domain   ident.FailureDomain
 	log      zerolog.Logger
+	recorder timeline.Recorder
 	table    *peer.Table
 	gossip   *peer.Gossip
 	client   *grpcpeer.Client
@@ -67,11 +68,12 @@
 )
 
 // newPeers returns the peers of a host; the caller sets the parts that depend on them.
-func newPeers(self peer.Row, clock *timeline.Clock, registry *document.Registry, log zerolog.Logger) *peers {
+func newPeers(self peer.Row, clock *timeline.Clock, recorder timeline.Recorder, registry *document.Registry, log zerolog.Logger) *peers {
 	p := &peers{
 		self:     self.Host,
 		domain:   self.Domain,
 		log:      log,
+		recorder: recorder,
 		table:    peer.NewTable(self),
 		client:   grpcpeer.NewClient(self.Host, clock, time.Now),
 		registry: registry,
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -142,7 +142,7 @@
 // runClaimed runs a non-repeatable request if its identity can be claimed.
 func (s *Server) runClaimed(ctx context.Context, request caller.Request, sink caller.Sink, work pipeline.Job) outcome.Outcome {
 	identity := claim.NewIdentity(request.Service.Name, request.Organisation, request.Identity)
-	attempt := s.cfg.NewAttempt()
+	attempt := claimAttempt(request.ID)
 	decision, err := s.cfg.Ledger.Claim(ctx, identity, attempt)
 	switch {
 	case errors.Is(err, claim.ErrUndecided):
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -72,13 +72,16 @@
 call 10 1 lakeshore-creamery /nutmeg-pool/v1/chat/completions '{"messages":[{"role":"user","content":"Which class takes a washed rind of 14 months?"}]}'
 chat=$last_id
 call 10 2 rindworks /nutmeg-pool/v1/chat/completions '{"stream":true,"messages":[{"role":"user","content":"Draft the dossier for wheel 12."}]}'
-call 10 1 lakeshore-creamery /entries-api/entries '{"submission":"entry-77","wheel":"12"}'
-call 10 3 lakeshore-creamery /entries-api/entries '{"submission":"entry-77","wheel":"12"}'
+call 10 1 lakeshore-creamery /entries-api/entries '{"submission":"entry-78","wheel":"12"}'
+entry=$last_id
+call 10 3 lakeshore-creamery /entries-api/entries '{"submission":"entry-78","wheel":"12"}'
 echo "== Roues Armor"
 call 20 2 atelier-armorique /atelier-llm/v1/chat/completions '{"messages":[{"role":"user","content":"Flange wear of 4 mm on wheelset 9?"}]}'
 call 20 1 atelier-armorique /planning/reservations '{"submission":"slot-5","lathe":"2"}'
 echo "== Time line of request $chat"
 bin/nutmegshift timeline --hosts 127.10.0.1:7000 --request "$chat"
+echo "== Time line of request $entry, whose claim another host may own"
+bin/nutmegshift timeline --hosts 127.10.0.1:7000 --request "$entry"
 echo "== Load"
 bin/nutmegshift load --hosts 127.10.0.1:7000 --callers 127.10.1.1:8080,127.10.1.2:8080,127.10.1.3:8080 --service nutmeg-pool --rate 20 --duration 3s --seed 1
 bin/nutmegshift load --hosts 127.20.0.1:7000 --callers 127.20.1.1:8080,127.20.1.2:8080,127.20.1.3:8080 --service atelier-llm --rate 20 --duration 3s --seed 1
