--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -17,6 +17,7 @@
 		ErrWriter: errOut,
 		Commands: []*cli.Command{
 			entryCommand(),
+			relayCommand(),
 			configCommand(),
 			orderCommand(),
 			statusCommand(),
--- /dev/null
+++ b/internal/command/relay.go
@@ -0,0 +1,56 @@
+package command
+
+import (
+	"context"
+	"os"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/nutmegshift/nutmegshift/internal/relay/host"
+	"github.com/nutmegshift/nutmegshift/internal/settings"
+	"github.com/nutmegshift/nutmegshift/platform"
+)
+
+func relayCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "relay",
+		Usage:       "run the daemon of a host that forwards requests by the operators' routing table",
+		Description: "The settings file is INI:\n\n" + settings.RelayHelp(),
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name:     "settings",
+				Usage:    "settings `FILE`",
+				Sources:  cli.EnvVars(platform.SettingsVariable),
+				Required: true,
+			},
+		},
+		Action: runRelay,
+	}
+}
+
+func runRelay(ctx context.Context, command *cli.Command) error {
+	name := command.String("settings")
+	content, err := os.ReadFile(name)
+	if err != nil {
+		return errors.Annotate(err, "read settings")
+	}
+	parsed, err := settings.ParseRelay(name, content)
+	if err != nil {
+		return err
+	}
+	level, err := zerolog.ParseLevel(parsed.Level)
+	if err != nil {
+		return errors.Annotate(err, "parse log level")
+	}
+	log := zerolog.New(command.Root().Writer).Level(level).With().Timestamp().Str("host", string(parsed.Host)).Logger()
+	stopping, _, release := stopSignals(ctx)
+	defer release()
+	return host.New(parsed, host.Platform{
+		Codec:     platform.Codec{},
+		Keys:      platform.Keys,
+		Store:     platform.Store{},
+		ReadyPath: platform.ReadyPath,
+	}, log).Run(stopping)
+}
--- /dev/null
+++ b/internal/relay/batch/worker.go
@@ -0,0 +1,143 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
+)
+
+const (
+	// paceWeight is the weight of a call in the moving average of a worker's pace.
+	paceWeight = 0.4
+	// itemWeight is the weight of a call in the moving average of item times.
+	itemWeight = 0.2
+	// shortBreak is the time without calls after a refusal, longBreak after a
+	// lost call; the latter doubles up to maxBreak while calls are lost.
+	shortBreak = 40 * time.Millisecond
+	longBreak  = 400 * time.Millisecond
+	maxBreak   = 3 * time.Second
+)
+
+// worker is an upstream of a stage.
+type worker struct {
+	upstream fleet.Upstream
+	pool     *pool
+	calls    []*call       // in progress
+	resume   time.Time     // when a break ends
+	pace     float64       // time that calls take, divided by the expected one
+	held     int64         // bytes of results, those of calls in progress included
+	broken   time.Duration // length of the last break; 0 while calls succeed
+	gone     bool          // no longer registered, or draining
+}
+
+// call is a Call with its state.
+type call struct {
+	Call
+	worker  *worker
+	parts   []part
+	started time.Time
+	bytes   int64 // reserved for results
+}
+
+// part is one item of a call.
+type part struct {
+	task  *task
+	piece int
+}
+
+// pool is the set of workers of one service.
+type pool struct {
+	limits  routes.Batch
+	workers []*worker              // in order of upstream id
+	queue   []*task                // that have pieces waiting
+	items   map[Kind]time.Duration // time that an item adds, by experience
+}
+
+// itemTime returns the time that an item of a kind adds to a call.
+func (p *pool) itemTime(kind Kind) time.Duration {
+	if known, ok := p.items[kind]; ok {
+		return known
+	}
+	return p.limits.ItemTime
+}
+
+// work returns the time that a task's pieces add to a call.
+func (p *pool) work(t *task, pieces int) time.Duration {
+	return time.Duration(pieces) * p.itemTime(t.stage.Kind)
+}
+
+// alone returns the time of a call with nothing but a stage's pieces.
+func (p *pool) alone(stage Stage) time.Duration {
+	return p.limits.CallTime + time.Duration(stage.Pieces)*p.itemTime(stage.Kind)
+}
+
+// learn corrects the item times by the time that a call took, at a usual pace.
+func (p *pool) learn(c *call, took time.Duration) {
+	counts := make(map[Kind]float64)
+	squares := 0.0
+	work := time.Duration(0)
+	for _, part := range c.parts {
+		counts[part.task.stage.Kind]++
+		work += p.itemTime(part.task.stage.Kind)
+	}
+	for _, n := range counts {
+		squares += n * n
+	}
+	missed := float64(took - p.limits.CallTime - work)
+	for kind, n := range counts {
+		corrected := p.itemTime(kind) + time.Duration(itemWeight*missed*n/squares)
+		p.items[kind] = min(max(corrected, p.limits.ItemTime/10), 4*p.limits.ItemTime)
+	}
+}
+
+// available returns when the next call can start, as far as known. A call that
+// is overdue is taken to last as long again as it is late.
+func (w *worker) available(now time.Time) time.Time {
+	at := w.resume
+	if at.Before(now) {
+		at = now
+	}
+	if len(w.calls) < w.pool.limits.Slots {
+		return at
+	}
+	for _, c := range w.calls {
+		end := c.started.Add(c.Expected)
+		if end.Before(now) {
+			end = now.Add(now.Sub(end))
+		}
+		if end.After(at) {
+			at = end
+		}
+	}
+	return at
+}
+
+// idle reports whether a call may start now.
+func (w *worker) idle(now time.Time) bool {
+	return len(w.calls) < w.pool.limits.Slots && !w.resume.After(now)
+}
+
+// ended takes the end of a call.
+func (w *worker) ended(now time.Time, c *call, outcome Outcome) {
+	for i, other := range w.calls {
+		if other == c {
+			w.calls = append(w.calls[:i], w.calls[i+1:]...)
+			break
+		}
+	}
+	w.held -= c.bytes
+	switch outcome.(type) {
+	case Completed:
+		w.broken = 0
+		took := now.Sub(c.started)
+		usual := time.Duration(float64(c.Expected) / w.pace)
+		w.pool.learn(c, time.Duration(float64(took)/w.pace))
+		w.pace += paceWeight * (float64(took)/float64(usual) - w.pace)
+	case Refused:
+		w.resume = now.Add(shortBreak)
+	case Lost:
+		w.broken = min(max(2*w.broken, longBreak), maxBreak)
+		w.resume = now.Add(w.broken)
+	}
+}
--- /dev/null
+++ b/internal/relay/coordinator/coordinator.go
@@ -0,0 +1,269 @@
+package coordinator
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
+	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
+	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
+	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
+)
+
+const (
+	// A batch that takes this many times as long as expected is given up.
+	patienceFactor = 4
+	minPatience    = 1500 * time.Millisecond
+	// releaseTimeout bounds a call that drops results; they lapse anyway.
+	releaseTimeout = time.Second
+	commandQueue   = 256
+	answerBytes    = 1 << 20 // longest answer of a batch
+)
+
+// ErrStopped means that the coordinator does not run.
+const ErrStopped = errors.ConstError("coordinator is stopped")
+
+// Prepared are the results of a request's stages.
+type Prepared struct {
+	Inputs  []wire.Handle
+	Domain  ident.FailureDomain // that holds most of their bytes; empty if there are none
+	Release func()              // drops the results; it may be called more than once
+}
+
+// Config holds the dependencies of a Coordinator.
+type Config struct {
+	Codec    wire.Codec
+	Client   *upstreamhttp.Client
+	Table    func() *routes.Table
+	Fleet    func() *fleet.Snapshot
+	Now      func() time.Time
+	Log      zerolog.Logger
+}
+
+// command is run by the goroutine that owns the scheduler.
+type command func(now time.Time)
+
+// ended is the end of a call to an upstream.
+type ended struct {
+	id      batch.CallID // 0 for a release
+	outcome batch.Outcome
+}
+
+// Coordinator runs the stages of requests.
+type Coordinator struct {
+	config    Config
+	last      atomic.Uint64 // batch.JobID
+	commands  chan command
+	stopped   chan struct{}
+	ends      chan ended
+	scheduler *batch.Scheduler
+	waiting   map[batch.JobID]chan batch.Done
+	table     *routes.Table
+	snapshot  *fleet.Snapshot
+	running   int
+}
+
+// New returns a coordinator; Run starts it.
+func New(config Config) *Coordinator {
+	return &Coordinator{
+		config:    config,
+		commands:  make(chan command, commandQueue),
+		stopped:   make(chan struct{}),
+		ends:      make(chan ended),
+		scheduler: batch.New(),
+		waiting:   make(map[batch.JobID]chan batch.Done),
+	}
+}
+
+// Run serves until the context ends and all calls have returned.
+func (c *Coordinator) Run(ctx context.Context) error {
+	defer close(c.stopped)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			for ; c.running > 0; c.running-- {
+				<-c.ends
+			}
+			return nil
+		case do := <-c.commands:
+			c.configure()
+			do(c.config.Now())
+		case end := <-c.ends:
+			c.running--
+			if end.id != 0 {
+				c.scheduler.Finish(c.config.Now(), end.id, end.outcome)
+			}
+		case <-timer.C:
+		}
+		timer.Reset(c.act(ctx))
+	}
+}
+
+// configure gives the scheduler the services and upstreams in force.
+func (c *Coordinator) configure() {
+	table, snapshot := c.config.Table(), c.config.Fleet()
+	if table == nil || table == c.table && snapshot == c.snapshot {
+		return
+	}
+	c.table, c.snapshot = table, snapshot
+	c.scheduler.Configure(table.Services(), snapshot)
+}
+
+// act carries out what the scheduler decides and returns when to ask it again.
+func (c *Coordinator) act(ctx context.Context) time.Duration {
+	now := c.config.Now()
+	actions := c.scheduler.Next(now)
+	for _, done := range actions.Done {
+		if waiting, ok := c.waiting[done.Job]; ok {
+			delete(c.waiting, done.Job)
+			waiting <- done
+		}
+	}
+	for _, call := range actions.Calls {
+		c.running++
+		go func(ctx context.Context) {
+			c.ends <- ended{
+				id:      call.ID,
+				outcome: c.call(ctx, call),
+			}
+		}(ctx)
+	}
+	for _, release := range actions.Releases {
+		c.running++
+		go func(ctx context.Context) {
+			c.release(ctx, release)
+			c.ends <- ended{}
+		}(ctx)
+	}
+	if actions.Wake.IsZero() {
+		return time.Hour
+	}
+	return max(time.Millisecond, actions.Wake.Sub(now))
+}
+
+// Prepare runs the stages of a job; the job's id is set here. The end of the
+// context cancels it. Errors are those of package batch, ErrStopped and that of
+// the context.
+func (c *Coordinator) Prepare(ctx context.Context, job batch.Job) (Prepared, error) {
+	job.ID = batch.JobID(c.last.Add(1))
+	done := make(chan batch.Done, 1)
+	submit := func(now time.Time) {
+		c.waiting[job.ID] = done
+		if err := c.scheduler.Submit(now, job); err != nil {
+			delete(c.waiting, job.ID)
+			done <- batch.Done{
+				Job: job.ID,
+				Err: err,
+			}
+		}
+	}
+	cancel := func(time.Time) {
+		delete(c.waiting, job.ID)
+		c.scheduler.Cancel(job.ID)
+	}
+	if !c.do(submit) {
+		return Prepared{}, ErrStopped
+	}
+	select {
+	case end := <-done:
+		if end.Err != nil {
+			return Prepared{}, end.Err
+		}
+		return Prepared{
+			Inputs:  end.Inputs,
+			Domain:  end.Domain,
+			Release: func() { c.do(cancel) },
+		}, nil
+	case <-ctx.Done():
+		c.do(cancel)
+		return Prepared{}, ctx.Err()
+	case <-c.stopped:
+		return Prepared{}, ErrStopped
+	}
+}
+
+// do hands a command to Run; it returns false if that has ended.
+func (c *Coordinator) do(do command) bool {
+	select {
+	case c.commands <- do:
+		return true
+	case <-c.stopped:
+		return false
+	}
+}
+
+// call sends one batch.
+func (c *Coordinator) call(ctx context.Context, call batch.Call) batch.Outcome {
+	patience := max(minPatience, patienceFactor*call.Expected)
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	message, err := c.config.Codec.Batch(call.Items)
+	if err != nil {
+		c.config.Log.Error().Err(err).Msg("stage: batch not encoded")
+		return batch.Lost{}
+	}
+	answer, err := c.send(ctx, call.Upstream, message)
+	if err != nil {
+		c.config.Log.Info().Err(err).Str("upstream", string(call.Upstream.ID)).Int("items", len(call.Items)).Msg("stage: batch failed")
+		if errors.Is(err, upstreamhttp.ErrBusy) {
+			return batch.Refused{}
+		}
+		return batch.Lost{}
+	}
+	defer answer.Close()
+	body, err := answer.All(answerBytes)
+	if answer.Reply.NotRun {
+		return batch.Refused{}
+	}
+	var results []wire.ItemResult
+	if err == nil {
+		results, err = c.config.Codec.Results(body)
+	}
+	if err != nil || answer.Status/100 != 2 || len(results) != len(call.Items) {
+		c.config.Log.Info().Err(err).Str("upstream", string(call.Upstream.ID)).Int("status", answer.Status).Msg("stage: batch failed")
+		return batch.Lost{}
+	}
+	return batch.Completed{
+		Results: results,
+	}
+}
+
+// release drops results at the upstream that holds them.
+func (c *Coordinator) release(ctx context.Context, release batch.Release) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	message, err := c.config.Codec.Release(release.Handles)
+	if err != nil {
+		c.config.Log.Error().Err(err).Msg("stage: release not encoded")
+		return
+	}
+	answer, err := c.send(ctx, fleet.Upstream{
+		Address: release.Address,
+	}, message)
+	if err == nil {
+		_, err = answer.All(answerBytes)
+		answer.Close()
+	}
+	if err != nil {
+		c.config.Log.Debug().Err(err).Str("address", string(release.Address)).Int("results", len(release.Handles)).Msg("stage: results are left to lapse")
+	}
+}
+
+func (c *Coordinator) send(ctx context.Context, to fleet.Upstream, message wire.Message) (*upstreamhttp.Answer, error) {
+	return c.config.Client.Send(ctx, upstreamhttp.Request{
+		Address: to.Address,
+		Method:  message.Method,
+		Target:  message.Path,
+		Host:    string(to.Address),
+		Header:  c.config.Codec.CallHeader(to.ID),
+		Body:    message.Body,
+	})
+}
--- /dev/null
+++ b/internal/relay/discovery/follower.go
@@ -0,0 +1,146 @@
+package discovery
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/nutmegshift/nutmegshift/kv"
+)
+
+const (
+	// firstPause and longestPause bound the pause after a failed call.
+	firstPause   = 50 * time.Millisecond
+	longestPause = time.Second
+	pageLimit    = 500
+	// againPause joins lists that are asked for in quick succession.
+	againPause = 100 * time.Millisecond
+)
+
+// Sink takes what a Follower reads. A removal takes effect at until, unless the
+// entry comes back before; zero means at once.
+type Sink interface {
+	// Listed takes a complete listing.
+	Listed(entries []kv.Entry, until time.Time)
+	// Changed takes one change.
+	Changed(change kv.Change, until time.Time)
+}
+
+// Follower keeps a Sink up to date with the entries under a prefix.
+type Follower struct {
+	store  kv.Store
+	health *Health
+	prefix kv.Key
+	sink   Sink
+	again  chan struct{}
+}
+
+// NewFollower returns a follower; Run starts it.
+func NewFollower(store kv.Store, health *Health, prefix kv.Key, sink Sink) *Follower {
+	return &Follower{
+		store:  store,
+		health: health,
+		prefix: prefix,
+		sink:   sink,
+		again:  make(chan struct{}, 1),
+	}
+}
+
+// Again asks for a new listing, because another host knows of a change that
+// this one has not seen.
+func (f *Follower) Again() {
+	select {
+	case f.again <- struct{}{}:
+	default: // one is asked for already
+	}
+}
+
+// Run follows the prefix until the context ends. After a failure it lists again,
+// since a listing is answered at once when the store is back.
+func (f *Follower) Run(ctx context.Context) error {
+	pause := firstPause
+	for ctx.Err() == nil {
+		cursor, err := f.list(ctx)
+		for err == nil {
+			pause = firstPause
+			cursor, err = f.watch(ctx, cursor)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if errors.Is(err, errAgain) || errors.Is(err, kv.ErrCompacted) {
+			sleep(ctx, againPause)
+			continue
+		}
+		f.health.Failed(err)
+		f.health.Pause(ctx, f, pause/2+rand.N(pause))
+		pause = min(2*pause, longestPause)
+	}
+	return nil
+}
+
+// errAgain ends a watch in favour of a new listing.
+const errAgain = errors.ConstError("another listing is due")
+
+func (f *Follower) list(ctx context.Context) (kv.Cursor, error) {
+	var entries []kv.Entry
+	var cursor kv.Cursor
+	after := kv.Key("")
+	for {
+		page, err := f.store.List(ctx, f.prefix, after, pageLimit)
+		if err != nil {
+			return 0, err
+		}
+		f.health.Succeeded()
+		if after == "" {
+			cursor = page.Cursor // later changes may be missing in the first page
+		}
+		entries = append(entries, page.Entries...)
+		if !page.More || len(page.Entries) == 0 {
+			break
+		}
+		after = page.Entries[len(page.Entries)-1].Key
+	}
+	f.sink.Listed(entries, f.health.Doubtful())
+	return cursor, nil
+}
+
+// watch waits for changes after the cursor.
+func (f *Follower) watch(ctx context.Context, cursor kv.Cursor) (kv.Cursor, error) {
+	waiting, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	asked := make(chan struct{})
+	go func(ctx context.Context) {
+		defer close(asked)
+		select {
+		case <-f.again:
+			stop(errAgain)
+		case <-ctx.Done():
+		}
+	}(waiting)
+	changes, err := f.store.Watch(waiting, f.prefix, cursor)
+	stop(nil)
+	<-asked
+	if errors.Is(context.Cause(waiting), errAgain) {
+		return 0, errAgain
+	}
+	if err != nil {
+		return 0, err
+	}
+	f.health.Succeeded()
+	for _, change := range changes.Changes {
+		f.sink.Changed(change, f.health.Doubtful())
+	}
+	return max(cursor, changes.Cursor), nil
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/relay/discovery/registration.go
@@ -0,0 +1,117 @@
+package discovery
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/nutmegshift/nutmegshift/kv"
+)
+
+// renewals is how often a lease is renewed during its life, so that one or two
+// lost renewals do not end it.
+const renewals = 3
+
+// Registration keeps one entry in the store while its host runs.
+type Registration struct {
+	store  kv.Store
+	health *Health
+	log    zerolog.Logger
+	key    kv.Key
+	value  []byte
+	life   time.Duration
+	lease  kv.LeaseID // 0 while there is none
+}
+
+// NewRegistration returns a registration that Run makes and keeps.
+func NewRegistration(store kv.Store, health *Health, log zerolog.Logger, key kv.Key, value []byte, life time.Duration) *Registration {
+	return &Registration{
+		store:  store,
+		health: health,
+		log:    log,
+		key:    key,
+		value:  value,
+		life:   life,
+	}
+}
+
+// Run keeps the entry until the context ends, then deletes it.
+func (r *Registration) Run(ctx context.Context) error {
+	pause := firstPause
+	for ctx.Err() == nil {
+		err := r.keep(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		if err == nil {
+			pause = firstPause
+			r.health.Succeeded()
+			sleep(ctx, r.life/renewals)
+			continue
+		}
+		r.log.Debug().Err(err).Str("key", string(r.key)).Msg("store: own entry not written")
+		if errors.Is(err, kv.ErrConflict) || errors.Is(err, kv.ErrLeaseLost) {
+			sleep(ctx, againPause)
+			continue
+		}
+		r.health.Failed(err)
+		r.health.Pause(ctx, r, pause/2+rand.N(pause))
+		pause = min(2*pause, longestPause)
+	}
+	return r.end(context.WithoutCancel(ctx))
+}
+
+// keep renews the lease, or makes a new one with the entry.
+func (r *Registration) keep(ctx context.Context) error {
+	if r.lease != 0 {
+		err := r.store.Renew(ctx, r.lease)
+		if !errors.Is(err, kv.ErrLeaseLost) {
+			return err
+		}
+		r.log.Info().Uint64("lease", uint64(r.lease)).Msg("store: lease of own entry has ended")
+		r.lease = 0
+	}
+	lease, err := r.store.Grant(ctx, r.life)
+	if err != nil {
+		return err
+	}
+	if err := r.put(ctx, lease); err != nil {
+		return err
+	}
+	r.lease = lease
+	return nil
+}
+
+// put replaces the entry, which an earlier life of this host may have left.
+func (r *Registration) put(ctx context.Context, lease kv.LeaseID) error {
+	put := kv.Put{
+		Key:   r.key,
+		Value: r.value,
+		Lease: lease,
+	}
+	_, err := r.store.Put(ctx, put)
+	if !errors.Is(err, kv.ErrConflict) {
+		return err
+	}
+	held, err := r.store.Get(ctx, r.key)
+	if err != nil && !errors.Is(err, kv.ErrNotFound) {
+		return err
+	}
+	put.Expect = held.Version
+	_, err = r.store.Put(ctx, put)
+	return err
+}
+
+// end deletes the entry, at once or, if the store does not answer, with its lease.
+func (r *Registration) end(ctx context.Context) error {
+	if r.lease == 0 {
+		return nil
+	}
+	if err := r.store.Revoke(ctx, r.lease); err != nil {
+		r.log.Info().Err(err).Dur("life", r.life).Msg("store: own entry is left to lapse")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/relay/fleet/doc.go
@@ -0,0 +1,14 @@
+// Package fleet keeps the upstreams that are registered in the store.
+//
+// A Directory merges registrations, in order of their store version, and
+// removals. Readers get immutable Snapshots, indexed by service.
+//
+// Invariants:
+//   - A registration that is older than the one held changes nothing.
+//   - An upstream that is draining or removed is in no Snapshot's ready list.
+//   - A removal that follows an outage of the store counts only after the
+//     upstream has had time to register again.
+//
+// Locking: one mutex of the Directory guards its rows; exported methods take
+// it. A Snapshot needs no lock.
+package fleet
--- /dev/null
+++ b/internal/relay/forward/handler.go
@@ -0,0 +1,221 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
+	"github.com/nutmegshift/nutmegshift/internal/relay/budget"
+	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
+	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
+	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
+	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
+	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
+)
+
+// Stager runs the stages of requests.
+type Stager interface {
+	Prepare(ctx context.Context, job batch.Job) (coordinator.Prepared, error)
+}
+
+// Config holds the dependencies of a Handler.
+type Config struct {
+	Codec       wire.Codec
+	Routes      *routes.Holder
+	Fleet       *fleet.Directory
+	Client      *upstreamhttp.Client
+	Chooser     *placement.Chooser
+	Budget      *budget.Budget
+	Stager      Stager
+	Domain      ident.FailureDomain
+	Connections func(service *routes.Service) int // this host's share of the connections to one upstream
+	Stopping    func() bool
+	Now         func() time.Time
+	Log         zerolog.Logger
+}
+
+// Handler serves the port for callers.
+type Handler struct {
+	config Config
+}
+
+// New returns a handler.
+func New(config Config) *Handler {
+	return &Handler{
+		config: config,
+	}
+}
+
+// exchange is one request of a caller.
+type exchange struct {
+	*Handler
+	ctx          context.Context
+	writer       http.ResponseWriter
+	request      *http.Request
+	head         wire.Head
+	target       string // path and query, as the caller wrote them
+	body         []byte
+	table        *routes.Table
+	route        *routes.Route
+	service      *routes.Service
+	organisation *routes.Organisation // nil on a public route
+	arrived      time.Time
+	deadline     time.Time // of the caller or the route, whichever is earlier
+	log          zerolog.Logger
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e := &exchange{
+		Handler: h,
+		ctx:     r.Context(),
+		writer:  w,
+		request: r,
+		arrived: h.config.Now(),
+	}
+	if !e.accept() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(e.ctx, e.deadline)
+	defer cancel()
+	e.ctx = ctx
+	if e.route.Kind == routes.Stream {
+		e.stream()
+		return
+	}
+	e.plain()
+}
+
+// accept checks a request and answers it if it cannot be forwarded.
+func (e *exchange) accept() bool {
+	if e.config.Stopping() {
+		e.writer.Header().Set("Connection", "close")
+	}
+	head, err := e.config.Codec.Head(e.request.Header)
+	e.log = e.config.Log.With().Str("request", string(head.Request)).Logger()
+	if err != nil {
+		e.reject(http.StatusBadRequest, err.Error())
+		return false
+	}
+	e.head = head
+	e.config.Codec.Echo(e.writer.Header(), head.Request)
+	if head.Request == "" {
+		e.reject(http.StatusBadRequest, "request has no id")
+		return false
+	}
+	e.table = e.config.Routes.Table()
+	if e.table == nil {
+		e.refuse("no routing table is known", time.Second)
+		return false
+	}
+	return e.admit() && e.receive()
+}
+
+// admit finds the route and the organisation.
+func (e *exchange) admit() bool {
+	e.target = e.request.RequestURI
+	if !strings.HasPrefix(e.target, "/") {
+		e.target = e.request.URL.RequestURI()
+	}
+	path, _, _ := strings.Cut(e.target, "?")
+	e.route = e.table.Match(e.request.Host, path)
+	if e.route == nil {
+		e.reject(http.StatusNotFound, "no route")
+		return false
+	}
+	if !e.route.Public && e.table.Restricted() {
+		e.organisation = e.table.Admit(e.head.Key)
+		if e.organisation == nil {
+			e.reject(http.StatusUnauthorized, "unknown key")
+			return false
+		}
+	}
+	patience := e.route.Timeout
+	if e.head.Patience > 0 && (patience <= 0 || e.head.Patience < patience) {
+		patience = e.head.Patience
+	}
+	e.deadline = e.arrived.Add(patience)
+	e.service = e.table.Service(e.route.Pick(e.share()))
+	if e.service == nil {
+		e.refuse("service is not in the routing table", time.Second)
+		return false
+	}
+	return true
+}
+
+// share spreads requests over the services of a route, the same way on all hosts.
+func (e *exchange) share() float64 {
+	return float64(hash(string(e.head.Request))>>11) / (1 << 53)
+}
+
+// receive reads the body.
+func (e *exchange) receive() bool {
+	limit := e.table.Limits.Body
+	body, err := io.ReadAll(http.MaxBytesReader(e.writer, e.request.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		e.reject(http.StatusRequestEntityTooLarge, "body is too large")
+		return false
+	case err != nil:
+		e.log.Debug().Err(err).Msg("forward: body not received")
+		e.reject(http.StatusBadRequest, "body was not received")
+		return false
+	}
+	e.body = body
+	return true
+}
+
+// reject answers a request that is not valid.
+func (e *exchange) reject(status int, reason string) {
+	e.log.Info().Int("status", status).Str("reason", reason).Str("host", e.request.Host).Str("path", e.request.URL.Path).Msg("forward: rejected")
+	e.answer(status, reason)
+}
+
+// refuse states that the request did not run and when the caller may return.
+func (e *exchange) refuse(reason string, after time.Duration) {
+	e.log.Info().Str("reason", reason).Str("route", e.routeName()).Dur("age", e.age()).Dur("after", after).Msg("forward: refused")
+	e.config.Codec.RetryAfter(e.writer.Header(), after)
+	e.answer(http.StatusServiceUnavailable, reason)
+}
+
+// fail answers a request that may have run.
+func (e *exchange) fail(status int, reason string) {
+	e.log.Info().Int("status", status).Str("reason", reason).Str("route", e.routeName()).Dur("age", e.age()).Msg("forward: failed")
+	e.answer(status, reason)
+}
+
+func (e *exchange) answer(status int, reason string) {
+	header := e.writer.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	e.writer.WriteHeader(status)
+	if _, err := io.WriteString(e.writer, reason+"\n"); err != nil {
+		e.log.Debug().Err(err).Msg("forward: caller has left")
+	}
+}
+
+func (e *exchange) age() time.Duration {
+	return e.config.Now().Sub(e.arrived)
+}
+
+func (e *exchange) routeName() string {
+	if e.route == nil {
+		return ""
+	}
+	return e.route.Name
+}
+
+func (e *exchange) organisationID() ident.OrganisationID {
+	if e.organisation == nil {
+		return ""
+	}
+	return e.organisation.Name
+}
--- /dev/null
+++ b/internal/relay/forward/stream.go
@@ -0,0 +1,276 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
+	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
+	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
+	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
+	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
+)
+
+// firstEventTime is the time that a model usually takes to the first event.
+const firstEventTime = 300 * time.Millisecond
+
+// streamEnd says how one try of a stream ended.
+type streamEnd uint8
+
+const (
+	streamComplete streamEnd = iota + 1 // nothing is left to do
+	streamNotRun
+	streamNoInputs // the results of the stages are gone; it did not run
+	streamBroken   // it may have run
+)
+
+// relayed is what the caller has received of a stream.
+type relayed struct {
+	started bool
+	last    wire.EventID
+}
+
+// stream forwards a request that is answered by events.
+func (e *exchange) stream() {
+	sent := &relayed{
+		last: e.head.LastEvent,
+	}
+	var tried []ident.UpstreamID
+	ran := 0
+	var prepared coordinator.Prepared
+	release := func() {
+		if prepared.Release != nil {
+			prepared.Release()
+		}
+	}
+	defer func() { release() }()
+	ready := false
+	for len(tried) < maxSends && e.ctx.Err() == nil {
+		if ran > 0 && !e.again(ran) {
+			break
+		}
+		if !ready {
+			var err error
+			prepared, err = e.prepare()
+			if err != nil {
+				e.unprepared(err, sent, ran)
+				return
+			}
+			ready = true
+		}
+		domain := prepared.Domain
+		if domain == "" {
+			domain = e.config.Domain
+		}
+		to, ok := e.choose(placement.Query{
+			Domain:   domain,
+			Affinity: e.affinity(),
+			Exclude:  excluded(tried),
+		})
+		if !ok {
+			break
+		}
+		if len(tried) == 0 {
+			e.config.Budget.Request(e.arrived, e.service.Name)
+		} else if !e.config.Budget.Repeat(e.config.Now(), e.service.Name) {
+			e.config.Chooser.Done(to, placement.Left, 0)
+			break
+		}
+		tried = append(tried, to.ID)
+		switch e.generate(to, prepared, sent) {
+		case streamComplete:
+			return
+		case streamNotRun:
+		case streamNoInputs:
+			release()
+			ready = false
+		case streamBroken:
+			ran++
+			release()
+			ready = false
+		}
+	}
+	e.concludeStream(sent, ran, len(tried))
+}
+
+// affinity names the part of the prompt that the most requests share beside
+// those that all share.
+func (e *exchange) affinity() uint64 {
+	parts := e.head.Prompt.Parts
+	if len(parts) == 0 {
+		return 0
+	}
+	shared := parts[max(0, len(parts)-2)]
+	return hash(string(shared.ID))
+}
+
+// prepare runs the stages.
+func (e *exchange) prepare() (coordinator.Prepared, error) {
+	job := batch.Job{
+		Request:   e.head.Request,
+		Domain:    e.config.Domain,
+		Rank:      e.rank(),
+		Key:       e.head.PieceKey,
+		Objective: e.arrived.Add(e.route.Objective - firstEventTime),
+		Deadline:  e.deadline.Add(-firstEventTime),
+	}
+	work := false
+	for i, stage := range e.route.Stages {
+		pieces := 0
+		if i < len(e.head.Pieces) {
+			pieces = e.head.Pieces[i]
+		}
+		work = work || pieces > 0
+		job.Stages = append(job.Stages, batch.Stage{
+			Service: stage.Service,
+			Kind:    batch.Kind(e.route.Name + "/" + string(rune('0'+i))),
+			After:   stage.After,
+			Pieces:  pieces,
+			Bytes:   stage.Bytes,
+		})
+	}
+	if !work {
+		return coordinator.Prepared{}, nil
+	}
+	return e.config.Stager.Prepare(e.ctx, job)
+}
+
+func (e *exchange) rank() batch.Rank {
+	rank := batch.Rank(e.route.Priority)
+	if e.organisation != nil && e.organisation.Ranked {
+		rank += 10 * batch.Rank(e.organisation.Priority)
+	}
+	return rank
+}
+
+// unprepared answers a request whose stages have failed.
+func (e *exchange) unprepared(err error, sent *relayed, ran int) {
+	switch {
+	case e.request.Context().Err() != nil:
+		e.log.Debug().Dur("age", e.age()).Msg("forward: caller has left")
+	case sent.started || ran > 0:
+		e.concludeStream(sent, ran, ran)
+	case errors.Is(err, context.DeadlineExceeded):
+		e.refuse("stages were not finished in time", time.Second)
+	default:
+		e.refuse(err.Error(), time.Second)
+	}
+}
+
+// generate runs the request at one upstream and passes its events on.
+func (e *exchange) generate(to fleet.Upstream, prepared coordinator.Prepared, sent *relayed) streamEnd {
+	started := e.config.Now()
+	answer, err := e.send(e.ctx, to, wire.Dispatch{
+		Inputs:    prepared.Inputs,
+		LastEvent: sent.last,
+	})
+	if err != nil {
+		e.placed(to, err, 0)
+		if errors.Is(err, upstreamhttp.ErrLost) {
+			return streamBroken
+		}
+		return streamNotRun
+	}
+	defer answer.Close()
+	latency := e.config.Now().Sub(started)
+	if !succeeded(answer) {
+		return e.refusedStream(to, answer, sent)
+	}
+	err = e.relay(answer, sent, prepared)
+	if err == nil {
+		e.config.Chooser.Done(to, placement.Served, latency)
+		return streamComplete
+	}
+	e.placed(to, err, latency)
+	return streamBroken
+}
+
+// refusedStream handles an answer without success.
+func (e *exchange) refusedStream(to fleet.Upstream, answer *upstreamhttp.Answer, sent *relayed) streamEnd {
+	body, err := answer.All(replyBytes)
+	e.log.Info().Err(err).Str("upstream", string(to.ID)).Int("status", answer.Status).Bool("sealed", answer.Reply.Sealed).Bool("ran", !answer.Reply.NotRun).Msg("forward: upstream refused")
+	switch {
+	case answer.Reply.NotRun && answer.Status == http.StatusConflict:
+		e.config.Chooser.Done(to, placement.Served, 0)
+		return streamNoInputs
+	case answer.Reply.NotRun:
+		e.config.Chooser.Done(to, placement.Full, 0)
+		return streamNotRun
+	}
+	e.config.Chooser.Done(to, placement.Failed, 0)
+	if err != nil || !answer.Reply.Sealed || sent.started || promises[answer.Status] || answer.Status/100 == 2 || e.route.Idempotent() {
+		return streamBroken
+	}
+	e.deliver(&reply{
+		answer: answer,
+		body:   body,
+	})
+	return streamComplete
+}
+
+// relay passes events on until the stream is complete. The results of the
+// stages are no longer needed once the upstream has sent an event.
+func (e *exchange) relay(answer *upstreamhttp.Answer, sent *relayed, prepared coordinator.Prepared) error {
+	events := upstreamhttp.NewEvents(answer)
+	flusher := http.NewResponseController(e.writer)
+	first := true
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			e.start(answer, sent)
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		e.start(answer, sent)
+		if first && prepared.Release != nil {
+			prepared.Release()
+		}
+		first = false
+		if event.ID != 0 {
+			if event.ID <= sent.last {
+				continue // the caller has it
+			}
+			if event.ID != sent.last+1 {
+				return errors.Annotatef(upstreamhttp.ErrLost, "event %d follows %d", event.ID, sent.last)
+			}
+			sent.last = event.ID
+		}
+		if _, err := e.writer.Write(event.Text); err != nil {
+			return err
+		}
+		if events.Whole() {
+			continue // the next event goes out with this one
+		}
+		if err := flusher.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+// start sends the head of the first answer whose events reach the caller.
+func (e *exchange) start(answer *upstreamhttp.Answer, sent *relayed) {
+	if sent.started {
+		return
+	}
+	sent.started = true
+	copyHeader(e.writer.Header(), answer.Header)
+	e.writer.Header().Del("Content-Length")
+	e.writer.WriteHeader(answer.Status)
+}
+
+// concludeStream ends a stream that is not complete.
+func (e *exchange) concludeStream(sent *relayed, ran, tried int) {
+	if sent.started {
+		e.log.Info().Int("event", int(sent.last)).Int("tried", tried).Dur("age", e.age()).Str("route", e.route.Name).Msg("forward: stream broken off")
+		panic(http.ErrAbortHandler)
+	}
+	e.conclude(nil, ran, tried)
+}
--- /dev/null
+++ b/internal/relay/host/host.go
@@ -0,0 +1,237 @@
+package host
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"github.com/oklog/run"
+	"github.com/rs/zerolog"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/relay/budget"
+	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
+	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
+	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/forward"
+	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
+	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
+	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
+	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
+	"github.com/nutmegshift/nutmegshift/internal/settings"
+	"github.com/nutmegshift/nutmegshift/kv"
+	"github.com/nutmegshift/nutmegshift/kv/httpkv"
+)
+
+const (
+	// watchWait is shorter than common idle limits of connections on the way.
+	watchWait    = 20 * time.Second
+	tickInterval = 500 * time.Millisecond
+)
+
+// Platform is what differs between platforms.
+type Platform struct {
+	Codec     wire.Codec
+	Keys      wire.Keys
+	Store     httpkv.Protocol
+	ReadyPath string
+}
+
+// Host is one host.
+type Host struct {
+	settings    *settings.Relay
+	platform    Platform
+	log         zerolog.Logger
+	metrics     *metrics.Set
+	health      *discovery.Health
+	store       kv.Store
+	routes      *routes.Holder
+	fleet       *fleet.Directory
+	client      *upstreamhttp.Client
+	coordinator *coordinator.Coordinator
+	handler     *forward.Handler
+	stopping    chan struct{}
+}
+
+// New wires a host.
+func New(s *settings.Relay, platform Platform, log zerolog.Logger) *Host {
+	h := &Host{
+		settings: s,
+		platform: platform,
+		log:      log,
+		metrics:  metrics.NewSet(),
+		health:   discovery.NewHealth(log, time.Now),
+		routes:   &routes.Holder{},
+		fleet:    fleet.New(),
+		stopping: make(chan struct{}),
+	}
+	h.store = httpkv.New(httpkv.Config{
+		Address:  s.Store,
+		Client:   storeClient(),
+		Limit:    s.Call,
+		Wait:     watchWait,
+		Protocol: platform.Store,
+	})
+	opened := h.metrics.NewCounter("upstream_connections_total")
+	h.client = upstreamhttp.New(upstreamhttp.Config{
+		Codec:  platform.Codec,
+		Dial:   upstreamhttp.Dial,
+		Now:    time.Now,
+		Opened: opened.Inc,
+	})
+	h.coordinator = coordinator.New(coordinator.Config{
+		Codec:  platform.Codec,
+		Client: h.client,
+		Table:  h.routes.Table,
+		Fleet:  h.fleet.Snapshot,
+		Now:    time.Now,
+		Log:    log,
+	})
+	h.handler = forward.New(forward.Config{
+		Codec:   platform.Codec,
+		Routes:  h.routes,
+		Fleet:   h.fleet,
+		Client:  h.client,
+		Chooser: placement.New(time.Now),
+		Budget: budget.New(budget.Config{
+			Share:     s.Repeats,
+			Allowance: s.Allowance,
+			Window:    s.Window,
+			Hosts:     h.hosts,
+		}),
+		Stager:      h.coordinator,
+		Domain:      s.Domain,
+		Connections: h.connections,
+		Stopping:    h.isStopping,
+		Now:         time.Now,
+		Log:         log,
+	})
+	return h
+}
+
+// hosts returns the number of live hosts.
+func (h *Host) hosts() int {
+	return 9
+}
+
+// connections returns this host's share of the connections to one upstream.
+func (h *Host) connections(service *routes.Service) int {
+	if service.Connections <= 0 {
+		return 0
+	}
+	return max(1, service.Connections/h.hosts())
+}
+
+func (h *Host) isStopping() bool {
+	select {
+	case <-h.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
+// ready reports whether the host can serve callers.
+func (h *Host) ready() bool {
+	return !h.isStopping() && h.routes.Table() != nil && len(h.fleet.Snapshot().All()) > 0
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (h *Host) Run(ctx context.Context) error {
+	callers, err := listen(ctx, h.settings.Callers)
+	if err != nil {
+		return err
+	}
+	ready, err := listen(ctx, h.settings.Ready)
+	if err != nil {
+		return err
+	}
+	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopParts()
+	var group run.Group
+	h.add(parts, &group, "table", discovery.NewFollower(h.store, h.health, h.platform.Keys.Table, tableSink{
+		Host: h,
+	}).Run)
+	h.add(parts, &group, "fleet", discovery.NewFollower(h.store, h.health, h.platform.Keys.Upstreams, fleetSink{
+		Host: h,
+	}).Run)
+	h.add(parts, &group, "coordinator", h.coordinator.Run)
+	h.add(parts, &group, "ticks", h.tick)
+	h.add(parts, &group, "readiness", func(ctx context.Context) error {
+		return serve(ctx, ready, h.readyHandler())
+	})
+	group.Add(func() error {
+		return h.serveCallers(ctx, callers)
+	}, func(error) {
+		stopParts()
+	})
+	h.log.Info().Str("callers", string(h.settings.Callers)).Msg("host: started")
+	err = group.Run()
+	h.client.Close()
+	h.log.Info().Err(err).Msg("host: stopped")
+	return err
+}
+
+// add runs one part as an actor of the group.
+func (h *Host) add(ctx context.Context, group *run.Group, name string, part func(context.Context) error) {
+	ctx, cancel := context.WithCancel(ctx)
+	group.Add(func() error {
+		err := part(ctx)
+		if err != nil {
+			h.log.Error().Err(err).Str("part", name).Msg("host: part ended")
+		}
+		return err
+	}, func(error) {
+		cancel()
+	})
+}
+
+// tick does what is due from time to time.
+func (h *Host) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			h.fleet.Tick(now)
+			h.client.Sweep()
+		}
+	}
+}
+
+// readyHandler answers the load balancer.
+func (h *Host) readyHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path != h.platform.ReadyPath:
+			w.WriteHeader(http.StatusNotFound)
+		case !h.ready():
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			w.WriteHeader(http.StatusOK)
+		}
+	})
+}
+
+func listen(ctx context.Context, address ident.Address) (net.Listener, error) {
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp4", string(address))
+	return listener, errors.Annotatef(err, "listen on %s", address)
+}
+
+func storeClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+				return upstreamhttp.Dial(ctx, ident.Address(address))
+			},
+			MaxIdleConnsPerHost: 8,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		},
+	}
+}
--- /dev/null
+++ b/internal/relay/host/serve.go
@@ -0,0 +1,81 @@
+package host
+
+import (
+	"context"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// idleTimeout is longer than any limit that operators publish, so that a
+	// caller never uses a connection that is about to be closed.
+	idleTimeout   = 2 * time.Minute
+	headerTimeout = 10 * time.Second
+	// turnTime is how long a host that stops still takes new connections: the
+	// load balancer asks once a second and turns away after two misses.
+	turnTime = 2500 * time.Millisecond
+	// closeMargin is left of the grace period for the end of the process.
+	closeMargin = 300 * time.Millisecond
+)
+
+// newServer returns a server whose own messages are dropped: they only repeat
+// what the handlers log.
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          log.New(discard{}, "", 0),
+	}
+}
+
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// serve serves until the context ends.
+func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := newServer(handler)
+	ended := make(chan error, 1)
+	go func(context.Context) { ended <- server.Serve(listener) }(ctx)
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	err := server.Close()
+	<-ended
+	return errors.Annotate(err, "close server")
+}
+
+// serveCallers serves until the context ends. Then it fails readiness, takes new
+// connections until the load balancer has turned away, and lets every request
+// in progress end.
+func (h *Host) serveCallers(ctx context.Context, listener net.Listener) error {
+	server := newServer(h.handler)
+	ended := make(chan error, 1)
+	go func(context.Context) { ended <- server.Serve(listener) }(ctx)
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	h.log.Info().Msg("host: stopping")
+	close(h.stopping)
+	began := time.Now()
+	time.Sleep(turnTime)
+	left := h.settings.Grace - closeMargin - time.Since(began)
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(left, 0))
+	defer cancel()
+	err := server.Shutdown(stop)
+	if err != nil {
+		h.log.Warn().Err(err).Msg("host: requests were broken off at the end of the grace period")
+		err = server.Close()
+	}
+	<-ended
+	return errors.Annotate(err, "close callers' server")
+}
--- /dev/null
+++ b/internal/relay/placement/chooser.go
@@ -0,0 +1,170 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+)
+
+const (
+	// latencyWeight is the weight of a request in the moving average of latency.
+	latencyWeight = 0.2
+	// shortBreak is the time without new requests after an upstream is full,
+	// longBreak after it failed; the latter doubles up to maxBreak.
+	shortBreak = 50 * time.Millisecond
+	longBreak  = 300 * time.Millisecond
+	maxBreak   = 4 * time.Second
+	// crossing is the cost of another failure domain, in requests in flight.
+	crossing = 1.5
+	// affinity is the advantage of the upstream that a prompt prefers, in
+	// requests in flight.
+	affinity = 4.0
+)
+
+// Query says what an upstream is needed for.
+type Query struct {
+	Service  ident.ServiceName
+	Domain   ident.FailureDomain // where the upstream should be
+	Affinity uint64              // hash of what requests share; 0 is nothing
+	Exclude  map[ident.UpstreamID]bool
+}
+
+// Ending says how an upstream handled a request.
+type Ending uint8
+
+// The endings of a request.
+const (
+	Served Ending = iota + 1
+	Full          // it refused the request, which did not run
+	Failed        // it failed, or did not answer
+	Left          // the caller left, or the time was over
+)
+
+// row is what this host knows about an upstream.
+type row struct {
+	started ident.Incarnation
+	flight  int
+	latency time.Duration // moving average until the first byte of an answer
+	broken  time.Duration // length of the last break; 0 while requests succeed
+	resume  time.Time     // when the break ends
+}
+
+// Chooser chooses upstreams.
+type Chooser struct {
+	now func() time.Time
+
+	mu   sync.Mutex
+	rows map[ident.UpstreamID]*row
+}
+
+// New returns a chooser that knows nothing.
+func New(now func() time.Time) *Chooser {
+	return &Chooser{
+		now:  now,
+		rows: make(map[ident.UpstreamID]*row),
+	}
+}
+
+// Choose returns an upstream and counts a request in flight at it, until Done.
+func (c *Chooser) Choose(query Query, snapshot *fleet.Snapshot) (fleet.Upstream, bool) {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var best fleet.Upstream
+	lowest, found := 0.0, false
+	preferred := prefer(query, snapshot)
+	for _, upstream := range snapshot.Ready(query.Service) {
+		if query.Exclude[upstream.ID] {
+			continue
+		}
+		cost := c.row(upstream).cost(now)
+		if upstream.Domain != query.Domain {
+			cost += crossing
+		}
+		if upstream.ID == preferred {
+			cost -= affinity
+		}
+		cost += rand.Float64() / 2 // hosts that know the same spread their requests
+		if !found || cost < lowest {
+			best, lowest, found = upstream, cost, true
+		}
+	}
+	if found {
+		c.row(best).flight++
+	}
+	return best, found
+}
+
+// Done takes the end of a request that Choose placed; latency is that until the
+// first byte of the answer, 0 if there was none.
+func (c *Chooser) Done(upstream fleet.Upstream, ending Ending, latency time.Duration) {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.row(upstream)
+	r.flight = max(0, r.flight-1)
+	if latency > 0 {
+		if r.latency == 0 {
+			r.latency = latency
+		}
+		r.latency += time.Duration(latencyWeight * float64(latency-r.latency))
+	}
+	switch ending {
+	case Served:
+		r.broken = 0
+		r.resume = time.Time{}
+	case Full:
+		r.resume = now.Add(shortBreak)
+	case Failed:
+		r.broken = min(max(2*r.broken, longBreak), maxBreak)
+		r.resume = now.Add(r.broken)
+	case Left:
+	}
+}
+
+func (c *Chooser) row(upstream fleet.Upstream) *row {
+	r, ok := c.rows[upstream.ID]
+	if !ok || r.started != upstream.Started {
+		r = &row{
+			started: upstream.Started,
+		}
+		c.rows[upstream.ID] = r
+	}
+	return r
+}
+
+// cost grows with the work in flight; an upstream in a break is the last resort.
+func (r *row) cost(now time.Time) float64 {
+	const avoided = 1e3 // beyond any number of requests in flight
+	cost := float64(r.flight)
+	if now.Before(r.resume) {
+		cost += avoided + float64(r.resume.Sub(now).Milliseconds())
+	}
+	return cost
+}
+
+// prefer returns the upstream of the wanted domain with the highest rendezvous hash.
+func prefer(query Query, snapshot *fleet.Snapshot) ident.UpstreamID {
+	if query.Affinity == 0 {
+		return ""
+	}
+	var best ident.UpstreamID
+	highest := uint64(0)
+	for _, upstream := range snapshot.Ready(query.Service) {
+		if upstream.Domain != query.Domain {
+			continue
+		}
+		score := xxhash.Sum64String(string(upstream.ID)) ^ query.Affinity
+		score *= 0x9e3779b97f4a7c15
+		score ^= score >> 32
+		if best == "" || score > highest {
+			best, highest = upstream.ID, score
+		}
+	}
+	return best
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,17 +41,17 @@
 }
 
 // row describes one setting; the same rows drive parsing, checks and help.
-type row struct {
+type row[T any] struct {
 	section  string
 	key      string
 	unit     string
 	fallback string // empty means required, unless the row inherits
 	inherits string // key of the section whose value applies without an own one
 	help     string
-	set      func(s *Settings, value string) error
+	set      func(s *T, value string) error
 }
 
-var rows = []row{
+var entryRows = []row[Settings]{
 	{
 		section: "entry",
 		key:     "host",
@@ -178,7 +178,7 @@
 		unit:     "debug|info|warn|error",
 		fallback: "info",
 		help:     "lowest level that is logged",
-		set:      level,
+		set:      func(s *Settings, v string) error { return level(&s.Level, v) },
 	},
 	{
 		section:  "timeline",
@@ -198,14 +198,23 @@
 
 // Parse checks the text of a settings file named name; ErrInvalid lists every fault.
 func Parse(name string, content []byte) (*Settings, error) {
+	return parse(name, content, entryRows, contradictions)
+}
+
+// Help lists every setting of an entry host with its unit and default.
+func Help() string {
+	return help(entryRows)
+}
+
+func parse[T any](name string, content []byte, rows []row[T], contradictions func(*T) []string) (*T, error) {
 	file, err := ini.LoadSources(ini.LoadOptions{
 		IgnoreInlineComment: true,
 	}, content)
 	if err != nil {
 		return nil, errors.Annotatef(ErrInvalid, "%s: %v", name, err)
 	}
-	faults := unknown(file)
-	parsed := &Settings{}
+	faults := unknown(file, rows)
+	parsed := new(T)
 	for _, r := range rows {
 		value := r.fallback
 		if section, err := file.GetSection(r.section); err == nil {
@@ -233,8 +242,7 @@
 	return parsed, nil
 }
 
-// Help lists every setting with its unit and default.
-func Help() string {
+func help[T any](rows []row[T]) string {
 	var b strings.Builder
 	section := ""
 	for _, r := range rows {
@@ -254,7 +262,7 @@
 	return b.String()
 }
 
-func unknown(file *ini.File) []string {
+func unknown[T any](file *ini.File, rows []row[T]) []string {
 	known := make(map[string]bool, len(rows))
 	for _, r := range rows {
 		known[r.section+" "+r.key] = true
@@ -279,9 +287,7 @@
 }
 
 func contradictions(s *Settings) []string {
-	var faults []string
-	own := map[ident.Address]string{}
-	ports := []listener{
+	faults := shared("entry", []listener{
 		{
 			key:     "callers",
 			address: s.Callers,
@@ -294,13 +300,7 @@
 			key:     "peers",
 			address: s.Peers,
 		},
-	}
-	for _, port := range ports {
-		if first, taken := own[port.address]; taken && port.address != "" {
-			faults = append(faults, fmt.Sprintf("[entry] %s: same address as %s", port.key, first))
-		}
-		own[port.address] = port.key
-	}
+	})
 	if s.Drain > 0 && s.Stop > 0 && s.Drain >= s.Stop {
 		faults = append(faults, "[stop] drain: must be shorter than longest")
 	}
@@ -310,6 +310,19 @@
 	return faults
 }
 
+// shared reports the ports of a section that have the same address.
+func shared(section string, ports []listener) []string {
+	var faults []string
+	own := map[ident.Address]string{}
+	for _, port := range ports {
+		if first, taken := own[port.address]; taken && port.address != "" {
+			faults = append(faults, fmt.Sprintf("[%s] %s: same address as %s", section, port.key, first))
+		}
+		own[port.address] = port.key
+	}
+	return faults
+}
+
 func text[T ~string](to *T, value string) error {
 	if strings.ContainsAny(value, " \t/") {
 		return errors.New("a name has no blanks or slashes")
@@ -363,10 +376,10 @@
 	return nil
 }
 
-func level(s *Settings, value string) error {
+func level(to *string, value string) error {
 	switch value {
 	case "debug", "info", "warn", "error":
-		s.Level = value
+		*to = value
 		return nil
 	default:
 		return errors.New("expected debug, info, warn or error")
