Batch the stages of all hosts at one coordinator

Cause: nine hosts batched against each other, so that calls carried few items and most of them found the upstream full. Hosts now find each other through the store and gossip, and send the stages of their requests to the coordinator of a cell, the first live host by rendezvous hash. A host that reaches no coordinator runs the stages itself.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 generate:
 	GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
 	GOBIN=$(TOOLS) go install google.golang.org/grpc/cmd/protoc-gen-go-grpc@$(PROTOC_GEN_GO_GRPC_VERSION)
-	PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer/grpcpeer/peer.proto
+	PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer/grpcpeer/peer.proto internal/relay/grpcrelay/relay.proto
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
--- a/internal/relay/batch/scheduler.go
+++ b/internal/relay/batch/scheduler.go
@@ -47,7 +47,7 @@
 
 // Configure takes the limits of the services that run stages and their
 // upstreams. Calls in progress at upstreams that are missing go on.
-func (s *Scheduler) Configure(services map[ident.ServiceName]*routes.Service, upstreams *fleet.Snapshot) {
+func (s *Scheduler) Configure(services map[ident.ServiceName]*routes.Service, upstreams func(ident.ServiceName) []fleet.Upstream) {
 	for _, w := range s.workers {
 		w.gone = true
 	}
@@ -64,7 +64,7 @@
 		}
 		p.limits = *service.Batch
 		p.workers = p.workers[:0]
-		for _, upstream := range upstreams.Ready(name) {
+		for _, upstream := range upstreams(name) {
 			p.workers = append(p.workers, s.worker(p, upstream))
 		}
 	}
--- /dev/null
+++ b/internal/relay/cell/stager.go
@@ -0,0 +1,133 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
+	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
+	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
+	"github.com/nutmegshift/nutmegshift/peer"
+)
+
+// ErrUnreachable means that a host did not take a job or lost it.
+const ErrUnreachable = errors.ConstError("coordinator did not answer")
+
+const (
+	// maxHosts is how many other hosts are asked before this host coordinates by itself.
+	maxHosts = 2
+	// checkInterval is how often a host that waits looks whether its coordinator is alive.
+	checkInterval = 400 * time.Millisecond
+)
+
+// Ticket stands for a job that a coordinator has accepted.
+type Ticket interface {
+	// Wait returns the results of the job, an error of package batch, or
+	// ErrUnreachable if the coordinator is lost.
+	Wait() (coordinator.Prepared, error)
+	// Cancel ends the job.
+	Cancel()
+}
+
+// Remote hands jobs to the coordinators of other hosts.
+type Remote interface {
+	// Submit returns an error of package batch, or ErrUnreachable. The job ends
+	// with the context.
+	Submit(ctx context.Context, to ident.Address, id ID, job batch.Job) (Ticket, error)
+}
+
+// Config holds the dependencies of a Stager.
+type Config struct {
+	Self   ident.HostID
+	Domain ident.FailureDomain
+	Hosts  func() *peer.View
+	Table  func() *routes.Table
+	Fleet  func() *fleet.Snapshot
+	Local  func(id ID) *coordinator.Coordinator
+	Remote Remote
+	Log    zerolog.Logger
+}
+
+// Stager runs the stages of requests at the coordinators of their cells.
+type Stager struct {
+	config Config
+}
+
+// New returns a stager.
+func New(config Config) *Stager {
+	return &Stager{
+		config: config,
+	}
+}
+
+// Prepare runs the stages of a job. Errors are those of package batch,
+// coordinator.ErrStopped and that of the context.
+func (s *Stager) Prepare(ctx context.Context, job batch.Job) (coordinator.Prepared, error) {
+	id := Of(s.config.Domain, s.config.Table(), s.config.Fleet())
+	asked := 0
+	for _, row := range rank(id, s.config.Hosts()) {
+		if row.Host == s.config.Self || asked == maxHosts {
+			break
+		}
+		asked++
+		prepared, err := s.remote(ctx, row, id, job)
+		if !errors.Is(err, ErrUnreachable) {
+			return prepared, err
+		}
+		if ctx.Err() != nil {
+			return coordinator.Prepared{}, ctx.Err()
+		}
+		s.config.Log.Info().Err(err).Str("request", string(job.Request)).Str("coordinator", string(row.Host)).Msg("cell: coordinator does not answer")
+	}
+	ticket, err := s.config.Local(id).Submit(job)
+	if err != nil {
+		return coordinator.Prepared{}, err
+	}
+	return ticket.Wait(ctx)
+}
+
+// result is the end of a job.
+type result struct {
+	prepared coordinator.Prepared
+	err      error
+}
+
+// remote runs a job at another host, for as long as that is alive.
+func (s *Stager) remote(ctx context.Context, row peer.Row, id ID, job batch.Job) (coordinator.Prepared, error) {
+	ticket, err := s.config.Remote.Submit(ctx, row.Address, id, job)
+	if err != nil {
+		return coordinator.Prepared{}, err
+	}
+	done := make(chan result, 1)
+	go func(context.Context) {
+		prepared, err := ticket.Wait()
+		done <- result{
+			prepared: prepared,
+			err:      err,
+		}
+	}(ctx)
+	check := time.NewTicker(checkInterval)
+	defer check.Stop()
+	for {
+		select {
+		case r := <-done:
+			return r.prepared, r.err
+		case <-ctx.Done():
+			ticket.Cancel()
+			<-done
+			return coordinator.Prepared{}, ctx.Err()
+		case <-check.C:
+			if now, ok := s.config.Hosts().Row(row.Host); ok && now.State == peer.Alive {
+				continue
+			}
+			ticket.Cancel()
+			<-done
+			return coordinator.Prepared{}, errors.Annotatef(ErrUnreachable, "%s is no longer alive", row.Host)
+		}
+	}
+}
--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -42,6 +42,7 @@
 	Client   *upstreamhttp.Client
 	Table    func() *routes.Table
 	Fleet    func() *fleet.Snapshot
+	Includes func(upstream fleet.Upstream) bool // whether an upstream is the coordinator's
 	Now      func() time.Time
 	Log      zerolog.Logger
 }
@@ -114,7 +115,20 @@
 		return
 	}
 	c.table, c.snapshot = table, snapshot
-	c.scheduler.Configure(table.Services(), snapshot)
+	c.scheduler.Configure(table.Services(), func(name ident.ServiceName) []fleet.Upstream {
+		return c.upstreams(snapshot, name)
+	})
+}
+
+// upstreams returns the upstreams of a service that belong to this coordinator.
+func (c *Coordinator) upstreams(snapshot *fleet.Snapshot, name ident.ServiceName) []fleet.Upstream {
+	var list []fleet.Upstream
+	for _, upstream := range snapshot.Ready(name) {
+		if c.config.Includes(upstream) {
+			list = append(list, upstream)
+		}
+	}
+	return list
 }
 
 // act carries out what the scheduler decides and returns when to ask it again.
@@ -149,47 +163,70 @@
 	return max(time.Millisecond, actions.Wake.Sub(now))
 }
 
-// Prepare runs the stages of a job; the job's id is set here. The end of the
-// context cancels it. Errors are those of package batch, ErrStopped and that of
-// the context.
-func (c *Coordinator) Prepare(ctx context.Context, job batch.Job) (Prepared, error) {
-	job.ID = batch.JobID(c.last.Add(1))
-	done := make(chan batch.Done, 1)
+// Ticket stands for a job that has been accepted.
+type Ticket struct {
+	coordinator *Coordinator
+	id          batch.JobID
+	done        chan batch.Done
+}
+
+// Submit hands in a job; its id is set here. Errors are those of package batch
+// and ErrStopped; then nothing is kept of the job.
+func (c *Coordinator) Submit(job batch.Job) (*Ticket, error) {
+	ticket := &Ticket{
+		coordinator: c,
+		id:          batch.JobID(c.last.Add(1)),
+		done:        make(chan batch.Done, 1),
+	}
+	job.ID = ticket.id
+	accepted := make(chan error, 1)
 	submit := func(now time.Time) {
-		c.waiting[job.ID] = done
-		if err := c.scheduler.Submit(now, job); err != nil {
-			delete(c.waiting, job.ID)
-			done <- batch.Done{
-				Job: job.ID,
-				Err: err,
-			}
+		err := c.scheduler.Submit(now, job)
+		if err == nil {
+			c.waiting[job.ID] = ticket.done
 		}
-	}
-	cancel := func(time.Time) {
-		delete(c.waiting, job.ID)
-		c.scheduler.Cancel(job.ID)
+		accepted <- err
 	}
 	if !c.do(submit) {
-		return Prepared{}, ErrStopped
+		return nil, ErrStopped
 	}
 	select {
-	case end := <-done:
+	case err := <-accepted:
+		return ticket, err
+	case <-c.stopped:
+		return nil, ErrStopped
+	}
+}
+
+// Wait waits for the results of the job. The end of the context cancels it.
+// Errors are those of package batch, ErrStopped and that of the context.
+func (t *Ticket) Wait(ctx context.Context) (Prepared, error) {
+	select {
+	case end := <-t.done:
 		if end.Err != nil {
 			return Prepared{}, end.Err
 		}
 		return Prepared{
 			Inputs:  end.Inputs,
 			Domain:  end.Domain,
-			Release: func() { c.do(cancel) },
+			Release: t.Cancel,
 		}, nil
 	case <-ctx.Done():
-		c.do(cancel)
+		t.Cancel()
 		return Prepared{}, ctx.Err()
-	case <-c.stopped:
+	case <-t.coordinator.stopped:
 		return Prepared{}, ErrStopped
 	}
 }
 
+// Cancel ends the job and drops its results; it may be called more than once.
+func (t *Ticket) Cancel() {
+	t.coordinator.do(func(time.Time) {
+		delete(t.coordinator.waiting, t.id)
+		t.coordinator.scheduler.Cancel(t.id)
+	})
+}
+
 // do hands a command to Run; it returns false if that has ended.
 func (c *Coordinator) do(do command) bool {
 	select {
--- /dev/null
+++ b/internal/relay/grpcrelay/client.go
@@ -0,0 +1,113 @@
+package grpcrelay
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/grpc"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
+	"github.com/nutmegshift/nutmegshift/internal/relay/cell"
+	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
+	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
+)
+
+// acceptTimeout is how long a host may take to accept a job. It is several round
+// trips between failure domains, and short against the objectives of requests.
+const acceptTimeout = 400 * time.Millisecond
+
+// Client calls other hosts.
+type Client struct {
+	connect func(to ident.Address) (grpc.ClientConnInterface, error)
+	now     func() time.Time
+}
+
+// NewClient returns a client that uses the connections of connect.
+func NewClient(connect func(to ident.Address) (grpc.ClientConnInterface, error), now func() time.Time) *Client {
+	return &Client{
+		connect: connect,
+		now:     now,
+	}
+}
+
+// Submit implements cell.Remote.
+func (c *Client) Submit(ctx context.Context, to ident.Address, id cell.ID, job batch.Job) (cell.Ticket, error) {
+	connection, err := c.connect(to)
+	if err != nil {
+		return nil, errors.Annotatef(cell.ErrUnreachable, "%v", err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(acceptTimeout, cancel)
+	ticket, err := c.submit(ctx, NewRelayClient(connection), id, job)
+	if err != nil || !timer.Stop() {
+		cancel()
+	}
+	if err != nil {
+		return nil, err
+	}
+	ticket.cancel = cancel
+	return ticket, nil
+}
+
+func (c *Client) submit(ctx context.Context, stub RelayClient, id cell.ID, job batch.Job) (*ticket, error) {
+	stream, err := stub.Prepare(ctx)
+	if err != nil {
+		return nil, errors.Annotatef(cell.ErrUnreachable, "open stream: %v", err)
+	}
+	if err := stream.Send(encodeJob(c.now(), id, job)); err != nil {
+		return nil, errors.Annotatef(cell.ErrUnreachable, "send job: %v", err)
+	}
+	reply, err := stream.Recv()
+	if err != nil {
+		return nil, errors.Annotatef(cell.ErrUnreachable, "receive verdict: %v", err)
+	}
+	switch kind := reply.GetKind().(type) {
+	case *JobReply_Accepted:
+		return &ticket{
+			stream: stream,
+		}, nil
+	case *JobReply_Failed:
+		return nil, decodeFailed(kind.Failed)
+	default:
+		return nil, errors.Annotatef(cell.ErrUnreachable, "verdict of type %T", kind)
+	}
+}
+
+// ticket implements cell.Ticket.
+type ticket struct {
+	stream grpc.BidiStreamingClient[Job, JobReply]
+	cancel context.CancelFunc
+}
+
+// Wait implements cell.Ticket.
+func (t *ticket) Wait() (coordinator.Prepared, error) {
+	reply, err := t.stream.Recv()
+	if err != nil {
+		t.cancel()
+		return coordinator.Prepared{}, errors.Annotatef(cell.ErrUnreachable, "receive results: %v", err)
+	}
+	switch kind := reply.GetKind().(type) {
+	case *JobReply_Prepared:
+		prepared := coordinator.Prepared{
+			Domain:  ident.FailureDomain(kind.Prepared.GetDomain()),
+			Release: t.cancel,
+		}
+		for _, input := range kind.Prepared.GetInputs() {
+			prepared.Inputs = append(prepared.Inputs, wire.Handle(input))
+		}
+		return prepared, nil
+	case *JobReply_Failed:
+		t.cancel()
+		return coordinator.Prepared{}, decodeFailed(kind.Failed)
+	default:
+		t.cancel()
+		return coordinator.Prepared{}, errors.Annotatef(cell.ErrUnreachable, "results of type %T", kind)
+	}
+}
+
+// Cancel implements cell.Ticket.
+func (t *ticket) Cancel() {
+	t.cancel()
+}
--- /dev/null
+++ b/internal/relay/grpcrelay/server.go
@@ -0,0 +1,85 @@
+package grpcrelay
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/nutmegshift/nutmegshift/internal/relay/cell"
+	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
+)
+
+// Server serves the calls of other hosts.
+type Server struct {
+	UnimplementedRelayServer
+	coordinators func(id cell.ID) *coordinator.Coordinator
+	now          func() time.Time
+}
+
+// NewServer returns a server that hands jobs to the coordinators of their cells.
+func NewServer(coordinators func(id cell.ID) *coordinator.Coordinator, now func() time.Time) *Server {
+	return &Server{
+		coordinators: coordinators,
+		now:          now,
+	}
+}
+
+// Register adds the server to a peer port.
+func (s *Server) Register(registrar grpc.ServiceRegistrar) {
+	RegisterRelayServer(registrar, s)
+}
+
+// Prepare implements RelayServer.
+func (s *Server) Prepare(stream grpc.BidiStreamingServer[Job, JobReply]) error {
+	encoded, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	id, job, err := decodeJob(s.now(), encoded)
+	if err != nil {
+		return status.Error(codes.InvalidArgument, err.Error())
+	}
+	ticket, err := s.coordinators(id).Submit(job)
+	if errors.Is(err, coordinator.ErrStopped) {
+		return status.Error(codes.Unavailable, err.Error())
+	}
+	if err != nil {
+		return stream.Send(encodeFailed(err))
+	}
+	accepted := &JobReply{
+		Kind: &JobReply_Accepted{
+			Accepted: &Accepted{},
+		},
+	}
+	if err := stream.Send(accepted); err != nil {
+		ticket.Cancel()
+		return err
+	}
+	prepared, err := ticket.Wait(stream.Context())
+	if errors.Is(err, coordinator.ErrStopped) {
+		return status.Error(codes.Unavailable, err.Error())
+	}
+	if err != nil {
+		return stream.Send(encodeFailed(err))
+	}
+	defer prepared.Release()
+	reply := &Prepared{
+		Domain: string(prepared.Domain),
+	}
+	for _, input := range prepared.Inputs {
+		reply.Inputs = append(reply.Inputs, string(input))
+	}
+	err = stream.Send(&JobReply{
+		Kind: &JobReply_Prepared{
+			Prepared: reply,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	<-stream.Context().Done() // the caller no longer needs the results
+	return nil
+}
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -13,10 +13,12 @@
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/budget"
+	"github.com/nutmegshift/nutmegshift/internal/relay/cell"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/forward"
+	"github.com/nutmegshift/nutmegshift/internal/relay/grpcrelay"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
@@ -42,18 +44,20 @@
 
 // Host is one host.
 type Host struct {
-	settings    *settings.Relay
-	platform    Platform
-	log         zerolog.Logger
-	metrics     *metrics.Set
-	health      *discovery.Health
-	store       kv.Store
-	routes      *routes.Holder
-	fleet       *fleet.Directory
-	client      *upstreamhttp.Client
-	coordinator *coordinator.Coordinator
-	handler     *forward.Handler
-	stopping    chan struct{}
+	settings     *settings.Relay
+	platform     Platform
+	log          zerolog.Logger
+	metrics      *metrics.Set
+	health       *discovery.Health
+	store        kv.Store
+	routes       *routes.Holder
+	fleet        *fleet.Directory
+	client       *upstreamhttp.Client
+	tables       *discovery.Follower
+	peers        *peers
+	coordinators *coordinators
+	handler      *forward.Handler
+	stopping     chan struct{}
 }
 
 // New wires a host.
@@ -82,14 +86,11 @@
 		Now:    time.Now,
 		Opened: opened.Inc,
 	})
-	h.coordinator = coordinator.New(coordinator.Config{
-		Codec:  platform.Codec,
-		Client: h.client,
-		Table:  h.routes.Table,
-		Fleet:  h.fleet.Snapshot,
-		Now:    time.Now,
-		Log:    log,
+	h.tables = discovery.NewFollower(h.store, h.health, platform.Keys.Table, tableSink{
+		Host: h,
 	})
+	h.coordinators = newCoordinators(h.newCoordinator)
+	h.peers = newPeers(s, h.version, h.observe, grpcrelay.NewServer(h.coordinators.get, time.Now), log)
 	h.handler = forward.New(forward.Config{
 		Codec:   platform.Codec,
 		Routes:  h.routes,
@@ -102,7 +103,16 @@
 			Window:    s.Window,
 			Hosts:     h.hosts,
 		}),
-		Stager:      h.coordinator,
+		Stager: cell.New(cell.Config{
+			Self:   s.Host,
+			Domain: s.Domain,
+			Hosts:  h.peers.table.Snapshot,
+			Table:  h.routes.Table,
+			Fleet:  h.fleet.Snapshot,
+			Local:  h.coordinators.get,
+			Remote: grpcrelay.NewClient(h.peers.client.Connection, time.Now),
+			Log:    log,
+		}),
 		Domain:      s.Domain,
 		Connections: h.connections,
 		Stopping:    h.isStopping,
@@ -112,9 +122,37 @@
 	return h
 }
 
+func (h *Host) newCoordinator(id cell.ID) *coordinator.Coordinator {
+	return coordinator.New(coordinator.Config{
+		Codec:    h.platform.Codec,
+		Client:   h.client,
+		Table:    h.routes.Table,
+		Fleet:    h.fleet.Snapshot,
+		Includes: id.Includes,
+		Now:      time.Now,
+		Log:      h.log.With().Str("cell", string(id)).Logger(),
+	})
+}
+
+// version returns the version of the routing table in force, 0 if there is none.
+func (h *Host) version() uint64 {
+	if table := h.routes.Table(); table != nil {
+		return uint64(table.Version)
+	}
+	return 0
+}
+
+// observe reads the routing table again if another host has a newer one.
+func (h *Host) observe(other ident.HostID, version uint64) {
+	if version > h.version() {
+		h.log.Info().Str("peer", string(other)).Uint64("version", version).Msg("table: another host has a newer one")
+		h.tables.Again()
+	}
+}
+
 // hosts returns the number of live hosts.
 func (h *Host) hosts() int {
-	return 9
+	return len(h.peers.table.Snapshot().Live())
 }
 
 // connections returns this host's share of the connections to one upstream.
@@ -149,16 +187,27 @@
 	if err != nil {
 		return err
 	}
+	others, err := listen(ctx, h.settings.Peers)
+	if err != nil {
+		return err
+	}
+	key, value, err := h.peers.entry()
+	if err != nil {
+		return err
+	}
 	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
 	var group run.Group
-	h.add(parts, &group, "table", discovery.NewFollower(h.store, h.health, h.platform.Keys.Table, tableSink{
-		Host: h,
-	}).Run)
+	h.add(parts, &group, "table", h.tables.Run)
 	h.add(parts, &group, "fleet", discovery.NewFollower(h.store, h.health, h.platform.Keys.Upstreams, fleetSink{
 		Host: h,
 	}).Run)
-	h.add(parts, &group, "coordinator", h.coordinator.Run)
+	h.add(parts, &group, "hosts", discovery.NewFollower(h.store, h.health, hostsPrefix, h.peers).Run)
+	h.add(parts, &group, "registration", discovery.NewRegistration(h.store, h.health, h.log, key, value, h.settings.Lease).Run)
+	h.add(parts, &group, "coordinators", h.coordinators.run)
+	h.add(parts, &group, "peers", h.peers.serve(others))
+	h.add(parts, &group, "gossip", h.peers.runner.Run)
+	h.add(parts, &group, "rumours", h.peers.hear)
 	h.add(parts, &group, "ticks", h.tick)
 	h.add(parts, &group, "readiness", func(ctx context.Context) error {
 		return serve(ctx, ready, h.readyHandler())
--- /dev/null
+++ b/internal/relay/host/peers.go
@@ -0,0 +1,194 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/nutmegshift/nutmegshift/document"
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
+	"github.com/nutmegshift/nutmegshift/internal/relay/grpcrelay"
+	"github.com/nutmegshift/nutmegshift/internal/settings"
+	"github.com/nutmegshift/nutmegshift/kv"
+	"github.com/nutmegshift/nutmegshift/peer"
+	"github.com/nutmegshift/nutmegshift/peer/grpcpeer"
+	"github.com/nutmegshift/nutmegshift/timeline"
+)
+
+// hostsPrefix is where hosts register themselves.
+const hostsPrefix kv.Key = "hosts/"
+
+// errNotServed answers calls of the peer protocol that this daemon has no part in.
+const errNotServed = errors.ConstError("not served by this host")
+
+// registration is what a host writes about itself.
+type registration struct {
+	Address  ident.Address       `json:"address"`
+	Domain   ident.FailureDomain `json:"domain"`
+	Region   ident.Region        `json:"region"`
+	Life     ident.Incarnation   `json:"life"`
+	Capacity float32             `json:"capacity"` // cores
+}
+
+// peers is this host's side of the protocol between hosts.
+type peers struct {
+	self   ident.HostID
+	log    zerolog.Logger
+	table  *peer.Table
+	gossip *peer.Gossip
+	client *grpcpeer.Client
+	runner *grpcpeer.Runner
+	server *grpcpeer.Server
+	listed map[ident.HostID]peer.Row // belongs to the goroutine that follows the hosts
+}
+
+var (
+	_ discovery.Sink   = (*peers)(nil)
+	_ grpcpeer.Handler = (*peers)(nil)
+)
+
+// newPeers returns the peers of a host. The digest is that of the routing table
+// in force; observe is told that of other hosts.
+func newPeers(s *settings.Relay, digest func() uint64, observe func(peer ident.HostID, digest uint64), relay *grpcrelay.Server, log zerolog.Logger) *peers {
+	clock := timeline.NewClock(time.Now)
+	p := &peers{
+		self: s.Host,
+		log:  log,
+		table: peer.NewTable(peer.Row{
+			Host:        s.Host,
+			Address:     s.Peers,
+			Domain:      s.Domain,
+			Region:      s.Region,
+			Incarnation: ident.Incarnation(time.Now().UnixMilli()),
+			Capacity:    float32(s.Processor),
+		}),
+		client: grpcpeer.NewClient(s.Host, clock, time.Now),
+		listed: make(map[ident.HostID]peer.Row),
+	}
+	p.gossip = peer.NewGossip(peer.Config{
+		Table:     p.table,
+		Random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Documents: digest,
+		Observe:   observe,
+	})
+	p.runner = grpcpeer.NewRunner(p.gossip, p.table, p.client, time.Now)
+	p.server = grpcpeer.NewServer(p, clock, time.Now, relay.Register)
+	return p
+}
+
+// serve answers other hosts until ctx ends.
+func (p *peers) serve(listener net.Listener) func(context.Context) error {
+	return func(ctx context.Context) error {
+		defer p.client.Close()
+		return p.server.Serve(ctx, listener)
+	}
+}
+
+// entry returns the key and value of this host's registration.
+func (p *peers) entry() (kv.Key, []byte, error) {
+	row, _ := p.table.Snapshot().Row(p.self)
+	value, err := json.Marshal(registration{
+		Address:  row.Address,
+		Domain:   row.Domain,
+		Region:   row.Region,
+		Life:     row.Incarnation,
+		Capacity: row.Capacity,
+	})
+	return hostsPrefix + kv.Key(p.self), value, errors.Annotate(err, "encode registration")
+}
+
+// Listed implements discovery.Sink.
+func (p *peers) Listed(entries []kv.Entry, _ time.Time) {
+	clear(p.listed)
+	for _, entry := range entries {
+		p.list(entry)
+	}
+	p.merge()
+}
+
+// Changed implements discovery.Sink. A host that is removed may still run; the
+// gossip finds out.
+func (p *peers) Changed(change kv.Change, _ time.Time) {
+	if change.Deleted {
+		delete(p.listed, hostOf(change.Entry.Key))
+	} else {
+		p.list(change.Entry)
+	}
+	p.merge()
+}
+
+func (p *peers) list(entry kv.Entry) {
+	var r registration
+	if err := json.Unmarshal(entry.Value, &r); err != nil {
+		p.log.Error().Err(err).Str("key", string(entry.Key)).Msg("peers: registration not readable")
+		return
+	}
+	p.listed[hostOf(entry.Key)] = peer.Row{
+		Host:        hostOf(entry.Key),
+		Address:     r.Address,
+		Domain:      r.Domain,
+		Region:      r.Region,
+		Incarnation: r.Life,
+		State:       peer.Alive,
+		Capacity:    r.Capacity,
+	}
+}
+
+func (p *peers) merge() {
+	rows := make([]peer.Row, 0, len(p.listed))
+	for _, row := range p.listed {
+		rows = append(rows, row)
+	}
+	p.table.Merge(time.Now(), rows)
+}
+
+func hostOf(key kv.Key) ident.HostID {
+	return ident.HostID(strings.TrimPrefix(string(key), string(hostsPrefix)))
+}
+
+// hear logs what changes the members until ctx ends.
+func (p *peers) hear(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case rumour := <-p.gossip.Rumours():
+			switch r := rumour.(type) {
+			case peer.HostSuspected:
+				p.log.Info().Str("peer", string(r.Host)).Msg("peers: suspected")
+			case peer.HostAlive:
+				p.log.Info().Str("peer", string(r.Row.Host)).Msg("peers: alive")
+			case peer.HostLeaving:
+				p.log.Info().Str("peer", string(r.Host)).Msg("peers: leaving")
+			default:
+			}
+		}
+	}
+}
+
+// Exchange implements grpcpeer.Handler.
+func (p *peers) Exchange(message peer.Message) peer.Message {
+	return p.gossip.Receive(time.Now(), message)
+}
+
+// Claim implements grpcpeer.Handler.
+func (p *peers) Claim(context.Context, ident.HostID, []grpcpeer.ClaimItem) ([][]byte, error) {
+	return nil, errNotServed
+}
+
+// Documents implements grpcpeer.Handler.
+func (p *peers) Documents([]ident.ServiceName, map[ident.ServiceName]ident.Revision, int) []document.Versioned {
+	return nil
+}
+
+// Strike implements grpcpeer.Handler.
+func (p *peers) Strike(context.Context, ident.HostID, []byte) error {
+	return errNotServed
+}
--- a/internal/relay/host/serve.go
+++ b/internal/relay/host/serve.go
@@ -66,6 +66,7 @@
 	}
 	h.log.Info().Msg("host: stopping")
 	close(h.stopping)
+	h.peers.gossip.Leave()
 	began := time.Now()
 	time.Sleep(turnTime)
 	left := h.settings.Grace - closeMargin - time.Since(began)
--- a/peer/grpcpeer/client.go
+++ b/peer/grpcpeer/client.go
@@ -211,6 +211,16 @@
 }
 
 func (c *Client) stub(to ident.Address) (PeerClient, error) {
+	connection, err := c.Connection(to)
+	if err != nil {
+		return nil, err
+	}
+	return NewPeerClient(connection), nil
+}
+
+// Connection returns the connection to a peer, on which other services than Peer
+// may be called. It fails with ErrUnreachable only for a malformed address.
+func (c *Client) Connection(to ident.Address) (grpc.ClientConnInterface, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	connection, ok := c.connections[to]
@@ -244,7 +254,7 @@
 		}
 		c.connections[to] = connection
 	}
-	return NewPeerClient(connection), nil
+	return connection, nil
 }
 
 func translate(err error, operation string, to ident.Address) error {
--- a/peer/grpcpeer/codec.go
+++ b/peer/grpcpeer/codec.go
@@ -98,6 +98,7 @@
 		Region:      string(r.Region),
 		Incarnation: uint64(r.Incarnation),
 		State:       uint32(r.State),
+		Capacity:    r.Capacity,
 	}
 }
 
@@ -121,6 +122,7 @@
 		Region:      ident.Region(r.GetRegion()),
 		Incarnation: ident.Incarnation(r.GetIncarnation()),
 		State:       peer.State(r.GetState()),
+		Capacity:    r.GetCapacity(),
 	}, nil
 }
 
--- a/peer/grpcpeer/server.go
+++ b/peer/grpcpeer/server.go
@@ -37,13 +37,19 @@
 type Server struct {
 	UnimplementedPeerServer
 	handler Handler
+	others  []Service
 	stamper stamper
 }
 
-// NewServer returns a server that passes sound calls to the handler.
-func NewServer(handler Handler, clock *timeline.Clock, now func() time.Time) *Server {
+// Service adds a gRPC service to the peer port.
+type Service func(registrar grpc.ServiceRegistrar)
+
+// NewServer returns a server that passes sound calls to the handler and serves
+// the other services beside.
+func NewServer(handler Handler, clock *timeline.Clock, now func() time.Time, others ...Service) *Server {
 	return &Server{
 		handler: handler,
+		others:  others,
 		stamper: stamper{
 			clock: clock,
 			now:   now,
@@ -70,6 +76,9 @@
 		grpc.UnaryInterceptor(limit),
 	)
 	RegisterPeerServer(server, s)
+	for _, add := range s.others {
+		add(server)
+	}
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(listener) }()
 	select {
--- a/peer/row.go
+++ b/peer/row.go
@@ -43,6 +43,7 @@
 	Region      ident.Region
 	Incarnation ident.Incarnation
 	State       State
+	Capacity    float32 // cores; 0 if not stated
 }
 
 // Live reports whether the host may own keys and receive messages.
