--- a/internal/relay/discovery/follower.go
+++ b/internal/relay/discovery/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -28,28 +29,32 @@
 	Changed(change kv.Change, until time.Time)
 }
 
-// Follower keeps a Sink up to date with the entries under a prefix.
+// Follower keeps a Sink up to date with all entries of the store.
 type Follower struct {
 	store  kv.Store
 	health *Health
-	prefix kv.Key
 	sink   Sink
 	again  chan struct{}
+	cursor atomic.Uint64 // kv.Cursor
 }
 
 // NewFollower returns a follower; Run starts it.
-func NewFollower(store kv.Store, health *Health, prefix kv.Key, sink Sink) *Follower {
+func NewFollower(store kv.Store, health *Health, sink Sink) *Follower {
 	return &Follower{
 		store:  store,
 		health: health,
-		prefix: prefix,
 		sink:   sink,
 		again:  make(chan struct{}, 1),
 	}
 }
 
-// Again asks for a new listing, because another host knows of a change that
-// this one has not seen.
+// Cursor returns up to where the sink has all changes.
+func (f *Follower) Cursor() kv.Cursor {
+	return kv.Cursor(f.cursor.Load())
+}
+
+// Again asks for a new listing, because changes are known that the watch has
+// not reported.
 func (f *Follower) Again() {
 	select {
 	case f.again <- struct{}{}:
@@ -57,15 +62,15 @@
 	}
 }
 
-// Run follows the prefix until the context ends. After a failure it lists again,
+// Run follows the store until the context ends. After a failure it lists again,
 // since a listing is answered at once when the store is back.
 func (f *Follower) Run(ctx context.Context) error {
 	pause := firstPause
 	for ctx.Err() == nil {
-		cursor, err := f.list(ctx)
+		err := f.list(ctx)
 		for err == nil {
 			pause = firstPause
-			cursor, err = f.watch(ctx, cursor)
+			err = f.watch(ctx)
 		}
 		if ctx.Err() != nil {
 			break
@@ -84,14 +89,14 @@
 // errAgain ends a watch in favour of a new listing.
 const errAgain = errors.ConstError("another listing is due")
 
-func (f *Follower) list(ctx context.Context) (kv.Cursor, error) {
+func (f *Follower) list(ctx context.Context) error {
 	var entries []kv.Entry
 	var cursor kv.Cursor
 	after := kv.Key("")
 	for {
-		page, err := f.store.List(ctx, f.prefix, after, pageLimit)
+		page, err := f.store.List(ctx, "", after, pageLimit)
 		if err != nil {
-			return 0, err
+			return err
 		}
 		f.health.Succeeded()
 		if after == "" {
@@ -104,13 +109,13 @@
 		after = page.Entries[len(page.Entries)-1].Key
 	}
 	f.sink.Listed(entries, f.health.Doubtful())
-	return cursor, nil
+	f.cursor.Store(uint64(cursor))
+	return nil
 }
 
 // watch waits for changes after the cursor.
-func (f *Follower) watch(ctx context.Context, cursor kv.Cursor) (kv.Cursor, error) {
+func (f *Follower) watch(ctx context.Context) error {
 	waiting, stop := context.WithCancelCause(ctx)
-	defer stop(nil)
 	asked := make(chan struct{})
 	go func(ctx context.Context) {
 		defer close(asked)
@@ -120,20 +125,21 @@
 		case <-ctx.Done():
 		}
 	}(waiting)
-	changes, err := f.store.Watch(waiting, f.prefix, cursor)
+	changes, err := f.store.Watch(waiting, "", f.Cursor())
 	stop(nil)
 	<-asked
 	if errors.Is(context.Cause(waiting), errAgain) {
-		return 0, errAgain
+		return errAgain
 	}
 	if err != nil {
-		return 0, err
+		return err
 	}
 	f.health.Succeeded()
 	for _, change := range changes.Changes {
 		f.sink.Changed(change, f.health.Doubtful())
 	}
-	return max(cursor, changes.Cursor), nil
+	f.cursor.Store(max(f.cursor.Load(), uint64(changes.Cursor)))
+	return nil
 }
 
 func sleep(ctx context.Context, pause time.Duration) {
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -53,7 +53,7 @@
 	routes       *routes.Holder
 	fleet        *fleet.Directory
 	client       *upstreamhttp.Client
-	tables       *discovery.Follower
+	follower     *discovery.Follower
 	peers        *peers
 	coordinators *coordinators
 	handler      *forward.Handler
@@ -86,11 +86,17 @@
 		Now:    time.Now,
 		Opened: opened.Inc,
 	})
-	h.tables = discovery.NewFollower(h.store, h.health, platform.Keys.Table, tableSink{
-		Host: h,
-	})
 	h.coordinators = newCoordinators(h.newCoordinator)
 	h.peers = newPeers(s, h.version, h.observe, grpcrelay.NewServer(h.coordinators.get, time.Now), log)
+	h.follower = discovery.NewFollower(h.store, h.health, sinks{
+		platform.Keys.Table: tableSink{
+			Host: h,
+		},
+		platform.Keys.Upstreams: fleetSink{
+			Host: h,
+		},
+		hostsPrefix: h.peers,
+	})
 	h.handler = forward.New(forward.Config{
 		Codec:   platform.Codec,
 		Routes:  h.routes,
@@ -146,7 +152,7 @@
 func (h *Host) observe(other ident.HostID, version uint64) {
 	if version > h.version() {
 		h.log.Info().Str("peer", string(other)).Uint64("version", version).Msg("table: another host has a newer one")
-		h.tables.Again()
+		h.follower.Again()
 	}
 }
 
@@ -198,11 +204,11 @@
 	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
 	var group run.Group
-	h.add(parts, &group, "table", h.tables.Run)
-	h.add(parts, &group, "fleet", discovery.NewFollower(h.store, h.health, h.platform.Keys.Upstreams, fleetSink{
+	poller := discovery.NewPoller(h.store, h.health, h.follower, h.platform.Keys.Table, tableSink{
 		Host: h,
-	}).Run)
-	h.add(parts, &group, "hosts", discovery.NewFollower(h.store, h.health, hostsPrefix, h.peers).Run)
+	})
+	h.add(parts, &group, "follower", h.follower.Run)
+	h.add(parts, &group, "poller", poller.Run)
 	h.add(parts, &group, "registration", discovery.NewRegistration(h.store, h.health, h.log, key, value, h.settings.Lease).Run)
 	h.add(parts, &group, "coordinators", h.coordinators.run)
 	h.add(parts, &group, "peers", h.peers.serve(others))
--- a/internal/relay/host/sinks.go
+++ b/internal/relay/host/sinks.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"strings"
 	"time"
 
 	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
@@ -8,6 +9,31 @@
 	"github.com/nutmegshift/nutmegshift/kv"
 )
 
+// sinks divides the entries of the store by their prefixes.
+type sinks map[kv.Key]discovery.Sink
+
+// Listed implements discovery.Sink.
+func (s sinks) Listed(entries []kv.Entry, until time.Time) {
+	for prefix, sink := range s {
+		var under []kv.Entry
+		for _, entry := range entries {
+			if strings.HasPrefix(string(entry.Key), string(prefix)) {
+				under = append(under, entry)
+			}
+		}
+		sink.Listed(under, until)
+	}
+}
+
+// Changed implements discovery.Sink.
+func (s sinks) Changed(change kv.Change, until time.Time) {
+	for prefix, sink := range s {
+		if strings.HasPrefix(string(change.Entry.Key), string(prefix)) {
+			sink.Changed(change, until)
+		}
+	}
+}
+
 // tableSink puts published routing tables into force.
 type tableSink struct {
 	*Host
@@ -19,6 +45,7 @@
 }
 
 var (
+	_ discovery.Sink = sinks{}
 	_ discovery.Sink = tableSink{}
 	_ discovery.Sink = fleetSink{}
 )
