Send prompts that share a part to one upstream, and keep results near it

Cause: each host preferred an upstream of the failure domain in which the results of the stages lay, so every shared part of a prompt was read at several upstreams, and pieces read inputs across failure domains once each. The upstream is now the first by rendezvous hash of the part that the most requests share, whatever its domain, and stages are placed by the bytes that would cross to it.

--- a/internal/relay/batch/job.go
+++ b/internal/relay/batch/job.go
@@ -46,7 +46,7 @@
 type Job struct {
 	ID        JobID
 	Request   ident.RequestID
-	Domain    ident.FailureDomain // where the request arrived
+	Domain    ident.FailureDomain // where the results are needed
 	Rank      Rank
 	Stages    []Stage
 	Key       string    // names the content of the pieces of the first stages
--- a/internal/relay/batch/plan.go
+++ b/internal/relay/batch/plan.go
@@ -14,10 +14,7 @@
 const (
 	// crossingTime is the delay that is accepted to keep a megabyte of results
 	// within a failure domain.
-	crossingTime = 100 * time.Millisecond
-	// requestBytes is the approximate size of a request and its answer, which
-	// cross with the results of the first stages.
-	requestBytes = 20e3
+	crossingTime = 300 * time.Millisecond
 )
 
 // slot is a batch that is being planned for a worker.
@@ -213,21 +210,19 @@
 	return s.start.Add(took + crossing)
 }
 
-// crossing returns the bytes that cross failure domains if a task runs in one.
+// crossing returns the bytes of results that cross failure domains if a task
+// runs in one: each of its pieces reads all inputs, and the last results are
+// read in the domain of the job.
 func (t *task) crossing(domain ident.FailureDomain) float64 {
-	inputs := t.inputs()
-	if len(inputs) == 0 {
-		if domain == t.job.Domain {
-			return 0
-		}
-		return requestBytes
-	}
 	crossing := 0.0
-	for _, r := range inputs {
+	for _, r := range t.inputs() {
 		if r.worker.upstream.Domain != domain {
-			crossing += float64(r.bytes)
+			crossing += float64(r.bytes) * float64(t.stage.Pieces)
 		}
 	}
+	if domain != t.job.Domain && !t.job.followed(t.index) {
+		crossing += float64(t.stage.Bytes) * float64(t.stage.Pieces)
+	}
 	return crossing
 }
 
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -110,11 +110,23 @@
 	return hash(string(shared.ID))
 }
 
+// home returns the failure domain where the request will probably run.
+func (e *exchange) home() ident.FailureDomain {
+	preferred, ok := placement.Preferred(placement.Query{
+		Service:  e.service.Name,
+		Affinity: e.affinity(),
+	}, e.config.Fleet.Snapshot())
+	if !ok {
+		return e.config.Domain
+	}
+	return preferred.Domain
+}
+
 // prepare runs the stages.
 func (e *exchange) prepare() (coordinator.Prepared, error) {
 	job := batch.Job{
 		Request:   e.head.Request,
-		Domain:    e.config.Domain,
+		Domain:    e.home(),
 		Rank:      e.rank(),
 		Key:       e.head.PieceKey,
 		Objective: e.arrived.Add(e.route.Objective - firstEventTime),
--- a/internal/relay/placement/chooser.go
+++ b/internal/relay/placement/chooser.go
@@ -23,7 +23,7 @@
 	crossing = 1.5
 	// affinity is the advantage of the upstream that a prompt prefers, in
 	// requests in flight.
-	affinity = 4.0
+	affinity = 20.0
 )
 
 // Query says what an upstream is needed for.
@@ -77,7 +77,7 @@
 	defer c.mu.Unlock()
 	var best fleet.Upstream
 	lowest, found := 0.0, false
-	preferred := prefer(query, snapshot)
+	preferred, _ := Preferred(query, snapshot)
 	for _, upstream := range snapshot.Ready(query.Service) {
 		if query.Exclude[upstream.ID] {
 			continue
@@ -86,7 +86,7 @@
 		if upstream.Domain != query.Domain {
 			cost += crossing
 		}
-		if upstream.ID == preferred {
+		if upstream.ID == preferred.ID {
 			cost -= affinity
 		}
 		cost += rand.Float64() / 2 // hosts that know the same spread their requests
@@ -148,23 +148,21 @@
 	return cost
 }
 
-// prefer returns the upstream of the wanted domain with the highest rendezvous hash.
-func prefer(query Query, snapshot *fleet.Snapshot) ident.UpstreamID {
+// Preferred returns the upstream with the highest rendezvous hash for what
+// requests share; there is none if they share nothing.
+func Preferred(query Query, snapshot *fleet.Snapshot) (fleet.Upstream, bool) {
+	var best fleet.Upstream
 	if query.Affinity == 0 {
-		return ""
+		return best, false
 	}
-	var best ident.UpstreamID
 	highest := uint64(0)
 	for _, upstream := range snapshot.Ready(query.Service) {
-		if upstream.Domain != query.Domain {
-			continue
-		}
 		score := xxhash.Sum64String(string(upstream.ID)) ^ query.Affinity
 		score *= 0x9e3779b97f4a7c15
 		score ^= score >> 32
-		if best == "" || score > highest {
-			best, highest = upstream.ID, score
+		if best.ID == "" || score > highest {
+			best, highest = upstream, score
 		}
 	}
-	return best
+	return best, best.ID != ""
 }
