Refuse requests by the delay that their stages would have

Cause: requests were accepted as long as their deadline could be met, waited behind each other until they were late, and many were given up after seconds. A request is now refused at once if its stages would be delayed by more than its slack, or than the usual slack of the most urgent kind, half of that for the least urgent kinds. Accepted work runs by its latest start.

Two faults showed in the same trace: an item that found no room for its result marked its upstream as full for good, so that batches stayed small, and calls whose items were rejected at once taught a wrong pace.

--- a/internal/relay/batch/job.go
+++ b/internal/relay/batch/job.go
@@ -72,6 +72,16 @@
 	Results []wire.ItemResult
 }
 
+// whole reports whether every item is done.
+func (c Completed) whole() bool {
+	for _, result := range c.Results {
+		if result.Status != wire.ItemDone {
+			return false
+		}
+	}
+	return true
+}
+
 // Refused is a call that did not run.
 type Refused struct{}
 
--- a/internal/relay/batch/plan.go
+++ b/internal/relay/batch/plan.go
@@ -62,8 +62,7 @@
 	slices.SortStableFunc(p.queue, func(a, b *task) int {
 		return cmp.Or(
 			cmp.Compare(a.urgency(now), b.urgency(now)),
-			cmp.Compare(a.job.Rank, b.job.Rank),
-			a.job.Objective.Compare(b.job.Objective),
+			a.latest().Compare(b.latest()),
 		)
 	})
 	slots := p.slots(now)
@@ -123,6 +122,7 @@
 	}
 	for _, w := range p.workers {
 		earlier(w.resume)
+		earlier(w.full)
 	}
 	for _, t := range p.queue {
 		earlier(t.job.Deadline.Add(-t.remaining()))
@@ -277,6 +277,11 @@
 	return 0
 }
 
+// latest returns when a task must start for an answer that is on time.
+func (t *task) latest() time.Time {
+	return t.job.Objective.Add(-t.remaining())
+}
+
 // remaining returns the least time that a task and the stages after it take.
 func (t *task) remaining() time.Duration {
 	longest := time.Duration(0)
@@ -289,9 +294,9 @@
 }
 
 // estimate returns the time that the stages of a job take at the present load.
-func (s *Scheduler) estimate(now time.Time, j *job) time.Duration {
+func (s *Scheduler) estimate(now time.Time, j *job) (took, alone time.Duration) {
+	loads := s.loads(now)
 	ends := make([]time.Duration, len(j.tasks))
-	longest := time.Duration(0)
 	for i, t := range j.tasks {
 		start := time.Duration(0)
 		for _, before := range t.stage.After {
@@ -300,40 +305,49 @@
 		ends[i] = start
 		if t.stage.Pieces > 0 {
 			// Work that is ahead of it now is gone by the time of a later stage.
-			ends[i] = max(start, t.pool.wait(now, j.Rank)) + t.pool.alone(t.stage)
+			ends[i] = max(start, loads[t.pool]) + t.pool.alone(t.stage)
+			alone = max(alone, t.head()+t.remaining())
 		}
-		longest = max(longest, ends[i])
+		took = max(took, ends[i])
 	}
-	return longest
+	return took, alone
 }
 
-// wait returns the time until work of a rank is started.
-func (p *pool) wait(now time.Time, rank Rank) time.Duration {
-	ahead := 0
-	for _, t := range p.queue {
-		if t.job.Rank <= rank && t.urgency(now) == 0 {
-			ahead += len(t.waiting)
+// head is the least time until a task can start.
+func (t *task) head() time.Duration {
+	longest := time.Duration(0)
+	for _, before := range t.stage.After {
+		b := t.job.tasks[before]
+		if b.stage.Pieces > 0 {
+			longest = max(longest, b.head()+b.pool.alone(b.stage))
 		}
 	}
-	free := make([]time.Time, 0, len(p.workers))
-	for _, w := range p.workers {
-		free = append(free, w.available(now))
-	}
-	if len(free) == 0 {
-		return 0
-	}
-	full := p.limits.CallTime + time.Duration(p.limits.Items)*p.limits.ItemTime
-	for {
-		first := 0
-		for i, at := range free {
-			if at.Before(free[first]) {
-				first = i
+	return longest
+}
+
+// loads returns how long each pool takes for the calls in progress and all work
+// of the accepted jobs, later stages included, in full batches.
+func (s *Scheduler) loads(now time.Time) map[*pool]time.Duration {
+	work := make(map[*pool]time.Duration)
+	for _, j := range s.jobs {
+		for _, t := range j.tasks {
+			if len(t.waiting) > 0 {
+				share := t.pool.limits.CallTime/time.Duration(t.pool.limits.Items) + t.pool.itemTime(t.stage.Kind)
+				work[t.pool] += time.Duration(len(t.waiting)) * share
 			}
 		}
-		if ahead < p.limits.Items {
-			return max(0, free[first].Sub(now))
+	}
+	loads := make(map[*pool]time.Duration)
+	for _, p := range s.pools {
+		rate := 0.0
+		busy := work[p]
+		for _, w := range p.workers {
+			rate += 1 / w.pace
+			busy += time.Duration(float64(w.available(now).Sub(now)) / w.pace)
+		}
+		if rate > 0 {
+			loads[p] = time.Duration(float64(busy) / rate)
 		}
-		ahead -= p.limits.Items
-		free[first] = free[first].Add(time.Duration(float64(full) * p.workers[first].pace))
 	}
+	return loads
 }
--- a/internal/relay/batch/scheduler.go
+++ b/internal/relay/batch/scheduler.go
@@ -15,6 +15,8 @@
 // maxTries is how often the calls of a stage may fail.
 const maxTries = 4
 
+var shares = [3]float64{1, 1, 0.5}
+
 // The failures of an item.
 const (
 	errLost    = errors.ConstError("call was lost")
@@ -30,6 +32,7 @@
 	jobs     map[JobID]*job
 	calls    map[CallID]*call
 	last     CallID
+	slack    time.Duration
 	done     []Done
 	releases map[ident.Address][]wire.Handle
 }
@@ -108,8 +111,22 @@
 			pool:  p,
 		})
 	}
-	if end := now.Add(s.estimate(now, j)); end.After(j.Deadline) {
-		return errors.Annotatef(ErrOverload, "expected %s after the deadline", end.Sub(j.Deadline).Round(time.Millisecond))
+	took, alone := s.estimate(now, j)
+	delay := took - alone
+	slack := j.Objective.Sub(now) - alone
+	rank := min(int(j.Rank%10), 2)
+	if rank == 0 {
+		if s.slack == 0 {
+			s.slack = slack
+		}
+		s.slack += (slack - s.slack) / 20
+	}
+	allowed := slack
+	if s.slack > 0 {
+		allowed = min(slack, time.Duration(float64(s.slack)*shares[rank]))
+	}
+	if delay > allowed {
+		return errors.Annotatef(ErrOverload, "delay of %s", delay.Round(time.Millisecond))
 	}
 	s.start(j)
 	return nil
@@ -170,7 +187,7 @@
 		t.running--
 		switch {
 		case answered:
-			s.take(c.worker, part, completed.Results[i], failed)
+			s.take(now, c.worker, part, completed.Results[i], failed)
 			continue
 		case outcome != Outcome(Refused{}):
 			failed[t] = errLost
@@ -184,7 +201,7 @@
 }
 
 // take handles the result of one item.
-func (s *Scheduler) take(w *worker, p part, got wire.ItemResult, failed map[*task]error) {
+func (s *Scheduler) take(now time.Time, w *worker, p part, got wire.ItemResult, failed map[*task]error) {
 	t := p.task
 	if got.Status != wire.ItemDone {
 		t.waiting = append(t.waiting, p.piece)
@@ -192,7 +209,7 @@
 		switch got.Status {
 		case wire.ItemNoRoom:
 			// The upstream holds results that this scheduler does not know of.
-			w.held = max(w.held, w.pool.limits.Room)
+			w.full = now.Add(fullBreak)
 		case wire.ItemNoInput:
 			failed[t] = errNoInput
 		default:
--- a/internal/relay/batch/worker.go
+++ b/internal/relay/batch/worker.go
@@ -17,6 +17,9 @@
 	shortBreak = 40 * time.Millisecond
 	longBreak  = 400 * time.Millisecond
 	maxBreak   = 3 * time.Second
+	// fullBreak is the time without calls after an upstream had no room for
+	// results, which other hosts release or which lapse.
+	fullBreak = 150 * time.Millisecond
 )
 
 // worker is an upstream of a stage.
@@ -28,6 +31,7 @@
 	pace     float64       // time that calls take, divided by the expected one
 	held     int64         // bytes of results, those of calls in progress included
 	broken   time.Duration // length of the last break; 0 while calls succeed
+	full     time.Time     // until when no more results fit
 	gone     bool          // no longer registered, or draining
 }
 
@@ -98,6 +102,9 @@
 	if at.Before(now) {
 		at = now
 	}
+	if at.Before(w.full) {
+		at = w.full
+	}
 	if len(w.calls) < w.pool.limits.Slots {
 		return at
 	}
@@ -115,7 +122,7 @@
 
 // idle reports whether a call may start now.
 func (w *worker) idle(now time.Time) bool {
-	return len(w.calls) < w.pool.limits.Slots && !w.resume.After(now)
+	return len(w.calls) < w.pool.limits.Slots && !w.resume.After(now) && !w.full.After(now)
 }
 
 // ended takes the end of a call.
@@ -127,9 +134,12 @@
 		}
 	}
 	w.held -= c.bytes
-	switch outcome.(type) {
+	switch o := outcome.(type) {
 	case Completed:
 		w.broken = 0
+		if !o.whole() {
+			return // items that are rejected take no time
+		}
 		took := now.Sub(c.started)
 		usual := time.Duration(float64(c.Expected) / w.pace)
 		w.pool.learn(c, time.Duration(float64(took)/w.pace))
