--- a/internal/relay/discovery/follower.go
+++ b/internal/relay/discovery/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,12 @@
 	pageLimit    = 500
 	// againPause joins lists that are asked for in quick succession.
 	againPause = 100 * time.Millisecond
+	// While changes come in quick succession, the next watch waits so that one
+	// answer carries several of them: restPause for each answer within restTime,
+	// up to longestRest.
+	restTime    = 2 * time.Second
+	restPause   = 100 * time.Millisecond
+	longestRest = 600 * time.Millisecond
 )
 
 // Sink takes what a Follower reads. A removal takes effect at until, unless the
@@ -36,6 +43,7 @@
 	sink   Sink
 	again  chan struct{}
 	cursor atomic.Uint64 // kv.Cursor
+	recent []time.Time   // of answers with changes, within restTime
 }
 
 // NewFollower returns a follower; Run starts it.
@@ -139,9 +147,21 @@
 		f.sink.Changed(change, f.health.Doubtful())
 	}
 	f.cursor.Store(max(f.cursor.Load(), uint64(changes.Cursor)))
+	sleep(ctx, f.rest(time.Now(), len(changes.Changes) > 0))
 	return nil
 }
 
+// rest returns how long to wait before the next watch.
+func (f *Follower) rest(now time.Time, changed bool) time.Duration {
+	f.recent = slices.DeleteFunc(f.recent, func(at time.Time) bool {
+		return now.Sub(at) > restTime
+	})
+	if changed {
+		f.recent = append(f.recent, now)
+	}
+	return min(time.Duration(len(f.recent))*restPause, longestRest)
+}
+
 func sleep(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
