Let two hosts read the store, and the others take it from them

Hosts now exchange the cursors of their copies in the gossip, with the time since somebody read them from the store, and hand each other what they lack. Two hosts, the first by rendezvous hash, watch and poll; any other host asks the store only if its copy has not been confirmed for almost as long as a routing table may take to be in force.

--- a/internal/command/relay.go
+++ b/internal/command/relay.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
@@ -45,6 +47,7 @@
 		return errors.Annotate(err, "parse log level")
 	}
 	log := zerolog.New(command.Root().Writer).Level(level).With().Timestamp().Str("host", string(parsed.Host)).Logger()
+	signal.Ignore(syscall.SIGHUP)
 	stopping, _, release := stopSignals(ctx)
 	defer release()
 	return host.New(parsed, host.Platform{
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -83,7 +83,9 @@
 		Table:     p.table,
 		Random:    newRandom(),
 		Documents: registry.Digest,
-		Observe:   p.spreader.Digest,
+		Observe: func(from ident.HostID, documents uint64, _ time.Duration) {
+			p.spreader.Digest(from, documents)
+		},
 	})
 	p.runner = grpcpeer.NewRunner(p.gossip, p.table, p.client, time.Now)
 	p.server = grpcpeer.NewServer(&peerHandler{
--- /dev/null
+++ b/internal/relay/discovery/reader.go
@@ -0,0 +1,212 @@
+package discovery
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/nutmegshift/nutmegshift/kv"
+)
+
+const (
+	// firstPause and longestPause bound the pause after a failed call.
+	firstPause   = 50 * time.Millisecond
+	longestPause = time.Second
+	pageLimit    = 500
+	// againPause joins lists that follow each other.
+	againPause = 100 * time.Millisecond
+	// lookInterval is how often a reader looks whether something is due.
+	lookInterval = 50 * time.Millisecond
+	// pollGrace is how long a watch may take to report a change that a read shows.
+	pollGrace = 200 * time.Millisecond
+	// pollShare is the share of the longest age at which a reader polls; the rest
+	// is for the way to the other hosts.
+	pollShare = 0.4
+	// While changes come in quick succession, the next watch waits so that one
+	// answer carries several of them: restPause for each answer within restTime,
+	// up to longestRest.
+	restTime    = 2 * time.Second
+	restPause   = 50 * time.Millisecond
+	longestRest = 500 * time.Millisecond
+)
+
+// ReaderConfig holds the dependencies of a Reader.
+type ReaderConfig struct {
+	Store   kv.Store
+	Health  *Health
+	Replica *Replica
+	Key     kv.Key        // of an entry that exists
+	Age     time.Duration // longest time without a confirmation
+	Reads   func() bool   // whether this host is one of the readers
+}
+
+// Reader reads the store for a Replica when that is this host's turn.
+type Reader struct {
+	config ReaderConfig
+	recent []time.Time // of watches with changes, within restTime
+}
+
+// NewReader returns a reader; Run starts it.
+func NewReader(config ReaderConfig) *Reader {
+	return &Reader{
+		config: config,
+	}
+}
+
+// Run reads until the context ends.
+func (r *Reader) Run(ctx context.Context) error {
+	pause := firstPause
+	failed := func(err error) {
+		if err == nil || ctx.Err() != nil {
+			pause = firstPause
+			return
+		}
+		if errors.Is(err, kv.ErrCompacted) {
+			sleep(ctx, againPause)
+			return
+		}
+		r.config.Health.Failed(err)
+		r.config.Health.Pause(ctx, r, pause/2+rand.N(pause))
+		pause = min(2*pause, longestPause)
+	}
+	for ctx.Err() == nil && r.config.Replica.Cursor() == 0 {
+		failed(r.list(ctx))
+	}
+	for ctx.Err() == nil {
+		if r.config.Reads() {
+			failed(r.read(ctx))
+			continue
+		}
+		// Hosts that lost the same reader do not all poll at the same moment.
+		if age := r.config.Replica.Age(); age > r.config.Age-rand.N(r.config.Age/4) {
+			failed(r.poll(ctx, 0))
+			continue
+		}
+		sleep(ctx, lookInterval)
+	}
+	return nil
+}
+
+// read watches and polls for as long as this host is a reader. After a failure
+// it lists, since a listing is answered at once when the store is back.
+func (r *Reader) read(ctx context.Context) error {
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watched := make(chan error, 1)
+	go func(ctx context.Context) {
+		var err error
+		for err == nil {
+			err = r.watch(ctx)
+		}
+		watched <- err
+	}(watching)
+	var err error
+	ended := false
+	interval := time.Duration(pollShare * float64(r.config.Age))
+	for err == nil && !ended && r.config.Reads() {
+		select {
+		case err = <-watched:
+			ended = true
+		case <-time.After(interval - pollGrace/2 + rand.N(pollGrace)):
+			err = r.poll(ctx, pollGrace)
+		}
+	}
+	cancel()
+	if !ended {
+		<-watched
+	}
+	if err == nil || ctx.Err() != nil {
+		return nil
+	}
+	if !errors.Is(err, kv.ErrCompacted) {
+		r.config.Health.Failed(err)
+	}
+	return r.list(ctx)
+}
+
+// poll reads one entry, by whose answer the store tells its latest change. If
+// the replica still lacks changes after the grace, all entries are listed.
+func (r *Reader) poll(ctx context.Context, grace time.Duration) error {
+	page, err := r.config.Store.List(ctx, r.config.Key, "", 1)
+	if err != nil {
+		return err
+	}
+	r.config.Health.Succeeded()
+	if !r.config.Replica.Confirm(page.Cursor, 0) {
+		return nil
+	}
+	sleep(ctx, grace)
+	if !r.config.Replica.Confirm(page.Cursor, grace) {
+		return nil
+	}
+	return r.list(ctx)
+}
+
+func (r *Reader) list(ctx context.Context) error {
+	var entries []kv.Entry
+	var cursor kv.Cursor
+	after := kv.Key("")
+	for {
+		page, err := r.config.Store.List(ctx, "", after, pageLimit)
+		if err != nil {
+			return err
+		}
+		r.config.Health.Succeeded()
+		if after == "" {
+			cursor = page.Cursor // later changes may be missing in the first page
+		}
+		entries = append(entries, page.Entries...)
+		if !page.More || len(page.Entries) == 0 {
+			break
+		}
+		after = page.Entries[len(page.Entries)-1].Key
+	}
+	r.config.Replica.List(entries, cursor, r.config.Health.Doubtful())
+	return nil
+}
+
+// watch waits for changes after the replica's cursor.
+func (r *Reader) watch(ctx context.Context) error {
+	cursor := r.config.Replica.Cursor()
+	changes, err := r.config.Store.Watch(ctx, "", cursor)
+	if err != nil {
+		return err
+	}
+	r.config.Health.Succeeded()
+	now := time.Now()
+	r.config.Replica.Apply(Delta{
+		After:   cursor,
+		Cursor:  max(cursor, changes.Cursor),
+		Age:     watchAge,
+		Doubt:   max(0, r.config.Health.Doubtful().Sub(now)),
+		Changes: changes.Changes,
+	})
+	sleep(ctx, r.rest(now, len(changes.Changes) > 0))
+	return nil
+}
+
+// watchAge keeps a watch from confirming a replica: its answer may be old.
+const watchAge = time.Hour
+
+// rest returns how long to wait before the next watch.
+func (r *Reader) rest(now time.Time, changed bool) time.Duration {
+	r.recent = slices.DeleteFunc(r.recent, func(at time.Time) bool {
+		return now.Sub(at) > restTime
+	})
+	if changed {
+		r.recent = append(r.recent, now)
+	}
+	return min(time.Duration(len(r.recent))*restPause, longestRest)
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/relay/discovery/replica.go
@@ -0,0 +1,226 @@
+package discovery
+
+import (
+	"sync"
+	"time"
+
+	"github.com/nutmegshift/nutmegshift/kv"
+)
+
+// maxTombstones bounds the removals that a replica remembers for other hosts.
+const maxTombstones = 4096
+
+// Sink takes the entries of a Replica. A removal takes effect at until, unless
+// the entry comes back before; zero means at once.
+type Sink interface {
+	Put(entry kv.Entry)
+	Removed(key kv.Key, version kv.Version, until time.Time)
+}
+
+// Delta is what a replica lacks.
+type Delta struct {
+	After   kv.Cursor // the replica that it completes; 0 completes any
+	Cursor  kv.Cursor // up to where the result is complete
+	Age     time.Duration
+	Doubt   time.Duration // how long removals are doubtful
+	Changes []kv.Change
+}
+
+// Replica is a copy of the store's entries.
+type Replica struct {
+	sink Sink
+	now  func() time.Time
+
+	mu        sync.Mutex
+	entries   map[kv.Key]kv.Entry
+	removed   map[kv.Key]kv.Version
+	floor     kv.Cursor // removals up to it are forgotten
+	cursor    kv.Cursor
+	confirmed time.Time
+	doubtful  time.Time // until when removals are doubtful
+}
+
+// NewReplica returns an empty replica.
+func NewReplica(sink Sink, now func() time.Time) *Replica {
+	return &Replica{
+		sink:    sink,
+		now:     now,
+		entries: make(map[kv.Key]kv.Entry),
+		removed: make(map[kv.Key]kv.Version),
+	}
+}
+
+// Cursor returns up to where the replica is complete; 0 before the first listing.
+func (r *Replica) Cursor() kv.Cursor {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cursor
+}
+
+// Age returns how long ago the replica was known to be the latest.
+func (r *Replica) Age() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.age()
+}
+
+func (r *Replica) age() time.Duration {
+	const never = time.Hour
+	if r.confirmed.IsZero() {
+		return never
+	}
+	return min(never, max(0, r.now().Sub(r.confirmed)))
+}
+
+// Confirm notes that the store was at a cursor some time ago. It reports whether
+// the replica lacks changes.
+func (r *Replica) Confirm(cursor kv.Cursor, age time.Duration) (behind bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if cursor > r.cursor {
+		return true
+	}
+	if cursor == r.cursor {
+		r.confirm(age)
+	}
+	return false
+}
+
+func (r *Replica) confirm(age time.Duration) {
+	if at := r.now().Add(-age); at.After(r.confirmed) {
+		r.confirmed = at
+	}
+}
+
+// List takes a complete listing, whose cursor is that of its first page.
+func (r *Replica) List(entries []kv.Entry, cursor kv.Cursor, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.doubtful = until
+	r.list(entries, cursor)
+	r.advance(cursor, 0)
+}
+
+func (r *Replica) list(entries []kv.Entry, cursor kv.Cursor) {
+	present := make(map[kv.Key]bool, len(entries))
+	for _, entry := range entries {
+		present[entry.Key] = true
+		r.put(entry)
+	}
+	for key, entry := range r.entries {
+		if !present[key] && kv.Cursor(entry.Version) <= cursor {
+			r.remove(key, kv.Version(cursor))
+		}
+	}
+}
+
+// Apply takes the changes that follow the replica's cursor. It reports false if
+// the changes follow another one, so that nothing is taken.
+func (r *Replica) Apply(delta Delta) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if delta.After > r.cursor {
+		return false
+	}
+	if delta.Cursor < r.cursor {
+		return true // known already
+	}
+	if until := r.now().Add(delta.Doubt); delta.Doubt > 0 && until.After(r.doubtful) {
+		r.doubtful = until
+	}
+	if delta.After == 0 {
+		var entries []kv.Entry
+		for _, change := range delta.Changes {
+			if !change.Deleted {
+				entries = append(entries, change.Entry)
+			}
+		}
+		r.list(entries, delta.Cursor)
+	}
+	for _, change := range delta.Changes {
+		if change.Deleted {
+			r.remove(change.Entry.Key, change.Entry.Version)
+		} else {
+			r.put(change.Entry)
+		}
+	}
+	r.advance(delta.Cursor, delta.Age)
+	return true
+}
+
+// Delta returns what a replica that is complete up to a cursor lacks.
+func (r *Replica) Delta(after kv.Cursor) Delta {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delta := Delta{
+		After:  after,
+		Cursor: r.cursor,
+		Age:    r.age(),
+		Doubt:  max(0, r.doubtful.Sub(r.now())),
+	}
+	if after < r.floor {
+		// Removals that the other replica lacks are forgotten here, but it can take
+		// the entries that exist as a first listing.
+		after = 0
+		delta.After = 0
+	}
+	for _, entry := range r.entries {
+		if kv.Cursor(entry.Version) > after {
+			delta.Changes = append(delta.Changes, kv.Change{
+				Entry: entry,
+			})
+		}
+	}
+	for key, version := range r.removed {
+		if kv.Cursor(version) > after {
+			delta.Changes = append(delta.Changes, kv.Change{
+				Entry: kv.Entry{
+					Key:     key,
+					Version: version,
+				},
+				Deleted: true,
+			})
+		}
+	}
+	return delta
+}
+
+func (r *Replica) advance(cursor kv.Cursor, age time.Duration) {
+	if cursor >= r.cursor {
+		r.cursor = cursor
+		r.confirm(age)
+	}
+}
+
+func (r *Replica) put(entry kv.Entry) {
+	if held, ok := r.entries[entry.Key]; ok && held.Version >= entry.Version {
+		return
+	}
+	if gone, ok := r.removed[entry.Key]; ok && gone >= entry.Version {
+		return
+	}
+	delete(r.removed, entry.Key)
+	r.entries[entry.Key] = entry
+	r.sink.Put(entry)
+}
+
+func (r *Replica) remove(key kv.Key, version kv.Version) {
+	held, ok := r.entries[key]
+	if ok && held.Version > version {
+		return
+	}
+	if len(r.removed) >= maxTombstones {
+		clear(r.removed)
+		r.floor = r.cursor
+	}
+	r.removed[key] = max(r.removed[key], version)
+	if !ok {
+		return
+	}
+	delete(r.entries, key)
+	until := r.doubtful
+	if !until.After(r.now()) {
+		until = time.Time{}
+	}
+	r.sink.Removed(key, version, until)
+}
--- a/internal/relay/fleet/directory.go
+++ b/internal/relay/fleet/directory.go
@@ -112,26 +112,6 @@
 	d.remove(held, until)
 }
 
-// Replace takes a complete listing; upstreams that it lacks are removed as by
-// Remove. It returns how many rows are not in the listing.
-func (d *Directory) Replace(listing []Listed, until time.Time) int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	present := make(map[ident.UpstreamID]bool, len(listing))
-	for _, listed := range listing {
-		present[listed.Upstream.ID] = true
-		d.put(listed)
-	}
-	lacking := 0
-	for id, held := range d.rows {
-		if !present[id] {
-			lacking++
-			d.remove(held, until)
-		}
-	}
-	return lacking
-}
-
 // Tick completes the doubtful removals that are due at now.
 func (d *Directory) Tick(now time.Time) {
 	d.mu.Lock()
--- a/internal/relay/grpcrelay/server.go
+++ b/internal/relay/grpcrelay/server.go
@@ -10,19 +10,23 @@
 
 	"github.com/nutmegshift/nutmegshift/internal/relay/cell"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
+	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
 )
 
 // Server serves the calls of other hosts.
 type Server struct {
 	UnimplementedRelayServer
 	coordinators func(id cell.ID) *coordinator.Coordinator
+	replica      *discovery.Replica
 	now          func() time.Time
 }
 
-// NewServer returns a server that hands jobs to the coordinators of their cells.
-func NewServer(coordinators func(id cell.ID) *coordinator.Coordinator, now func() time.Time) *Server {
+// NewServer returns a server that hands jobs to the coordinators of their cells,
+// and gives the entries of a replica to other hosts.
+func NewServer(coordinators func(id cell.ID) *coordinator.Coordinator, replica *discovery.Replica, now func() time.Time) *Server {
 	return &Server{
 		coordinators: coordinators,
+		replica:      replica,
 		now:          now,
 	}
 }
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -32,6 +33,14 @@
 	// watchWait is shorter than common idle limits of connections on the way.
 	watchWait    = 20 * time.Second
 	tickInterval = 500 * time.Millisecond
+	// readers is how many hosts read the store on behalf of all; with two, the
+	// loss of one goes unnoticed.
+	readers = 2
+	// readersKey ranks the hosts for reading.
+	readersKey = 0x72656164
+	// spreadTime is left of the time in which a routing table has to be in force,
+	// for a host that asks the store itself.
+	spreadTime = 800 * time.Millisecond
 )
 
 // Platform is what differs between platforms.
@@ -53,10 +62,12 @@
 	routes       *routes.Holder
 	fleet        *fleet.Directory
 	client       *upstreamhttp.Client
-	follower     *discovery.Follower
+	replica      *discovery.Replica
 	peers        *peers
+	calls        *grpcrelay.Client
 	coordinators *coordinators
 	handler      *forward.Handler
+	behind       chan ident.HostID // hosts that know more of the store
 	stopping     chan struct{}
 }
 
@@ -70,6 +81,7 @@
 		health:   discovery.NewHealth(log, time.Now),
 		routes:   &routes.Holder{},
 		fleet:    fleet.New(),
+		behind:   make(chan ident.HostID, 1),
 		stopping: make(chan struct{}),
 	}
 	h.store = httpkv.New(httpkv.Config{
@@ -87,16 +99,18 @@
 		Opened: opened.Inc,
 	})
 	h.coordinators = newCoordinators(h.newCoordinator)
-	h.peers = newPeers(s, h.version, h.observe, grpcrelay.NewServer(h.coordinators.get, time.Now), log)
-	h.follower = discovery.NewFollower(h.store, h.health, sinks{
+	sinks := sinks{
 		platform.Keys.Table: tableSink{
 			Host: h,
 		},
 		platform.Keys.Upstreams: fleetSink{
 			Host: h,
 		},
-		hostsPrefix: h.peers,
-	})
+	}
+	h.replica = discovery.NewReplica(sinks, time.Now)
+	h.peers = newPeers(s, h.replica, h.observe, grpcrelay.NewServer(h.coordinators.get, h.replica, time.Now), log)
+	sinks[hostsPrefix] = h.peers
+	h.calls = grpcrelay.NewClient(h.peers.client.Connection, time.Now)
 	h.handler = forward.New(forward.Config{
 		Codec:   platform.Codec,
 		Routes:  h.routes,
@@ -116,7 +130,7 @@
 			Table:  h.routes.Table,
 			Fleet:  h.fleet.Snapshot,
 			Local:  h.coordinators.get,
-			Remote: grpcrelay.NewClient(h.peers.client.Connection, time.Now),
+			Remote: h.calls,
 			Log:    log,
 		}),
 		Domain:      s.Domain,
@@ -140,22 +154,47 @@
 	})
 }
 
-// version returns the version of the routing table in force, 0 if there is none.
-func (h *Host) version() uint64 {
-	if table := h.routes.Table(); table != nil {
-		return uint64(table.Version)
+// observe takes the cursor of another host's replica.
+func (h *Host) observe(other ident.HostID, cursor kv.Cursor, age time.Duration) {
+	if !h.replica.Confirm(cursor, age) {
+		return
+	}
+	select {
+	case h.behind <- other:
+	default: // a transfer is due already
 	}
-	return 0
 }
 
-// observe reads the routing table again if another host has a newer one.
-func (h *Host) observe(other ident.HostID, version uint64) {
-	if version > h.version() {
-		h.log.Info().Str("peer", string(other)).Uint64("version", version).Msg("table: another host has a newer one")
-		h.follower.Again()
+// sync gets what this host's replica lacks from hosts that have it.
+func (h *Host) sync(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case other := <-h.behind:
+			address, err := h.peers.address(other)
+			if err != nil {
+				continue
+			}
+			after := h.replica.Cursor()
+			delta, err := h.calls.Sync(ctx, address, after)
+			if err != nil {
+				h.log.Debug().Err(err).Str("peer", string(other)).Msg("replica: transfer failed")
+				continue
+			}
+			if !h.replica.Apply(delta) {
+				h.log.Info().Str("peer", string(other)).Uint64("after", uint64(delta.After)).Uint64("cursor", uint64(after)).Msg("replica: transfer does not fit")
+			}
+		}
 	}
 }
 
+// reads reports whether this host is one of the readers of the store.
+func (h *Host) reads() bool {
+	ranked := h.peers.table.Snapshot().Ranked("", readersKey)
+	return slices.Contains(ranked[:min(readers, len(ranked))], h.settings.Host)
+}
+
 // hosts returns the number of live hosts.
 func (h *Host) hosts() int {
 	return len(h.peers.table.Snapshot().Live())
@@ -204,11 +243,16 @@
 	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
 	var group run.Group
-	poller := discovery.NewPoller(h.store, h.health, h.follower, h.platform.Keys.Table, tableSink{
-		Host: h,
+	reader := discovery.NewReader(discovery.ReaderConfig{
+		Store:   h.store,
+		Health:  h.health,
+		Replica: h.replica,
+		Key:     h.platform.Keys.Table,
+		Age:     h.settings.Apply - spreadTime,
+		Reads:   h.reads,
 	})
-	h.add(parts, &group, "follower", h.follower.Run)
-	h.add(parts, &group, "poller", poller.Run)
+	h.add(parts, &group, "reader", reader.Run)
+	h.add(parts, &group, "sync", h.sync)
 	h.add(parts, &group, "registration", discovery.NewRegistration(h.store, h.health, h.log, key, value, h.settings.Lease).Run)
 	h.add(parts, &group, "coordinators", h.coordinators.run)
 	h.add(parts, &group, "peers", h.peers.serve(others))
--- a/internal/relay/host/peers.go
+++ b/internal/relay/host/peers.go
@@ -46,7 +46,7 @@
 	client *grpcpeer.Client
 	runner *grpcpeer.Runner
 	server *grpcpeer.Server
-	listed map[ident.HostID]peer.Row // belongs to the goroutine that follows the hosts
+	listed map[ident.HostID]peer.Row // guarded by the replica that calls the sink
 }
 
 var (
@@ -54,9 +54,9 @@
 	_ grpcpeer.Handler = (*peers)(nil)
 )
 
-// newPeers returns the peers of a host. The digest is that of the routing table
-// in force; observe is told that of other hosts.
-func newPeers(s *settings.Relay, digest func() uint64, observe func(peer ident.HostID, digest uint64), relay *grpcrelay.Server, log zerolog.Logger) *peers {
+// newPeers returns the peers of a host. Hosts exchange the cursors of their
+// replicas and their ages; observe is told those of other hosts.
+func newPeers(s *settings.Relay, replica *discovery.Replica, observe func(peer ident.HostID, cursor kv.Cursor, age time.Duration), relay *grpcrelay.Server, log zerolog.Logger) *peers {
 	clock := timeline.NewClock(time.Now)
 	p := &peers{
 		self: s.Host,
@@ -75,8 +75,11 @@
 	p.gossip = peer.NewGossip(peer.Config{
 		Table:     p.table,
 		Random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Documents: digest,
-		Observe:   observe,
+		Documents: func() uint64 { return uint64(replica.Cursor()) },
+		Age:       replica.Age,
+		Observe: func(from ident.HostID, cursor uint64, age time.Duration) {
+			observe(from, kv.Cursor(cursor), age)
+		},
 	})
 	p.runner = grpcpeer.NewRunner(p.gossip, p.table, p.client, time.Now)
 	p.server = grpcpeer.NewServer(p, clock, time.Now, relay.Register)
@@ -104,27 +107,8 @@
 	return hostsPrefix + kv.Key(p.self), value, errors.Annotate(err, "encode registration")
 }
 
-// Listed implements discovery.Sink.
-func (p *peers) Listed(entries []kv.Entry, _ time.Time) {
-	clear(p.listed)
-	for _, entry := range entries {
-		p.list(entry)
-	}
-	p.merge()
-}
-
-// Changed implements discovery.Sink. A host that is removed may still run; the
-// gossip finds out.
-func (p *peers) Changed(change kv.Change, _ time.Time) {
-	if change.Deleted {
-		delete(p.listed, hostOf(change.Entry.Key))
-	} else {
-		p.list(change.Entry)
-	}
-	p.merge()
-}
-
-func (p *peers) list(entry kv.Entry) {
+// Put implements discovery.Sink.
+func (p *peers) Put(entry kv.Entry) {
 	var r registration
 	if err := json.Unmarshal(entry.Value, &r); err != nil {
 		p.log.Error().Err(err).Str("key", string(entry.Key)).Msg("peers: registration not readable")
@@ -139,6 +123,14 @@
 		State:       peer.Alive,
 		Capacity:    r.Capacity,
 	}
+	p.merge()
+}
+
+// Removed implements discovery.Sink. A host whose entry is removed may still
+// run; the gossip finds out.
+func (p *peers) Removed(key kv.Key, _ kv.Version, _ time.Time) {
+	delete(p.listed, hostOf(key))
+	p.merge()
 }
 
 func (p *peers) merge() {
@@ -153,6 +145,15 @@
 	return ident.HostID(strings.TrimPrefix(string(key), string(hostsPrefix)))
 }
 
+// address returns the peer port of a live host.
+func (p *peers) address(host ident.HostID) (ident.Address, error) {
+	row, ok := p.table.Snapshot().Row(host)
+	if !ok || !row.Live() || row.Address == "" {
+		return "", errors.NotFoundf("live host %q", host)
+	}
+	return row.Address, nil
+}
+
 // hear logs what changes the members until ctx ends.
 func (p *peers) hear(ctx context.Context) error {
 	for {
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -21,6 +21,7 @@
 	Store     ident.Address
 	Call      time.Duration // longest single call of the store
 	Lease     time.Duration // life of this host's entry in the store without renewal
+	Apply     time.Duration // time in which a routing table has to be in force
 	Repeats   float64       // repeats of calls to upstreams, as a share of the requests
 	Allowance float64       // repeats that all hosts may make beside that share, in a window
 	Window    time.Duration
@@ -114,10 +115,18 @@
 		section:  "store",
 		key:      "lease",
 		unit:     "duration",
-		fallback: "20s",
+		fallback: "1m",
 		help:     "life of this host's entry without renewal",
 		set:      func(s *Relay, v string) error { return duration(&s.Lease, v) },
 	},
+	{
+		section:  "store",
+		key:      "apply",
+		unit:     "duration",
+		fallback: "2s",
+		help:     "time in which a routing table has to be in force",
+		set:      func(s *Relay, v string) error { return duration(&s.Apply, v) },
+	},
 	{
 		section:  "repeats",
 		key:      "share",
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -49,8 +49,10 @@
 type Message struct {
 	From      Row
 	Documents uint64 // digest of the document revisions
-	Members   uint64 // digest of the ids of the live hosts
-	Rumours   []Rumour
+	// Age is how long ago the sender knew its documents to be the latest.
+	Age     time.Duration
+	Members uint64 // digest of the ids of the live hosts
+	Rumours []Rumour
 }
 
 // Outgoing is a message to send; its result is reported to Answered or Failed.
@@ -66,8 +68,11 @@
 	Random *rand.Rand
 	// Documents returns the digest of the documents in effect.
 	Documents func() uint64
-	// Observe is told the document digest of each peer that sent a message.
-	Observe func(peer ident.HostID, documents uint64)
+	// Age returns how long ago the documents were known to be the latest; nil if
+	// that is not known.
+	Age func() time.Duration
+	// Observe is told the document digest and its age of each peer that sent a message.
+	Observe func(peer ident.HostID, documents uint64, age time.Duration)
 }
 
 // pending is a rumour that is still being sent.
@@ -284,7 +289,7 @@
 
 func (g *Gossip) observe(message Message) {
 	if g.config.Observe != nil && message.From.Host != "" {
-		g.config.Observe(message.From.Host, message.Documents)
+		g.config.Observe(message.From.Host, message.Documents, message.Age)
 	}
 }
 
@@ -348,6 +353,9 @@
 		Documents: documents,
 		Members:   g.table.digest,
 	}
+	if g.config.Age != nil {
+		message.Age = g.config.Age()
+	}
 	// What this host believes about the recipient comes first, so that the
 	// recipient can refute it.
 	if e, ok := g.table.rows[to]; ok {
--- a/peer/grpcpeer/codec.go
+++ b/peer/grpcpeer/codec.go
@@ -58,6 +58,7 @@
 		From:      encodeRow(m.From),
 		Documents: m.Documents,
 		Members:   m.Members,
+		Age:       m.Age.Milliseconds(),
 	}
 	for _, rumour := range m.Rumours {
 		g.Rumours = append(g.Rumours, encodeRumour(rumour))
@@ -76,6 +77,7 @@
 	m := peer.Message{
 		From:      from,
 		Documents: g.GetDocuments(),
+		Age:       time.Duration(max(0, g.GetAge())) * time.Millisecond,
 		Members:   g.GetMembers(),
 	}
 	for _, r := range g.GetRumours() {
--- a/peer/internal/peernet/network.go
+++ b/peer/internal/peernet/network.go
@@ -68,7 +68,7 @@
 		Table:     started.table,
 		Random:    rand.New(rand.NewPCG(n.random.Uint64(), 1)),
 		Documents: func() uint64 { return 42 },
-		Observe: func(from ident.HostID, documents uint64) {
+		Observe: func(from ident.HostID, documents uint64, _ time.Duration) {
 			started.digest[from] = documents
 		},
 	})
