--- a/internal/relay/discovery/health.go
+++ b/internal/relay/discovery/health.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-
-	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 )
 
 // Health remembers whether the store answers this host.
@@ -17,7 +15,6 @@
 
 	mu       sync.Mutex
 	lost     time.Time // since when calls fail; zero while they succeed
-	settling time.Time // until when entries may still be missing
 	prober   any       // the one that calls the store while it is lost
 	regained chan struct{}
 }
@@ -49,10 +46,8 @@
 	if h.lost.IsZero() {
 		return
 	}
-	now := h.now()
-	h.log.Info().Dur("away", now.Sub(h.lost)).Msg("store: regained")
+	h.log.Info().Dur("away", h.now().Sub(h.lost)).Msg("store: regained")
 	h.lost = time.Time{}
-	h.settling = now.Add(fleet.ReturnTime)
 	h.prober = nil
 	close(h.regained)
 	h.regained = make(chan struct{})
@@ -81,22 +76,6 @@
 	}
 }
 
-// Doubtful returns until when a removal may be that of an entry that has only
-// lapsed; zero if removals are certain.
-func (h *Health) Doubtful() time.Time {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := h.now()
-	switch {
-	case !h.lost.IsZero():
-		return now.Add(fleet.ReturnTime)
-	case now.Before(h.settling):
-		return h.settling
-	default:
-		return time.Time{}
-	}
-}
-
 // Lost reports since when the store does not answer, and whether that is so.
 func (h *Health) Lost() (time.Time, bool) {
 	h.mu.Lock()
--- a/internal/relay/discovery/reader.go
+++ b/internal/relay/discovery/reader.go
@@ -164,7 +164,7 @@
 		}
 		after = page.Entries[len(page.Entries)-1].Key
 	}
-	r.config.Replica.List(entries, cursor, r.config.Health.Doubtful())
+	r.config.Replica.List(entries, cursor)
 	return nil
 }
 
@@ -176,21 +176,11 @@
 		return err
 	}
 	r.config.Health.Succeeded()
-	now := time.Now()
-	r.config.Replica.Apply(Delta{
-		After:   cursor,
-		Cursor:  max(cursor, changes.Cursor),
-		Age:     watchAge,
-		Doubt:   max(0, r.config.Health.Doubtful().Sub(now)),
-		Changes: changes.Changes,
-	})
-	sleep(ctx, r.rest(now, len(changes.Changes) > 0))
+	r.config.Replica.Watched(cursor, changes)
+	sleep(ctx, r.rest(time.Now(), len(changes.Changes) > 0))
 	return nil
 }
 
-// watchAge keeps a watch from confirming a replica: its answer may be old.
-const watchAge = time.Hour
-
 // rest returns how long to wait before the next watch.
 func (r *Reader) rest(now time.Time, changed bool) time.Duration {
 	r.recent = slices.DeleteFunc(r.recent, func(at time.Time) bool {
--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -7,8 +7,17 @@
 	"github.com/nutmegshift/nutmegshift/kv"
 )
 
-// maxTombstones bounds the removals that a replica remembers for other hosts.
-const maxTombstones = 4096
+const (
+	// maxTombstones bounds the removals that a replica remembers for other hosts.
+	maxTombstones = 4096
+	// outage is the least time without a confirmation by any host after which
+	// entries may have lapsed because their owners did not reach the store: an
+	// entry lapses after three renewals of about 1.2 s are missed.
+	outage = 2 * time.Second
+	// returnTime is how long the owner of a lapsed entry may take to write it again
+	// after the store has been away.
+	returnTime = 2200 * time.Millisecond
+)
 
 // Sink takes the entries of a Replica. A removal takes effect at until, unless
 // the entry comes back before; zero means at once.
@@ -93,14 +102,35 @@
 }
 
 // List takes a complete listing, whose cursor is that of its first page.
-func (r *Replica) List(entries []kv.Entry, cursor kv.Cursor, until time.Time) {
+func (r *Replica) List(entries []kv.Entry, cursor kv.Cursor) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.doubtful = until
+	r.settle()
 	r.list(entries, cursor)
 	r.advance(cursor, 0)
 }
 
+// Watched takes the answer of a watch after the replica's cursor. It does not
+// confirm the replica, since a watch may be silent about changes.
+func (r *Replica) Watched(after kv.Cursor, changes kv.Changes) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if after != r.cursor || changes.Cursor < r.cursor {
+		return // another answer was faster
+	}
+	r.settle()
+	r.apply(changes.Changes)
+	r.cursor = changes.Cursor
+}
+
+// settle makes removals doubtful for a time if the store has been away for all
+// hosts.
+func (r *Replica) settle() {
+	if r.age() > outage {
+		r.doubtful = r.now().Add(returnTime)
+	}
+}
+
 func (r *Replica) list(entries []kv.Entry, cursor kv.Cursor) {
 	present := make(map[kv.Key]bool, len(entries))
 	for _, entry := range entries {
@@ -114,8 +144,8 @@
 	}
 }
 
-// Apply takes the changes that follow the replica's cursor. It reports false if
-// the changes follow another one, so that nothing is taken.
+// Apply takes what another host's replica gave. It reports false if that follows
+// a cursor that this replica has not reached; then nothing is taken.
 func (r *Replica) Apply(delta Delta) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -137,15 +167,19 @@
 		}
 		r.list(entries, delta.Cursor)
 	}
-	for _, change := range delta.Changes {
+	r.apply(delta.Changes)
+	r.advance(delta.Cursor, delta.Age)
+	return true
+}
+
+func (r *Replica) apply(changes []kv.Change) {
+	for _, change := range changes {
 		if change.Deleted {
 			r.remove(change.Entry.Key, change.Entry.Version)
 		} else {
 			r.put(change.Entry)
 		}
 	}
-	r.advance(delta.Cursor, delta.Age)
-	return true
 }
 
 // Delta returns what a replica that is complete up to a cursor lacks.
--- a/internal/relay/fleet/directory.go
+++ b/internal/relay/fleet/directory.go
@@ -10,10 +10,6 @@
 	"github.com/nutmegshift/nutmegshift/kv"
 )
 
-// ReturnTime is how long a live upstream may take to register again after the
-// store has been away.
-const ReturnTime = 2200 * time.Millisecond
-
 // State says whether an upstream accepts new work.
 type State uint8
 
