--- a/internal/relay/batch/scheduler.go
+++ b/internal/relay/batch/scheduler.go
@@ -15,7 +15,7 @@
 // maxTries is how often the calls of a stage may fail.
 const maxTries = 4
 
-var shares = [3]float64{1, 1, 0.5}
+var shares = [3]float64{0.8, 0.8, 0.3}
 
 // The failures of an item.
 const (
--- a/internal/relay/cell/cell.go
+++ b/internal/relay/cell/cell.go
@@ -1,7 +1,8 @@
 package cell
 
 import (
-	"github.com/cespare/xxhash/v2"
+	"cmp"
+	"slices"
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
@@ -41,25 +42,31 @@
 	return id == "" || upstream.Domain == ident.FailureDomain(id)
 }
 
-// rank returns the hosts that may coordinate a cell, the best first: hosts with
-// much capacity go before others, and those that answer before suspects.
-func rank(id ID, view *peer.View) []peer.Row {
+// rank returns the hosts that may coordinate a cell, the best first: hosts that
+// answer go before suspects, those with much capacity before others, and those
+// that run for longest before others, so that a host that starts again does not
+// take work in progress from the one that replaced it.
+func rank(view *peer.View) []peer.Row {
 	most := float32(0)
 	for _, row := range view.Live() {
 		most = max(most, row.Capacity)
 	}
-	var classes [3][]peer.Row
-	for _, host := range view.Ranked("", xxhash.Sum64String(string(id))) {
-		row, ok := view.Row(host)
+	class := func(row peer.Row) int {
 		switch {
-		case !ok:
 		case row.State != peer.Alive:
-			classes[2] = append(classes[2], row)
+			return 2
 		case row.Capacity < capable*most:
-			classes[1] = append(classes[1], row)
+			return 1
 		default:
-			classes[0] = append(classes[0], row)
+			return 0
 		}
 	}
-	return append(append(classes[0], classes[1]...), classes[2]...)
+	hosts := slices.Clone(view.Live())
+	slices.SortStableFunc(hosts, func(a, b peer.Row) int {
+		return cmp.Or(
+			cmp.Compare(class(a), class(b)),
+			cmp.Compare(a.Incarnation, b.Incarnation),
+		)
+	})
+	return hosts
 }
--- a/internal/relay/discovery/registration.go
+++ b/internal/relay/discovery/registration.go
@@ -38,13 +38,34 @@
 	}
 }
 
-// Run keeps the entry until the context ends, then deletes it.
-func (r *Registration) Run(ctx context.Context) error {
+// Run keeps the entry until the host leaves, then deletes it and waits for the
+// end of the context.
+func (r *Registration) Run(ctx context.Context, leaves <-chan struct{}) error {
+	kept, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan struct{})
+	go func(ctx context.Context) {
+		defer close(ended)
+		r.hold(ctx)
+	}(kept)
+	select {
+	case <-leaves:
+	case <-ctx.Done():
+	}
+	cancel()
+	<-ended
+	r.end(context.WithoutCancel(ctx))
+	<-ctx.Done()
+	return nil
+}
+
+// hold makes the entry and renews its lease until the context ends.
+func (r *Registration) hold(ctx context.Context) {
 	pause := firstPause
 	for ctx.Err() == nil {
 		err := r.keep(ctx)
 		if ctx.Err() != nil {
-			break
+			return
 		}
 		if err == nil {
 			pause = firstPause
@@ -61,7 +82,6 @@
 		r.health.Pause(ctx, r, pause/2+rand.N(pause))
 		pause = min(2*pause, longestPause)
 	}
-	return r.end(context.WithoutCancel(ctx))
 }
 
 // keep renews the lease, or makes a new one with the entry.
@@ -105,13 +125,12 @@
 	return err
 }
 
-// end deletes the entry, at once or, if the store does not answer, with its lease.
-func (r *Registration) end(ctx context.Context) error {
+// end deletes the entry. If the store does not answer, it goes with its lease.
+func (r *Registration) end(ctx context.Context) {
 	if r.lease == 0 {
-		return nil
+		return
 	}
 	if err := r.store.Revoke(ctx, r.lease); err != nil {
 		r.log.Info().Err(err).Dur("life", r.life).Msg("store: own entry is left to lapse")
 	}
-	return nil
 }
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -41,6 +41,8 @@
 	// spreadTime is left of the time in which a routing table has to be in force,
 	// for a host that asks the store itself.
 	spreadTime = 800 * time.Millisecond
+	// seedInterval is how often a host that knows nothing asks a seed.
+	seedInterval = 200 * time.Millisecond
 )
 
 // Platform is what differs between platforms.
@@ -165,30 +167,44 @@
 	}
 }
 
-// sync gets what this host's replica lacks from hosts that have it.
+// sync gets what this host's replica lacks from hosts that have it: at the start
+// from the seeds, since the store may be away, then from those that know more.
 func (h *Host) sync(ctx context.Context) error {
-	for {
+	seeds := time.NewTicker(seedInterval)
+	defer seeds.Stop()
+	for i := 0; ; {
 		select {
 		case <-ctx.Done():
 			return nil
 		case other := <-h.behind:
 			address, err := h.peers.address(other)
-			if err != nil {
-				continue
+			if err == nil {
+				h.transfer(ctx, address)
 			}
-			after := h.replica.Cursor()
-			delta, err := h.calls.Sync(ctx, address, after)
-			if err != nil {
-				h.log.Debug().Err(err).Str("peer", string(other)).Msg("replica: transfer failed")
+		case <-seeds.C:
+			if h.replica.Cursor() > 0 || len(h.settings.Seeds) == 0 {
+				seeds.Stop()
 				continue
 			}
-			if !h.replica.Apply(delta) {
-				h.log.Info().Str("peer", string(other)).Uint64("after", uint64(delta.After)).Uint64("cursor", uint64(after)).Msg("replica: transfer does not fit")
-			}
+			h.transfer(ctx, h.settings.Seeds[i%len(h.settings.Seeds)])
+			i++
 		}
 	}
 }
 
+// transfer completes the replica by that of another host.
+func (h *Host) transfer(ctx context.Context, from ident.Address) {
+	after := h.replica.Cursor()
+	delta, err := h.calls.Sync(ctx, from, after)
+	if err != nil {
+		h.log.Debug().Err(err).Str("peer", string(from)).Msg("replica: transfer failed")
+		return
+	}
+	if !h.replica.Apply(delta) {
+		h.log.Info().Str("peer", string(from)).Uint64("after", uint64(delta.After)).Uint64("cursor", uint64(after)).Msg("replica: transfer does not fit")
+	}
+}
+
 // reads reports whether this host is one of the readers of the store.
 func (h *Host) reads() bool {
 	ranked := h.peers.table.Snapshot().Ranked("", readersKey)
@@ -253,7 +269,10 @@
 	})
 	h.add(parts, &group, "reader", reader.Run)
 	h.add(parts, &group, "sync", h.sync)
-	h.add(parts, &group, "registration", discovery.NewRegistration(h.store, h.health, h.log, key, value, h.settings.Lease).Run)
+	registration := discovery.NewRegistration(h.store, h.health, h.log, key, value, h.settings.Lease)
+	h.add(parts, &group, "registration", func(ctx context.Context) error {
+		return registration.Run(ctx, h.stopping)
+	})
 	h.add(parts, &group, "coordinators", h.coordinators.run)
 	h.add(parts, &group, "peers", h.peers.serve(others))
 	h.add(parts, &group, "gossip", h.peers.runner.Run)
--- a/internal/relay/host/serve.go
+++ b/internal/relay/host/serve.go
@@ -18,8 +18,9 @@
 	// turnTime is how long a host that stops still takes new connections: the
 	// load balancer asks once a second and turns away after two misses.
 	turnTime = 2500 * time.Millisecond
-	// closeMargin is left of the grace period for the end of the process.
-	closeMargin = 300 * time.Millisecond
+	// closeMargin is left of the grace period for the end of the process, of
+	// which the peer port takes up to a second.
+	closeMargin = 1300 * time.Millisecond
 )
 
 // newServer returns a server whose own messages are dropped: they only repeat
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"strings"
 	"time"
 
 	"github.com/nutmegshift/nutmegshift/ident"
@@ -15,6 +16,7 @@
 	Callers   ident.Address
 	Ready     ident.Address
 	Peers     ident.Address
+	Seeds     []ident.Address // peer ports of other hosts, which may be stale
 	Metrics   ident.Address
 	Processor float64 // share of a core
 	Memory    float64 // megabytes
@@ -73,6 +75,14 @@
 		help:    "address for other hosts",
 		set:     func(s *Relay, v string) error { return address(&s.Peers, v) },
 	},
+	{
+		section:  "host",
+		key:      "seeds",
+		unit:     "ip:port,...",
+		fallback: "none",
+		help:     "peer ports of other hosts, for a start without the store",
+		set:      func(s *Relay, v string) error { return addresses(&s.Seeds, v) },
+	},
 	{
 		section: "host",
 		key:     "metrics",
@@ -206,3 +216,19 @@
 func RelayHelp() string {
 	return help(relayRows)
 }
+
+// addresses reads a list that may be empty or "none".
+func addresses(to *[]ident.Address, value string) error {
+	*to = nil
+	if value == "none" {
+		return nil
+	}
+	for field := range strings.SplitSeq(value, ",") {
+		var one ident.Address
+		if err := address(&one, strings.TrimSpace(field)); err != nil {
+			return err
+		}
+		*to = append(*to, one)
+	}
+	return nil
+}
