--- a/internal/relay/batch/job.go
+++ b/internal/relay/batch/job.go
@@ -27,7 +27,8 @@
 // CallID names a call of a Scheduler.
 type CallID uint64
 
-// Rank orders requests by urgency; 0 is the most urgent.
+// Rank is the urgency of a request; lower ranks are more urgent, and 0 is that
+// of the most urgent routes.
 type Rank int
 
 // Kind names stages whose pieces take the same time, for example by route and index.
@@ -119,9 +120,10 @@
 	index    int
 	stage    Stage
 	pool     *pool
-	needs    int   // stages before that are not finished
-	waiting  []int // pieces that are in no call
-	running  int   // pieces that are in a call
+	needs    int       // stages before that are not finished
+	waiting  []int     // pieces that are in no call
+	running  int       // pieces that are in a call
+	started  time.Time // of the latest call with one of its pieces
 	results  []*result
 	tries    int
 	queued   bool
--- a/internal/relay/batch/plan.go
+++ b/internal/relay/batch/plan.go
@@ -38,6 +38,7 @@
 // Next returns what has to be done now. Each action is returned once.
 func (s *Scheduler) Next(now time.Time) Actions {
 	var actions Actions
+	s.relieve(now)
 	for _, p := range s.pools {
 		s.plan(now, p, &actions)
 	}
@@ -50,6 +51,11 @@
 		})
 	}
 	clear(s.releases)
+	for _, c := range s.calls {
+		if at := c.started.Add(fetchTime); at.After(now) {
+			actions.wake(at)
+		}
+	}
 	return actions
 }
 
@@ -244,6 +250,7 @@
 	for _, part := range c.parts {
 		t := part.task
 		t.running++
+		t.started = now
 		t.waiting = slices.DeleteFunc(t.waiting, func(piece int) bool { return piece == part.piece })
 		c.Items = append(c.Items, t.item(now, part.piece))
 	}
@@ -281,73 +288,3 @@
 func (t *task) latest() time.Time {
 	return t.job.Objective.Add(-t.remaining())
 }
-
-// remaining returns the least time that a task and the stages after it take.
-func (t *task) remaining() time.Duration {
-	longest := time.Duration(0)
-	for _, next := range t.job.tasks {
-		if next.stage.Pieces > 0 && slices.Contains(next.stage.After, t.index) {
-			longest = max(longest, next.remaining())
-		}
-	}
-	return t.pool.alone(t.stage) + longest
-}
-
-// estimate returns the time that the stages of a job take at the present load.
-func (s *Scheduler) estimate(now time.Time, j *job) (took, alone time.Duration) {
-	loads := s.loads(now)
-	ends := make([]time.Duration, len(j.tasks))
-	for i, t := range j.tasks {
-		start := time.Duration(0)
-		for _, before := range t.stage.After {
-			start = max(start, ends[before])
-		}
-		ends[i] = start
-		if t.stage.Pieces > 0 {
-			// Work that is ahead of it now is gone by the time of a later stage.
-			ends[i] = max(start, loads[t.pool]) + t.pool.alone(t.stage)
-			alone = max(alone, t.head()+t.remaining())
-		}
-		took = max(took, ends[i])
-	}
-	return took, alone
-}
-
-// head is the least time until a task can start.
-func (t *task) head() time.Duration {
-	longest := time.Duration(0)
-	for _, before := range t.stage.After {
-		b := t.job.tasks[before]
-		if b.stage.Pieces > 0 {
-			longest = max(longest, b.head()+b.pool.alone(b.stage))
-		}
-	}
-	return longest
-}
-
-// loads returns how long each pool takes for the calls in progress and all work
-// of the accepted jobs, later stages included, in full batches.
-func (s *Scheduler) loads(now time.Time) map[*pool]time.Duration {
-	work := make(map[*pool]time.Duration)
-	for _, j := range s.jobs {
-		for _, t := range j.tasks {
-			if len(t.waiting) > 0 {
-				share := t.pool.limits.CallTime/time.Duration(t.pool.limits.Items) + t.pool.itemTime(t.stage.Kind)
-				work[t.pool] += time.Duration(len(t.waiting)) * share
-			}
-		}
-	}
-	loads := make(map[*pool]time.Duration)
-	for _, p := range s.pools {
-		rate := 0.0
-		busy := work[p]
-		for _, w := range p.workers {
-			rate += 1 / w.pace
-			busy += time.Duration(float64(w.available(now).Sub(now)) / w.pace)
-		}
-		if rate > 0 {
-			loads[p] = time.Duration(float64(busy) / rate)
-		}
-	}
-	return loads
-}
--- a/internal/relay/batch/scheduler.go
+++ b/internal/relay/batch/scheduler.go
@@ -12,10 +12,15 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
 
-// maxTries is how often the calls of a stage may fail.
-const maxTries = 4
-
-var shares = [3]float64{0.8, 0.8, 0.3}
+const (
+	// maxTries is how often the calls of a stage may fail.
+	maxTries = 4
+	// fetchTime is how long after the start of a call its inputs have been read.
+	fetchTime = 100 * time.Millisecond
+	// pressure is the share of an upstream's room from which results are released
+	// as early as possible.
+	pressure = 0.5
+)
 
 // The failures of an item.
 const (
@@ -32,7 +37,7 @@
 	jobs     map[JobID]*job
 	calls    map[CallID]*call
 	last     CallID
-	slack    time.Duration
+	slack    time.Duration // moving average, of the most urgent jobs
 	done     []Done
 	releases map[ident.Address][]wire.Handle
 }
@@ -111,22 +116,8 @@
 			pool:  p,
 		})
 	}
-	took, alone := s.estimate(now, j)
-	delay := took - alone
-	slack := j.Objective.Sub(now) - alone
-	rank := min(int(j.Rank%10), 2)
-	if rank == 0 {
-		if s.slack == 0 {
-			s.slack = slack
-		}
-		s.slack += (slack - s.slack) / 20
-	}
-	allowed := slack
-	if s.slack > 0 {
-		allowed = min(slack, time.Duration(float64(s.slack)*shares[rank]))
-	}
-	if delay > allowed {
-		return errors.Annotatef(ErrOverload, "delay of %s", delay.Round(time.Millisecond))
+	if err := s.admit(now, j); err != nil {
+		return err
 	}
 	s.start(j)
 	return nil
@@ -241,12 +232,15 @@
 			s.fail(j, errors.Annotatef(ErrFailed, "stage %d: %v", t.index, failed))
 			return
 		}
-		if errors.Is(failed, errNoInput) {
+		if errors.Is(failed, errNoInput) || t.lacks() {
 			s.restart(j)
 			return
 		}
 	}
 	switch {
+	case len(t.waiting) > 0 && t.lacks():
+		s.restart(j)
+		return
 	case len(t.waiting) > 0:
 		t.enqueue()
 		return
@@ -274,16 +268,70 @@
 // drop releases the results that a finished stage was the last to need.
 func (s *Scheduler) drop(t *task) {
 	for _, before := range t.stage.After {
-		needed := false
-		for _, other := range t.job.tasks {
-			needed = needed || !other.finished && slices.Contains(other.stage.After, before)
-		}
-		if !needed {
+		if t.job.used(before, func(other *task) bool { return other.finished }) {
 			s.releaseAll(t.job.tasks[before])
 		}
 	}
 }
 
+// relieve releases results that the calls in progress have read, where they are
+// short of room. If such a call fails, its jobs start again.
+func (s *Scheduler) relieve(now time.Time) {
+	for _, j := range s.jobs {
+		for _, t := range j.tasks {
+			if len(t.stage.After) == 0 || t.finished || !t.reading(now) {
+				continue
+			}
+			for _, before := range t.stage.After {
+				earlier := j.tasks[before]
+				if earlier.pressed() && j.used(before, func(other *task) bool { return other.finished || other.reading(now) }) {
+					s.releaseAll(earlier)
+				}
+			}
+		}
+	}
+}
+
+// used reports whether all stages that need the results of another one are
+// through with them.
+func (j *job) used(before int, through func(t *task) bool) bool {
+	for _, t := range j.tasks {
+		if t.stage.Pieces > 0 && slices.Contains(t.stage.After, before) && !through(t) {
+			return false
+		}
+	}
+	return true
+}
+
+// reading reports whether all pieces have been in calls for long enough to have
+// read their inputs.
+func (t *task) reading(now time.Time) bool {
+	return t.running == t.stage.Pieces && now.Sub(t.started) >= fetchTime
+}
+
+// pressed reports whether an upstream that holds results of the task is short of
+// room.
+func (t *task) pressed() bool {
+	for _, r := range t.results {
+		if r != nil && float64(r.worker.held) > pressure*float64(r.worker.pool.limits.Room) {
+			return true
+		}
+	}
+	return false
+}
+
+// lacks reports whether inputs of the task have been released.
+func (t *task) lacks() bool {
+	for _, before := range t.stage.After {
+		for _, r := range t.job.tasks[before].results {
+			if r == nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // restart runs all stages of a job again, since results of it are lost.
 func (s *Scheduler) restart(old *job) {
 	s.end(old)
--- /dev/null
+++ b/internal/relay/discovery/reader_test.go
@@ -0,0 +1,203 @@
+package discovery_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
+	"github.com/nutmegshift/nutmegshift/kv"
+	"github.com/nutmegshift/nutmegshift/kv/memkv"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// settleTime bounds how long a test waits for what must happen.
+const settleTime = 10 * time.Second
+
+// safeView is a view that may be read while a replica runs.
+type safeView struct {
+	mu   sync.Mutex
+	view *view
+}
+
+func (v *safeView) Put(entry kv.Entry) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.view.Put(entry)
+}
+
+func (v *safeView) Removed(key kv.Key, version kv.Version, until time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.view.Removed(key, version, until)
+}
+
+func (v *safeView) has(key kv.Key, version kv.Version) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.view.entries[key] == version
+}
+
+// deafStore is a store whose watches report nothing.
+type deafStore struct {
+	kv.Store
+	deaf atomic.Bool
+}
+
+func (s *deafStore) Watch(ctx context.Context, prefix kv.Key, after kv.Cursor) (kv.Changes, error) {
+	if s.deaf.Load() {
+		<-ctx.Done()
+		return kv.Changes{}, ctx.Err()
+	}
+	return s.Store.Watch(ctx, prefix, after)
+}
+
+// fixture is one host with a reader.
+type fixture struct {
+	store   *deafStore
+	held    *memkv.Store
+	view    *safeView
+	replica *discovery.Replica
+	health  *discovery.Health
+	reads   atomic.Bool
+}
+
+func start1(t *testing.T, reads bool) *fixture {
+	f := &fixture{
+		held: memkv.New(time.Now),
+		view: &safeView{
+			view: newView(),
+		},
+	}
+	f.store = &deafStore{
+		Store: f.held,
+	}
+	f.reads.Store(reads)
+	f.health = discovery.NewHealth(zerolog.Nop(), time.Now)
+	f.replica = discovery.NewReplica(f.view, time.Now)
+	reader := discovery.NewReader(discovery.ReaderConfig{
+		Store:   f.store,
+		Health:  f.health,
+		Replica: f.replica,
+		Key:     "op/config",
+		Age:     time.Second,
+		Reads:   f.reads.Load,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func(ctx context.Context) { ended <- reader.Run(ctx) }(ctx)
+	t.Cleanup(func() {
+		cancel()
+		qt.Check(t, <-ended, qt.IsNil)
+	})
+	return f
+}
+
+func (f *fixture) put(c *qt.C, key kv.Key, expect kv.Version) kv.Version {
+	version, err := f.held.Put(context.Background(), kv.Put{
+		Key:    key,
+		Expect: expect,
+	})
+	c.Assert(err, qt.IsNil)
+	return version
+}
+
+// eventually fails the test if a condition does not come true.
+func eventually(c *qt.C, what string, ok func() bool) time.Duration {
+	c.Helper()
+	began := time.Now()
+	for !ok() {
+		if time.Since(began) > settleTime {
+			c.Fatalf("%s: not within %s", what, settleTime)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// Guards against changes that a host learns late: by a watch that is silent, as
+// one that was not a reader, or after an outage.
+func TestReaderSeesChanges(t *testing.T) {
+	tests := map[string]struct {
+		reads  bool
+		before func(f *fixture) // happens before the change
+		after  func(f *fixture) // happens after it
+	}{
+		"reader":                    {reads: true},
+		"reader with silent watch":  {reads: true, before: func(f *fixture) { f.store.deaf.Store(true) }},
+		"not a reader":              {reads: false},
+		"becomes a reader":          {reads: false, after: func(f *fixture) { f.reads.Store(true) }},
+		"is no longer a reader":     {reads: true, after: func(f *fixture) { f.reads.Store(false) }},
+		"history is dropped":        {reads: true, before: func(f *fixture) { f.store.deaf.Store(true) }, after: func(f *fixture) { f.held.Compact() }},
+		"watches are cut":           {reads: true, before: func(f *fixture) { f.held.SetFaults(memkv.Faults{DropWatch: true}) }},
+		"store was away meanwhile":  {reads: true, after: func(f *fixture) { f.outage(300 * time.Millisecond) }},
+		"away, for a passive host":  {reads: false, after: func(f *fixture) { f.outage(300 * time.Millisecond) }},
+		"slow store":                {reads: true, before: func(f *fixture) { f.held.SetFaults(memkv.Faults{Delay: 50 * time.Millisecond}) }},
+		"silent watch, then reader": {reads: false, before: func(f *fixture) { f.store.deaf.Store(true) }, after: func(f *fixture) { f.reads.Store(true) }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			f := start1(t, test.reads)
+			first := f.put(c, "op/config", 0)
+			eventually(c, "first entry", func() bool { return f.view.has("op/config", first) })
+			if test.before != nil {
+				test.before(f)
+			}
+			second := f.put(c, "servers/a", 0)
+			if test.after != nil {
+				test.after(f)
+			}
+			eventually(c, "second entry", func() bool { return f.view.has("servers/a", second) })
+		})
+	}
+}
+
+func (f *fixture) outage(length time.Duration) {
+	f.held.SetFaults(memkv.Faults{
+		Down: true,
+	})
+	time.Sleep(length)
+	f.held.SetFaults(memkv.Faults{})
+}
+
+// Guards against hosts that call the store although others confirm their replicas.
+func TestPassiveHostDoesNotRead(t *testing.T) {
+	c := qt.New(t)
+	f := start1(t, false)
+	f.put(c, "op/config", 0)
+	eventually(c, "first listing", func() bool { return f.replica.Cursor() > 0 })
+	time.Sleep(200 * time.Millisecond) // the polls after a listing of nothing
+	before := f.held.Counts()
+	for range 30 {
+		f.replica.Confirm(f.replica.Cursor(), 0)
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.Assert(f.held.Counts(), qt.Equals, before)
+}
+
+// Guards against many calls to a store that is down, each of which counts.
+func TestOutageIsNotHammered(t *testing.T) {
+	c := qt.New(t)
+	f := start1(t, true)
+	f.put(c, "op/config", 0)
+	eventually(c, "first listing", func() bool { return f.replica.Cursor() > 0 })
+	f.held.SetFaults(memkv.Faults{
+		Down: true,
+	})
+	eventually(c, "loss is noticed", func() bool {
+		_, lost := f.health.Lost()
+		return lost
+	})
+	before := f.held.Counts().Reads
+	time.Sleep(2 * time.Second)
+	c.Assert(f.held.Counts().Reads-before < 15, qt.IsTrue, qt.Commentf("%d calls in two seconds", f.held.Counts().Reads-before))
+}
--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -126,7 +126,7 @@
 // settle makes removals doubtful for a time if the store has been away for all
 // hosts.
 func (r *Replica) settle() {
-	if r.age() > outage {
+	if !r.confirmed.IsZero() && r.age() > outage {
 		r.doubtful = r.now().Add(returnTime)
 	}
 }
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -127,7 +127,7 @@
 	job := batch.Job{
 		Request:   e.head.Request,
 		Domain:    e.home(),
-		Rank:      e.rank(),
+		Rank:      batch.Rank(e.table.Rank(e.route, e.organisation)),
 		Key:       e.head.PieceKey,
 		Objective: e.arrived.Add(e.route.Objective - firstEventTime),
 		Deadline:  e.deadline.Add(-firstEventTime),
@@ -153,14 +153,6 @@
 	return e.config.Stager.Prepare(e.ctx, job)
 }
 
-func (e *exchange) rank() batch.Rank {
-	rank := batch.Rank(e.route.Priority)
-	if e.organisation != nil && e.organisation.Ranked {
-		rank += 10 * batch.Rank(e.organisation.Priority)
-	}
-	return rank
-}
-
 // unprepared answers a request whose stages have failed.
 func (e *exchange) unprepared(err error, sent *relayed, ran int) {
 	switch {
--- a/internal/relay/grpcrelay/codec.go
+++ b/internal/relay/grpcrelay/codec.go
@@ -28,7 +28,7 @@
 		Cell:      string(id),
 		Request:   string(job.Request),
 		Domain:    string(job.Domain),
-		Rank:      uint32(job.Rank),
+		Rank:      int32(job.Rank),
 		Key:       job.Key,
 		Objective: job.Objective.Sub(now).Milliseconds(),
 		Deadline:  job.Deadline.Sub(now).Milliseconds(),
--- a/internal/relay/routes/table.go
+++ b/internal/relay/routes/table.go
@@ -15,6 +15,7 @@
 	routes        map[string][]*Route // by host name
 	services      map[ident.ServiceName]*Service
 	organisations map[Key]*Organisation
+	lowest        int // priority of the least urgent organisation
 }
 
 // New returns a table of the given parts, which the caller must not change.
@@ -34,6 +35,7 @@
 		t.services[service.Name] = service
 	}
 	for _, organisation := range organisations {
+		t.lowest = max(t.lowest, organisation.Priority)
 		for _, key := range organisation.Keys {
 			t.organisations[key] = organisation
 		}
@@ -66,6 +68,16 @@
 	return len(t.organisations) > 0
 }
 
+// Rank returns the urgency of a request: that of its route, raised by as much as
+// its organisation is more urgent than the least urgent one. Lower ranks are
+// more urgent.
+func (t *Table) Rank(route *Route, organisation *Organisation) int {
+	if organisation == nil || !organisation.Ranked {
+		return route.Priority
+	}
+	return route.Priority + organisation.Priority - t.lowest
+}
+
 // Service returns a service, or nil.
 func (t *Table) Service(name ident.ServiceName) *Service {
 	return t.services[name]
--- /dev/null
+++ b/internal/relay/routes/table_test.go
@@ -0,0 +1,130 @@
+package routes_test
+
+import (
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
+)
+
+func table(version routes.Version, all ...*routes.Route) *routes.Table {
+	return routes.New(version, routes.Limits{}, all, nil, nil)
+}
+
+func route(name, host, prefix string) *routes.Route {
+	return &routes.Route{
+		Name:   name,
+		Host:   host,
+		Prefix: prefix,
+	}
+}
+
+// Guards against a request that is handled by the route of another host name or
+// of a shorter prefix.
+func TestMatch(t *testing.T) {
+	held := table(1,
+		route("short", "a.example", "/x/"),
+		route("long", "a.example", "/x/y/"),
+		route("other host", "b.example", "/x/"),
+	)
+	tests := map[string]struct {
+		host string
+		path string
+		want string // empty: no route
+	}{
+		"longest prefix":       {host: "a.example", path: "/x/y/z", want: "long"},
+		"shorter prefix":       {host: "a.example", path: "/x/yz", want: "short"},
+		"host with a port":     {host: "b.example:8080", path: "/x/1", want: "other host"},
+		"host in capitals":     {host: "A.Example", path: "/x/1", want: "short"},
+		"prefix without slash": {host: "a.example", path: "/x"},
+		"unknown host":         {host: "c.example", path: "/x/"},
+		"escaped slash":        {host: "a.example", path: "/x%2Fy/", want: ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			found := held.Match(test.host, test.path)
+			if test.want == "" {
+				qt.Assert(t, found, qt.IsNil)
+				return
+			}
+			qt.Assert(t, found, qt.IsNotNil)
+			qt.Assert(t, found.Name, qt.Equals, test.want)
+		})
+	}
+}
+
+// Guards against requests that go to a service in other parts than its weight.
+func TestPick(t *testing.T) {
+	c := qt.New(t)
+	r := &routes.Route{
+		Shares: []routes.Share{
+			{
+				Service: "a",
+				Weight:  90,
+			},
+			{
+				Service: "b",
+				Weight:  10,
+			},
+		},
+	}
+	counts := make(map[ident.ServiceName]int)
+	for i := range 1000 {
+		counts[r.Pick(float64(i)/1000)]++
+	}
+	c.Assert(counts, qt.DeepEquals, map[ident.ServiceName]int{"a": 900, "b": 100})
+}
+
+// Guards against a host that goes back to an older table, whatever the order in
+// which tables arrive.
+func TestHolderKeepsNewest(t *testing.T) {
+	c := qt.New(t)
+	var holder routes.Holder
+	c.Assert(holder.Table(), qt.IsNil)
+	var offers sync.WaitGroup
+	for version := routes.Version(1); version <= 100; version++ {
+		offers.Go(func() { holder.Offer(table(version)) })
+	}
+	offers.Wait()
+	c.Assert(holder.Table().Version, qt.Equals, routes.Version(100))
+	c.Assert(holder.Offer(table(99)), qt.IsFalse)
+	c.Assert(holder.Offer(table(100)), qt.IsFalse)
+	c.Assert(holder.Table().Version, qt.Equals, routes.Version(100))
+}
+
+// Guards against requests of an urgent organisation that are refused before
+// those of others.
+func TestRank(t *testing.T) {
+	urgent := &routes.Organisation{
+		Name:   "urgent",
+		Keys:   []routes.Key{"u"},
+		Ranked: true,
+	}
+	usual := &routes.Organisation{
+		Name:     "usual",
+		Keys:     []routes.Key{"v"},
+		Priority: 1,
+		Ranked:   true,
+	}
+	held := routes.New(1, routes.Limits{}, nil, nil, []*routes.Organisation{urgent, usual})
+	r := &routes.Route{
+		Priority: 2,
+	}
+	tests := map[string]struct {
+		organisation *routes.Organisation
+		want         int
+	}{
+		"urgent organisation":           {organisation: urgent, want: 1},
+		"usual organisation":            {organisation: usual, want: 2},
+		"organisation without priority": {organisation: &routes.Organisation{}, want: 2},
+		"public route":                  {want: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Assert(t, held.Rank(r, test.organisation), qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/relay/wire/wire.go
+++ b/internal/relay/wire/wire.go
@@ -131,8 +131,6 @@
 	Results(body []byte) ([]ItemResult, error)
 	// Release is the call that drops results.
 	Release(handles []Handle) (Message, error)
-	// Origin returns the address of the upstream that holds a result.
-	Origin(handle Handle) ident.Address
 
 	// Table reads a published routing table.
 	Table(value []byte) (*routes.Table, error)
--- a/kv/httpkv/httpkv.go
+++ b/kv/httpkv/httpkv.go
@@ -65,9 +65,14 @@
 	return entry, errors.Annotatef(err, "get %q", key)
 }
 
-// List implements kv.Store.
+// List implements kv.Store. A service that chooses the size of its pages may
+// send more than the limit.
 func (s *Store) List(ctx context.Context, prefix, after kv.Key, limit int) (kv.Page, error) {
 	page, err := read(ctx, s, s.protocol.List(prefix, after, limit), s.limit, s.protocol.Page)
+	if limit > 0 && len(page.Entries) > limit {
+		page.Entries = page.Entries[:limit]
+		page.More = true
+	}
 	return page, errors.Annotatef(err, "list %q", prefix)
 }
 
