--- a/internal/relay/batch/worker.go
+++ b/internal/relay/batch/worker.go
@@ -12,9 +12,16 @@
 	paceWeight = 0.4
 	// itemWeight is the weight of a call in the moving average of item times.
 	itemWeight = 0.2
+	// Items take between leastItem and mostItem of the time that the service states.
+	leastItem = 0.1
+	mostItem  = 1.5
+	// slowest is the highest pace that is learned; an upstream that is slower is
+	// not used while others are free.
+	slowest = 8.0
 	// shortBreak is the time without calls after a refusal, longBreak after a
-	// lost call; the latter doubles up to maxBreak while calls are lost.
+	// lost call; they double up to maxRefusal and maxBreak while calls fail.
 	shortBreak = 40 * time.Millisecond
+	maxRefusal = 320 * time.Millisecond
 	longBreak  = 400 * time.Millisecond
 	maxBreak   = 3 * time.Second
 	// fullBreak is the time without calls after an upstream had no room for
@@ -30,7 +37,8 @@
 	resume   time.Time     // when a break ends
 	pace     float64       // time that calls take, divided by the expected one
 	held     int64         // bytes of results, those of calls in progress included
-	broken   time.Duration // length of the last break; 0 while calls succeed
+	refused  time.Duration // length of the last break after a refusal; 0 while calls succeed
+	broken   time.Duration // length of the last break after a lost call; 0 while calls succeed
 	full     time.Time     // until when no more results fit
 	gone     bool          // no longer registered, or draining
 }
@@ -91,7 +99,9 @@
 	missed := float64(took - p.limits.CallTime - work)
 	for kind, n := range counts {
 		corrected := p.itemTime(kind) + time.Duration(itemWeight*missed*n/squares)
-		p.items[kind] = min(max(corrected, p.limits.ItemTime/10), 4*p.limits.ItemTime)
+		least := time.Duration(leastItem * float64(p.limits.ItemTime))
+		most := time.Duration(mostItem * float64(p.limits.ItemTime))
+		p.items[kind] = min(max(corrected, least), most)
 	}
 }
 
@@ -136,16 +146,17 @@
 	w.held -= c.bytes
 	switch o := outcome.(type) {
 	case Completed:
-		w.broken = 0
+		w.broken, w.refused = 0, 0
 		if !o.whole() {
 			return // items that are rejected take no time
 		}
 		took := now.Sub(c.started)
 		usual := time.Duration(float64(c.Expected) / w.pace)
 		w.pool.learn(c, time.Duration(float64(took)/w.pace))
-		w.pace += paceWeight * (float64(took)/float64(usual) - w.pace)
+		w.pace = min(w.pace+paceWeight*(float64(took)/float64(usual)-w.pace), slowest)
 	case Refused:
-		w.resume = now.Add(shortBreak)
+		w.refused = min(max(2*w.refused, shortBreak), maxRefusal)
+		w.resume = now.Add(w.refused)
 	case Lost:
 		w.broken = min(max(2*w.broken, longBreak), maxBreak)
 		w.resume = now.Add(w.broken)
--- a/internal/relay/cell/cell.go
+++ b/internal/relay/cell/cell.go
@@ -1,9 +1,10 @@
 package cell
 
 import (
-	"cmp"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
@@ -43,30 +44,26 @@
 }
 
 // rank returns the hosts that may coordinate a cell, the best first: hosts that
-// answer go before suspects, those with much capacity before others, and those
-// that run for longest before others, so that a host that starts again does not
-// take work in progress from the one that replaced it.
-func rank(view *peer.View) []peer.Row {
+// answer go before suspects, and those with much capacity before others. Among
+// equals a hash of cell and name decides, which stays the same when a host
+// starts again, so that hosts agree at once after many have been restarted.
+func rank(id ID, view *peer.View) []peer.Row {
 	most := float32(0)
 	for _, row := range view.Live() {
 		most = max(most, row.Capacity)
 	}
-	class := func(row peer.Row) int {
+	var classes [3][]peer.Row
+	for _, host := range view.Ranked("", xxhash.Sum64String(string(id))) {
+		row, ok := view.Row(host)
 		switch {
+		case !ok:
 		case row.State != peer.Alive:
-			return 2
+			classes[2] = append(classes[2], row)
 		case row.Capacity < capable*most:
-			return 1
+			classes[1] = append(classes[1], row)
 		default:
-			return 0
+			classes[0] = append(classes[0], row)
 		}
 	}
-	hosts := slices.Clone(view.Live())
-	slices.SortStableFunc(hosts, func(a, b peer.Row) int {
-		return cmp.Or(
-			cmp.Compare(class(a), class(b)),
-			cmp.Compare(a.Incarnation, b.Incarnation),
-		)
-	})
-	return hosts
+	return slices.Concat(classes[0], classes[1], classes[2])
 }
--- a/internal/relay/cell/stager.go
+++ b/internal/relay/cell/stager.go
@@ -70,7 +70,7 @@
 func (s *Stager) Prepare(ctx context.Context, job batch.Job) (coordinator.Prepared, error) {
 	id := Of(s.config.Domain, s.config.Table(), s.config.Fleet())
 	asked := 0
-	for _, row := range rank(s.config.Hosts()) {
+	for _, row := range rank(id, s.config.Hosts()) {
 		if row.Host == s.config.Self || asked == maxHosts {
 			break
 		}
