Follow a coordinator while it is alive, also when a better ranked host comes back

Cause: in a rolling restart each host that came back took the coordination again, and worked beside its predecessor for seconds. Hosts now keep their coordinator while it is alive, and tell each other in the gossip whom they follow and for how long that one has led; the longer one prevails.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -83,8 +83,8 @@
 		Table:     p.table,
 		Random:    newRandom(),
 		Documents: registry.Digest,
-		Observe: func(from ident.HostID, documents uint64, _ time.Duration) {
-			p.spreader.Digest(from, documents)
+		Observe: func(message peer.Message) {
+			p.spreader.Digest(message.From.Host, message.Documents)
 		},
 	})
 	p.runner = grpcpeer.NewRunner(p.gossip, p.table, p.client, time.Now)
--- a/internal/relay/cell/stager.go
+++ b/internal/relay/cell/stager.go
@@ -43,14 +43,15 @@
 
 // Config holds the dependencies of a Stager.
 type Config struct {
-	Self   ident.HostID
-	Domain ident.FailureDomain
-	Hosts  func() *peer.View
-	Table  func() *routes.Table
-	Fleet  func() *fleet.Snapshot
-	Local  func(id ID) *coordinator.Coordinator
-	Remote Remote
-	Log    zerolog.Logger
+	Self    ident.HostID
+	Domain  ident.FailureDomain
+	Hosts   func() *peer.View
+	Leaders *Leaders
+	Table   func() *routes.Table
+	Fleet   func() *fleet.Snapshot
+	Local   func(id ID) *coordinator.Coordinator
+	Remote  Remote
+	Log     zerolog.Logger
 }
 
 // Stager runs the stages of requests at the coordinators of their cells.
@@ -70,7 +71,7 @@
 func (s *Stager) Prepare(ctx context.Context, job batch.Job) (coordinator.Prepared, error) {
 	id := Of(s.config.Domain, s.config.Table(), s.config.Fleet())
 	asked := 0
-	for _, row := range rank(id, s.config.Hosts()) {
+	for _, row := range s.config.Leaders.Order(id, s.config.Hosts()) {
 		if row.Host == s.config.Self || asked == maxHosts {
 			break
 		}
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -27,6 +27,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/settings"
 	"github.com/nutmegshift/nutmegshift/kv"
 	"github.com/nutmegshift/nutmegshift/kv/httpkv"
+	"github.com/nutmegshift/nutmegshift/peer"
 )
 
 const (
@@ -67,6 +68,7 @@
 	replica      *discovery.Replica
 	peers        *peers
 	calls        *grpcrelay.Client
+	leaders      *cell.Leaders
 	coordinators *coordinators
 	handler      *forward.Handler
 	behind       chan ident.HostID // hosts that know more of the store
@@ -110,7 +112,9 @@
 		},
 	}
 	h.replica = discovery.NewReplica(sinks, time.Now)
-	h.peers = newPeers(s, h.replica, h.observe, grpcrelay.NewServer(h.coordinators.get, h.replica, time.Now), log)
+	leaders := cell.NewLeaders(time.Now)
+	h.leaders = leaders
+	h.peers = newPeers(s, h.replica, leaders, h.observe, grpcrelay.NewServer(h.coordinators.get, h.replica, time.Now), log)
 	sinks[hostsPrefix] = h.peers
 	h.calls = grpcrelay.NewClient(h.peers.client.Connection, time.Now)
 	h.handler = forward.New(forward.Config{
@@ -126,14 +130,15 @@
 			Hosts:     h.hosts,
 		}),
 		Stager: cell.New(cell.Config{
-			Self:   s.Host,
-			Domain: s.Domain,
-			Hosts:  h.peers.table.Snapshot,
-			Table:  h.routes.Table,
-			Fleet:  h.fleet.Snapshot,
-			Local:  h.coordinators.get,
-			Remote: h.calls,
-			Log:    log,
+			Self:    s.Host,
+			Domain:  s.Domain,
+			Hosts:   h.peers.table.Snapshot,
+			Leaders: leaders,
+			Table:   h.routes.Table,
+			Fleet:   h.fleet.Snapshot,
+			Local:   h.coordinators.get,
+			Remote:  h.calls,
+			Log:     log,
 		}),
 		Domain:      s.Domain,
 		Connections: h.connections,
@@ -156,13 +161,14 @@
 	})
 }
 
-// observe takes the cursor of another host's replica.
-func (h *Host) observe(other ident.HostID, cursor kv.Cursor, age time.Duration) {
-	if !h.replica.Confirm(cursor, age) {
+// observe takes what another host says of its replica and its leaders.
+func (h *Host) observe(message peer.Message) {
+	h.leaders.Hear(message.Leaders, h.peers.table.Snapshot())
+	if !h.replica.Confirm(kv.Cursor(message.Documents), message.Age) {
 		return
 	}
 	select {
-	case h.behind <- other:
+	case h.behind <- message.From.Host:
 	default: // a transfer is due already
 	}
 }
--- a/internal/relay/host/peers.go
+++ b/internal/relay/host/peers.go
@@ -13,6 +13,7 @@
 
 	"github.com/nutmegshift/nutmegshift/document"
 	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/relay/cell"
 	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
 	"github.com/nutmegshift/nutmegshift/internal/relay/grpcrelay"
 	"github.com/nutmegshift/nutmegshift/internal/settings"
@@ -55,8 +56,9 @@
 )
 
 // newPeers returns the peers of a host. Hosts exchange the cursors of their
-// replicas and their ages; observe is told those of other hosts.
-func newPeers(s *settings.Relay, replica *discovery.Replica, observe func(peer ident.HostID, cursor kv.Cursor, age time.Duration), relay *grpcrelay.Server, log zerolog.Logger) *peers {
+// replicas with their ages, and the leaders that they follow; observe is told
+// those of other hosts.
+func newPeers(s *settings.Relay, replica *discovery.Replica, leaders *cell.Leaders, observe func(message peer.Message), relay *grpcrelay.Server, log zerolog.Logger) *peers {
 	clock := timeline.NewClock(time.Now)
 	p := &peers{
 		self: s.Host,
@@ -77,9 +79,8 @@
 		Random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Documents: func() uint64 { return uint64(replica.Cursor()) },
 		Age:       replica.Age,
-		Observe: func(from ident.HostID, cursor uint64, age time.Duration) {
-			observe(from, kv.Cursor(cursor), age)
-		},
+		Leaders:   leaders.Report,
+		Observe:   observe,
 	})
 	p.runner = grpcpeer.NewRunner(p.gossip, p.table, p.client, time.Now)
 	p.server = grpcpeer.NewServer(p, clock, time.Now, relay.Register)
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -51,10 +51,18 @@
 	Documents uint64 // digest of the document revisions
 	// Age is how long ago the sender knew its documents to be the latest.
 	Age     time.Duration
+	Leaders []Leader // that the sender follows
 	Members uint64 // digest of the ids of the live hosts
 	Rumours []Rumour
 }
 
+// Leader is the host that does a duty, as a host believes.
+type Leader struct {
+	Duty string
+	Host ident.HostID
+	Age  time.Duration // since the host began, as far as known
+}
+
 // Outgoing is a message to send; its result is reported to Answered or Failed.
 type Outgoing struct {
 	To      ident.HostID
@@ -71,8 +79,10 @@
 	// Age returns how long ago the documents were known to be the latest; nil if
 	// that is not known.
 	Age func() time.Duration
-	// Observe is told the document digest and its age of each peer that sent a message.
-	Observe func(peer ident.HostID, documents uint64, age time.Duration)
+	// Leaders returns the leaders that this host follows; nil if there are none.
+	Leaders func() []Leader
+	// Observe is told of each message of another host, without a lock.
+	Observe func(message Message)
 }
 
 // pending is a rumour that is still being sent.
@@ -289,7 +299,7 @@
 
 func (g *Gossip) observe(message Message) {
 	if g.config.Observe != nil && message.From.Host != "" {
-		g.config.Observe(message.From.Host, message.Documents, message.Age)
+		g.config.Observe(message)
 	}
 }
 
@@ -356,6 +366,9 @@
 	if g.config.Age != nil {
 		message.Age = g.config.Age()
 	}
+	if g.config.Leaders != nil {
+		message.Leaders = g.config.Leaders()
+	}
 	// What this host believes about the recipient comes first, so that the
 	// recipient can refute it.
 	if e, ok := g.table.rows[to]; ok {
--- a/peer/grpcpeer/codec.go
+++ b/peer/grpcpeer/codec.go
@@ -27,6 +27,8 @@
 	maxCount  = 1 << 31
 	maxClaims = 4096
 	maxNames  = 4096
+	// maxLeaders exceeds the cells of the largest deployment.
+	maxLeaders = 64
 )
 
 // stamper stamps outgoing messages and observes the stamps of received ones.
@@ -60,6 +62,13 @@
 		Members:   m.Members,
 		Age:       m.Age.Milliseconds(),
 	}
+	for _, leader := range m.Leaders {
+		g.Leaders = append(g.Leaders, &Leader{
+			Duty: leader.Duty,
+			Host: string(leader.Host),
+			Age:  leader.Age.Milliseconds(),
+		})
+	}
 	for _, rumour := range m.Rumours {
 		g.Rumours = append(g.Rumours, encodeRumour(rumour))
 	}
@@ -80,6 +89,19 @@
 		Age:       time.Duration(max(0, g.GetAge())) * time.Millisecond,
 		Members:   g.GetMembers(),
 	}
+	if len(g.GetLeaders()) > maxLeaders {
+		return peer.Message{}, errors.Errorf("%d leaders, limit is %d", len(g.GetLeaders()), maxLeaders)
+	}
+	for _, l := range g.GetLeaders() {
+		if err := names(l.GetHost()); err != nil {
+			return peer.Message{}, err
+		}
+		m.Leaders = append(m.Leaders, peer.Leader{
+			Duty: l.GetDuty(),
+			Host: ident.HostID(l.GetHost()),
+			Age:  time.Duration(max(0, l.GetAge())) * time.Millisecond,
+		})
+	}
 	for _, r := range g.GetRumours() {
 		rumour, err := decodeRumour(r)
 		if err != nil {
--- a/peer/internal/peernet/network.go
+++ b/peer/internal/peernet/network.go
@@ -68,8 +68,8 @@
 		Table:     started.table,
 		Random:    rand.New(rand.NewPCG(n.random.Uint64(), 1)),
 		Documents: func() uint64 { return 42 },
-		Observe: func(from ident.HostID, documents uint64, _ time.Duration) {
-			started.digest[from] = documents
+		Observe: func(message peer.Message) {
+			started.digest[message.From.Host] = message.Documents
 		},
 	})
 	if _, ok := n.nodes[row.Address]; !ok {
