Call the store less after starts and during outages

Hosts that start wait a second before they become readers, a cursor that the store had passed confirms later copies too, hosts that are not readers wait up to four seconds between tries, and a host that starts again replaces its entry by the version that its copy holds.

--- a/internal/relay/discovery/reader.go
+++ b/internal/relay/discovery/reader.go
@@ -20,8 +20,13 @@
 	againPause = 100 * time.Millisecond
 	// lookInterval is how often a reader looks whether something is due.
 	lookInterval = 50 * time.Millisecond
-	// pollGrace is how long a watch may take to report a change that a read shows.
+	// pollGrace is how long a watch may take to report a change that a read shows,
+	// peerGrace how long other hosts may take to bring it.
 	pollGrace = 200 * time.Millisecond
+	peerGrace = 400 * time.Millisecond
+	// passivePause bounds the pause after a failed call of a host that is not a
+	// reader: the readers notice first that the store is back.
+	passivePause = 4 * time.Second
 	// pollShare is the share of the longest age at which a reader polls; the rest
 	// is for the way to the other hosts.
 	pollShare = 0.4
@@ -41,55 +46,64 @@
 	Key     kv.Key        // of an entry that exists
 	Age     time.Duration // longest time without a confirmation
 	Reads   func() bool   // whether this host is one of the readers
+	Alone   func() bool   // whether this host knows of no other one
 }
 
 // Reader reads the store for a Replica when that is this host's turn.
 type Reader struct {
 	config ReaderConfig
-	recent []time.Time // of watches with changes, within restTime
+	recent []time.Time   // of watches with changes, within restTime
+	pause  time.Duration // after the next failed call
 }
 
 // NewReader returns a reader; Run starts it.
 func NewReader(config ReaderConfig) *Reader {
 	return &Reader{
 		config: config,
+		pause:  firstPause,
 	}
 }
 
 // Run reads until the context ends.
 func (r *Reader) Run(ctx context.Context) error {
-	pause := firstPause
-	failed := func(err error) {
-		if err == nil || ctx.Err() != nil {
-			pause = firstPause
-			return
-		}
-		if errors.Is(err, kv.ErrCompacted) {
-			sleep(ctx, againPause)
-			return
-		}
-		r.config.Health.Failed(err)
-		r.config.Health.Pause(ctx, r, pause/2+rand.N(pause))
-		pause = min(2*pause, longestPause)
-	}
 	for ctx.Err() == nil && r.config.Replica.Cursor() == 0 {
-		failed(r.list(ctx))
+		r.ended(ctx, r.list(ctx), longestPause)
 	}
 	for ctx.Err() == nil {
-		if r.config.Reads() {
-			failed(r.read(ctx))
-			continue
-		}
-		// Hosts that lost the same reader do not all poll at the same moment.
-		if age := r.config.Replica.Age(); age > r.config.Age-rand.N(r.config.Age/4) {
-			failed(r.poll(ctx, 0))
-			continue
+		switch {
+		case r.config.Reads():
+			r.ended(ctx, r.read(ctx), longestPause)
+		case !r.stale():
+			sleep(ctx, lookInterval)
+		case r.config.Alone():
+			r.ended(ctx, r.poll(ctx, 0), longestPause)
+		default:
+			r.ended(ctx, r.poll(ctx, peerGrace), passivePause)
 		}
-		sleep(ctx, lookInterval)
 	}
 	return nil
 }
 
+// stale reports whether nobody has confirmed the replica for too long. Hosts that
+// lost the same reader do not all find that at the same moment.
+func (r *Reader) stale() bool {
+	return r.config.Replica.Age() > r.config.Age-rand.N(r.config.Age/4)
+}
+
+// ended pauses after a failed call, for longer after each one.
+func (r *Reader) ended(ctx context.Context, err error, longest time.Duration) {
+	switch {
+	case err == nil || ctx.Err() != nil:
+		r.pause = firstPause
+	case errors.Is(err, kv.ErrCompacted):
+		sleep(ctx, againPause)
+	default:
+		r.config.Health.Failed(err)
+		r.config.Health.Pause(ctx, r, r.pause/2+rand.N(r.pause))
+		r.pause = min(2*r.pause, longest)
+	}
+}
+
 // read watches and polls for as long as this host is a reader. After a failure
 // it lists, since a listing is answered at once when the store is back.
 func (r *Reader) read(ctx context.Context) error {
--- a/internal/relay/discovery/reader_test.go
+++ b/internal/relay/discovery/reader_test.go
@@ -89,6 +89,7 @@
 		Key:     "op/config",
 		Age:     time.Second,
 		Reads:   f.reads.Load,
+		Alone:   func() bool { return false },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/internal/relay/discovery/registration.go
+++ b/internal/relay/discovery/registration.go
@@ -19,6 +19,7 @@
 type Registration struct {
 	store  kv.Store
 	health *Health
+	known  *Replica
 	log    zerolog.Logger
 	key    kv.Key
 	value  []byte
@@ -26,11 +27,13 @@
 	lease  kv.LeaseID // 0 while there is none
 }
 
-// NewRegistration returns a registration that Run makes and keeps.
-func NewRegistration(store kv.Store, health *Health, log zerolog.Logger, key kv.Key, value []byte, life time.Duration) *Registration {
+// NewRegistration returns a registration that Run makes and keeps. The replica
+// tells what an earlier life of this host has left.
+func NewRegistration(store kv.Store, health *Health, known *Replica, log zerolog.Logger, key kv.Key, value []byte, life time.Duration) *Registration {
 	return &Registration{
 		store:  store,
 		health: health,
+		known:  known,
 		log:    log,
 		key:    key,
 		value:  value,
@@ -61,6 +64,9 @@
 
 // hold makes the entry and renews its lease until the context ends.
 func (r *Registration) hold(ctx context.Context) {
+	for ctx.Err() == nil && r.known.Cursor() == 0 {
+		sleep(ctx, lookInterval)
+	}
 	pause := firstPause
 	for ctx.Err() == nil {
 		err := r.keep(ctx)
@@ -108,9 +114,10 @@
 // put replaces the entry, which an earlier life of this host may have left.
 func (r *Registration) put(ctx context.Context, lease kv.LeaseID) error {
 	put := kv.Put{
-		Key:   r.key,
-		Value: r.value,
-		Lease: lease,
+		Key:    r.key,
+		Value:  r.value,
+		Expect: r.known.Version(r.key),
+		Lease:  lease,
 	}
 	_, err := r.store.Put(ctx, put)
 	if !errors.Is(err, kv.ErrConflict) {
--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -66,6 +66,13 @@
 	return r.cursor
 }
 
+// Version returns the version of an entry, 0 if there is none.
+func (r *Replica) Version(key kv.Key) kv.Version {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.entries[key].Version
+}
+
 // Age returns how long ago the replica was known to be the latest.
 func (r *Replica) Age() time.Duration {
 	r.mu.Lock()
@@ -81,17 +88,15 @@
 	return min(never, max(0, r.now().Sub(r.confirmed)))
 }
 
-// Confirm notes that the store was at a cursor some time ago. It reports whether
-// the replica lacks changes.
+// Confirm notes that the store was not beyond a cursor some time ago. It reports
+// whether the replica lacks changes.
 func (r *Replica) Confirm(cursor kv.Cursor, age time.Duration) (behind bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if cursor > r.cursor {
 		return true
 	}
-	if cursor == r.cursor {
-		r.confirm(age)
-	}
+	r.confirm(age)
 	return false
 }
 
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -39,6 +39,8 @@
 	readers = 2
 	// readersKey ranks the hosts for reading.
 	readersKey = 0x72656164
+	// meetTime is how long a host takes to meet the others.
+	meetTime = time.Second
 	// spreadTime is left of the time in which a routing table has to be in force,
 	// for a host that asks the store itself.
 	spreadTime = 800 * time.Millisecond
@@ -72,6 +74,7 @@
 	coordinators *coordinators
 	handler      *forward.Handler
 	behind       chan ident.HostID // hosts that know more of the store
+	started      time.Time
 	stopping     chan struct{}
 }
 
@@ -86,6 +89,7 @@
 		routes:   &routes.Holder{},
 		fleet:    fleet.New(),
 		behind:   make(chan ident.HostID, 1),
+		started:  time.Now(),
 		stopping: make(chan struct{}),
 	}
 	h.store = httpkv.New(httpkv.Config{
@@ -211,8 +215,12 @@
 	}
 }
 
-// reads reports whether this host is one of the readers of the store.
+// reads reports whether this host is one of the readers of the store. A host
+// that has just started does not know yet who the others are.
 func (h *Host) reads() bool {
+	if time.Since(h.started) < meetTime {
+		return false
+	}
 	ranked := h.peers.table.Snapshot().Ranked("", readersKey)
 	return slices.Contains(ranked[:min(readers, len(ranked))], h.settings.Host)
 }
@@ -272,10 +280,11 @@
 		Key:     h.platform.Keys.Table,
 		Age:     h.settings.Apply - spreadTime,
 		Reads:   h.reads,
+		Alone:   func() bool { return h.hosts() <= 1 },
 	})
 	h.add(parts, &group, "reader", reader.Run)
 	h.add(parts, &group, "sync", h.sync)
-	registration := discovery.NewRegistration(h.store, h.health, h.log, key, value, h.settings.Lease)
+	registration := discovery.NewRegistration(h.store, h.health, h.replica, h.log, key, value, h.settings.Lease)
 	h.add(parts, &group, "registration", func(ctx context.Context) error {
 		return registration.Run(ctx, h.stopping)
 	})
