--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -33,6 +33,7 @@
 	Fleet       *fleet.Directory
 	Client      *upstreamhttp.Client
 	Chooser     *placement.Chooser
+	Popularity  *placement.Popularity
 	Budget      *budget.Budget
 	Stager      Stager
 	Domain      ident.FailureDomain
@@ -69,6 +70,7 @@
 	organisation *routes.Organisation // nil on a public route
 	arrived      time.Time
 	deadline     time.Time // of the caller or the route, whichever is earlier
+	shared       uint64    // hash of the part of the prompt that requests share; 0 before it is known
 	log          zerolog.Logger
 }
 
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -122,11 +122,12 @@
 	sinks[hostsPrefix] = h.peers
 	h.calls = grpcrelay.NewClient(h.peers.client.Connection, time.Now)
 	h.handler = forward.New(forward.Config{
-		Codec:   platform.Codec,
-		Routes:  h.routes,
-		Fleet:   h.fleet,
-		Client:  h.client,
-		Chooser: placement.New(time.Now),
+		Codec:      platform.Codec,
+		Routes:     h.routes,
+		Fleet:      h.fleet,
+		Client:     h.client,
+		Chooser:    placement.New(time.Now),
+		Popularity: placement.NewPopularity(),
 		Budget: budget.New(budget.Config{
 			Share:     s.Repeats,
 			Allowance: s.Allowance,
--- a/internal/relay/placement/chooser.go
+++ b/internal/relay/placement/chooser.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -151,18 +153,18 @@
 // Preferred returns the upstream with the highest rendezvous hash for what
 // requests share; there is none if they share nothing.
 func Preferred(query Query, snapshot *fleet.Snapshot) (fleet.Upstream, bool) {
-	var best fleet.Upstream
-	if query.Affinity == 0 {
-		return best, false
-	}
-	highest := uint64(0)
-	for _, upstream := range snapshot.Ready(query.Service) {
-		score := xxhash.Sum64String(string(upstream.ID)) ^ query.Affinity
-		score *= 0x9e3779b97f4a7c15
-		score ^= score >> 32
-		if best.ID == "" || score > highest {
-			best, highest = upstream, score
-		}
+	ready := snapshot.Ready(query.Service)
+	if query.Affinity == 0 || len(ready) == 0 {
+		return fleet.Upstream{}, false
 	}
-	return best, best.ID != ""
+	return slices.MaxFunc(ready, func(a, b fleet.Upstream) int {
+		return cmp.Compare(mix(a.ID, query.Affinity), mix(b.ID, query.Affinity))
+	}), true
+}
+
+// mix is the rendezvous hash of an upstream for a key.
+func mix(id ident.UpstreamID, key uint64) uint64 {
+	score := xxhash.Sum64String(string(id)) ^ key
+	score *= 0x9e3779b97f4a7c15
+	return score ^ score>>32
 }
