--- a/internal/relay/batch/admit.go
+++ b/internal/relay/batch/admit.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/juju/errors"
 )
 
 const (
@@ -39,7 +37,10 @@
 func (s *Scheduler) admit(now time.Time, j *job) error {
 	took, alone := s.estimate(now, j)
 	if end := now.Add(took); end.After(j.Deadline) {
-		return errors.Annotatef(ErrOverload, "expected %s after the deadline", end.Sub(j.Deadline).Round(time.Millisecond))
+		return &Overload{
+			Delay: took - alone,
+			Limit: j.Deadline.Sub(now) - alone,
+		}
 	}
 	slack := j.Objective.Sub(now) - alone
 	if j.Rank <= urgentRank && slack > 0 {
@@ -55,7 +56,10 @@
 		allowed = min(allowed, usual)
 	}
 	if delay := took - alone; delay > max(allowed, 0) {
-		return errors.Annotatef(ErrOverload, "delay of %s, limit is %s", delay.Round(time.Millisecond), allowed.Round(time.Millisecond))
+		return &Overload{
+			Delay: delay,
+			Limit: allowed,
+		}
 	}
 	return nil
 }
--- a/internal/relay/batch/job.go
+++ b/internal/relay/batch/job.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -21,6 +22,31 @@
 	ErrNoUpstream = errors.ConstError("stage has no upstream")
 )
 
+// Overload is an ErrOverload with the delay that the stages would have.
+type Overload struct {
+	Delay time.Duration
+	Limit time.Duration
+}
+
+// Error implements error.
+func (o *Overload) Error() string {
+	return fmt.Sprintf("stages would be delayed by %s, the limit is %s", o.Delay.Round(time.Millisecond), o.Limit.Round(time.Millisecond))
+}
+
+// Unwrap returns ErrOverload.
+func (o *Overload) Unwrap() error {
+	return ErrOverload
+}
+
+// Return is when a caller may come back: by then the work that is ahead now is
+// done, and half as much again leaves time for what arrives meanwhile.
+func (o *Overload) Return() time.Duration {
+	return max(leastReturn, (o.Delay-o.Limit)*3/2)
+}
+
+// leastReturn keeps callers from coming back before the load can have changed.
+const leastReturn = time.Second
+
 // JobID names a job of a Scheduler.
 type JobID uint64
 
--- a/internal/relay/batch/scheduler_test.go
+++ b/internal/relay/batch/scheduler_test.go
@@ -409,7 +409,7 @@
 				}
 			}
 		}
-		end := func(i int, outcome int) {
+		end := func(i, outcome int) {
 			call := w.calls[i]
 			for _, item := range requests(call) {
 				delete(running, item)
--- a/internal/relay/discovery/reader.go
+++ b/internal/relay/discovery/reader.go
@@ -109,28 +109,20 @@
 func (r *Reader) read(ctx context.Context) error {
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watched := make(chan error, 1)
+	var lost error // of the watch, once ended is closed
+	ended := make(chan struct{})
 	go func(ctx context.Context) {
-		var err error
-		for err == nil {
-			err = r.watch(ctx)
+		defer close(ended)
+		for lost == nil {
+			lost = r.watch(ctx)
 		}
-		watched <- err
 	}(watching)
-	var err error
-	ended := false
-	interval := time.Duration(pollShare * float64(r.config.Age))
-	for err == nil && !ended && r.config.Reads() {
-		select {
-		case err = <-watched:
-			ended = true
-		case <-time.After(interval - pollGrace/2 + rand.N(pollGrace)):
-			err = r.poll(ctx, pollGrace)
-		}
-	}
+	err := r.polls(ctx, ended)
+	cancelled := err == nil && !r.config.Reads()
 	cancel()
-	if !ended {
-		<-watched
+	<-ended
+	if err == nil && !cancelled {
+		err = lost
 	}
 	if err == nil || ctx.Err() != nil {
 		return nil
@@ -141,6 +133,22 @@
 	return r.list(ctx)
 }
 
+// polls polls while the watch goes on and this host is a reader.
+func (r *Reader) polls(ctx context.Context, ended <-chan struct{}) error {
+	interval := time.Duration(pollShare * float64(r.config.Age))
+	for r.config.Reads() {
+		select {
+		case <-ended:
+			return nil
+		case <-time.After(interval - pollGrace/2 + rand.N(pollGrace)):
+			if err := r.poll(ctx, pollGrace); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // poll reads one entry, by whose answer the store tells its latest change. If
 // the replica still lacks changes after the grace, all entries are listed.
 func (r *Reader) poll(ctx context.Context, grace time.Duration) error {
--- a/internal/relay/discovery/reader_test.go
+++ b/internal/relay/discovery/reader_test.go
@@ -101,17 +101,16 @@
 	return f
 }
 
-func (f *fixture) put(c *qt.C, key kv.Key, expect kv.Version) kv.Version {
+func (f *fixture) create(c *qt.C, key kv.Key) kv.Version {
 	version, err := f.held.Put(context.Background(), kv.Put{
-		Key:    key,
-		Expect: expect,
+		Key: key,
 	})
 	c.Assert(err, qt.IsNil)
 	return version
 }
 
 // eventually fails the test if a condition does not come true.
-func eventually(c *qt.C, what string, ok func() bool) time.Duration {
+func eventually(c *qt.C, what string, ok func() bool) {
 	c.Helper()
 	began := time.Now()
 	for !ok() {
@@ -120,7 +119,6 @@
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
-	return time.Since(began)
 }
 
 // Guards against changes that a host learns late: by a watch that is silent, as
@@ -148,12 +146,12 @@
 			t.Parallel()
 			c := qt.New(t)
 			f := start1(t, test.reads)
-			first := f.put(c, "op/config", 0)
+			first := f.create(c, "op/config")
 			eventually(c, "first entry", func() bool { return f.view.has("op/config", first) })
 			if test.before != nil {
 				test.before(f)
 			}
-			second := f.put(c, "servers/a", 0)
+			second := f.create(c, "servers/a")
 			if test.after != nil {
 				test.after(f)
 			}
@@ -174,7 +172,7 @@
 func TestPassiveHostDoesNotRead(t *testing.T) {
 	c := qt.New(t)
 	f := start1(t, false)
-	f.put(c, "op/config", 0)
+	f.create(c, "op/config")
 	eventually(c, "first listing", func() bool { return f.replica.Cursor() > 0 })
 	time.Sleep(200 * time.Millisecond) // the polls after a listing of nothing
 	before := f.held.Counts()
@@ -189,7 +187,7 @@
 func TestOutageIsNotHammered(t *testing.T) {
 	c := qt.New(t)
 	f := start1(t, true)
-	f.put(c, "op/config", 0)
+	f.create(c, "op/config")
 	eventually(c, "first listing", func() bool { return f.replica.Cursor() > 0 })
 	f.held.SetFaults(memkv.Faults{
 		Down: true,
--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -21,6 +21,15 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
 
+const (
+	// retryTime is when a caller may come back to a host that lacks what it needs,
+	// such as a routing table or an upstream.
+	retryTime = time.Second
+	// fullTime is when a caller may come back after all upstreams were full; their
+	// requests take a fraction of it.
+	fullTime = 500 * time.Millisecond
+)
+
 // Stager runs the stages of requests.
 type Stager interface {
 	Prepare(ctx context.Context, job batch.Job) (coordinator.Prepared, error)
@@ -115,7 +124,7 @@
 	}
 	e.table = e.config.Routes.Table()
 	if e.table == nil {
-		e.refuse("no routing table is known", time.Second)
+		e.refuse("no routing table is known", retryTime)
 		return false
 	}
 	return e.admit() && e.receive()
@@ -147,7 +156,7 @@
 	e.deadline = e.arrived.Add(patience)
 	e.service = e.table.Service(e.route.Pick(e.share()))
 	if e.service == nil {
-		e.refuse("service is not in the routing table", time.Second)
+		e.refuse("service is not in the routing table", retryTime)
 		return false
 	}
 	return true
--- a/internal/relay/forward/plain.go
+++ b/internal/relay/forward/plain.go
@@ -81,9 +81,9 @@
 	case ran > 0:
 		e.fail(http.StatusBadGateway, "no upstream answered")
 	case tried == 0:
-		e.refuse("no upstream is available", time.Second)
+		e.refuse("no upstream is available", retryTime)
 	default:
-		e.refuse("all upstreams are full", time.Second)
+		e.refuse("all upstreams are full", fullTime)
 	}
 }
 
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -179,12 +180,23 @@
 	case sent.started || ran > 0:
 		e.concludeStream(sent, ran, ran)
 	case errors.Is(err, context.DeadlineExceeded):
-		e.refuse("stages were not finished in time", time.Second)
+		e.refuse("stages were not finished in time", retryTime)
 	default:
-		e.refuse(err.Error(), time.Second)
+		e.refuse(err.Error(), returnAfter(err))
 	}
 }
 
+// returnAfter returns when a caller whose stages were refused may come back.
+// Callers who were refused together come back at different times.
+func returnAfter(err error) time.Duration {
+	var overload *batch.Overload
+	if !errors.As(err, &overload) {
+		return retryTime
+	}
+	after := overload.Return()
+	return after + rand.N(after/2)
+}
+
 // generate runs the request at one upstream and passes its events on.
 func (e *exchange) generate(to fleet.Upstream, prepared coordinator.Prepared, sent *relayed) streamEnd {
 	started := e.config.Now()
--- a/internal/relay/grpcrelay/codec.go
+++ b/internal/relay/grpcrelay/codec.go
@@ -91,6 +91,11 @@
 			failed.Cause = cause
 		}
 	}
+	var overload *batch.Overload
+	if errors.As(err, &overload) {
+		failed.Delay = overload.Delay.Milliseconds()
+		failed.Limit = overload.Limit.Milliseconds()
+	}
 	return &JobReply{
 		Kind: &JobReply_Failed{
 			Failed: failed,
@@ -99,6 +104,12 @@
 }
 
 func decodeFailed(failed *Failed) error {
+	if failed.GetDelay() != 0 {
+		return &batch.Overload{
+			Delay: time.Duration(failed.GetDelay()) * time.Millisecond,
+			Limit: time.Duration(failed.GetLimit()) * time.Millisecond,
+		}
+	}
 	known, ok := causes[failed.GetCause()]
 	if !ok {
 		known = batch.ErrFailed
--- a/internal/relay/host/coordinators.go
+++ b/internal/relay/host/coordinators.go
@@ -61,7 +61,9 @@
 			return nil
 		}
 		for range running {
-			<-c.ends
+			if err := <-c.ends; err != nil {
+				return err
+			}
 		}
 	}
 }
--- a/internal/relay/host/peers.go
+++ b/internal/relay/host/peers.go
@@ -169,7 +169,8 @@
 				p.log.Info().Str("peer", string(r.Row.Host)).Msg("peers: alive")
 			case peer.HostLeaving:
 				p.log.Info().Str("peer", string(r.Host)).Msg("peers: leaving")
-			default:
+			case peer.UpstreamLeaving, peer.UpstreamCrashed, peer.FingerprintStruck, peer.FingerprintCleared, peer.DocumentRevised, peer.TopOrganisations:
+				// These belong to the other daemon.
 			}
 		}
 	}
--- a/internal/relay/host/serve.go
+++ b/internal/relay/host/serve.go
@@ -48,9 +48,10 @@
 		return err
 	case <-ctx.Done():
 	}
-	err := server.Close()
-	<-ended
-	return errors.Annotate(err, "close server")
+	if err := server.Close(); err != nil {
+		return errors.Annotate(err, "close server")
+	}
+	return served(<-ended)
 }
 
 // serveCallers serves until the context ends. Then it fails readiness, takes new
@@ -78,6 +79,16 @@
 		h.log.Warn().Err(err).Msg("host: requests were broken off at the end of the grace period")
 		err = server.Close()
 	}
-	<-ended
-	return errors.Annotate(err, "close callers' server")
+	if err != nil {
+		return errors.Annotate(err, "close callers' server")
+	}
+	return served(<-ended)
+}
+
+// served returns the error of a server that has been closed.
+func served(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Annotate(err, "serve")
 }
--- a/internal/relay/model/run.go
+++ b/internal/relay/model/run.go
@@ -56,7 +56,6 @@
 	id      ident.RequestID
 	kind    int
 	arrived time.Time
-	ended   bool
 	from    int // coordinator
 }
 
--- a/internal/relay/upstreamhttp/client.go
+++ b/internal/relay/upstreamhttp/client.go
@@ -86,7 +86,7 @@
 	conn     *connection
 	body     io.ReadCloser
 	stop     func() bool // ends the effect of the context on the connection
-	written  <-chan error
+	written  *writing
 	reusable bool
 	complete bool
 }
@@ -118,10 +118,10 @@
 		return nil, errors.Annotatef(ErrNotSent, "build request: %v", err)
 	}
 	written := transmit(ctx, conn, outgoing, len(request.Body))
-	response, reply, err := c.read(conn, outgoing, request.Request)
+	response, reply, err := c.read(conn, outgoing, request.Request) //nolint:bodyclose // the Answer closes it
 	if err != nil {
 		c.discard(conn) // ends the writer
-		<-written
+		<-written.ended
 		return nil, errors.Annotatef(ErrLost, "%s: %v", conn.address, err)
 	}
 	conn.keep(response.Header)
@@ -138,19 +138,26 @@
 	}, nil
 }
 
-// transmit writes a request; the channel gets the result. A long body is written
-// beside the reading, since an upstream may answer before it has the whole body.
-func transmit(ctx context.Context, conn *connection, outgoing *http.Request, length int) <-chan error {
-	written := make(chan error, 1)
+// writing is the writing of a request.
+type writing struct {
+	ended chan struct{} // closed at the end
+	err   error         // once ended is closed
+}
+
+// transmit writes a request. A long body is written beside the reading, since an
+// upstream may answer before it has the whole body.
+func transmit(ctx context.Context, conn *connection, outgoing *http.Request, length int) *writing {
+	written := &writing{
+		ended: make(chan struct{}),
+	}
 	write := func(context.Context) {
+		defer close(written.ended)
 		// One write, so that the head and a short body share a packet.
 		var b bytes.Buffer
-		if err := outgoing.Write(&b); err != nil {
-			written <- err
+		if written.err = outgoing.Write(&b); written.err != nil {
 			return
 		}
-		_, err := conn.Write(b.Bytes())
-		written <- err
+		_, written.err = conn.Write(b.Bytes())
 	}
 	if length <= shortBody {
 		write(ctx)
@@ -256,17 +263,14 @@
 		return
 	}
 	a.client.discard(a.conn) // ends the writer
-	if a.written != nil {
-		<-a.written
-	}
+	<-a.written.ended
 }
 
 // sent reports whether the whole request has been written.
 func (a *Answer) sent() bool {
 	select {
-	case err := <-a.written:
-		a.written = nil
-		return err == nil
+	case <-a.written.ended:
+		return a.written.err == nil
 	default:
 		return false
 	}
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -52,7 +52,7 @@
 	// Age is how long ago the sender knew its documents to be the latest.
 	Age     time.Duration
 	Leaders []Leader // that the sender follows
-	Members uint64 // digest of the ids of the live hosts
+	Members uint64   // digest of the ids of the live hosts
 	Rumours []Rumour
 }
 
