Log the end of every request, serve counters and latency histograms, stop crashing requests, and reload settings

On-call engineers have only logs and metrics. Each request leaves one line with its id, route, table version, upstreams, result, reason and times; each process serves counters on its metrics address. The log goes through a ring and a rate limit, so it neither grows with the load nor blocks.

A request that was in flight at three upstreams while they crashed is refused on all hosts; the counts travel by gossip.

SIGHUP and changes of the settings file apply the log settings at once and name the others. An empty value that a template leaves takes the default: a deployment without seeds was refused before.

--- a/internal/command/relay.go
+++ b/internal/command/relay.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
 	"github.com/nutmegshift/nutmegshift/internal/relay/host"
+	"github.com/nutmegshift/nutmegshift/internal/relay/logging"
 	"github.com/nutmegshift/nutmegshift/internal/settings"
 	"github.com/nutmegshift/nutmegshift/platform"
 )
@@ -46,14 +45,28 @@
 	if err != nil {
 		return errors.Annotate(err, "parse log level")
 	}
-	log := zerolog.New(command.Root().Writer).Level(level).With().Timestamp().Str("host", string(parsed.Host)).Logger()
-	signal.Ignore(syscall.SIGHUP)
+	log := logging.New(command.Root().Writer, level, parsed.Lines)
 	stopping, _, release := stopSignals(ctx)
 	defer release()
-	return host.New(parsed, host.Platform{
+	background, end := context.WithCancel(context.WithoutCancel(ctx))
+	watch := newReloader(name, content, log)
+	ended := make(chan error, 2)
+	go func(ctx context.Context) { ended <- watch.run(ctx) }(background)
+	go func(ctx context.Context) { ended <- log.Report(ctx) }(background)
+	err = host.New(parsed, host.Platform{
 		Codec:     platform.Codec{},
 		Keys:      platform.Keys,
 		Store:     platform.Store{},
 		ReadyPath: platform.ReadyPath,
 	}, log).Run(stopping)
+	end()
+	for range cap(ended) {
+		if failure := <-ended; err == nil {
+			err = failure
+		}
+	}
+	if failure := log.Close(); err == nil {
+		err = errors.Annotate(failure, "close log")
+	}
+	return err
 }
--- a/internal/relay/cell/stager.go
+++ b/internal/relay/cell/stager.go
@@ -78,6 +78,7 @@
 		asked++
 		prepared, err := s.remote(ctx, row, id, job)
 		if !errors.Is(err, ErrUnreachable) {
+			prepared.Coordinator = row.Host
 			return prepared, err
 		}
 		if ctx.Err() != nil {
@@ -89,7 +90,9 @@
 	if err != nil {
 		return coordinator.Prepared{}, err
 	}
-	return ticket.Wait(ctx)
+	prepared, err := ticket.Wait(ctx)
+	prepared.Coordinator = s.config.Self
+	return prepared, err
 }
 
 // result is the end of a job.
--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -11,6 +11,7 @@
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
@@ -31,9 +32,10 @@
 
 // Prepared are the results of a request's stages.
 type Prepared struct {
-	Inputs  []wire.Handle
-	Domain  ident.FailureDomain // that holds most of their bytes; empty if there are none
-	Release func()              // drops the results; it may be called more than once
+	Inputs      []wire.Handle
+	Domain      ident.FailureDomain // that holds most of their bytes; empty if there are none
+	Release     func()              // drops the results; it may be called more than once
+	Coordinator ident.HostID        // that ran the stages
 }
 
 // Config holds the dependencies of a Coordinator.
@@ -43,6 +45,7 @@
 	Table    func() *routes.Table
 	Fleet    func() *fleet.Snapshot
 	Includes func(upstream fleet.Upstream) bool // whether an upstream is the coordinator's
+	Meter    *meter.Meter
 	Now      func() time.Time
 	Log      zerolog.Logger
 }
@@ -144,9 +147,11 @@
 	for _, call := range actions.Calls {
 		c.running++
 		go func(ctx context.Context) {
+			outcome, result := c.call(ctx, call)
+			c.config.Meter.Batch(call.Upstream.Service, result, len(call.Items), c.config.Now().Sub(now))
 			c.ends <- ended{
 				id:      call.ID,
-				outcome: c.call(ctx, call),
+				outcome: outcome,
 			}
 		}(ctx)
 	}
@@ -238,39 +243,40 @@
 }
 
 // call sends one batch.
-func (c *Coordinator) call(ctx context.Context, call batch.Call) batch.Outcome {
+func (c *Coordinator) call(ctx context.Context, call batch.Call) (batch.Outcome, meter.Result) {
 	patience := max(minPatience, patienceFactor*call.Expected)
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	message, err := c.config.Codec.Batch(call.Items)
 	if err != nil {
 		c.config.Log.Error().Err(err).Msg("stage: batch not encoded")
-		return batch.Lost{}
+		return batch.Lost{}, meter.Failed
 	}
 	answer, err := c.send(ctx, call.Upstream, message)
 	if err != nil {
 		c.config.Log.Info().Err(err).Str("upstream", string(call.Upstream.ID)).Int("items", len(call.Items)).Msg("stage: batch failed")
 		if errors.Is(err, upstreamhttp.ErrBusy) {
-			return batch.Refused{}
+			return batch.Refused{}, meter.Refused
 		}
-		return batch.Lost{}
+		return batch.Lost{}, meter.Failed
 	}
 	defer answer.Close()
 	body, err := answer.All(answerBytes)
 	if answer.Reply.NotRun {
-		return batch.Refused{}
+		c.config.Log.Info().Str("upstream", string(call.Upstream.ID)).Int("status", answer.Status).Int("items", len(call.Items)).Msg("stage: upstream refused")
+		return batch.Refused{}, meter.Refused
 	}
 	var results []wire.ItemResult
 	if err == nil {
 		results, err = c.config.Codec.Results(body)
 	}
 	if err != nil || answer.Status/100 != 2 || len(results) != len(call.Items) {
-		c.config.Log.Info().Err(err).Str("upstream", string(call.Upstream.ID)).Int("status", answer.Status).Msg("stage: batch failed")
-		return batch.Lost{}
+		c.config.Log.Info().Err(err).Str("upstream", string(call.Upstream.ID)).Int("status", answer.Status).Int("items", len(call.Items)).Msg("stage: batch failed")
+		return batch.Lost{}, meter.Failed
 	}
 	return batch.Completed{
 		Results: results,
-	}
+	}, meter.Served
 }
 
 // release drops results at the upstream that holds them.
--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -15,7 +15,9 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/budget"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
+	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
@@ -44,7 +46,10 @@
 	Chooser     *placement.Chooser
 	Popularity  *placement.Popularity
 	Budget      *budget.Budget
+	Poison      *poison.Table
+	Struck      func(fingerprint poison.Fingerprint, strikes int) // tells other hosts
 	Stager      Stager
+	Meter       *meter.Meter
 	Domain      ident.FailureDomain
 	Connections func(service *routes.Service) int // this host's share of the connections to one upstream
 	Stopping    func() bool
@@ -67,7 +72,7 @@
 // exchange is one request of a caller.
 type exchange struct {
 	*Handler
-	ctx          context.Context
+	ctx          context.Context // ends when the caller leaves and at the deadline
 	writer       http.ResponseWriter
 	request      *http.Request
 	head         wire.Head
@@ -80,6 +85,9 @@
 	arrived      time.Time
 	deadline     time.Time // of the caller or the route, whichever is earlier
 	shared       uint64    // hash of the part of the prompt that requests share; 0 before it is known
+	tried        []ident.UpstreamID
+	ran          int // upstreams that may have run the request
+	record       record
 	log          zerolog.Logger
 }
 
@@ -92,6 +100,7 @@
 		request: r,
 		arrived: h.config.Now(),
 	}
+	defer e.close()
 	if !e.accept() {
 		return
 	}
@@ -127,7 +136,7 @@
 		e.refuse("no routing table is known", retryTime)
 		return false
 	}
-	return e.admit() && e.receive()
+	return e.admit() && e.receive() && e.harmless()
 }
 
 // admit finds the route and the organisation.
@@ -177,51 +186,24 @@
 		e.reject(http.StatusRequestEntityTooLarge, "body is too large")
 		return false
 	case err != nil:
-		e.log.Debug().Err(err).Msg("forward: body not received")
-		e.reject(http.StatusBadRequest, "body was not received")
+		e.reject(http.StatusBadRequest, "body was not received: "+err.Error())
 		return false
 	}
 	e.body = body
 	return true
 }
 
-// reject answers a request that is not valid.
-func (e *exchange) reject(status int, reason string) {
-	e.log.Info().Int("status", status).Str("reason", reason).Str("host", e.request.Host).Str("path", e.request.URL.Path).Msg("forward: rejected")
-	e.answer(status, reason)
-}
-
-// refuse states that the request did not run and when the caller may return.
-func (e *exchange) refuse(reason string, after time.Duration) {
-	e.log.Info().Str("reason", reason).Str("route", e.routeName()).Dur("age", e.age()).Dur("after", after).Msg("forward: refused")
-	e.config.Codec.RetryAfter(e.writer.Header(), after)
-	e.answer(http.StatusServiceUnavailable, reason)
-}
-
-// fail answers a request that may have run.
-func (e *exchange) fail(status int, reason string) {
-	e.log.Info().Int("status", status).Str("reason", reason).Str("route", e.routeName()).Dur("age", e.age()).Msg("forward: failed")
-	e.answer(status, reason)
-}
-
-func (e *exchange) answer(status int, reason string) {
-	header := e.writer.Header()
-	header.Set("Content-Type", "text/plain; charset=utf-8")
-	e.writer.WriteHeader(status)
-	if _, err := io.WriteString(e.writer, reason+"\n"); err != nil {
-		e.log.Debug().Err(err).Msg("forward: caller has left")
+// harmless refuses a request that has crashed too many upstreams.
+func (e *exchange) harmless() bool {
+	if e.config.Poison.Empty() || !e.config.Poison.Blocked(e.fingerprint()) {
+		return true
 	}
+	e.refuse("request has crashed several upstreams", retryTime)
+	return false
 }
 
-func (e *exchange) age() time.Duration {
-	return e.config.Now().Sub(e.arrived)
-}
-
-func (e *exchange) routeName() string {
-	if e.route == nil {
-		return ""
-	}
-	return e.route.Name
+func (e *exchange) fingerprint() poison.Fingerprint {
+	return poison.New(e.organisationID(), e.target, e.body)
 }
 
 func (e *exchange) organisationID() ident.OrganisationID {
@@ -230,3 +212,7 @@
 	}
 	return e.organisation.Name
 }
+
+func (e *exchange) age() time.Duration {
+	return e.config.Now().Sub(e.arrived)
+}
--- a/internal/relay/forward/handler_test.go
+++ b/internal/relay/forward/handler_test.go
@@ -24,7 +24,9 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/forward"
+	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
+	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
@@ -267,6 +269,9 @@
 		Client:     client,
 		Chooser:    placement.New(time.Now),
 		Popularity: placement.NewPopularity(),
+		Poison:     poison.NewTable(time.Now),
+		Struck:     func(poison.Fingerprint, int) {},
+		Meter:      meter.New(),
 		Budget: budget.New(budget.Config{
 			Share:     0.2,
 			Allowance: 100,
--- a/internal/relay/forward/plain.go
+++ b/internal/relay/forward/plain.go
@@ -2,11 +2,9 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/juju/errors"
 
-	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
@@ -19,68 +17,51 @@
 	body   []byte
 }
 
+// final reports whether another upstream would not answer better: an upstream's
+// own failure may be tried again, and a success without its seal is damaged.
+func (r *reply) final() bool {
+	return r.answer.Status < http.StatusInternalServerError && (r.answer.Status/100 != 2 || r.answer.Reply.Sealed)
+}
+
 // plain forwards a request whose answer is passed on when it is whole.
 func (e *exchange) plain() {
-	var tried []ident.UpstreamID
 	var last *reply // the latest answer of an upstream that ran the request
-	ran := 0        // upstreams that may have run the request
-	for len(tried) < maxSends && e.ctx.Err() == nil {
-		if ran > 0 && !e.again(ran) {
-			break
-		}
-		to, ok := e.choose(placement.Query{
-			Domain:  e.config.Domain,
-			Exclude: excluded(tried),
+	for {
+		to, ok := e.next(placement.Query{
+			Domain: e.config.Domain,
 		})
 		if !ok {
 			break
 		}
-		if len(tried) == 0 {
-			e.config.Budget.Request(e.arrived, e.service.Name)
-		} else if !e.config.Budget.Repeat(e.config.Now(), e.service.Name) {
-			e.config.Chooser.Done(to, placement.Left, 0)
-			break
-		}
-		tried = append(tried, to.ID)
 		got, err := e.try(to)
 		switch {
 		case err == nil && got.answer.Reply.NotRun:
 		case err == nil:
-			ran++
+			e.ran++
 			last = got
-			if got.answer.Status < http.StatusInternalServerError && succeededOrFinal(got.answer) {
+			if got.final() {
 				e.deliver(got)
 				return
 			}
 		case errors.Is(err, upstreamhttp.ErrLost):
-			ran++
+			e.ran++
 		}
 	}
-	e.conclude(last, ran, len(tried))
-}
-
-// succeededOrFinal reports whether an answer needs no other try.
-func succeededOrFinal(answer *upstreamhttp.Answer) bool {
-	return answer.Status/100 != 2 || answer.Reply.Sealed
-}
-
-// again reports whether a request that may have run on some upstreams may run on another one.
-func (e *exchange) again(ran int) bool {
-	return e.route.Idempotent() && ran < e.route.Attempts
+	e.conclude(last)
 }
 
 // conclude answers a request that no upstream has answered with success.
-func (e *exchange) conclude(last *reply, ran, tried int) {
+func (e *exchange) conclude(last *reply) {
 	switch {
 	case e.request.Context().Err() != nil:
-		e.log.Debug().Dur("age", e.age()).Msg("forward: caller has left")
+		e.left()
 	case last != nil && last.answer.Reply.Sealed && !promises[last.answer.Status] && last.answer.Status/100 != 2:
 		e.deliver(last)
-	case ran > 0 && e.ctx.Err() != nil:
+	case e.ran > 0 && e.ctx.Err() != nil:
 		e.fail(http.StatusGatewayTimeout, "no upstream answered in time")
-	case ran > 0:
+	case e.ran > 0:
 		e.fail(http.StatusBadGateway, "no upstream answered")
-	case tried == 0:
+	case len(e.tried) == 0:
 		e.refuse("no upstream is available", retryTime)
 	default:
 		e.refuse("all upstreams are full", fullTime)
@@ -92,49 +73,28 @@
 	started := e.config.Now()
 	answer, err := e.send(e.ctx, to, wire.Dispatch{})
 	if err != nil {
-		e.placed(to, err, 0)
+		e.unanswered(to, err, 0)
 		return nil, err
 	}
 	defer answer.Close()
 	latency := e.config.Now().Sub(started)
 	body, err := answer.All(replyBytes)
 	if err != nil && !answer.Reply.NotRun {
-		e.placed(to, err, latency)
+		e.unanswered(to, err, latency)
 		return nil, err
 	}
-	ending := placement.Served
-	switch {
-	case answer.Reply.NotRun:
-		ending = placement.Full
-		e.log.Info().Str("upstream", string(to.ID)).Int("status", answer.Status).Msg("forward: upstream refused")
-	case answer.Status >= http.StatusInternalServerError || !succeededOrFinal(answer):
-		e.log.Info().Str("upstream", string(to.ID)).Int("status", answer.Status).Bool("sealed", answer.Reply.Sealed).Msg("forward: upstream failed")
-	}
-	e.config.Chooser.Done(to, ending, latency)
-	return &reply{
+	got := &reply{
 		answer: answer,
 		body:   body,
-	}, nil
-}
-
-// placed tells the chooser of a request without an answer.
-func (e *exchange) placed(to fleet.Upstream, err error, latency time.Duration) {
-	ending := placement.Failed
-	if e.ctx.Err() != nil {
-		ending = placement.Left
 	}
-	if errors.Is(err, upstreamhttp.ErrBusy) {
+	ending := placement.Served
+	switch {
+	case answer.Reply.NotRun:
 		ending = placement.Full
+		e.log.Info().Str("upstream", string(to.ID)).Int("status", answer.Status).Dur("age", e.age()).Msg("forward: upstream refused")
+	case !got.final():
+		e.log.Info().Str("upstream", string(to.ID)).Int("status", answer.Status).Bool("sealed", answer.Reply.Sealed).Dur("age", e.age()).Msg("forward: upstream failed")
 	}
-	e.log.Info().Err(err).Str("upstream", string(to.ID)).Dur("age", e.age()).Msg("forward: no answer of upstream")
-	e.config.Chooser.Done(to, ending, latency)
-}
-
-// deliver passes a whole answer on.
-func (e *exchange) deliver(r *reply) {
-	copyHeader(e.writer.Header(), r.answer.Header)
-	e.writer.WriteHeader(r.answer.Status)
-	if _, err := e.writer.Write(r.body); err != nil {
-		e.log.Debug().Err(err).Msg("forward: caller has left")
-	}
+	e.ended(to, ending, latency)
+	return got, nil
 }
--- a/internal/relay/forward/send.go
+++ b/internal/relay/forward/send.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
@@ -24,6 +26,8 @@
 	// that must not run twice: its upstream may close it at any time, and then
 	// nobody can tell whether the request ran.
 	freshIdle = time.Second
+	// crashProbe bounds the try to connect to an upstream that may have crashed.
+	crashProbe = 200 * time.Millisecond
 )
 
 // hopHeaders concern one connection.
@@ -37,10 +41,51 @@
 	"Upgrade":           true,
 }
 
+// promises are the statuses that state that a request did not run.
+var promises = map[int]bool{
+	http.StatusRequestTimeout:     true,
+	http.StatusMisdirectedRequest: true,
+	http.StatusTooManyRequests:    true,
+	http.StatusServiceUnavailable: true,
+}
+
 func hash(text string) uint64 {
 	return xxhash.Sum64String(text)
 }
 
+// next returns the upstream for the next try, if there may be one: the request
+// may run again, an upstream is left, and the budget allows a repeat.
+func (e *exchange) next(query placement.Query) (fleet.Upstream, bool) {
+	if len(e.tried) >= maxSends || e.ctx.Err() != nil {
+		return fleet.Upstream{}, false
+	}
+	if e.ran > 0 && (!e.route.Idempotent() || e.ran >= e.route.Attempts) {
+		return fleet.Upstream{}, false
+	}
+	query.Service = e.service.Name
+	query.Exclude = make(map[ident.UpstreamID]bool, len(e.tried))
+	for _, id := range e.tried {
+		query.Exclude[id] = true
+	}
+	to, ok := e.config.Chooser.Choose(query, e.config.Fleet.Snapshot())
+	if !ok {
+		return fleet.Upstream{}, false
+	}
+	if len(e.tried) == 0 {
+		e.config.Budget.Request(e.arrived, e.service.Name)
+	} else {
+		allowed := e.config.Budget.Repeat(e.config.Now(), e.service.Name)
+		e.config.Meter.Repeat(e.service.Name, allowed)
+		if !allowed {
+			e.config.Chooser.Done(to, placement.Left, 0)
+			e.log.Info().Str("service", string(e.service.Name)).Msg("forward: no repeat, the budget is used up")
+			return fleet.Upstream{}, false
+		}
+	}
+	e.tried = append(e.tried, to.ID)
+	return to, true
+}
+
 // send sends the request to an upstream.
 func (e *exchange) send(ctx context.Context, to fleet.Upstream, dispatch wire.Dispatch) (*upstreamhttp.Answer, error) {
 	dispatch.Upstream = to.ID
@@ -63,10 +108,45 @@
 	})
 }
 
-// choose returns an upstream that has not been tried.
-func (e *exchange) choose(query placement.Query) (fleet.Upstream, bool) {
-	query.Service = e.service.Name
-	return e.config.Chooser.Choose(query, e.config.Fleet.Snapshot())
+// ended tells the chooser and the metrics how an upstream handled the request.
+func (e *exchange) ended(to fleet.Upstream, ending placement.Ending, latency time.Duration) {
+	results := map[placement.Ending]meter.Result{
+		placement.Served: meter.Served,
+		placement.Full:   meter.Refused,
+		placement.Failed: meter.Failed,
+		placement.Left:   meter.Left,
+	}
+	e.config.Chooser.Done(to, ending, latency)
+	e.config.Meter.Call(e.service.Name, results[ending], latency)
+}
+
+// unanswered handles a request without an answer.
+func (e *exchange) unanswered(to fleet.Upstream, err error, latency time.Duration) {
+	ending := placement.Failed
+	switch {
+	case errors.Is(err, upstreamhttp.ErrBusy):
+		ending = placement.Full
+	case e.ctx.Err() != nil:
+		ending = placement.Left
+	case errors.Is(err, upstreamhttp.ErrLost):
+		e.suspect(to)
+	}
+	e.log.Info().Err(err).Str("upstream", string(to.ID)).Str("address", string(to.Address)).Dur("age", e.age()).Dur("waited", latency).Msg("forward: no answer of upstream")
+	e.ended(to, ending, latency)
+}
+
+// suspect counts a strike against the request if the upstream has crashed while
+// it had the request: a lost connection alone says nothing about that.
+func (e *exchange) suspect(to fleet.Upstream) {
+	ctx, cancel := context.WithTimeout(e.ctx, crashProbe)
+	defer cancel()
+	if !e.config.Client.Refuses(ctx, to.Address) {
+		return
+	}
+	fingerprint := e.fingerprint()
+	strikes := e.config.Poison.Strike(fingerprint)
+	e.config.Struck(fingerprint, strikes)
+	e.log.Warn().Str("upstream", string(to.ID)).Int("strikes", strikes).Msg("forward: upstream crashed with the request in flight")
 }
 
 // copyHeader passes the header of an upstream's answer on.
@@ -82,19 +162,3 @@
 func succeeded(answer *upstreamhttp.Answer) bool {
 	return answer.Status/100 == 2 && answer.Reply.Sealed
 }
-
-// promises are the statuses that state that a request did not run.
-var promises = map[int]bool{
-	http.StatusRequestTimeout:     true,
-	http.StatusMisdirectedRequest: true,
-	http.StatusTooManyRequests:    true,
-	http.StatusServiceUnavailable: true,
-}
-
-func excluded(tried []ident.UpstreamID) map[ident.UpstreamID]bool {
-	set := make(map[ident.UpstreamID]bool, len(tried))
-	for _, id := range tried {
-		set[id] = true
-	}
-	return set
-}
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -13,16 +14,18 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
 
-// firstEventTime is the time that a model usually takes to the first event.
-const firstEventTime = 300 * time.Millisecond
-
-// outputWork is the work of a token that a model makes, in tokens that it reads.
-const outputWork = 10
+const (
+	// firstEventTime is the time that a model usually takes to the first event.
+	firstEventTime = 300 * time.Millisecond
+	// outputWork is the work of a token that a model makes, in tokens that it reads.
+	outputWork = 10
+)
 
 // streamEnd says how one try of a stream ended.
 type streamEnd uint8
@@ -40,67 +43,71 @@
 	last    wire.EventID
 }
 
+// inputs are the results of the stages of a request.
+type inputs struct {
+	coordinator.Prepared
+	ready bool
+}
+
+// release drops the results.
+func (i *inputs) release() {
+	if i.ready && i.Release != nil {
+		i.Release()
+	}
+	*i = inputs{}
+}
+
 // stream forwards a request that is answered by events.
 func (e *exchange) stream() {
 	sent := &relayed{
 		last: e.head.LastEvent,
 	}
-	var tried []ident.UpstreamID
-	ran := 0
-	var prepared coordinator.Prepared
-	release := func() {
-		if prepared.Release != nil {
-			prepared.Release()
-		}
-	}
-	defer func() { release() }()
-	ready := false
-	for len(tried) < maxSends && e.ctx.Err() == nil {
-		if ran > 0 && !e.again(ran) {
-			break
-		}
-		if !ready {
-			var err error
-			prepared, err = e.prepare()
-			if err != nil {
-				e.unprepared(err, sent, ran)
+	results := &inputs{}
+	defer results.release()
+	for {
+		if !results.ready {
+			if err := e.prepare(results); err != nil {
+				e.unprepared(err, sent)
 				return
 			}
-			ready = true
 		}
-		domain := prepared.Domain
-		if domain == "" {
-			domain = e.config.Domain
-		}
-		to, ok := e.choose(placement.Query{
-			Domain:   domain,
+		to, ok := e.next(placement.Query{
+			Domain:   e.domain(results),
 			Affinity: e.affinity(),
-			Exclude:  excluded(tried),
 		})
 		if !ok {
 			break
 		}
-		if len(tried) == 0 {
-			e.config.Budget.Request(e.arrived, e.service.Name)
-		} else if !e.config.Budget.Repeat(e.config.Now(), e.service.Name) {
-			e.config.Chooser.Done(to, placement.Left, 0)
-			break
-		}
-		tried = append(tried, to.ID)
-		switch e.generate(to, prepared, sent) {
+		switch e.generate(to, results, sent) {
 		case streamComplete:
 			return
 		case streamNotRun:
 		case streamNoInputs:
-			release()
-			ready = false
+			results.release()
 		case streamBroken:
-			ran++
-			release()
-			ready = false
+			e.ran++
+			results.release()
+			if !e.again() {
+				e.concludeStream(sent)
+				return
+			}
 		}
 	}
-	e.concludeStream(sent, ran, len(tried))
+	e.concludeStream(sent)
+}
+
+// again reports whether the request may run once more, so that its stages are
+// worth running again.
+func (e *exchange) again() bool {
+	return e.ctx.Err() == nil && e.route.Idempotent() && e.ran < e.route.Attempts
+}
+
+// domain is where the request should run: near the results of its stages.
+func (e *exchange) domain(results *inputs) ident.FailureDomain {
+	if results.Domain != "" {
+		return results.Domain
+	}
+	return e.config.Domain
 }
 
 // affinity names the shared part of the prompt whose requests go to one upstream.
@@ -142,8 +149,30 @@
 }
 
 // prepare runs the stages.
-func (e *exchange) prepare() (coordinator.Prepared, error) {
-	job := batch.Job{
+func (e *exchange) prepare(results *inputs) error {
+	job, work := e.job()
+	if !work {
+		results.ready = true
+		return nil
+	}
+	began := e.config.Now()
+	prepared, err := e.config.Stager.Prepare(e.ctx, job)
+	took := e.config.Now().Sub(began)
+	e.record.stages += took
+	if err != nil {
+		e.config.Meter.Prepared(e.route.Name, meter.Refused, took)
+		return err
+	}
+	e.record.coordinator = prepared.Coordinator
+	e.config.Meter.Prepared(e.route.Name, meter.Served, took)
+	results.Prepared = prepared
+	results.ready = true
+	return nil
+}
+
+// job returns the work of the stages, and whether there is any.
+func (e *exchange) job() (job batch.Job, work bool) {
+	job = batch.Job{
 		Request:   e.head.Request,
 		Domain:    e.home(),
 		Rank:      batch.Rank(e.table.Rank(e.route, e.organisation)),
@@ -151,7 +180,6 @@
 		Objective: e.arrived.Add(e.route.Objective - firstEventTime),
 		Deadline:  e.deadline.Add(-firstEventTime),
 	}
-	work := false
 	for i, stage := range e.route.Stages {
 		pieces := 0
 		if i < len(e.head.Pieces) {
@@ -160,25 +188,21 @@
 		work = work || pieces > 0
 		job.Stages = append(job.Stages, batch.Stage{
 			Service: stage.Service,
-			Kind:    batch.Kind(e.route.Name + "/" + string(rune('0'+i))),
+			Kind:    batch.Kind(e.route.Name + "/" + strconv.Itoa(i)),
 			After:   stage.After,
 			Pieces:  pieces,
 			Bytes:   stage.Bytes,
 		})
 	}
-	if !work {
-		return coordinator.Prepared{}, nil
-	}
-	return e.config.Stager.Prepare(e.ctx, job)
+	return job, work
 }
 
 // unprepared answers a request whose stages have failed.
-func (e *exchange) unprepared(err error, sent *relayed, ran int) {
+func (e *exchange) unprepared(err error, sent *relayed) {
 	switch {
-	case e.request.Context().Err() != nil:
-		e.log.Debug().Dur("age", e.age()).Msg("forward: caller has left")
-	case sent.started || ran > 0:
-		e.concludeStream(sent, ran, ran)
+	case sent.started || e.ran > 0 || e.request.Context().Err() != nil:
+		e.record.reason = err.Error()
+		e.concludeStream(sent)
 	case errors.Is(err, context.DeadlineExceeded):
 		e.refuse("stages were not finished in time", retryTime)
 	default:
@@ -198,14 +222,14 @@
 }
 
 // generate runs the request at one upstream and passes its events on.
-func (e *exchange) generate(to fleet.Upstream, prepared coordinator.Prepared, sent *relayed) streamEnd {
+func (e *exchange) generate(to fleet.Upstream, results *inputs, sent *relayed) streamEnd {
 	started := e.config.Now()
 	answer, err := e.send(e.ctx, to, wire.Dispatch{
-		Inputs:    prepared.Inputs,
+		Inputs:    results.Inputs,
 		LastEvent: sent.last,
 	})
 	if err != nil {
-		e.placed(to, err, 0)
+		e.unanswered(to, err, 0)
 		if errors.Is(err, upstreamhttp.ErrLost) {
 			return streamBroken
 		}
@@ -216,31 +240,32 @@
 	if !succeeded(answer) {
 		return e.refusedStream(to, answer, sent)
 	}
-	err = e.relay(answer, sent, prepared)
-	if err == nil {
-		e.config.Chooser.Done(to, placement.Served, latency)
-		return streamComplete
+	if err := e.relay(answer, sent, results); err != nil {
+		e.unanswered(to, err, latency)
+		return streamBroken
 	}
-	e.placed(to, err, latency)
-	return streamBroken
+	e.record.result = meter.Served
+	e.ended(to, placement.Served, latency)
+	return streamComplete
 }
 
 // refusedStream handles an answer without success.
 func (e *exchange) refusedStream(to fleet.Upstream, answer *upstreamhttp.Answer, sent *relayed) streamEnd {
 	body, err := answer.All(replyBytes)
-	e.log.Info().Err(err).Str("upstream", string(to.ID)).Int("status", answer.Status).Bool("sealed", answer.Reply.Sealed).Bool("ran", !answer.Reply.NotRun).Msg("forward: upstream refused")
+	e.log.Info().Err(err).Str("upstream", string(to.ID)).Int("status", answer.Status).Bool("sealed", answer.Reply.Sealed).Bool("ran", !answer.Reply.NotRun).Dur("age", e.age()).Msg("forward: upstream refused")
 	switch {
 	case answer.Reply.NotRun && answer.Status == http.StatusConflict:
-		e.config.Chooser.Done(to, placement.Served, 0)
+		e.ended(to, placement.Served, 0)
 		return streamNoInputs
 	case answer.Reply.NotRun:
-		e.config.Chooser.Done(to, placement.Full, 0)
+		e.ended(to, placement.Full, 0)
 		return streamNotRun
 	}
-	e.config.Chooser.Done(to, placement.Failed, 0)
+	e.ended(to, placement.Failed, 0)
 	if err != nil || !answer.Reply.Sealed || sent.started || promises[answer.Status] || answer.Status/100 == 2 || e.route.Idempotent() {
 		return streamBroken
 	}
+	e.ran++
 	e.deliver(&reply{
 		answer: answer,
 		body:   body,
@@ -250,10 +275,9 @@
 
 // relay passes events on until the stream is complete. The results of the
 // stages are no longer needed once the upstream has sent an event.
-func (e *exchange) relay(answer *upstreamhttp.Answer, sent *relayed, prepared coordinator.Prepared) error {
+func (e *exchange) relay(answer *upstreamhttp.Answer, sent *relayed, results *inputs) error {
 	events := upstreamhttp.NewEvents(answer)
 	flusher := http.NewResponseController(e.writer)
-	first := true
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -264,10 +288,7 @@
 			return err
 		}
 		e.start(answer, sent)
-		if first && prepared.Release != nil {
-			prepared.Release()
-		}
-		first = false
+		results.release()
 		if event.ID != 0 {
 			if event.ID <= sent.last {
 				continue // the caller has it
@@ -276,6 +297,7 @@
 				return errors.Annotatef(upstreamhttp.ErrLost, "event %d follows %d", event.ID, sent.last)
 			}
 			sent.last = event.ID
+			e.record.last = event.ID
 		}
 		if _, err := e.writer.Write(event.Text); err != nil {
 			return err
@@ -295,16 +317,23 @@
 		return
 	}
 	sent.started = true
+	e.record.status = answer.Status
+	e.record.first = e.age()
+	e.config.Meter.First(e.route.Name, e.record.first)
 	copyHeader(e.writer.Header(), answer.Header)
 	e.writer.Header().Del("Content-Length")
 	e.writer.WriteHeader(answer.Status)
 }
 
 // concludeStream ends a stream that is not complete.
-func (e *exchange) concludeStream(sent *relayed, ran, tried int) {
-	if sent.started {
-		e.log.Info().Int("event", int(sent.last)).Int("tried", tried).Dur("age", e.age()).Str("route", e.route.Name).Msg("forward: stream broken off")
-		panic(http.ErrAbortHandler)
+func (e *exchange) concludeStream(sent *relayed) {
+	if !sent.started {
+		e.conclude(nil)
+		return
+	}
+	e.record.result = meter.Broken
+	if e.request.Context().Err() != nil {
+		e.left()
 	}
-	e.conclude(nil, ran, tried)
+	panic(http.ErrAbortHandler)
 }
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
@@ -20,7 +19,10 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/forward"
 	"github.com/nutmegshift/nutmegshift/internal/relay/grpcrelay"
+	"github.com/nutmegshift/nutmegshift/internal/relay/logging"
+	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
+	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
@@ -46,6 +48,7 @@
 	spreadTime = 800 * time.Millisecond
 	// seedInterval is how often a host that knows nothing asks a seed.
 	seedInterval = 200 * time.Millisecond
+	metricsPath  = "/metrics"
 )
 
 // Platform is what differs between platforms.
@@ -61,7 +64,8 @@
 	settings     *settings.Relay
 	platform     Platform
 	log          zerolog.Logger
-	metrics      *metrics.Set
+	meter        *meter.Meter
+	poison       *poison.Table
 	health       *discovery.Health
 	store        kv.Store
 	routes       *routes.Holder
@@ -79,12 +83,14 @@
 }
 
 // New wires a host.
-func New(s *settings.Relay, platform Platform, log zerolog.Logger) *Host {
+func New(s *settings.Relay, platform Platform, out *logging.Log) *Host {
+	log := out.With().Str("host", string(s.Host)).Logger()
 	h := &Host{
 		settings: s,
 		platform: platform,
 		log:      log,
-		metrics:  metrics.NewSet(),
+		meter:    meter.New(),
+		poison:   poison.NewTable(time.Now),
 		health:   discovery.NewHealth(log, time.Now),
 		routes:   &routes.Holder{},
 		fleet:    fleet.New(),
@@ -99,12 +105,11 @@
 		Wait:     watchWait,
 		Protocol: platform.Store,
 	})
-	opened := h.metrics.NewCounter("upstream_connections_total")
 	h.client = upstreamhttp.New(upstreamhttp.Config{
 		Codec:  platform.Codec,
 		Dial:   upstreamhttp.Dial,
 		Now:    time.Now,
-		Opened: opened.Inc,
+		Opened: h.meter.Connected,
 	})
 	h.coordinators = newCoordinators(h.newCoordinator)
 	sinks := sinks{
@@ -118,7 +123,7 @@
 	h.replica = discovery.NewReplica(sinks, time.Now)
 	leaders := cell.NewLeaders(time.Now)
 	h.leaders = leaders
-	h.peers = newPeers(s, h.replica, leaders, h.observe, grpcrelay.NewServer(h.coordinators.get, h.replica, time.Now), log)
+	h.peers = newPeers(s, h.replica, leaders, h.observe, h.poison, grpcrelay.NewServer(h.coordinators.get, h.replica, time.Now), log)
 	sinks[hostsPrefix] = h.peers
 	h.calls = grpcrelay.NewClient(h.peers.client.Connection, time.Now)
 	h.handler = forward.New(forward.Config{
@@ -134,6 +139,9 @@
 			Window:    s.Window,
 			Hosts:     h.hosts,
 		}),
+		Poison: h.poison,
+		Struck: h.struck,
+		Meter:  h.meter,
 		Stager: cell.New(cell.Config{
 			Self:    s.Host,
 			Domain:  s.Domain,
@@ -151,9 +159,40 @@
 		Now:         time.Now,
 		Log:         log,
 	})
+	h.gauges(out)
 	return h
 }
 
+// gauges shows what the host knows and how old it is.
+func (h *Host) gauges(out *logging.Log) {
+	h.meter.Gauge("relay_hosts", func() float64 { return float64(h.hosts()) })
+	h.meter.Gauge("relay_upstreams", func() float64 { return float64(len(h.fleet.Snapshot().All())) })
+	h.meter.Gauge("relay_replica_age_seconds", func() float64 { return h.replica.Age().Seconds() })
+	h.meter.Gauge("relay_replica_cursor", func() float64 { return float64(h.replica.Cursor()) })
+	h.meter.Gauge("relay_log_lines_dropped", func() float64 { return float64(out.Dropped()) })
+	h.meter.Gauge("relay_table_version", func() float64 {
+		if table := h.routes.Table(); table != nil {
+			return float64(table.Version)
+		}
+		return 0
+	})
+	h.meter.Gauge("relay_ready", func() float64 {
+		if h.ready() {
+			return 1
+		}
+		return 0
+	})
+}
+
+// struck tells the other hosts how many upstreams a request has crashed.
+func (h *Host) struck(fingerprint poison.Fingerprint, strikes int) {
+	h.peers.gossip.Publish(peer.FingerprintStruck{
+		Fingerprint: peer.Fingerprint(fingerprint),
+		Strikes:     strikes,
+		Version:     kv.Version(strikes),
+	})
+}
+
 func (h *Host) newCoordinator(id cell.ID) *coordinator.Coordinator {
 	return coordinator.New(coordinator.Config{
 		Codec:    h.platform.Codec,
@@ -161,6 +200,7 @@
 		Table:    h.routes.Table,
 		Fleet:    h.fleet.Snapshot,
 		Includes: id.Includes,
+		Meter:    h.meter,
 		Now:      time.Now,
 		Log:      h.log.With().Str("cell", string(id)).Logger(),
 	})
@@ -264,6 +304,10 @@
 	if err != nil {
 		return err
 	}
+	numbers, err := listen(ctx, h.settings.Metrics)
+	if err != nil {
+		return err
+	}
 	others, err := listen(ctx, h.settings.Peers)
 	if err != nil {
 		return err
@@ -298,6 +342,9 @@
 	h.add(parts, &group, "readiness", func(ctx context.Context) error {
 		return h.serve(ctx, ready, h.readyHandler())
 	})
+	h.add(parts, &group, "metrics", func(ctx context.Context) error {
+		return h.serve(ctx, numbers, h.metricsHandler())
+	})
 	group.Add(func() error {
 		return h.serveCallers(ctx, callers)
 	}, func(error) {
@@ -353,6 +400,18 @@
 	})
 }
 
+// metricsHandler serves the counts as text.
+func (h *Host) metricsHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != metricsPath {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		h.meter.Write(w)
+	})
+}
+
 func listen(ctx context.Context, address ident.Address) (net.Listener, error) {
 	listener, err := new(net.ListenConfig).Listen(ctx, "tcp4", string(address))
 	return listener, errors.Annotatef(err, "listen on %s", address)
--- a/internal/relay/host/peers.go
+++ b/internal/relay/host/peers.go
@@ -16,6 +16,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/cell"
 	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
 	"github.com/nutmegshift/nutmegshift/internal/relay/grpcrelay"
+	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
 	"github.com/nutmegshift/nutmegshift/internal/settings"
 	"github.com/nutmegshift/nutmegshift/kv"
 	"github.com/nutmegshift/nutmegshift/peer"
@@ -40,14 +41,15 @@
 
 // peers is this host's side of the protocol between hosts.
 type peers struct {
-	self   ident.HostID
-	log    zerolog.Logger
-	table  *peer.Table
-	gossip *peer.Gossip
-	client *grpcpeer.Client
-	runner *grpcpeer.Runner
-	server *grpcpeer.Server
-	listed map[ident.HostID]peer.Row // guarded by the replica that calls the sink
+	self    ident.HostID
+	log     zerolog.Logger
+	strikes *poison.Table
+	table   *peer.Table
+	gossip  *peer.Gossip
+	client  *grpcpeer.Client
+	runner  *grpcpeer.Runner
+	server  *grpcpeer.Server
+	listed  map[ident.HostID]peer.Row // guarded by the replica that calls the sink
 }
 
 var (
@@ -58,14 +60,15 @@
 // newPeers returns the peers of a host. Hosts exchange the cursors of their
 // replicas with their ages, and the leaders that they follow; observe is told
 // those of other hosts.
-func newPeers(s *settings.Relay, replica *discovery.Replica, leaders *cell.Leaders, observe func(message peer.Message), relay *grpcrelay.Server, log zerolog.Logger) *peers {
+func newPeers(s *settings.Relay, replica *discovery.Replica, leaders *cell.Leaders, observe func(message peer.Message), strikes *poison.Table, relay *grpcrelay.Server, log zerolog.Logger) *peers {
 	clock := timeline.NewClock(time.Now)
 	p := &peers{
-		self: s.Host,
-		log:  log,
+		self:    s.Host,
+		log:     log,
+		strikes: strikes,
 		table: peer.NewTable(peer.Row{
 			Host:        s.Host,
-			Address:     s.Peers,
+			Address:     s.Advertise,
 			Domain:      s.Domain,
 			Region:      s.Region,
 			Incarnation: ident.Incarnation(time.Now().UnixMilli()),
@@ -169,7 +172,10 @@
 				p.log.Info().Str("peer", string(r.Row.Host)).Msg("peers: alive")
 			case peer.HostLeaving:
 				p.log.Info().Str("peer", string(r.Host)).Msg("peers: leaving")
-			case peer.UpstreamLeaving, peer.UpstreamCrashed, peer.FingerprintStruck, peer.FingerprintCleared, peer.DocumentRevised, peer.TopOrganisations:
+			case peer.FingerprintStruck:
+				p.strikes.Learn(poison.Fingerprint(r.Fingerprint), r.Strikes)
+				p.log.Info().Hex("fingerprint", r.Fingerprint[:]).Int("strikes", r.Strikes).Msg("poison: request has crashed upstreams elsewhere")
+			case peer.UpstreamLeaving, peer.UpstreamCrashed, peer.FingerprintCleared, peer.DocumentRevised, peer.TopOrganisations:
 				// These belong to the other daemon.
 			}
 		}
--- /dev/null
+++ b/internal/relay/logging/logging_test.go
@@ -0,0 +1,95 @@
+package logging_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/nutmegshift/nutmegshift/internal/relay/logging"
+)
+
+// buffer is a writer that may be read meanwhile.
+type buffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *buffer) lines() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Count(b.text.String(), "\n")
+}
+
+// stuck is a writer whose reader has stopped reading.
+type stuck struct {
+	release chan struct{}
+}
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+// Guards against a log that grows with the load, and errors that are lost in it.
+func TestRate(t *testing.T) {
+	c := qt.New(t)
+	var out buffer
+	log := logging.New(&out, zerolog.InfoLevel, 10)
+	for range 1000 {
+		log.Info().Msg("usual")
+	}
+	for range 5 {
+		log.Error().Msg("error")
+	}
+	log.Debug().Msg("below the level")
+	c.Assert(log.Close(), qt.IsNil)
+	// The second may have ended once in between.
+	c.Check(out.lines() >= 15 && out.lines() <= 25, qt.IsTrue, qt.Commentf("%d lines", out.lines()))
+	c.Check(log.Dropped(), qt.Equals, int64(1005-out.lines()))
+}
+
+// Guards against requests that wait for whoever reads the log.
+func TestNeverBlocks(t *testing.T) {
+	c := qt.New(t)
+	out := stuck{
+		release: make(chan struct{}),
+	}
+	log := logging.New(out, zerolog.InfoLevel, 1_000_000)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 100_000 {
+			log.Info().Msg("line")
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		c.Fatal("logging waits for its reader")
+	}
+	close(out.release)
+	c.Assert(log.Close(), qt.IsNil)
+}
+
+// Guards against a new level that needs a restart.
+func TestSet(t *testing.T) {
+	c := qt.New(t)
+	var out buffer
+	log := logging.New(&out, zerolog.ErrorLevel, 100)
+	log.Info().Msg("below")
+	log.Set(zerolog.DebugLevel, 100)
+	log.Debug().Msg("above")
+	c.Assert(log.Close(), qt.IsNil)
+	c.Check(out.lines(), qt.Equals, 1)
+}
--- a/internal/relay/upstreamhttp/client_test.go
+++ b/internal/relay/upstreamhttp/client_test.go
@@ -241,8 +241,11 @@
 	c.Assert(err, qt.IsNil)
 	address := ident.Address(listener.Addr().String())
 	c.Assert(listener.Close(), qt.IsNil)
-	_, err = newClient(t).Send(t.Context(), request(address))
+	client := newClient(t)
+	_, err = client.Send(t.Context(), request(address))
 	c.Assert(err, qt.ErrorIs, upstreamhttp.ErrNotSent)
+	c.Check(client.Refuses(t.Context(), address), qt.IsTrue)
+	c.Check(client.Refuses(t.Context(), serve(t, hang).address), qt.IsFalse)
 }
 
 // Guards against connections that are used again although their exchange is not
--- a/internal/relay/upstreamhttp/connection.go
+++ b/internal/relay/upstreamhttp/connection.go
@@ -64,6 +64,17 @@
 	return dialer.DialContext(ctx, "tcp4", string(address))
 }
 
+// Refuses reports whether nothing listens at an address; it is false if that is
+// not known before the context ends.
+func (c *Client) Refuses(ctx context.Context, address ident.Address) bool {
+	conn, err := c.config.Dial(ctx, address)
+	if err == nil {
+		_ = conn.Close() // nothing was sent on it
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // quiet reports whether an idle connection is open and has no unread bytes.
 func (c *connection) quiet() bool {
 	if c.reader.Buffered() > 0 {
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -16,6 +16,7 @@
 	Callers   ident.Address
 	Ready     ident.Address
 	Peers     ident.Address
+	Advertise ident.Address   // that other hosts connect to
 	Seeds     []ident.Address // peer ports of other hosts, which may be stale
 	Metrics   ident.Address
 	Processor float64 // share of a core
@@ -75,6 +76,14 @@
 		help:    "address for other hosts",
 		set:     func(s *Relay, v string) error { return address(&s.Peers, v) },
 	},
+	{
+		section:  "host",
+		key:      "advertise",
+		unit:     "ip:port",
+		inherits: "peers",
+		help:     "address that other hosts connect to, if a forwarder is in between",
+		set:      func(s *Relay, v string) error { return address(&s.Advertise, v) },
+	},
 	{
 		section:  "host",
 		key:      "seeds",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -207,9 +208,7 @@
 }
 
 func parse[T any](name string, content []byte, rows []row[T], contradictions func(*T) []string) (*T, error) {
-	file, err := ini.LoadSources(ini.LoadOptions{
-		IgnoreInlineComment: true,
-	}, content)
+	file, err := load(content)
 	if err != nil {
 		return nil, errors.Annotatef(ErrInvalid, "%s: %v", name, err)
 	}
@@ -219,8 +218,9 @@
 		value := r.fallback
 		if section, err := file.GetSection(r.section); err == nil {
 			for _, key := range []string{r.inherits, r.key} {
-				if section.HasKey(key) {
-					value = strings.TrimSpace(section.Key(key).String())
+				// A template leaves the value empty if the platform has none.
+				if text := strings.TrimSpace(section.Key(key).String()); text != "" {
+					value = text
 				}
 			}
 		}
@@ -262,6 +262,53 @@
 	return b.String()
 }
 
+// Differences returns the settings whose text differs between two files that
+// have been parsed without a fault, as "[section] key".
+func Differences(before, after []byte) ([]string, error) {
+	old, err := values(before)
+	if err != nil {
+		return nil, err
+	}
+	changed, err := values(after)
+	if err != nil {
+		return nil, err
+	}
+	var keys []string
+	for key, value := range changed {
+		if old[key] != value {
+			keys = append(keys, key)
+		}
+	}
+	for key := range old {
+		if _, ok := changed[key]; !ok {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys, nil
+}
+
+func values(content []byte) (map[string]string, error) {
+	file, err := load(content)
+	if err != nil {
+		return nil, err
+	}
+	texts := make(map[string]string)
+	for _, section := range file.Sections() {
+		for _, key := range section.Keys() {
+			texts[fmt.Sprintf("[%s] %s", section.Name(), key.Name())] = strings.TrimSpace(key.String())
+		}
+	}
+	return texts, nil
+}
+
+func load(content []byte) (*ini.File, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{
+		IgnoreInlineComment: true,
+	}, content)
+	return file, errors.Trace(err)
+}
+
 func unknown[T any](file *ini.File, rows []row[T]) []string {
 	known := make(map[string]bool, len(rows))
 	for _, r := range rows {
