Make stage results again that upstreams have dropped, name requests in batch failures, and stop later

The scheduler now knows when results lapse, and makes them again before a call or an answer that needs them. The tests fail without that: a call with lapsed inputs, an answer with a lapsed piece.

Requests that were broken off when a host ended at 6.7 s of the 8 s of grace were in progress for 5 to 7 s. The peer port takes 300 ms to close in place of 1 s, and the host uses the time for its callers.

The line at the end of a request tells how old the host's view of the store was, and a failed batch the requests in it.

--- a/internal/relay/batch/job.go
+++ b/internal/relay/batch/job.go
@@ -138,6 +138,11 @@
 	handle wire.Handle
 	worker *worker
 	bytes  int64
+	lapses time.Time // when the upstream drops it; zero if it does not
+}
+
+func (r *result) lapsed(now time.Time) bool {
+	return !r.lapses.IsZero() && now.After(r.lapses)
 }
 
 // task is one stage of a job.
--- a/internal/relay/batch/plan.go
+++ b/internal/relay/batch/plan.go
@@ -39,6 +39,7 @@
 func (s *Scheduler) Next(now time.Time) Actions {
 	var actions Actions
 	s.relieve(now)
+	s.renew(now)
 	for _, p := range s.pools {
 		s.plan(now, p, &actions)
 	}
--- a/internal/relay/batch/scheduler.go
+++ b/internal/relay/batch/scheduler.go
@@ -20,6 +20,9 @@
 	// pressure is the share of an upstream's room from which results are released
 	// as early as possible.
 	pressure = 0.5
+	// lapseMargin is left of the time that upstreams keep results, for those who
+	// read them.
+	lapseMargin = 300 * time.Millisecond
 )
 
 // The failures of an item.
@@ -119,12 +122,12 @@
 	if err := s.admit(now, j); err != nil {
 		return err
 	}
-	s.start(j)
+	s.start(now, j)
 	return nil
 }
 
 // start puts the first stages of a job into their queues.
-func (s *Scheduler) start(j *job) {
+func (s *Scheduler) start(now time.Time, j *job) {
 	s.jobs[j.ID] = j
 	for _, t := range j.tasks {
 		t.results = make([]*result, t.stage.Pieces)
@@ -144,7 +147,7 @@
 		}
 	}
 	if j.left == 0 {
-		s.finish(j)
+		s.finish(now, j)
 	}
 }
 
@@ -186,7 +189,7 @@
 		t.waiting = append(t.waiting, part.piece)
 	}
 	for _, part := range c.parts {
-		s.progress(part.task, failed[part.task])
+		s.progress(now, part.task, failed[part.task])
 		delete(failed, part.task)
 	}
 }
@@ -212,6 +215,9 @@
 		worker: w,
 		bytes:  t.stage.Bytes,
 	}
+	if retain := w.pool.limits.Retain; retain > 0 {
+		r.lapses = now.Add(retain - lapseMargin)
+	}
 	w.held += r.bytes
 	if t.job.ended {
 		s.release(r)
@@ -221,7 +227,7 @@
 }
 
 // progress moves a job on after a call with a part of a task has ended.
-func (s *Scheduler) progress(t *task, failed error) {
+func (s *Scheduler) progress(now time.Time, t *task, failed error) {
 	j := t.job
 	if j.ended || t.finished {
 		return
@@ -233,13 +239,13 @@
 			return
 		}
 		if errors.Is(failed, errNoInput) || t.lacks() {
-			s.restart(j)
+			s.restart(now, j)
 			return
 		}
 	}
 	switch {
 	case len(t.waiting) > 0 && t.lacks():
-		s.restart(j)
+		s.restart(now, j)
 		return
 	case len(t.waiting) > 0:
 		t.enqueue()
@@ -261,7 +267,7 @@
 		}
 	}
 	if j.left == 0 {
-		s.finish(j)
+		s.finish(now, j)
 	}
 }
 
@@ -333,7 +339,7 @@
 }
 
 // restart runs all stages of a job again, since results of it are lost.
-func (s *Scheduler) restart(old *job) {
+func (s *Scheduler) restart(now time.Time, old *job) {
 	s.end(old)
 	again := &job{
 		Job: old.Job,
@@ -347,11 +353,36 @@
 			tries: t.tries,
 		})
 	}
-	s.start(again)
+	s.start(now, again)
+}
+
+// renew starts the jobs again that wait with results that have lapsed.
+func (s *Scheduler) renew(now time.Time) {
+	for _, j := range s.jobs {
+		for _, t := range j.tasks {
+			if t.queued && t.lapsed(now) {
+				s.restart(now, j)
+				break
+			}
+		}
+	}
+}
+
+// lapsed reports whether the upstreams have dropped inputs of the task.
+func (t *task) lapsed(now time.Time) bool {
+	for _, before := range t.stage.After {
+		for _, r := range t.job.tasks[before].results {
+			if r != nil && r.lapsed(now) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
-// finish reports a job whose stages are done; it keeps the results.
-func (s *Scheduler) finish(j *job) {
+// finish reports a job whose stages are done; it keeps the results. If some of
+// them have lapsed meanwhile, the job starts again.
+func (s *Scheduler) finish(now time.Time, j *job) {
 	done := Done{
 		Job: j.ID,
 	}
@@ -364,6 +395,10 @@
 			if r == nil {
 				continue
 			}
+			if r.lapsed(now) {
+				s.restart(now, j)
+				return
+			}
 			done.Inputs = append(done.Inputs, r.handle)
 			domain := r.worker.upstream.Domain
 			bytes[domain] += r.bytes
--- a/internal/relay/batch/scheduler_test.go
+++ b/internal/relay/batch/scheduler_test.go
@@ -481,3 +481,60 @@
 		}
 	})
 }
+
+// Guards against calls and requests with results that their upstreams have
+// dropped since, which are refused after the way there and back.
+func TestLapsedResults(t *testing.T) {
+	two := func() batch.Job {
+		j := job("a", 1, 20*time.Second)
+		j.Stages = append(j.Stages, batch.Stage{
+			Service: "b",
+			Kind:    "l",
+			After:   []int{0},
+			Pieces:  2,
+			Bytes:   10,
+		})
+		return j
+	}
+	t.Run("inputs", func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(map[ident.ServiceName]int{"a": 1, "b": 1}, 1e6)
+		_, err := w.submit(two())
+		c.Assert(err, qt.IsNil)
+		w.act()
+		w.now = w.now.Add(ms(220))
+		w.complete(0)
+		w.act()
+		lost := w.take(0)
+		w.now = w.now.Add(5 * time.Second)
+		w.Finish(w.now, lost.ID, batch.Lost{})
+		w.act()
+		c.Assert(w.calls, qt.HasLen, 1)
+		c.Check(w.calls[0].Items[0].Stage, qt.Equals, 0, qt.Commentf("the input is made again"))
+		c.Check(w.held, qt.HasLen, 0)
+	})
+	t.Run("answer", func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(map[ident.ServiceName]int{"a": 1}, 1e6)
+		_, err := w.submit(job("a", 2, 20*time.Second))
+		c.Assert(err, qt.IsNil)
+		w.act()
+		w.now = w.now.Add(ms(240))
+		first := true
+		w.finish(0, func(wire.Item) wire.ItemStatus {
+			if first {
+				first = false
+				return wire.ItemDone
+			}
+			return wire.ItemNoRoom
+		})
+		w.now = w.now.Add(5 * time.Second)
+		w.act()
+		w.now = w.now.Add(ms(240))
+		w.complete(0)
+		w.act()
+		c.Check(w.done, qt.HasLen, 0, qt.Commentf("the first piece is gone"))
+		c.Assert(w.calls, qt.HasLen, 1)
+		c.Check(w.calls[0].Items, qt.HasLen, 2)
+	})
+}
--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,7 @@
 	releaseTimeout = time.Second
 	commandQueue   = 256
 	answerBytes    = 1 << 20 // longest answer of a batch
+	maxLogged      = 16      // requests that a log line names
 )
 
 // ErrStopped means that the coordinator does not run.
@@ -254,7 +256,7 @@
 	}
 	answer, err := c.send(ctx, call.Upstream, message)
 	if err != nil {
-		c.config.Log.Info().Err(err).Str("upstream", string(call.Upstream.ID)).Int("items", len(call.Items)).Msg("stage: batch failed")
+		c.note(call).Err(err).Msg("stage: batch failed")
 		if errors.Is(err, upstreamhttp.ErrBusy) {
 			return batch.Refused{}, meter.Refused
 		}
@@ -263,7 +265,7 @@
 	defer answer.Close()
 	body, err := answer.All(answerBytes)
 	if answer.Reply.NotRun {
-		c.config.Log.Info().Str("upstream", string(call.Upstream.ID)).Int("status", answer.Status).Int("items", len(call.Items)).Msg("stage: upstream refused")
+		c.note(call).Int("status", answer.Status).Msg("stage: upstream refused")
 		return batch.Refused{}, meter.Refused
 	}
 	var results []wire.ItemResult
@@ -271,7 +273,7 @@
 		results, err = c.config.Codec.Results(body)
 	}
 	if err != nil || answer.Status/100 != 2 || len(results) != len(call.Items) {
-		c.config.Log.Info().Err(err).Str("upstream", string(call.Upstream.ID)).Int("status", answer.Status).Int("items", len(call.Items)).Msg("stage: batch failed")
+		c.note(call).Err(err).Int("status", answer.Status).Msg("stage: batch failed")
 		return batch.Lost{}, meter.Failed
 	}
 	return batch.Completed{
@@ -279,6 +281,21 @@
 	}, meter.Served
 }
 
+// note begins a log line about a call, with the requests that it concerns.
+func (c *Coordinator) note(call batch.Call) *zerolog.Event {
+	var requests []string
+	for _, item := range call.Items {
+		if id := string(item.Request); !slices.Contains(requests, id) && len(requests) < maxLogged {
+			requests = append(requests, id)
+		}
+	}
+	return c.config.Log.Info().
+		Str("upstream", string(call.Upstream.ID)).
+		Int("items", len(call.Items)).
+		Dur("expected", call.Expected).
+		Strs("requests", requests)
+}
+
 // release drops results at the upstream that holds them.
 func (c *Coordinator) release(ctx context.Context, release batch.Release) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -21,6 +21,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
+	"github.com/nutmegshift/nutmegshift/kv"
 )
 
 const (
@@ -53,6 +54,7 @@
 	Domain      ident.FailureDomain
 	Connections func(service *routes.Service) int // this host's share of the connections to one upstream
 	Stopping    func() bool
+	Replica     func() (kv.Cursor, time.Duration) // what is known of the store, and how old that is
 	Now         func() time.Time
 	Log         zerolog.Logger
 }
--- a/internal/relay/forward/handler_test.go
+++ b/internal/relay/forward/handler_test.go
@@ -30,6 +30,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
+	"github.com/nutmegshift/nutmegshift/kv"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -282,6 +283,7 @@
 		Domain:      "here",
 		Connections: func(*routes.Service) int { return 0 },
 		Stopping:    func() bool { return false },
+		Replica:     func() (kv.Cursor, time.Duration) { return 1, 0 },
 		Now:         time.Now,
 		Log:         zerolog.Nop(),
 	})
--- a/internal/relay/forward/record.go
+++ b/internal/relay/forward/record.go
@@ -42,9 +42,13 @@
 	e.answer(status, reason)
 }
 
-// left notes that the caller has left, so that nobody waits for an answer.
+// left notes that the caller's connection has ended, so that nobody waits for an
+// answer.
 func (e *exchange) left() {
 	e.record.result = meter.Left
+	if e.config.Stopping() {
+		e.record.reason = "connection has ended while the host stops"
+	}
 }
 
 func (e *exchange) answer(status int, reason string) {
@@ -84,12 +88,15 @@
 		route = e.route.Name
 	}
 	took := e.age()
+	cursor, age := e.config.Replica()
 	e.config.Meter.Request(route, e.record.result, took)
 	line := e.log.Info().
 		Str("result", string(e.record.result)).
 		Int("status", e.record.status).
 		Str("route", route).
 		Uint64("table", version).
+		Uint64("replica", uint64(cursor)).
+		Dur("age", age).
 		Dur("took", took)
 	if e.record.reason != "" {
 		line = line.Str("reason", e.record.reason)
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -156,8 +156,11 @@
 		Domain:      s.Domain,
 		Connections: h.connections,
 		Stopping:    h.isStopping,
-		Now:         time.Now,
-		Log:         log,
+		Replica: func() (kv.Cursor, time.Duration) {
+			return h.replica.Cursor(), h.replica.Age()
+		},
+		Now: time.Now,
+		Log: log,
 	})
 	h.gauges(out)
 	return h
--- a/internal/relay/host/serve.go
+++ b/internal/relay/host/serve.go
@@ -21,8 +21,8 @@
 	// load balancer asks once a second and turns away after two misses.
 	turnTime = 2500 * time.Millisecond
 	// closeMargin is left of the grace period for the end of the process, of
-	// which the peer port takes up to a second.
-	closeMargin = 1300 * time.Millisecond
+	// which the peer port takes up to 300 ms.
+	closeMargin = 600 * time.Millisecond
 )
 
 // newServer returns a server that logs what its connections and handlers fail with.
--- a/peer/grpcpeer/server.go
+++ b/peer/grpcpeer/server.go
@@ -20,7 +20,7 @@
 const (
 	callTimeout = 5 * time.Second // for callers that set a later deadline or none
 	replyBytes  = 1 << 20         // of document texts in one reply
-	stopTimeout = time.Second
+	stopTimeout = 300 * time.Millisecond
 	maxStrike   = 16 << 10 // bytes
 )
 
@@ -58,7 +58,7 @@
 }
 
 // Serve serves a listener until the context ends, then lets calls complete for
-// up to a second. It closes the listener.
+// a fraction of a second. It closes the listener.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	server := grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessage),
