Send a request on with the same stage results if its stream broke before the first event

The incident on the roues site shows a request whose engine reset its connection: all its stages ran again before the second engine got it, 1.1 s later. Their results are released only with the first event, so they are still there; if not, the engine refuses the request and the stages run again.

--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -85,8 +85,8 @@
 		case streamNoInputs:
 			results.release()
 		case streamBroken:
+			// The results are still there unless an event has come.
 			e.ran++
-			results.release()
 			if !e.again() {
 				e.concludeStream(sent)
 				return
