Send a request again on a new connection if its upstream had closed the idle one

Cause: the upstream of the test closes its connection without saying so. The client takes the connection back before the end has arrived, and the second call is lost on it.

The same happens to callers whenever an upstream forgets an idle connection. A request that may run again is now sent on a new connection to the same upstream, within the budget of repeats, so it uses up none of its attempts. If that cannot connect, the request counts as lost with the first connection, as its upstream may have crashed with it; a test guards that too.

--- a/internal/relay/forward/handler_test.go
+++ b/internal/relay/forward/handler_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -120,10 +121,11 @@
 // act is what an upstream does with a request: it writes an answer, and the
 // connection is reset at the end if reset is set.
 type act struct {
-	text  string
-	wait  time.Duration // before the text
-	reset bool
-	hang  bool // the connection stays open without an end of the answer
+	text   string
+	wait   time.Duration // before the text
+	reset  bool
+	hang   bool // the connection stays open without an end of the answer
+	forget bool // the connection is reset when something else is sent on it
 }
 
 // upstreams are those of one service; they act in turn as requests arrive.
@@ -131,8 +133,13 @@
 	mu   sync.Mutex
 	acts []act
 	seen []string // requests as an upstream gets them
+
+	listener net.Listener
 }
 
+// close lets nobody connect any more.
+func (u *upstreams) close() { _ = u.listener.Close() }
+
 func (u *upstreams) next(r *http.Request, body string) (act, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -152,6 +159,7 @@
 func (u *upstreams) serve(t *testing.T) ident.Address {
 	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
+	u.listener = listener
 	var running sync.WaitGroup
 	running.Go(func() {
 		for {
@@ -190,6 +198,10 @@
 	if a.hang {
 		_, _ = conn.Read(make([]byte, 1)) // until the other side closes
 	}
+	if a.forget {
+		_, _ = conn.Read(make([]byte, 1))
+		_ = conn.SetLinger(0)
+	}
 	if a.reset {
 		time.Sleep(20 * time.Millisecond) // the bytes before it arrive
 		_ = conn.SetLinger(0)
@@ -232,6 +244,7 @@
 	stager    *stager
 	server    *httptest.Server
 	holder    *routes.Holder
+	strikes   atomic.Int64
 }
 
 func start(t *testing.T, acts ...act) *fixture {
@@ -271,7 +284,7 @@
 		Chooser:    placement.New(time.Now),
 		Popularity: placement.NewPopularity(),
 		Poison:     poison.NewTable(time.Now),
-		Struck:     func(poison.Fingerprint, int) {},
+		Struck:     func(poison.Fingerprint, int) { f.strikes.Add(1) },
 		Meter:      meter.New(),
 		Budget: budget.New(budget.Config{
 			Share:     0.2,
@@ -430,6 +443,54 @@
 	}
 }
 
+// Guards against requests that fail because an upstream has forgotten an idle
+// connection, against sending them to more upstreams for it, and against
+// repeating those that may not run twice.
+func TestForgottenConnection(t *testing.T) {
+	keep := func(text string) act {
+		return act{
+			text:   strings.ReplaceAll(text, "Connection: close\r\n", ""),
+			forget: true,
+		}
+	}
+	whole := stream + events(1) + endOfChunks
+	tests := map[string]struct {
+		path  string
+		acts  []act
+		want  int
+		runs  int
+	}{
+		"safe":            {path: "/safe/x", acts: []act{keep(ok("a").text), ok("b")}, want: 200, runs: 2},
+		"safe, then lost": {path: "/safe/x", acts: []act{keep(ok("a").text), {reset: true}, ok("b")}, want: 200, runs: 3},
+		"resumable":       {path: "/resumable/x", acts: []act{keep(whole), {text: whole}}, want: 200, runs: 2},
+		"unsafe":          {path: "/unsafe/x", acts: []act{keep(ok("a").text), ok("b")}, want: 502, runs: 1},
+		"stream":          {path: "/stream/x", acts: []act{keep(whole), {text: whole}}, want: 502, runs: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := start(t, test.acts...)
+			c.Assert(f.ask(c, test.path, nil).status, qt.Equals, 200)
+			c.Check(f.ask(c, test.path, nil).status, qt.Equals, test.want)
+			c.Check(f.upstreams.requests(), qt.HasLen, test.runs)
+		})
+	}
+}
+
+// Guards against a request that counts as not run because its upstream, which
+// crashed with it, accepts no new connection.
+func TestCrashOnIdleConnection(t *testing.T) {
+	c := qt.New(t)
+	f := start(t, act{
+		text:   strings.ReplaceAll(ok("a").text, "Connection: close\r\n", ""),
+		forget: true,
+	})
+	c.Assert(f.ask(c, "/safe/x", nil).status, qt.Equals, 200)
+	f.upstreams.close()
+	c.Check(f.ask(c, "/safe/x", nil).status, qt.Equals, 502)
+	c.Check(f.strikes.Load() > 0, qt.IsTrue)
+}
+
 // Guards against requests that are rejected although they are allowed, and
 // forwarded although they are not.
 func TestRejections(t *testing.T) {
--- a/internal/relay/forward/send.go
+++ b/internal/relay/forward/send.go
@@ -73,21 +73,41 @@
 	}
 	if len(e.tried) == 0 {
 		e.config.Budget.Request(e.arrived, e.service.Name)
-	} else {
-		allowed := e.config.Budget.Repeat(e.config.Now(), e.service.Name)
-		e.config.Meter.Repeat(e.service.Name, allowed)
-		if !allowed {
-			e.config.Chooser.Done(to, placement.Left, 0)
-			e.log.Info().Str("service", string(e.service.Name)).Msg("forward: no repeat, the budget is used up")
-			return fleet.Upstream{}, false
-		}
+	} else if !e.repeat() {
+		e.config.Chooser.Done(to, placement.Left, 0)
+		return fleet.Upstream{}, false
 	}
 	e.tried = append(e.tried, to.ID)
 	return to, true
 }
 
-// send sends the request to an upstream.
+// repeat counts one more call for the request if the budget allows it.
+func (e *exchange) repeat() bool {
+	allowed := e.config.Budget.Repeat(e.config.Now(), e.service.Name)
+	e.config.Meter.Repeat(e.service.Name, allowed)
+	if !allowed {
+		e.log.Info().Str("service", string(e.service.Name)).Msg("forward: no repeat, the budget is used up")
+	}
+	return allowed
+}
+
+// send sends the request to an upstream. If the upstream has forgotten the
+// connection, a request that may run again is sent to it on a new one.
 func (e *exchange) send(ctx context.Context, to fleet.Upstream, dispatch wire.Dispatch) (*upstreamhttp.Answer, error) {
+	answer, err := e.call(ctx, to, dispatch, false)
+	if !errors.Is(err, upstreamhttp.ErrStale) || !e.route.Idempotent() || !e.repeat() {
+		return answer, err
+	}
+	e.log.Info().Err(err).Str("upstream", string(to.ID)).Msg("forward: idle connection had ended, sent on a new one")
+	answer, again := e.call(ctx, to, dispatch, true)
+	if again != nil && !errors.Is(again, upstreamhttp.ErrLost) {
+		return nil, err // the first one may have run
+	}
+	return answer, again
+}
+
+// call sends the request to an upstream once, on a new connection if connect is set.
+func (e *exchange) call(ctx context.Context, to fleet.Upstream, dispatch wire.Dispatch, connect bool) (*upstreamhttp.Answer, error) {
 	dispatch.Upstream = to.ID
 	dispatch.Organisation = e.organisationID()
 	dispatch.Patience = max(time.Millisecond, e.deadline.Sub(e.config.Now()))
@@ -99,6 +119,7 @@
 		Address:     to.Address,
 		Connections: e.config.Connections(e.service),
 		Idle:        idle,
+		Connect:     connect,
 		Request:     e.head.Request,
 		Method:      e.request.Method,
 		Target:      e.target,
--- a/internal/relay/upstreamhttp/client.go
+++ b/internal/relay/upstreamhttp/client.go
@@ -25,6 +25,9 @@
 	ErrNotSent = errors.ConstError("request was not sent")
 	// ErrLost means that no complete answer arrived; the request may have run.
 	ErrLost = errors.ConstError("no complete answer")
+	// ErrStale is an ErrLost of a connection that had been idle and ended before
+	// the first byte of an answer: its upstream had probably closed it before.
+	ErrStale = errors.ConstError("idle connection has ended")
 )
 
 // maxForeign is how many answers to other requests are skipped on a connection
@@ -48,6 +51,7 @@
 	Address     ident.Address
 	Connections int           // most open connections to the address; 0 is no limit
 	Idle        time.Duration // an idle connection must have been used within it; 0 is no limit
+	Connect     bool          // opens a new connection
 	Request     ident.RequestID
 	Method      string
 	Target      string // path and query
@@ -92,7 +96,8 @@
 }
 
 // Send sends a request and returns the head of the answer. The end of the
-// context breaks off the exchange. Errors are ErrBusy, ErrNotSent and ErrLost.
+// context breaks off the exchange. Errors are ErrBusy, ErrNotSent, ErrLost and
+// ErrStale.
 func (c *Client) Send(ctx context.Context, request Request) (*Answer, error) {
 	conn, err := c.take(ctx, request)
 	if err != nil {
@@ -118,11 +123,16 @@
 		return nil, errors.Annotatef(ErrNotSent, "build request: %v", err)
 	}
 	written := transmit(ctx, conn, outgoing, len(request.Body))
+	stale := conn.used && !conn.answers() && ctx.Err() == nil
 	response, reply, err := c.read(conn, outgoing, request.Request) //nolint:bodyclose // the Answer closes it
 	if err != nil {
 		c.discard(conn) // ends the writer
 		<-written.ended
-		return nil, errors.Annotatef(ErrLost, "%s: %v", conn.address, err)
+		err = errors.Annotatef(ErrLost, "%s: %v", conn.address, err)
+		if stale {
+			err = errors.WithType(err, ErrStale)
+		}
+		return nil, err
 	}
 	conn.keep(response.Header)
 	return &Answer{
--- a/internal/relay/upstreamhttp/connection.go
+++ b/internal/relay/upstreamhttp/connection.go
@@ -38,6 +38,7 @@
 	reader  *bufio.Reader
 	idle    time.Duration // how long the upstream keeps it idle
 	since   time.Time     // of the last use
+	used    bool          // for an exchange before
 }
 
 // Dial opens a connection whose silence ends it.
@@ -98,6 +99,12 @@
 	return err == nil && quiet
 }
 
+// answers waits for the first byte of an answer and reports whether it came.
+func (c *connection) answers() bool {
+	_, err := c.reader.Peek(1)
+	return err == nil
+}
+
 // fresh reports whether an idle connection may still be used.
 func (c *connection) fresh(now time.Time, longest time.Duration) bool {
 	idle := now.Sub(c.since)
@@ -120,7 +127,7 @@
 
 // take returns a connection to the address within the limit of open ones.
 func (c *Client) take(ctx context.Context, request Request) (*connection, error) {
-	for {
+	for !request.Connect {
 		conn := c.pop(request.Address, request.Idle)
 		if conn == nil {
 			break
@@ -205,6 +212,7 @@
 // put keeps a connection whose exchange is complete.
 func (c *Client) put(conn *connection) {
 	conn.since = c.config.Now()
+	conn.used = true
 	if err := conn.SetDeadline(time.Time{}); err != nil {
 		c.discard(conn)
 		return
