Name settings that stand more than once in a section

The reader took the last one without a word. Found by reading; the tests failed before: a key twice, twice with one value, and in a section that is split.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -212,7 +212,7 @@
 	if err != nil {
 		return nil, errors.Annotatef(ErrInvalid, "%s: %v", name, err)
 	}
-	faults := unknown(file, rows)
+	faults := append(unknown(file, rows), repeated(file)...)
 	parsed := new(T)
 	for _, r := range rows {
 		value := r.fallback
@@ -304,11 +304,26 @@
 
 func load(content []byte) (*ini.File, error) {
 	file, err := ini.LoadSources(ini.LoadOptions{
-		IgnoreInlineComment: true,
+		IgnoreInlineComment:        true,
+		AllowShadows:               true,
+		AllowDuplicateShadowValues: true,
 	}, content)
 	return file, errors.Trace(err)
 }
 
+// repeated names the keys that stand more than once in a section.
+func repeated(file *ini.File) []string {
+	var faults []string
+	for _, section := range file.Sections() {
+		for _, key := range section.Keys() {
+			if times := len(key.ValueWithShadows()); times > 1 {
+				faults = append(faults, fmt.Sprintf("[%s] %s: given %d times", section.Name(), key.Name(), times))
+			}
+		}
+	}
+	return faults
+}
+
 func unknown[T any](file *ini.File, rows []row[T]) []string {
 	known := make(map[string]bool, len(rows))
 	for _, r := range rows {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -57,6 +57,18 @@
 			text: valid + "[logs]\nlevel = info\n",
 			want: []string{"[logs]: unknown section"},
 		},
+		"key that stands twice": {
+			text: valid + "hosts = 127.0.0.10:7001\n",
+			want: []string{"a.ini", "[platform] hosts: given 2 times"},
+		},
+		"key that stands twice with one value": {
+			text: valid + "hosts = 127.0.0.10:7000\n",
+			want: []string{"[platform] hosts: given 2 times"},
+		},
+		"key that stands twice in a section that is split": {
+			text: valid + "[entry]\nhost = entry-1\n",
+			want: []string{"[entry] host: given 2 times"},
+		},
 		"wrong unit": {
 			text: valid + "[stop]\nlongest = 30\n",
 			want: []string{"[stop] longest", "with a unit"},
