Allow each host two connections to an upstream, and log the longest pause of a stream

A host may now open two, and keeps idle ones only within its share, none if that is less than one.

Streams log their longest pause.

--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -41,23 +41,23 @@
 
 // Config holds the dependencies of a Handler.
 type Config struct {
-	Codec       wire.Codec
-	Routes      *routes.Holder
-	Fleet       *fleet.Directory
-	Client      *upstreamhttp.Client
-	Chooser     *placement.Chooser
-	Popularity  *placement.Popularity
-	Budget      *budget.Budget
-	Poison      *poison.Table
-	Struck      func(fingerprint poison.Fingerprint, strikes int) // tells other hosts
-	Stager      Stager
-	Meter       *meter.Meter
-	Domain      ident.FailureDomain
-	Connections func(service *routes.Service) int // this host's share of the connections to one upstream
-	Stopping    func() bool
-	Replica     func() (kv.Cursor, time.Duration) // what is known of the store, and how old that is
-	Now         func() time.Time
-	Log         zerolog.Logger
+	Codec      wire.Codec
+	Routes     *routes.Holder
+	Fleet      *fleet.Directory
+	Client     *upstreamhttp.Client
+	Chooser    *placement.Chooser
+	Popularity *placement.Popularity
+	Budget     *budget.Budget
+	Poison     *poison.Table
+	Struck     func(fingerprint poison.Fingerprint, strikes int) // tells other hosts
+	Stager     Stager
+	Meter      *meter.Meter
+	Domain     ident.FailureDomain
+	Hosts      func() int // live hosts
+	Stopping   func() bool
+	Replica    func() (kv.Cursor, time.Duration) // what is known of the store, and how old that is
+	Now        func() time.Time
+	Log        zerolog.Logger
 }
 
 // Handler serves the port for callers.
--- a/internal/relay/forward/handler_test.go
+++ b/internal/relay/forward/handler_test.go
@@ -292,13 +292,13 @@
 			Window:    10 * time.Second,
 			Hosts:     func() int { return 1 },
 		}),
-		Stager:      f.stager,
-		Domain:      "here",
-		Connections: func(*routes.Service) int { return 0 },
-		Stopping:    func() bool { return false },
-		Replica:     func() (kv.Cursor, time.Duration) { return 1, 0 },
-		Now:         time.Now,
-		Log:         zerolog.Nop(),
+		Stager:   f.stager,
+		Domain:   "here",
+		Hosts:    func() int { return 1 },
+		Stopping: func() bool { return false },
+		Replica:  func() (kv.Cursor, time.Duration) { return 1, 0 },
+		Now:      time.Now,
+		Log:      zerolog.Nop(),
 	})
 	f.server = httptest.NewServer(handler)
 	f.server.Client().CheckRedirect = func(*http.Request, []*http.Request) error {
--- a/internal/relay/forward/record.go
+++ b/internal/relay/forward/record.go
@@ -20,6 +20,7 @@
 	coordinator ident.HostID  // that ran the stages
 	first       time.Duration // time until the first event
 	last        wire.EventID  // that the caller got
+	pause       time.Duration // longest time between two events
 }
 
 // reject answers a request that is not valid or not allowed.
@@ -114,7 +115,7 @@
 		line = line.Str("coordinator", string(e.record.coordinator)).Dur("stages", e.record.stages)
 	}
 	if e.record.first > 0 {
-		line = line.Dur("first", e.record.first).Int("last", int(e.record.last))
+		line = line.Dur("first", e.record.first).Int("last", int(e.record.last)).Dur("pause", e.record.pause)
 	}
 	line.Msg("forward: request ended")
 }
--- a/internal/relay/forward/send.go
+++ b/internal/relay/forward/send.go
@@ -116,16 +116,16 @@
 		idle = freshIdle
 	}
 	return e.config.Client.Send(ctx, upstreamhttp.Request{
-		Address:     to.Address,
-		Connections: e.config.Connections(e.service),
-		Idle:        idle,
-		Connect:     connect,
-		Request:     e.head.Request,
-		Method:      e.request.Method,
-		Target:      e.target,
-		Host:        e.request.Host,
-		Header:      e.config.Codec.Forward(e.request.Header, dispatch),
-		Body:        e.body,
+		Address: to.Address,
+		Limit:   upstreamhttp.Share(e.service.Connections, e.config.Hosts()),
+		Idle:    idle,
+		Connect: connect,
+		Request: e.head.Request,
+		Method:  e.request.Method,
+		Target:  e.target,
+		Host:    e.request.Host,
+		Header:  e.config.Codec.Forward(e.request.Header, dispatch),
+		Body:    e.body,
 	})
 }
 
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -41,6 +41,7 @@
 type relayed struct {
 	started bool
 	last    wire.EventID
+	at      time.Time // of the latest event
 }
 
 // inputs are the results of the stages of a request.
@@ -299,6 +300,7 @@
 			sent.last = event.ID
 			e.record.last = event.ID
 		}
+		e.paused(sent)
 		if _, err := e.writer.Write(event.Text); err != nil {
 			return err
 		}
@@ -311,6 +313,15 @@
 	}
 }
 
+// paused notes the time since the event before.
+func (e *exchange) paused(sent *relayed) {
+	now := e.config.Now()
+	if !sent.at.IsZero() {
+		e.record.pause = max(e.record.pause, now.Sub(sent.at))
+	}
+	sent.at = now
+}
+
 // start sends the head of the first answer whose events reach the caller.
 func (e *exchange) start(answer *upstreamhttp.Answer, sent *relayed) {
 	if sent.started {
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -153,9 +153,9 @@
 			Remote:  h.calls,
 			Log:     log,
 		}),
-		Domain:      s.Domain,
-		Connections: h.connections,
-		Stopping:    h.isStopping,
+		Domain:   s.Domain,
+		Hosts:    h.hosts,
+		Stopping: h.isStopping,
 		Replica: func() (kv.Cursor, time.Duration) {
 			return h.replica.Cursor(), h.replica.Age()
 		},
@@ -275,14 +275,6 @@
 	return max(1, len(h.peers.table.Snapshot().Live()))
 }
 
-// connections returns this host's share of the connections to one upstream.
-func (h *Host) connections(service *routes.Service) int {
-	if service.Connections <= 0 {
-		return 0
-	}
-	return max(1, service.Connections/h.hosts())
-}
-
 func (h *Host) isStopping() bool {
 	select {
 	case <-h.stopping:
--- a/internal/relay/upstreamhttp/client.go
+++ b/internal/relay/upstreamhttp/client.go
@@ -48,16 +48,16 @@
 
 // Request is one request to an upstream. Its target, header and body are sent as they are.
 type Request struct {
-	Address     ident.Address
-	Connections int           // most open connections to the address; 0 is no limit
-	Idle        time.Duration // an idle connection must have been used within it; 0 is no limit
-	Connect     bool          // opens a new connection
-	Request     ident.RequestID
-	Method      string
-	Target      string // path and query
-	Host        string
-	Header      http.Header
-	Body        []byte
+	Address ident.Address
+	Limit   Limit
+	Idle    time.Duration // an idle connection must have been used within it; 0 is no limit
+	Connect bool          // opens a new connection
+	Request ident.RequestID
+	Method  string
+	Target  string // path and query
+	Host    string
+	Header  http.Header
+	Body    []byte
 }
 
 // Client sends requests to upstreams; it is safe for concurrent use.
--- a/internal/relay/upstreamhttp/client_test.go
+++ b/internal/relay/upstreamhttp/client_test.go
@@ -302,7 +302,10 @@
 	s := serve(t, reply("ok"))
 	client := newClient(t)
 	r := request(s.address)
-	r.Connections = 2
+	r.Limit = upstreamhttp.Limit{
+		Open: 2,
+		Idle: 2,
+	}
 	var open []*upstreamhttp.Answer
 	for range 2 {
 		answer, err := client.Send(t.Context(), r)
@@ -325,6 +328,54 @@
 	c.Check(s.connections.Load(), qt.Equals, int64(3))
 }
 
+// Guards against hosts that together exceed what an upstream accepts, and
+// against hosts with a small share that refuse a second request at once.
+func TestShare(t *testing.T) {
+	tests := map[string]struct {
+		connections int
+		hosts       int
+		want        upstreamhttp.Limit
+	}{
+		"few hosts":              {connections: 52, hosts: 9, want: upstreamhttp.Limit{Open: 5, Idle: 5}},
+		"one each":               {connections: 110, hosts: 74, want: upstreamhttp.Limit{Open: 2, Idle: 1}},
+		"more hosts than places": {connections: 110, hosts: 300, want: upstreamhttp.Limit{Open: 2}},
+		"no limit":               {hosts: 9},
+		"alone":                  {connections: 52, want: upstreamhttp.Limit{Open: 52, Idle: 52}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Check(t, upstreamhttp.Share(test.connections, test.hosts), qt.Equals, test.want)
+		})
+	}
+}
+
+// Guards against idle connections beyond the share, which count at the upstream
+// as much as those in use.
+func TestIdleLimit(t *testing.T) {
+	c := qt.New(t)
+	s := serve(t, reply("ok"))
+	client := newClient(t)
+	r := request(s.address)
+	r.Limit = upstreamhttp.Limit{
+		Open: 2,
+		Idle: 1,
+	}
+	for range 2 {
+		var open []*upstreamhttp.Answer
+		for range 2 {
+			answer, err := client.Send(t.Context(), r)
+			c.Assert(err, qt.IsNil)
+			open = append(open, answer)
+		}
+		for _, answer := range open {
+			_, err := answer.All(1 << 10)
+			c.Assert(err, qt.IsNil)
+			answer.Close()
+		}
+	}
+	c.Check(s.connections.Load(), qt.Equals, int64(3))
+}
+
 // Guards against a request that goes on at its upstream after its caller has left.
 func TestCancel(t *testing.T) {
 	c := qt.New(t)
--- a/internal/relay/upstreamhttp/connection.go
+++ b/internal/relay/upstreamhttp/connection.go
@@ -39,6 +39,7 @@
 	idle    time.Duration // how long the upstream keeps it idle
 	since   time.Time     // of the last use
 	used    bool          // for an exchange before
+	limit   Limit         // of the latest exchange
 }
 
 // Dial opens a connection whose silence ends it.
@@ -133,11 +134,12 @@
 			break
 		}
 		if conn.quiet() {
+			conn.limit = request.Limit
 			return conn, nil
 		}
 		c.discard(conn)
 	}
-	if !c.reserve(request.Address, request.Connections) {
+	if !c.reserve(request.Address, request.Limit) {
 		return nil, errors.Annotatef(ErrBusy, "all connections to %s are in use", request.Address)
 	}
 	raw, err := c.config.Dial(ctx, request.Address)
@@ -151,6 +153,7 @@
 		address: request.Address,
 		reader:  bufio.NewReaderSize(raw, bufferBytes),
 		idle:    defaultIdle,
+		limit:   request.Limit,
 	}, nil
 }
 
@@ -172,10 +175,10 @@
 
 // reserve counts a new connection if the limit allows it; an idle connection
 // that is too old for the request gives way.
-func (c *Client) reserve(address ident.Address, limit int) bool {
+func (c *Client) reserve(address ident.Address, limit Limit) bool {
 	c.mu.Lock()
 	var oldest *connection
-	if limit > 0 && c.open[address] >= limit {
+	if limit.full(c.open[address]) {
 		list := c.idle[address]
 		if len(list) == 0 {
 			c.mu.Unlock()
@@ -218,12 +221,13 @@
 		return
 	}
 	c.mu.Lock()
-	if c.closed {
+	list := c.idle[conn.address]
+	if c.closed || conn.limit.spare(len(list)+1) {
 		c.mu.Unlock()
 		c.discard(conn)
 		return
 	}
-	c.idle[conn.address] = append(c.idle[conn.address], conn)
+	c.idle[conn.address] = append(list, conn)
 	c.mu.Unlock()
 }
 
