Fetch what upstreams have read of a prompt when its requests move to another one

An upstream can fetch what another one has read, at a fourteenth of the price of reading it. Requests now name the upstream that was preferred for their largest part before, while it drains or the new one is young.

--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -137,6 +137,22 @@
 	return e.shared
 }
 
+// cache returns the upstream from which the one that runs the request should
+// fetch what it has read of the prompt.
+func (e *exchange) cache(to fleet.Upstream) ident.Address {
+	if e.service.Engine == nil {
+		return ""
+	}
+	keeper, ok := placement.Keeper(placement.Query{
+		Service:  e.service.Name,
+		Affinity: e.affinity(),
+	}, e.config.Fleet.Snapshot(), to, e.config.Now())
+	if !ok {
+		return ""
+	}
+	return keeper.Address
+}
+
 // home returns the failure domain where the request will probably run.
 func (e *exchange) home() ident.FailureDomain {
 	preferred, ok := placement.Preferred(placement.Query{
@@ -228,6 +244,7 @@
 	answer, err := e.send(e.ctx, to, wire.Dispatch{
 		Inputs:    results.Inputs,
 		LastEvent: sent.last,
+		Cache:     e.cache(to),
 	})
 	if err != nil {
 		e.unanswered(to, err, 0)
--- a/internal/relay/placement/chooser.go
+++ b/internal/relay/placement/chooser.go
@@ -23,6 +23,9 @@
 	maxBreak   = 4 * time.Second
 	// crossing is the cost of another failure domain, in requests in flight.
 	crossing = 1.5
+	// youth is how long after its start an upstream may lack what the others have
+	// read; requests that share something rarely come less often.
+	youth = 20 * time.Second
 	// affinity is the advantage of the upstream that a prompt prefers, in
 	// requests in flight.
 	affinity = 20.0
@@ -153,15 +156,37 @@
 // Preferred returns the upstream with the highest rendezvous hash for what
 // requests share; there is none if they share nothing.
 func Preferred(query Query, snapshot *fleet.Snapshot) (fleet.Upstream, bool) {
-	ready := snapshot.Ready(query.Service)
-	if query.Affinity == 0 || len(ready) == 0 {
+	return highest(query.Affinity, snapshot.Ready(query.Service))
+}
+
+// highest returns the upstream with the highest rendezvous hash for a key.
+func highest(key uint64, list []fleet.Upstream) (fleet.Upstream, bool) {
+	if key == 0 || len(list) == 0 {
 		return fleet.Upstream{}, false
 	}
-	return slices.MaxFunc(ready, func(a, b fleet.Upstream) int {
-		return cmp.Compare(mix(a.ID, query.Affinity), mix(b.ID, query.Affinity))
+	return slices.MaxFunc(list, func(a, b fleet.Upstream) int {
+		return cmp.Compare(mix(a.ID, key), mix(b.ID, key))
 	}), true
 }
 
+// Keeper returns an upstream that has probably read what a request shares with
+// others, if to has probably not: the preferred one, or the one that was
+// preferred before to started or before an upstream began to drain.
+func Keeper(query Query, snapshot *fleet.Snapshot, to fleet.Upstream, now time.Time) (fleet.Upstream, bool) {
+	var others []fleet.Upstream
+	for _, upstream := range snapshot.All() {
+		if upstream.Service == query.Service && upstream.ID != to.ID {
+			others = append(others, upstream)
+		}
+	}
+	keeper, ok := highest(query.Affinity, others)
+	if !ok {
+		return fleet.Upstream{}, false
+	}
+	young := now.Sub(time.UnixMilli(int64(to.Started))) < youth
+	return keeper, young || mix(keeper.ID, query.Affinity) > mix(to.ID, query.Affinity)
+}
+
 // mix is the rendezvous hash of an upstream for a key.
 func mix(id ident.UpstreamID, key uint64) uint64 {
 	score := xxhash.Sum64String(string(id)) ^ key
--- a/internal/relay/placement/chooser_test.go
+++ b/internal/relay/placement/chooser_test.go
@@ -153,6 +153,61 @@
 	c.Check(others > 0, qt.IsTrue, qt.Commentf("one upstream has all requests"))
 }
 
+// Guards against prompts that are read again although another upstream has read
+// them, as happens when upstreams are replaced one after the other, and against
+// fetches from an upstream that cannot have read them.
+func TestKeeper(t *testing.T) {
+	listed := func(id string, state fleet.State, age time.Duration) fleet.Listed {
+		return fleet.Listed{
+			Upstream: fleet.Upstream{
+				ID:      ident.UpstreamID(id),
+				Service: "s",
+				State:   state,
+				Started: ident.Incarnation(start.Add(-age).UnixMilli()),
+			},
+			Version: 1,
+		}
+	}
+	// By the hash of this query, b goes before a, and a before c.
+	query := placement.Query{
+		Service:  "s",
+		Affinity: 1,
+	}
+	tests := map[string]struct {
+		listed []fleet.Listed
+		to     string
+		want   string
+	}{
+		"preferred runs it":                     {listed: []fleet.Listed{listed("a", fleet.Ready, time.Hour), listed("b", fleet.Ready, time.Hour)}, to: "b"},
+		"another runs it":                       {listed: []fleet.Listed{listed("a", fleet.Ready, time.Hour), listed("b", fleet.Ready, time.Hour)}, to: "a", want: "b"},
+		"preferred has just started":            {listed: []fleet.Listed{listed("a", fleet.Ready, time.Hour), listed("b", fleet.Ready, time.Second), listed("c", fleet.Ready, time.Hour)}, to: "b", want: "a"},
+		"preferred before is draining":          {listed: []fleet.Listed{listed("a", fleet.Ready, time.Hour), listed("b", fleet.Draining, time.Hour), listed("c", fleet.Ready, time.Hour)}, to: "a", want: "b"},
+		"another one drains":                    {listed: []fleet.Listed{listed("a", fleet.Ready, time.Hour), listed("c", fleet.Draining, time.Hour)}, to: "a"},
+		"alone":                                 {listed: []fleet.Listed{listed("a", fleet.Ready, time.Second)}, to: "a"},
+		"successor of one that drains is young": {listed: []fleet.Listed{listed("a", fleet.Draining, time.Hour), listed("b", fleet.Ready, time.Second)}, to: "b", want: "a"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			d := fleet.New()
+			for _, l := range test.listed {
+				d.Put(l)
+			}
+			to, ok := d.Snapshot().Upstream(ident.UpstreamID(test.to))
+			c.Assert(ok, qt.IsTrue)
+			keeper, ok := placement.Keeper(query, d.Snapshot(), to, start)
+			c.Assert(ok, qt.Equals, test.want != "")
+			if ok {
+				c.Check(string(keeper.ID), qt.Equals, test.want)
+			}
+			_, ok = placement.Keeper(placement.Query{
+				Service: "s",
+			}, d.Snapshot(), to, start)
+			c.Check(ok, qt.IsFalse, qt.Commentf("nothing is shared"))
+		})
+	}
+}
+
 // Guards against one part that brings all work to one upstream.
 func TestCrowded(t *testing.T) {
 	c := qt.New(t)
--- a/internal/relay/wire/wire.go
+++ b/internal/relay/wire/wire.go
@@ -50,6 +50,7 @@
 	Urgency      int           // 0 is the most urgent, 9 the least
 	Inputs       []Handle      // results of the stages
 	LastEvent    EventID       // the stream goes on after it
+	Cache        ident.Address // upstream that may have read parts of the prompt before; empty is none
 }
 
 // Load is what an upstream reports of itself.
