Number the terms of coordinators, so that hosts that follow different ones join

Cause: a host followed the coordinator that had led for longer, if by more than two seconds, since ages are only as exact as the way of the news. A host that replaces its coordinator now raises a term; the higher term prevails, in the same term the better rank, which is a total order.

--- a/internal/relay/cell/leader.go
+++ b/internal/relay/cell/leader.go
@@ -1,41 +1,35 @@
 package cell
 
 import (
+	"slices"
 	"sync"
-	"time"
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/peer"
 )
 
-// seniority is by how much longer another leader must have led for a host to
-// follow it instead of its own: less is only the way of the news.
-const seniority = 2 * time.Second
-
 // led is the leader of a cell as this host sees it.
 type led struct {
-	host  ident.HostID
-	since time.Time
+	host ident.HostID
+	term uint64
 }
 
 // Leaders remembers the coordinator of each cell.
 //
 // A host follows a coordinator for as long as it is alive, although another host
 // would rank before it: a host that starts again would otherwise take the work
-// from the one that replaced it. Hosts tell each other whom they follow and for
-// how long that one has led; the one that has led for longer prevails, so groups
-// that have followed different leaders join.
+// from the one that replaced it. A host that replaces its coordinator raises the
+// term. Hosts tell each other whom they follow: the higher term prevails, and the
+// better rank in the same term, so groups that have followed different leaders
+// join.
 type Leaders struct {
-	now func() time.Time
-
 	mu     sync.Mutex
 	byCell map[ID]led
 }
 
 // NewLeaders returns leaders of no cell.
-func NewLeaders(now func() time.Time) *Leaders {
+func NewLeaders() *Leaders {
 	return &Leaders{
-		now:    now,
 		byCell: make(map[ID]led),
 	}
 }
@@ -48,33 +42,38 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	held, ok := l.byCell[id]
-	if ok {
-		for i, row := range ranked {
-			if row.Host == held.host && row.State == peer.Alive && row.Capacity >= capable*ranked[0].Capacity {
-				ordered := append([]peer.Row{row}, ranked[:i]...)
-				return append(ordered, ranked[i+1:]...)
-			}
-		}
+	held := l.byCell[id]
+	if i := place(ranked, held.host); i >= 0 && usable(ranked[i], ranked[0]) {
+		leader := ranked[i]
+		return slices.Insert(slices.Delete(ranked, i, i+1), 0, leader)
 	}
 	l.byCell[id] = led{
-		host:  ranked[0].Host,
-		since: l.now(),
+		host: ranked[0].Host,
+		term: held.term + 1,
 	}
 	return ranked
 }
 
+// place returns the place of a host in a ranking, -1 if it is not there.
+func place(ranked []peer.Row, host ident.HostID) int {
+	return slices.IndexFunc(ranked, func(row peer.Row) bool { return row.Host == host })
+}
+
+// usable reports whether a leader may stay although another host ranks first.
+func usable(leader, first peer.Row) bool {
+	return leader.State == peer.Alive && leader.Capacity >= capable*first.Capacity
+}
+
 // Report returns the leaders for other hosts.
 func (l *Leaders) Report() []peer.Leader {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.now()
 	var report []peer.Leader
 	for id, held := range l.byCell {
 		report = append(report, peer.Leader{
 			Duty: string(id),
 			Host: held.host,
-			Age:  now.Sub(held.since),
+			Term: held.term,
 		})
 	}
 	return report
@@ -87,26 +86,23 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.now()
 	for _, told := range report {
-		row, ok := view.Row(told.Host)
-		if !ok || row.State != peer.Alive {
+		id := ID(told.Duty)
+		held, ok := l.byCell[id]
+		if ok && (told.Term < held.term || told.Host == held.host && told.Term == held.term) {
+			continue
+		}
+		ranked := rank(id, view)
+		i := place(ranked, told.Host)
+		if i < 0 || ranked[i].State != peer.Alive {
 			continue
 		}
-		since := now.Add(-told.Age)
-		held, ok := l.byCell[ID(told.Duty)]
-		switch {
-		case !ok:
-		case held.host == told.Host:
-			if !since.Before(held.since) {
-				continue
-			}
-		case !since.Before(held.since.Add(-seniority)):
+		if j := place(ranked, held.host); ok && told.Term == held.term && j >= 0 && j < i {
 			continue
 		}
-		l.byCell[ID(told.Duty)] = led{
-			host:  told.Host,
-			since: since,
+		l.byCell[id] = led{
+			host: told.Host,
+			term: told.Term,
 		}
 	}
 }
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -121,7 +121,7 @@
 		},
 	}
 	h.replica = discovery.NewReplica(sinks, time.Now)
-	leaders := cell.NewLeaders(time.Now)
+	leaders := cell.NewLeaders()
 	h.leaders = leaders
 	h.peers = newPeers(s, h.replica, leaders, h.observe, h.poison, grpcrelay.NewServer(h.coordinators.get, h.replica, time.Now), log)
 	sinks[hostsPrefix] = h.peers
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -60,9 +60,13 @@
 type Leader struct {
 	Duty string
 	Host ident.HostID
-	Age  time.Duration // since the host began, as far as known
+	Term uint64 // rises with each change of the leader
 }
 
+// MaxTerm bounds the terms that are believed, so that a damaged message cannot
+// bring hosts to one that they cannot exceed.
+const MaxTerm = 1 << 62
+
 // Outgoing is a message to send; its result is reported to Answered or Failed.
 type Outgoing struct {
 	To      ident.HostID
--- a/peer/grpcpeer/codec.go
+++ b/peer/grpcpeer/codec.go
@@ -66,7 +66,7 @@
 		g.Leaders = append(g.Leaders, &Leader{
 			Duty: leader.Duty,
 			Host: string(leader.Host),
-			Age:  leader.Age.Milliseconds(),
+			Term: leader.Term,
 		})
 	}
 	for _, rumour := range m.Rumours {
@@ -96,10 +96,13 @@
 		if err := names(l.GetHost()); err != nil {
 			return peer.Message{}, err
 		}
+		if l.GetTerm() > peer.MaxTerm {
+			return peer.Message{}, errors.Errorf("term %d, limit is %d", l.GetTerm(), peer.MaxTerm)
+		}
 		m.Leaders = append(m.Leaders, peer.Leader{
 			Duty: l.GetDuty(),
 			Host: ident.HostID(l.GetHost()),
-			Age:  time.Duration(max(0, l.GetAge())) * time.Millisecond,
+			Term: l.GetTerm(),
 		})
 	}
 	for _, r := range g.GetRumours() {
