Let a coordinator that leaves end what it has accepted

The upstreams went on with the calls of the old one, so the new one found them busy without knowing why, and refused requests for seconds. A host that stops lives for 2.5 s and until its requests have ended, which is longer than stages take.

--- a/internal/relay/cell/stager.go
+++ b/internal/relay/cell/stager.go
@@ -126,7 +126,8 @@
 			<-done
 			return coordinator.Prepared{}, ctx.Err()
 		case <-check.C:
-			if now, ok := s.config.Hosts().Row(row.Host); ok && now.State == peer.Alive {
+			// A host that leaves ends what it has accepted.
+			if now, ok := s.config.Hosts().Row(row.Host); ok && (now.State == peer.Alive || now.State == peer.Leaving) {
 				continue
 			}
 			ticket.Cancel()
