Let hosts find each other by the seeds, and seeds read the store for the others at a start

Cause: at 300 machines and 3,000 upstreams each host listed the store as it started, 1.4 MB in seven pages, and got the same from several peers besides. Hosts that start while the store is away did not know each other, so each of them listed the store as it came back.

Hosts now greet a seed, which makes them members. Seeds list the store at once; others wait 0.3 s, or 10 ms for each host that they know of, for a peer to bring the entries. Whole transfers are compressed, made once for each cursor, and at most four at a time. A lost page of a listing is asked for again by itself.

--- a/internal/relay/discovery/reader.go
+++ b/internal/relay/discovery/reader.go
@@ -24,6 +24,12 @@
 	// peerGrace how long other hosts may take to bring it.
 	pollGrace = 200 * time.Millisecond
 	peerGrace = 400 * time.Millisecond
+	// At the start, others have firstWait to bring the entries, and hostWait more
+	// for each host that is known.
+	firstWait = 300 * time.Millisecond
+	hostWait  = 10 * time.Millisecond
+	// pageTries is how often a page of a listing is asked for.
+	pageTries = 3
 	// passivePause bounds the pause after a failed call of a host that is not a
 	// reader: the readers notice first that the store is back.
 	passivePause = 4 * time.Second
@@ -46,7 +52,8 @@
 	Key     kv.Key        // of an entry that exists
 	Age     time.Duration // longest time without a confirmation
 	Reads   func() bool   // whether this host is one of the readers
-	Alone   func() bool   // whether this host knows of no other one
+	Hosts   func() int    // live hosts that this one knows, itself included
+	Leads   bool          // reads at the start, for the others
 }
 
 // Reader reads the store for a Replica when that is this host's turn.
@@ -66,16 +73,14 @@
 
 // Run reads until the context ends.
 func (r *Reader) Run(ctx context.Context) error {
-	for ctx.Err() == nil && r.config.Replica.Cursor() == 0 {
-		r.ended(ctx, r.list(ctx), longestPause)
-	}
+	r.begin(ctx)
 	for ctx.Err() == nil {
 		switch {
 		case r.config.Reads():
 			r.ended(ctx, r.read(ctx), longestPause)
 		case !r.stale():
 			sleep(ctx, lookInterval)
-		case r.config.Alone():
+		case r.config.Hosts() <= 1:
 			r.ended(ctx, r.poll(ctx, 0), longestPause)
 		default:
 			r.ended(ctx, r.poll(ctx, peerGrace), passivePause)
@@ -84,6 +89,24 @@
 	return nil
 }
 
+// begin gets the first entries. A host that does not lead waits for others to
+// bring them, the longer the more hosts there are: if all of a large fleet start
+// at once, their listings would fill the link of the store.
+func (r *Reader) begin(ctx context.Context) {
+	began := time.Now()
+	for ctx.Err() == nil && r.config.Replica.Cursor() == 0 {
+		hosts := time.Duration(r.config.Hosts())
+		switch {
+		case r.config.Leads || r.config.Reads():
+			r.ended(ctx, r.list(ctx), longestPause)
+		case time.Since(began) < max(firstWait, hosts*hostWait):
+			sleep(ctx, lookInterval)
+		default:
+			r.ended(ctx, r.list(ctx), max(passivePause, hosts*hostWait))
+		}
+	}
+}
+
 // stale reports whether nobody has confirmed the replica for too long. Hosts that
 // lost the same reader do not all find that at the same moment.
 func (r *Reader) stale() bool {
@@ -172,7 +195,7 @@
 	var cursor kv.Cursor
 	after := kv.Key("")
 	for {
-		page, err := r.config.Store.List(ctx, "", after, pageLimit)
+		page, err := r.page(ctx, after)
 		if err != nil {
 			return err
 		}
@@ -190,6 +213,18 @@
 	return nil
 }
 
+// page lists one page. Later ones are asked for again, so that one lost answer
+// does not cost the pages before it.
+func (r *Reader) page(ctx context.Context, after kv.Key) (kv.Page, error) {
+	for try := 1; ; try++ {
+		page, err := r.config.Store.List(ctx, "", after, pageLimit)
+		if err == nil || after == "" || try == pageTries || ctx.Err() != nil {
+			return page, err
+		}
+		sleep(ctx, firstPause+rand.N(firstPause))
+	}
+}
+
 // watch waits for changes after the replica's cursor.
 func (r *Reader) watch(ctx context.Context) error {
 	cursor := r.config.Replica.Cursor()
--- a/internal/relay/discovery/reader_test.go
+++ b/internal/relay/discovery/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -45,10 +46,20 @@
 	return v.view.entries[key] == version
 }
 
-// deafStore is a store whose watches report nothing.
+// deafStore is a store whose watches report nothing, and that answers only a part
+// of the listings.
 type deafStore struct {
 	kv.Store
-	deaf atomic.Bool
+	deaf  atomic.Bool
+	pages atomic.Int64 // that were asked for
+	fails func(page int64) bool
+}
+
+func (s *deafStore) List(ctx context.Context, prefix, after kv.Key, limit int) (kv.Page, error) {
+	if page := s.pages.Add(1); s.fails != nil && s.fails(page) {
+		return kv.Page{}, kv.ErrUnavailable
+	}
+	return s.Store.List(ctx, prefix, after, limit)
 }
 
 func (s *deafStore) Watch(ctx context.Context, prefix kv.Key, after kv.Cursor) (kv.Changes, error) {
@@ -70,6 +81,10 @@
 }
 
 func start1(t *testing.T, reads bool) *fixture {
+	return startWith(t, reads, func(*discovery.ReaderConfig) {})
+}
+
+func startWith(t *testing.T, reads bool, change func(config *discovery.ReaderConfig)) *fixture {
 	f := &fixture{
 		held: memkv.New(time.Now),
 		view: &safeView{
@@ -82,15 +97,17 @@
 	f.reads.Store(reads)
 	f.health = discovery.NewHealth(zerolog.Nop(), time.Now)
 	f.replica = discovery.NewReplica(f.view, time.Now)
-	reader := discovery.NewReader(discovery.ReaderConfig{
+	config := discovery.ReaderConfig{
 		Store:   f.store,
 		Health:  f.health,
 		Replica: f.replica,
 		Key:     "op/config",
 		Age:     time.Second,
 		Reads:   f.reads.Load,
-		Alone:   func() bool { return false },
-	})
+		Hosts:   func() int { return 2 },
+	}
+	change(&config)
+	reader := discovery.NewReader(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func(ctx context.Context) { ended <- reader.Run(ctx) }(ctx)
@@ -200,3 +217,70 @@
 	time.Sleep(2 * time.Second)
 	c.Assert(f.held.Counts().Reads-before < 15, qt.IsTrue, qt.Commentf("%d calls in two seconds", f.held.Counts().Reads-before))
 }
+
+// Guards against a large fleet whose hosts all list the store as they start, and
+// against a host that waits in vain for others.
+func TestStart(t *testing.T) {
+	tests := map[string]struct {
+		leads  bool
+		hosts  int
+		others bool  // bring the entries after 100 ms
+		pages  int64 // by the time that the host has the entries
+		least  time.Duration
+		most   time.Duration
+	}{
+		"one that leads":                   {leads: true, hosts: 100, pages: 1, most: 250 * time.Millisecond},
+		"others bring it":                  {hosts: 100, others: true, pages: 0, most: 500 * time.Millisecond},
+		"alone":                            {hosts: 1, pages: 1, least: 250 * time.Millisecond, most: time.Second},
+		"nobody brings it, in a large one": {hosts: 100, pages: 1, least: 900 * time.Millisecond, most: 2 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			began := time.Now()
+			f := startWith(t, false, func(config *discovery.ReaderConfig) {
+				config.Leads = test.leads
+				config.Hosts = func() int { return test.hosts }
+				_, err := config.Store.Put(context.Background(), kv.Put{
+					Key: "op/config",
+				})
+				c.Assert(err, qt.IsNil)
+			})
+			if test.others {
+				time.Sleep(100 * time.Millisecond)
+				f.replica.Apply(discovery.Delta{
+					Cursor: 1,
+					Changes: []kv.Change{{
+						Entry: kv.Entry{
+							Key:     "op/config",
+							Version: 1,
+						},
+					}},
+				})
+			}
+			eventually(c, "entry", func() bool { return f.view.has("op/config", 1) })
+			took := time.Since(began)
+			c.Check(took >= test.least && took <= test.most, qt.IsTrue, qt.Commentf("%s", took))
+			c.Check(f.store.pages.Load(), qt.Equals, test.pages)
+		})
+	}
+}
+
+// Guards against a listing that starts from its first page again because one
+// page was lost.
+func TestLostPage(t *testing.T) {
+	c := qt.New(t)
+	f := startWith(t, true, func(config *discovery.ReaderConfig) {
+		store := config.Store.(*deafStore)
+		store.fails = func(page int64) bool { return page == 2 }
+		for i := range 600 {
+			_, err := store.Put(context.Background(), kv.Put{
+				Key: kv.Key(fmt.Sprintf("servers/%03d", i)),
+			})
+			c.Assert(err, qt.IsNil)
+		}
+	})
+	eventually(c, "last entry", func() bool { return f.view.has("servers/599", 600) })
+	c.Check(f.store.pages.Load(), qt.Equals, int64(3))
+}
--- a/internal/relay/grpcrelay/server.go
+++ b/internal/relay/grpcrelay/server.go
@@ -18,6 +18,7 @@
 	UnimplementedRelayServer
 	coordinators func(id cell.ID) *coordinator.Coordinator
 	replica      *discovery.Replica
+	transfers    *transfers
 	now          func() time.Time
 }
 
@@ -27,6 +28,7 @@
 	return &Server{
 		coordinators: coordinators,
 		replica:      replica,
+		transfers:    newTransfers(),
 		now:          now,
 	}
 }
--- a/internal/relay/grpcrelay/sync.go
+++ b/internal/relay/grpcrelay/sync.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/cell"
@@ -12,8 +15,14 @@
 	"github.com/nutmegshift/nutmegshift/kv"
 )
 
-// syncTimeout bounds a transfer; another host is asked after it.
-const syncTimeout = 500 * time.Millisecond
+const (
+	// syncTimeout bounds a transfer. All entries of 3,000 upstreams take two
+	// seconds on a link of 1 Mbit/s.
+	syncTimeout = 2 * time.Second
+	// maxTransfers is how many whole transfers a host makes at a time: they share
+	// its link, and hosts that are turned away find another one.
+	maxTransfers = 4
+)
 
 // Sync returns what a replica that is complete up to a cursor lacks. It fails
 // with cell.ErrUnreachable.
@@ -30,13 +39,19 @@
 	if err != nil {
 		return discovery.Delta{}, errors.Annotatef(cell.ErrUnreachable, "sync with %s: %v", from, err)
 	}
+	changes := reply.GetChanges()
+	if len(reply.GetPacked()) > 0 {
+		if changes, err = unpack(reply.GetPacked()); err != nil {
+			return discovery.Delta{}, errors.Annotatef(cell.ErrUnreachable, "sync with %s: %v", from, err)
+		}
+	}
 	delta := discovery.Delta{
 		After:  kv.Cursor(reply.GetAfter()),
 		Cursor: kv.Cursor(reply.GetCursor()),
 		Age:    time.Duration(max(0, reply.GetAge())) * time.Millisecond,
 		Doubt:  time.Duration(max(0, reply.GetDoubt())) * time.Millisecond,
 	}
-	for _, change := range reply.GetChanges() {
+	for _, change := range changes {
 		delta.Changes = append(delta.Changes, kv.Change{
 			Entry: kv.Entry{
 				Key:     kv.Key(change.GetKey()),
@@ -49,15 +64,38 @@
 	return delta, nil
 }
 
+// transfers are the whole transfers of a server.
+type transfers struct {
+	slots chan struct{}
+
+	mu     sync.Mutex
+	cursor kv.Cursor // of packed
+	packed []byte    // all entries, for hosts that start at the same time
+}
+
+func newTransfers() *transfers {
+	return &transfers{
+		slots: make(chan struct{}, maxTransfers),
+	}
+}
+
 // Sync implements RelayServer.
 func (s *Server) Sync(_ context.Context, request *SyncRequest) (*SyncReply, error) {
-	delta := s.replica.Delta(kv.Cursor(request.GetAfter()))
-	reply := &SyncReply{
-		After:  uint64(delta.After),
-		Cursor: uint64(delta.Cursor),
-		Age:    delta.Age.Milliseconds(),
-		Doubt:  delta.Doubt.Milliseconds(),
+	after := kv.Cursor(request.GetAfter())
+	if after == 0 {
+		select {
+		case s.transfers.slots <- struct{}{}:
+			defer func() { <-s.transfers.slots }()
+		default:
+			return nil, status.Error(codes.ResourceExhausted, "other hosts are being served")
+		}
+		if reply, ok := s.transfers.reply(s.replica.Delta(s.replica.Cursor())); ok {
+			return reply, nil
+		}
 	}
+	delta := s.replica.Delta(after)
+	reply := newReply(delta)
+	reply.After = uint64(delta.After)
 	for _, change := range delta.Changes {
 		reply.Changes = append(reply.Changes, &Change{
 			Key:     string(change.Entry.Key),
@@ -66,5 +104,44 @@
 			Deleted: change.Deleted,
 		})
 	}
+	if len(reply.Changes) < packFrom {
+		return reply, nil
+	}
+	packed, err := pack(reply.Changes)
+	if err != nil {
+		return nil, status.Error(codes.Internal, err.Error())
+	}
+	reply.Changes = nil
+	reply.Packed = packed
+	if delta.After == 0 {
+		s.transfers.keep(delta.Cursor, packed)
+	}
 	return reply, nil
 }
+
+// newReply returns a reply without changes.
+func newReply(delta discovery.Delta) *SyncReply {
+	return &SyncReply{
+		Cursor: uint64(delta.Cursor),
+		Age:    delta.Age.Milliseconds(),
+		Doubt:  delta.Doubt.Milliseconds(),
+	}
+}
+
+// reply returns a reply with all entries if they are kept for the present cursor.
+func (t *transfers) reply(present discovery.Delta) (*SyncReply, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.cursor == 0 || t.cursor != present.Cursor {
+		return nil, false
+	}
+	reply := newReply(present)
+	reply.Packed = t.packed
+	return reply, true
+}
+
+func (t *transfers) keep(cursor kv.Cursor, packed []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cursor, t.packed = cursor, packed
+}
--- /dev/null
+++ b/internal/relay/grpcrelay/sync_test.go
@@ -0,0 +1,118 @@
+package grpcrelay
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
+	"github.com/nutmegshift/nutmegshift/kv"
+)
+
+// sink takes nothing.
+type sink struct{}
+
+func (sink) Put(kv.Entry)                          {}
+func (sink) Removed(kv.Key, kv.Version, time.Time) {}
+
+// registrations returns n entries like those of upstreams.
+func registrations(n int) []kv.Entry {
+	var entries []kv.Entry
+	for i := range n {
+		entries = append(entries, kv.Entry{
+			Key:     kv.Key(fmt.Sprintf("servers/i-%08x", i*2654435761)),
+			Value:   fmt.Appendf(nil, `{"service":"huvo11a","address":"10.128.%d.%d:8080","zone":"erie-hall","version":"v1","slots":64,"state":"ready"}`, i/250, i%250),
+			Version: kv.Version(i + 1),
+		})
+	}
+	return entries
+}
+
+// Guards against a transfer that lacks entries, that repeats the work for every
+// host when many start at once, or that is older than the replica.
+func TestWholeTransfer(t *testing.T) {
+	c := qt.New(t)
+	replica := discovery.NewReplica(sink{}, time.Now)
+	s := NewServer(nil, replica, time.Now)
+	entries := registrations(1000)
+	replica.List(entries, 1000)
+	plain := 0
+	for _, entry := range entries {
+		plain += len(entry.Key) + len(entry.Value)
+	}
+	check := func(entries int, cursor uint64) *SyncReply {
+		reply, err := s.Sync(t.Context(), &SyncRequest{})
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply.GetCursor(), qt.Equals, cursor)
+		c.Assert(reply.GetAfter(), qt.Equals, uint64(0))
+		changes, err := unpack(reply.GetPacked())
+		c.Assert(err, qt.IsNil)
+		c.Assert(changes, qt.HasLen, entries)
+		return reply
+	}
+	first := check(1000, 1000)
+	c.Check(len(first.GetPacked()) < plain/4, qt.IsTrue, qt.Commentf("%d of %d bytes", len(first.GetPacked()), plain))
+	c.Check(&check(1000, 1000).GetPacked()[0], qt.Equals, &first.GetPacked()[0], qt.Commentf("packed once"))
+	replica.Watched(1000, kv.Changes{
+		Cursor: 1001,
+		Changes: []kv.Change{{
+			Entry: kv.Entry{
+				Key:     "servers/new",
+				Version: 1001,
+			},
+		}},
+	})
+	check(1001, 1001)
+	reply, err := s.Sync(t.Context(), &SyncRequest{
+		After: 1000,
+	})
+	c.Assert(err, qt.IsNil)
+	c.Check(reply.GetChanges(), qt.HasLen, 1)
+	c.Check(reply.GetPacked(), qt.HasLen, 0)
+}
+
+// Guards against a host whose link is filled by whole transfers, so that none of
+// them ends in time; what others lack of the latest changes goes on.
+func TestTransfersAreLimited(t *testing.T) {
+	c := qt.New(t)
+	replica := discovery.NewReplica(sink{}, time.Now)
+	replica.List(registrations(10), 10)
+	s := NewServer(nil, replica, time.Now)
+	for range maxTransfers {
+		s.transfers.slots <- struct{}{}
+	}
+	_, err := s.Sync(t.Context(), &SyncRequest{})
+	c.Check(status.Code(err), qt.Equals, codes.ResourceExhausted)
+	_, err = s.Sync(t.Context(), &SyncRequest{
+		After: 9,
+	})
+	c.Check(err, qt.IsNil)
+	<-s.transfers.slots
+	_, err = s.Sync(context.Background(), &SyncRequest{})
+	c.Check(err, qt.IsNil)
+}
+
+// Guards against damaged transfers that crash a host or fill its memory.
+func FuzzUnpack(f *testing.F) {
+	packed, err := pack([]*Change{{
+		Key:   "a",
+		Value: []byte("b"),
+	}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(packed)
+	f.Add(packed[:len(packed)/2])
+	f.Add([]byte("no compressed data"))
+	f.Fuzz(func(t *testing.T, packed []byte) {
+		changes, err := unpack(packed)
+		if err != nil && changes != nil {
+			t.Fatalf("%d changes with error %v", len(changes), err)
+		}
+	})
+}
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -46,9 +47,11 @@
 	// spreadTime is left of the time in which a routing table has to be in force,
 	// for a host that asks the store itself.
 	spreadTime = 800 * time.Millisecond
-	// seedInterval is how often a host that knows nothing asks a seed.
-	seedInterval = 200 * time.Millisecond
-	metricsPath  = "/metrics"
+	// A host that knows no other greets a seed after firstGreet, then less and
+	// less often up to lastGreet: many hosts may start at the same time.
+	firstGreet  = 30 * time.Millisecond
+	lastGreet   = 400 * time.Millisecond
+	metricsPath = "/metrics"
 )
 
 // Platform is what differs between platforms.
@@ -221,12 +224,13 @@
 	}
 }
 
-// sync gets what this host's replica lacks from hosts that have it: at the start
-// from the seeds, since the store may be away, then from those that know more.
+// sync gets what this host's replica lacks from hosts that have it. At the start
+// it makes itself known to the seeds, since the store may be away.
 func (h *Host) sync(ctx context.Context) error {
-	seeds := time.NewTicker(seedInterval)
-	defer seeds.Stop()
-	for i := 0; ; {
+	pause := firstGreet
+	greet := time.NewTimer(rand.N(pause))
+	defer greet.Stop()
+	for {
 		select {
 		case <-ctx.Done():
 			return nil
@@ -235,17 +239,23 @@
 			if err == nil {
 				h.transfer(ctx, address)
 			}
-		case <-seeds.C:
-			if h.replica.Cursor() > 0 || len(h.settings.Seeds) == 0 {
-				seeds.Stop()
-				continue
+		case <-greet.C:
+			if h.replica.Cursor() == 0 || h.hosts() <= 1 {
+				h.peers.greet(ctx, h.seeds())
+				greet.Reset(pause/2 + rand.N(pause))
+				pause = min(2*pause, lastGreet)
 			}
-			h.transfer(ctx, h.settings.Seeds[i%len(h.settings.Seeds)])
-			i++
 		}
 	}
 }
 
+// seeds returns the peer ports of other hosts that the settings name.
+func (h *Host) seeds() []ident.Address {
+	return slices.DeleteFunc(slices.Clone(h.settings.Seeds), func(seed ident.Address) bool {
+		return seed == h.settings.Peers || seed == h.settings.Advertise
+	})
+}
+
 // transfer completes the replica by that of another host.
 func (h *Host) transfer(ctx context.Context, from ident.Address) {
 	after := h.replica.Cursor()
@@ -321,7 +331,8 @@
 		Key:     h.platform.Keys.Table,
 		Age:     h.settings.Apply - spreadTime,
 		Reads:   h.reads,
-		Alone:   func() bool { return h.hosts() <= 1 },
+		Hosts:   h.hosts,
+		Leads:   len(h.seeds()) < max(1, len(h.settings.Seeds)),
 	})
 	h.add(parts, &group, "reader", reader.Run)
 	h.add(parts, &group, "sync", h.sync)
--- a/internal/relay/host/peers.go
+++ b/internal/relay/host/peers.go
@@ -158,6 +158,21 @@
 	return row.Address, nil
 }
 
+// greet makes this host known to one of the seeds, and takes what that tells of
+// others.
+func (p *peers) greet(ctx context.Context, seeds []ident.Address) {
+	if len(seeds) == 0 {
+		return
+	}
+	seed := seeds[rand.IntN(len(seeds))]
+	reply, err := p.client.Exchange(ctx, seed, p.gossip.Greet())
+	if err != nil {
+		p.log.Debug().Err(err).Str("seed", string(seed)).Msg("peers: seed does not answer")
+		return
+	}
+	p.gossip.Met(time.Now(), reply)
+}
+
 // hear logs what changes the members until ctx ends.
 func (p *peers) hear(ctx context.Context) error {
 	for {
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -187,6 +187,29 @@
 	})
 }
 
+// Greet returns a message to a host of which only the address is known. Its
+// reply goes to Met.
+func (g *Gossip) Greet() Message {
+	documents := g.config.Documents()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.mu.Lock()
+	defer g.table.mu.Unlock()
+	return g.message(documents, "", 0, nil)
+}
+
+// Met takes the reply to a greeting.
+func (g *Gossip) Met(now time.Time, reply Message) {
+	g.mu.Lock()
+	g.table.mu.Lock()
+	g.now = now
+	g.correct = nil
+	g.apply(reply)
+	g.table.mu.Unlock()
+	g.mu.Unlock()
+	g.observe(reply)
+}
+
 // Tick ends suspicions and returns the messages due at the time now.
 func (g *Gossip) Tick(now time.Time) []Outgoing {
 	documents := g.config.Documents()
