--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -321,8 +321,8 @@
 		if _, err := e.writer.Write(event.Text); err != nil {
 			return err
 		}
-		if events.Whole() {
-			continue // the next event goes out with this one
+		if events.Ready() {
+			continue // what follows goes out in the same packet
 		}
 		if err := flusher.Flush(); err != nil {
 			return err
--- a/internal/relay/upstreamhttp/events.go
+++ b/internal/relay/upstreamhttp/events.go
@@ -22,14 +22,32 @@
 
 // Events reads the events of an answer.
 type Events struct {
+	answer *ending
 	reader *bufio.Reader
 	text   []byte
 }
 
+// ending is a reader that notes its end.
+type ending struct {
+	io.Reader
+	ended bool
+}
+
+// Read implements io.Reader.
+func (e *ending) Read(p []byte) (int, error) {
+	n, err := e.Reader.Read(p)
+	e.ended = err == io.EOF
+	return n, err
+}
+
 // NewEvents returns a reader of the events of an answer.
 func NewEvents(answer io.Reader) *Events {
+	e := &ending{
+		Reader: answer,
+	}
 	return &Events{
-		reader: bufio.NewReaderSize(answer, bufferBytes),
+		answer: e,
+		reader: bufio.NewReaderSize(e, bufferBytes),
 	}
 }
 
@@ -69,8 +87,12 @@
 	}
 }
 
-// Whole reports whether another whole event can be read without waiting.
-func (e *Events) Whole() bool {
+// Ready reports whether another whole event, or the end of the stream, can be
+// read without waiting.
+func (e *Events) Ready() bool {
+	if e.answer.ended && e.reader.Buffered() == 0 {
+		return true
+	}
 	buffered, err := e.reader.Peek(e.reader.Buffered())
 	return err == nil && bytes.Contains(buffered, []byte("\n\n"))
 }
--- a/internal/relay/upstreamhttp/events_test.go
+++ b/internal/relay/upstreamhttp/events_test.go
@@ -79,3 +79,55 @@
 		}
 	})
 }
+
+// Guards against an event that waits for what follows it, and against more
+// packets than needed.
+func TestEventsReady(t *testing.T) {
+	const one, two = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	tests := map[string]struct {
+		reads []string
+		end   bool // comes with the last read
+		ready []bool
+	}{
+		"event by event": {
+			reads: []string{one, two},
+			ready: []bool{false, false},
+		},
+		"both at once": {
+			reads: []string{one + two},
+			ready: []bool{true, false},
+		},
+		"end with the last event": {
+			reads: []string{one, two},
+			end:   true,
+			ready: []bool{false, true},
+		},
+		"half an event": {
+			reads: []string{one + two[:5], two[5:]},
+			ready: []bool{false, false},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var parts []io.Reader
+			for _, text := range test.reads {
+				parts = append(parts, strings.NewReader(text))
+			}
+			stream := io.MultiReader(parts...)
+			if test.end {
+				stream = iotest.DataErrReader(stream)
+			}
+			events := upstreamhttp.NewEvents(stream)
+			var ready []bool
+			for {
+				if _, err := events.Next(); err != nil {
+					c.Assert(err, qt.Equals, io.EOF)
+					break
+				}
+				ready = append(ready, events.Ready())
+			}
+			c.Check(ready, qt.DeepEquals, test.ready)
+		})
+	}
+}
