--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -20,12 +20,8 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
 
-const (
-	// firstEventTime is the time that a model usually takes to the first event.
-	firstEventTime = 300 * time.Millisecond
-	// outputWork is the work of a token that a model makes, in tokens that it reads.
-	outputWork = 10
-)
+// firstEventTime is the time that a model usually takes to the first event.
+const firstEventTime = 300 * time.Millisecond
 
 // streamEnd says how one try of a stream ended.
 type streamEnd uint8
@@ -111,28 +107,11 @@
 	return e.config.Domain
 }
 
-// affinity names the shared part of the prompt whose requests go to one upstream.
-// It is the largest one, which costs the most to read again, or one after it if
-// too many requests share that.
+// affinity names the part of the prompt whose requests go to one upstream.
 func (e *exchange) affinity() uint64 {
-	parts := e.head.Prompt.Parts
-	if len(parts) == 0 || e.shared != 0 {
-		return e.shared
-	}
-	shared := parts[:max(1, len(parts)-1)] // the last one is of the request itself
-	largest := 0
-	for i, part := range shared {
-		if part.Tokens > shared[largest].Tokens {
-			largest = i
-		}
-	}
-	upstreams := len(e.config.Fleet.Snapshot().Ready(e.service.Name))
-	amount := float64(e.head.Prompt.Input + outputWork*e.head.Prompt.Output)
-	for i := largest; i < len(shared); i++ {
-		e.shared = hash(string(shared[i].ID))
-		if !placement.Crowded(e.config.Popularity.Count(e.arrived, e.shared, amount), upstreams) {
-			break
-		}
+	if e.shared == 0 {
+		upstreams := len(e.config.Fleet.Snapshot().Ready(e.service.Name))
+		e.shared = e.config.Popularity.Affinity(e.arrived, e.head.Prompt, upstreams)
 	}
 	return e.shared
 }
--- a/internal/relay/placement/chooser_test.go
+++ b/internal/relay/placement/chooser_test.go
@@ -10,6 +10,7 @@
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
+	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -224,3 +225,58 @@
 	now = now.Add(2 * time.Minute)
 	c.Check(popularity.Count(now, 7, 1) > 0.9, qt.IsTrue, qt.Commentf("old requests no longer count"))
 }
+
+// Guards against prompts that are sent by a part that is short, of one request
+// only, or in too many requests for one upstream.
+func TestAffinityPart(t *testing.T) {
+	part := func(id string, tokens int) wire.Part {
+		return wire.Part{
+			ID:     wire.PartID(id),
+			Tokens: tokens,
+		}
+	}
+	tests := map[string]struct {
+		parts   []wire.Part
+		same    []wire.Part // has the same affinity
+		crowded bool        // half of all work has the first part
+	}{
+		"largest shared part": {
+			parts: []wire.Part{part("a", 100), part("b", 500), part("own 1", 900)},
+			same:  []wire.Part{part("c", 100), part("b", 500), part("own 2", 900)},
+		},
+		"part of one request": {
+			parts: []wire.Part{part("own 1", 900)},
+			same:  []wire.Part{part("own 1", 900)},
+		},
+		"crowded part": {
+			parts:   []wire.Part{part("a", 500), part("b", 100), part("own 1", 900)},
+			same:    []wire.Part{part("c", 500), part("b", 600), part("own 2", 900)},
+			crowded: true,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			popularity := placement.NewPopularity()
+			prompt := func(parts []wire.Part) wire.Prompt {
+				return wire.Prompt{
+					Parts: parts,
+					Input: 1000,
+				}
+			}
+			for i := range 100 {
+				id := wire.PartID("a")
+				if i%2 == 1 || !test.crowded {
+					id = wire.PartID(fmt.Sprint("filler ", i))
+				}
+				popularity.Affinity(start, prompt([]wire.Part{part(string(id), 500), part("own", 1)}), 9)
+			}
+			first := popularity.Affinity(start, prompt(test.parts), 9)
+			second := popularity.Affinity(start, prompt(test.same), 9)
+			c.Check(first, qt.Equals, second)
+			c.Check(first, qt.Not(qt.Equals), uint64(0))
+		})
+	}
+	c := qt.New(t)
+	c.Check(placement.NewPopularity().Affinity(start, wire.Prompt{}, 9), qt.Equals, uint64(0), qt.Commentf("no parts"))
+}
