Close kept connections that lead to another upstream, and load the soak more

The log of one request shows that its upstream answered 421 on a kept connection: the address had moved to a new upstream, and the connections still led to the old one. The connection was kept, so every request on it was refused, until the budget of repeats was used up.

A connection whose upstream answers that it is another one is closed, and so are the idle ones to its address.

--- a/internal/relay/upstreamhttp/client.go
+++ b/internal/relay/upstreamhttp/client.go
@@ -135,6 +135,11 @@
 		return nil, err
 	}
 	conn.keep(response.Header)
+	misdirected := response.StatusCode == http.StatusMisdirectedRequest
+	if misdirected {
+		// Other connections may lead to the same wrong upstream.
+		c.forget(conn.address)
+	}
 	return &Answer{
 		Status:   response.StatusCode,
 		Header:   response.Header,
@@ -144,7 +149,7 @@
 		conn:     conn,
 		body:     response.Body,
 		written:  written,
-		reusable: !response.Close,
+		reusable: !response.Close && !misdirected,
 	}, nil
 }
 
--- a/internal/relay/upstreamhttp/client_test.go
+++ b/internal/relay/upstreamhttp/client_test.go
@@ -376,6 +376,36 @@
 	c.Check(s.connections.Load(), qt.Equals, int64(3))
 }
 
+// Guards against kept connections that lead to another upstream than the one that
+// has the address now: each request on them would be refused.
+func TestMisdirected(t *testing.T) {
+	c := qt.New(t)
+	var moved atomic.Bool
+	s := serve(t, func(conn *net.TCPConn, r *http.Request, body string) bool {
+		if moved.Load() {
+			return write(conn, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+		}
+		return reply("ok")(conn, r, body)
+	})
+	client := newClient(t)
+	send := func() *upstreamhttp.Answer {
+		answer, err := client.Send(t.Context(), request(s.address))
+		c.Assert(err, qt.IsNil)
+		_, err = answer.All(1 << 10)
+		c.Assert(err, qt.IsNil)
+		return answer
+	}
+	first, second := send(), send()
+	first.Close()
+	second.Close()
+	c.Assert(s.connections.Load(), qt.Equals, int64(2))
+	moved.Store(true)
+	send().Close()
+	moved.Store(false)
+	send().Close()
+	c.Check(s.connections.Load(), qt.Equals, int64(3))
+}
+
 // Guards against a request that goes on at its upstream after its caller has left.
 func TestCancel(t *testing.T) {
 	c := qt.New(t)
--- a/internal/relay/upstreamhttp/connection.go
+++ b/internal/relay/upstreamhttp/connection.go
@@ -231,6 +231,17 @@
 	c.mu.Unlock()
 }
 
+// forget closes the idle connections to an address.
+func (c *Client) forget(address ident.Address) {
+	c.mu.Lock()
+	list := c.idle[address]
+	delete(c.idle, address)
+	c.mu.Unlock()
+	for _, conn := range list {
+		c.discard(conn)
+	}
+}
+
 // Sweep closes the idle connections that have become too old.
 func (c *Client) Sweep() {
 	now := c.config.Now()
--- a/internal/system/soak_cluster_test.go
+++ b/internal/system/soak_cluster_test.go
@@ -144,7 +144,7 @@
 	store := httptest.NewServer(c.gate)
 	t.Cleanup(store.Close)
 	kinds := []standin.UpstreamConfig{
-		{Service: "entries", Kind: standin.Plain, Work: 20 * time.Millisecond},
+		{Service: "entries", Kind: standin.Plain, Work: 100 * time.Millisecond},
 		{Service: "pool", Kind: standin.Engine, Work: 20 * time.Millisecond, Pause: 20 * time.Millisecond, Events: soakEvents},
 		{Service: "board", Kind: standin.Stages, Work: 50 * time.Millisecond},
 	}
@@ -360,7 +360,7 @@
 		acked:    time.Now(),
 	})
 	c.mu.Unlock()
-	time.Sleep(soakDrain + time.Second)
+	time.Sleep(2 * soakDrain)
 	key, _, err := old.Entry(address)
 	if err != nil {
 		c.fail("registration: %v", err)
--- a/internal/system/soak_load_test.go
+++ b/internal/system/soak_load_test.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	soakCallers  = 8
+	soakCallers  = 16
 	callPause    = 60 * time.Millisecond // mean time between two requests of a caller
 	callDeadline = 4 * time.Second
 	// callLimit is when a caller gives up a request that is not answered.
--- a/internal/system/soak_plan_test.go
+++ b/internal/system/soak_plan_test.go
@@ -88,7 +88,7 @@
 // one action.
 func plans() *rapid.Generator[plan] {
 	return rapid.Custom(func(t *rapid.T) plan {
-		p := plan(rapid.SliceOfN(steps(), 1, 10).Draw(t, "steps"))
+		p := plan(rapid.SliceOfN(steps(), 4, 14).Draw(t, "steps"))
 		if rapid.Bool().Draw(t, "series") {
 			repeated := steps().Draw(t, "repeated")
 			gap := time.Duration(rapid.IntRange(1, 15).Draw(t, "gap")) * 100 * time.Millisecond
