Emulate whole deployments: model engines, stages, hosts and callers in simulated time

Placement is the product's own.

The random numbers of placement are given to it, so runs repeat exactly.

--- /dev/null
+++ b/internal/emulation/clock/clock_test.go
@@ -0,0 +1,30 @@
+package clock_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/nutmegshift/nutmegshift/internal/emulation/clock"
+)
+
+// Guards against events out of order, which would make runs differ.
+func TestOrder(t *testing.T) {
+	c := qt.New(t)
+	clock := clock.New(time.Unix(0, 0))
+	var order []string
+	note := func(name string) func() {
+		return func() { order = append(order, name) }
+	}
+	clock.After(2*time.Second, note("late"))
+	clock.After(time.Second, note("first of two"))
+	clock.After(time.Second, func() {
+		note("second of two")()
+		clock.After(0, note("at once"))
+		clock.After(-time.Second, note("in the past"))
+	})
+	clock.Run()
+	c.Check(order, qt.DeepEquals, []string{"first of two", "second of two", "at once", "in the past", "late"})
+	c.Check(clock.Elapsed(), qt.Equals, 2*time.Second)
+}
--- a/internal/relay/batch/admit.go
+++ b/internal/relay/batch/admit.go
@@ -9,23 +9,35 @@
 	// slackWeight is the weight of a job in the moving average of the slack of the
 	// most urgent jobs.
 	slackWeight = 0.05
-	// usualShare and lowShare are the shares of that slack by which jobs may be
-	// delayed: less urgent work is refused while there is still room for more
-	// urgent work that is about to arrive.
-	usualShare = 0.85
-	lowShare   = 0.5
 	// urgentRank is the highest rank of the most urgent jobs, usualRank that of
 	// jobs with the usual share.
 	urgentRank Rank = 0
 	usualRank  Rank = 1
 )
 
+// Policy bounds how much the stages of a job may be delayed, as shares of the slack
+// that the most urgent jobs usually have. The zero Policy refuses only jobs that
+// cannot meet their deadline.
+type Policy struct {
+	Usual float64
+	Low   float64 // of less urgent jobs
+}
+
+// DefaultPolicy refuses less urgent work while there is still room for more urgent
+// work that is about to arrive.
+func DefaultPolicy() Policy {
+	return Policy{
+		Usual: 0.85,
+		Low:   0.5,
+	}
+}
+
 // share returns the part of the usual slack by which jobs of a rank may be delayed.
-func (r Rank) share() float64 {
+func (p Policy) share(r Rank) float64 {
 	if r <= usualRank {
-		return usualShare
+		return p.Usual
 	}
-	return lowShare
+	return p.Low
 }
 
 // admit refuses a job that would be delayed too much.
@@ -42,13 +54,16 @@
 			Limit: j.Deadline.Sub(now) - alone,
 		}
 	}
+	if s.policy == (Policy{}) {
+		return nil
+	}
 	slack := j.Objective.Sub(now) - alone
 	if j.Rank <= urgentRank && slack > 0 {
 		s.observe(slack)
 	}
 	allowed := slack
 	if s.slack > 0 {
-		usual := time.Duration(j.Rank.share() * float64(s.slack))
+		usual := time.Duration(s.policy.share(j.Rank) * float64(s.slack))
 		if slack <= 0 {
 			// It is late in any case, for example after an upstream was lost.
 			allowed = usual
--- a/internal/relay/batch/job.go
+++ b/internal/relay/batch/job.go
@@ -47,6 +47,10 @@
 // leastReturn keeps callers from coming back before the load can have changed.
 const leastReturn = time.Second
 
+// FirstEventTime is the time that a model usually takes from the end of the stages
+// to its first event.
+const FirstEventTime = 300 * time.Millisecond
+
 // JobID names a job of a Scheduler.
 type JobID uint64
 
--- a/internal/relay/batch/scheduler.go
+++ b/internal/relay/batch/scheduler.go
@@ -31,6 +31,7 @@
 // Scheduler plans the stages of jobs. After any method that takes a time, Next
 // returns what has to be done.
 type Scheduler struct {
+	policy   Policy
 	pools    map[ident.ServiceName]*pool
 	order    []*pool // by name, so that the same events lead to the same plans
 	workers  map[ident.UpstreamID]*worker
@@ -43,8 +44,9 @@
 }
 
 // New returns a scheduler without upstreams.
-func New() *Scheduler {
+func New(policy Policy) *Scheduler {
 	return &Scheduler{
+		policy:   policy,
 		pools:    make(map[ident.ServiceName]*pool),
 		workers:  make(map[ident.UpstreamID]*worker),
 		jobs:     make(map[JobID]*job),
--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -82,7 +82,7 @@
 		commands:  make(chan command, commandQueue),
 		stopped:   make(chan struct{}),
 		ends:      make(chan ended),
-		scheduler: batch.New(),
+		scheduler: batch.New(batch.DefaultPolicy()),
 		waiting:   make(map[batch.JobID]chan batch.Done),
 	}
 }
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -20,9 +20,6 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
 
-// firstEventTime is the time that a model usually takes to the first event.
-const firstEventTime = 300 * time.Millisecond
-
 // streamEnd says how one try of a stream ended.
 type streamEnd uint8
 
@@ -173,8 +170,8 @@
 		Domain:    e.home(),
 		Rank:      batch.Rank(e.table.Rank(e.route, e.organisation)),
 		Key:       e.head.PieceKey,
-		Objective: e.arrived.Add(e.route.Objective - firstEventTime),
-		Deadline:  e.deadline.Add(-firstEventTime),
+		Objective: e.arrived.Add(e.route.Objective - batch.FirstEventTime),
+		Deadline:  e.deadline.Add(-batch.FirstEventTime),
 	}
 	for i, stage := range e.route.Stages {
 		pieces := 0
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -134,7 +134,7 @@
 		Routes:     h.routes,
 		Fleet:      h.fleet,
 		Client:     h.client,
-		Chooser:    placement.New(time.Now),
+		Chooser:    placement.New(time.Now, rand.Float64),
 		Popularity: placement.NewPopularity(),
 		Budget: budget.New(budget.Config{
 			Share:     s.Repeats,
--- a/internal/relay/placement/chooser.go
+++ b/internal/relay/placement/chooser.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -61,17 +60,19 @@
 
 // Chooser chooses upstreams.
 type Chooser struct {
-	now func() time.Time
+	now    func() time.Time
+	random func() float64
 
 	mu   sync.Mutex
 	rows map[ident.UpstreamID]*row
 }
 
-// New returns a chooser that knows nothing.
-func New(now func() time.Time) *Chooser {
+// New returns a chooser that knows nothing; random returns numbers from 0 to 1.
+func New(now func() time.Time, random func() float64) *Chooser {
 	return &Chooser{
-		now:  now,
-		rows: make(map[ident.UpstreamID]*row),
+		now:    now,
+		random: random,
+		rows:   make(map[ident.UpstreamID]*row),
 	}
 }
 
@@ -94,7 +95,7 @@
 		if upstream.ID == preferred.ID {
 			cost -= affinity
 		}
-		cost += rand.Float64() / 2 // hosts that know the same spread their requests
+		cost += c.random() / 2 // hosts that know the same spread their requests
 		if !found || cost < lowest {
 			best, lowest, found = upstream, cost, true
 		}
