--- a/internal/emulation/deployment/deployment.go
+++ b/internal/emulation/deployment/deployment.go
@@ -40,6 +40,8 @@
 	Batching  Batching      `ini:"batching"`
 	Affinity  Affinity      `ini:"affinity"`
 	Admission Admission     `ini:"admission"`
+	Usual     float64       `ini:"usual"`  // share of the usual slack by which stages may be delayed
+	Low       float64       `ini:"low"`    // the same for less urgent requests
 	Return    time.Duration `ini:"return"` // when refused callers may come back; 0 is by the delay
 }
 
--- a/internal/emulation/deployment/parse.go
+++ b/internal/emulation/deployment/parse.go
@@ -7,9 +7,12 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 	"gopkg.in/ini.v1"
+
+	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 )
 
 // ErrInvalid reports a deployment that cannot be played; its text lists every fault.
@@ -96,6 +99,8 @@
 			Batching:  ByCoordinator,
 			Affinity:  Bounded,
 			Admission: ByDelay,
+			Usual:     batch.DefaultPolicy().Usual,
+			Low:       batch.DefaultPolicy().Low,
 		}
 		p.read(section, &d.Policy)
 	case "pool":
@@ -142,14 +147,22 @@
 
 // read maps the keys of a section to the fields of a value with their names.
 func (p *parser) read(section *ini.Section, to any) {
-	known := make(map[string]bool)
+	known := make(map[string]reflect.Type)
 	fields := reflect.TypeOf(to).Elem()
 	for i := range fields.NumField() {
-		known[fields.Field(i).Tag.Get("ini")] = true
+		known[fields.Field(i).Tag.Get("ini")] = fields.Field(i).Type
 	}
 	for _, key := range section.Keys() {
-		if !known[key.Name()] || key.Name() == "-" {
+		kind, ok := known[key.Name()]
+		if !ok || key.Name() == "-" {
 			p.fault("[%s] %s: unknown key", section.Name(), key.Name())
+			continue
+		}
+		if kind == reflect.TypeFor[time.Duration]() {
+			// The library takes a number without a unit for nanoseconds.
+			if _, err := time.ParseDuration(key.String()); err != nil {
+				p.fault("[%s] %s = %q: expected a duration with a unit, as in 200ms", section.Name(), key.Name(), key.String())
+			}
 		}
 	}
 	if err := section.StrictMapTo(to); err != nil {
@@ -202,6 +215,8 @@
 	p.among("[policy] batching", d.Policy.Batching, ByCoordinator, ByHost)
 	p.among("[policy] affinity", d.Policy.Affinity, Bounded, Strict, Balanced)
 	p.among("[policy] admission", d.Policy.Admission, ByDelay, All)
+	p.positive("[policy] usual", d.Policy.Usual)
+	p.positive("[policy] low", d.Policy.Low)
 	for _, pool := range d.Pools {
 		place := "[pool " + pool.Name + "] "
 		p.positive(place+"count", pool.Count)
--- a/internal/emulation/play/coordinator.go
+++ b/internal/emulation/play/coordinator.go
@@ -26,7 +26,10 @@
 
 // newCoordinator returns one that knows nothing of what the upstreams do and hold.
 func (r *run) newCoordinator() *coordinator {
-	policy := batch.DefaultPolicy()
+	policy := batch.Policy{
+		Usual: r.deployment.Policy.Usual,
+		Low:   r.deployment.Policy.Low,
+	}
 	if r.deployment.Policy.Admission == deployment.All {
 		policy = batch.Policy{}
 	}
