Send a request again on a new connection if a kept one leads to another upstream

Both upstreams of its service had moved at the same time, and its kept connections to both led to their old places, which refused it.

The answer states that the request did not run, so any request is sent again to the same upstream, within the budget of repeats.

--- a/internal/relay/forward/handler_test.go
+++ b/internal/relay/forward/handler_test.go
@@ -127,6 +127,7 @@
 	reset  bool
 	hang   bool // the connection stays open without an end of the answer
 	forget bool // the connection is reset when something else is sent on it
+	moved  bool // the connection leads to another upstream from then on
 }
 
 // upstreams are those of one service; they act in turn as requests arrive.
@@ -182,7 +183,8 @@
 }
 
 func (u *upstreams) handle(conn *net.TCPConn) {
-	r, err := http.ReadRequest(bufio.NewReader(conn))
+	reader := bufio.NewReader(conn)
+	r, err := http.ReadRequest(reader)
 	if err != nil {
 		return
 	}
@@ -203,6 +205,11 @@
 		_, _ = conn.Read(make([]byte, 1))
 		_ = conn.SetLinger(0)
 	}
+	if a.moved {
+		if _, err := http.ReadRequest(reader); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 421 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		}
+	}
 	if a.reset {
 		time.Sleep(20 * time.Millisecond) // the bytes before it arrive
 		_ = conn.SetLinger(0)
@@ -248,7 +255,12 @@
 	strikes   atomic.Int64
 }
 
+// start has four upstreams, so that requests can be sent on.
 func start(t *testing.T, acts ...act) *fixture {
+	return startWith(t, 4, acts...)
+}
+
+func startWith(t *testing.T, count int, acts ...act) *fixture {
 	f := &fixture{
 		upstreams: &upstreams{
 			acts: acts,
@@ -258,7 +270,7 @@
 	}
 	address := f.upstreams.serve(t)
 	directory := fleet.New()
-	for i := range 4 {
+	for i := range count {
 		directory.Put(fleet.Listed{
 			Upstream: fleet.Upstream{
 				ID:      ident.UpstreamID(fmt.Sprintf("u%d", i)),
@@ -478,6 +490,35 @@
 	}
 }
 
+// Guards against requests that are refused because the kept connections to all
+// upstreams lead to others since their addresses have moved.
+func TestMovedConnection(t *testing.T) {
+	keep := func(text string) act {
+		return act{
+			text:  strings.ReplaceAll(text, "Connection: close\r\n", ""),
+			moved: true,
+		}
+	}
+	whole := stream + events(1) + endOfChunks
+	tests := map[string]struct {
+		path string
+		acts []act
+	}{
+		"safe":   {path: "/safe/x", acts: []act{keep(ok("a").text), ok("b")}},
+		"unsafe": {path: "/unsafe/x", acts: []act{keep(ok("a").text), ok("b")}},
+		"stream": {path: "/stream/x", acts: []act{keep(whole), {text: whole}}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := startWith(t, 1, test.acts...)
+			c.Assert(f.ask(c, test.path, nil).status, qt.Equals, 200)
+			c.Check(f.ask(c, test.path, nil).status, qt.Equals, 200)
+			c.Check(f.upstreams.requests(), qt.HasLen, 2)
+		})
+	}
+}
+
 // Guards against a request that counts as not run because its upstream, which
 // crashed with it, accepts no new connection.
 func TestCrashOnIdleConnection(t *testing.T) {
--- a/internal/relay/forward/send.go
+++ b/internal/relay/forward/send.go
@@ -92,10 +92,17 @@
 }
 
 // send sends the request to an upstream. If the upstream has forgotten the
-// connection, a request that may run again is sent to it on a new one.
+// connection, a request that may run again is sent to it on a new one, and so is any
+// request if the connection leads to another upstream.
 func (e *exchange) send(ctx context.Context, to fleet.Upstream, dispatch wire.Dispatch) (*upstreamhttp.Answer, error) {
 	answer, err := e.call(ctx, to, dispatch, false)
-	if !errors.Is(err, upstreamhttp.ErrStale) || !e.route.Idempotent() || !e.repeat() {
+	switch {
+	case err == nil && answer.Moved && answer.Reply.NotRun && e.repeat():
+		answer.Close()
+		e.log.Info().Str("upstream", string(to.ID)).Msg("forward: idle connection led to another upstream, sent on a new one")
+		return e.call(ctx, to, dispatch, true)
+	case errors.Is(err, upstreamhttp.ErrStale) && e.route.Idempotent() && e.repeat():
+	default:
 		return answer, err
 	}
 	e.log.Info().Err(err).Str("upstream", string(to.ID)).Msg("forward: idle connection had ended, sent on a new one")
--- a/internal/relay/upstreamhttp/client.go
+++ b/internal/relay/upstreamhttp/client.go
@@ -85,6 +85,7 @@
 	Header http.Header
 	Reply  wire.Reply
 	Length int64 // bytes of the body; -1 if not stated
+	Moved  bool  // a kept connection leads to another upstream than the address now
 
 	client   *Client
 	conn     *connection
@@ -145,6 +146,7 @@
 		Header:   response.Header,
 		Reply:    reply,
 		Length:   response.ContentLength,
+		Moved:    misdirected && conn.used,
 		client:   c,
 		conn:     conn,
 		body:     response.Body,
--- a/internal/system/soak_regression_test.go
+++ b/internal/system/soak_regression_test.go
@@ -24,6 +24,29 @@
 			Target: 4,
 		},
 	},
+	// A request was refused by both upstreams of its service on kept connections.
+	"kept connections to all upstreams lead to others": {
+		{
+			At:     4700 * time.Millisecond,
+			Action: replace,
+			Target: 0,
+		},
+		{
+			At:     4800 * time.Millisecond,
+			Action: replace,
+			Target: 1,
+		},
+		{
+			At:     4900 * time.Millisecond,
+			Action: replace,
+			Target: 3,
+		},
+		{
+			At:     5 * time.Second,
+			Action: replace,
+			Target: 4,
+		},
+	},
 }
 
 func TestSoakRegressions(t *testing.T) {
