Handle signals before the settings are read

A request to reload had come right after its start, when the daemon had not yet asked for the signal, so the signal ended it; the same held for as long as it read its settings.

The signals are asked for first.

--- a/internal/command/relay.go
+++ b/internal/command/relay.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
@@ -32,6 +34,12 @@
 }
 
 func runRelay(ctx context.Context, command *cli.Command) error {
+	// Signals may come at once; until they are handled they end the process.
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGHUP)
+	defer signal.Stop(asked)
+	stopping, _, release := stopSignals(ctx)
+	defer release()
 	name := command.String("settings")
 	content, err := os.ReadFile(name)
 	if err != nil {
@@ -46,10 +54,8 @@
 		return errors.Annotate(err, "parse log level")
 	}
 	log := logging.New(command.Root().Writer, level, parsed.Lines)
-	stopping, _, release := stopSignals(ctx)
-	defer release()
 	background, end := context.WithCancel(context.WithoutCancel(ctx))
-	watch := newReloader(name, content, log)
+	watch := newReloader(name, content, asked, log)
 	ended := make(chan error, 2)
 	go func(ctx context.Context) { ended <- watch.run(ctx) }(background)
 	go func(ctx context.Context) { ended <- log.Report(ctx) }(background)
--- a/internal/command/reload.go
+++ b/internal/command/reload.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -19,18 +17,20 @@
 // without a signal.
 const reloadInterval = 5 * time.Second
 
-// reloader reads the settings file again on SIGHUP and when it changes. The log
+// reloader reads the settings file again when it is asked to and when it changes. The log
 // settings apply at once; the others take effect at the next start.
 type reloader struct {
 	name     string
+	asked    <-chan os.Signal
 	log      *logging.Log
 	content  []byte // in force
 	rejected []byte // that was last reported as not usable
 }
 
-func newReloader(name string, content []byte, log *logging.Log) *reloader {
+func newReloader(name string, content []byte, asked <-chan os.Signal, log *logging.Log) *reloader {
 	return &reloader{
 		name:    name,
+		asked:   asked,
 		log:     log,
 		content: content,
 	}
@@ -38,16 +38,13 @@
 
 // run reloads until ctx ends.
 func (r *reloader) run(ctx context.Context) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-signals:
+		case <-r.asked:
 			r.reload(true)
 		case <-ticker.C:
 			r.reload(false)
