Ask a replica how far it is without the lock that its sink waits for

Cause: soak, hosts that stand still in turn: one of 13 plans left a host that answered nobody. Its stacks show that a Replica held its lock while its Sink waited for the members' lock, and the gossip held the members' lock while it asked the replica for its cursor and age.

The cursor and the age have a lock of their own that is not held during calls. TestSinkMayWait asks for them from within a Sink; it fails without the change. The plan stands among those that failed once, and the soak checks after each plan that all hosts serve, and prints the stacks of one that does not.

--- a/internal/relay/discovery/doc.go
+++ b/internal/relay/discovery/doc.go
@@ -15,5 +15,7 @@
 // when a removal is doubtful.
 //
 // Locking: Health and Replica have a mutex each, which a Replica holds while it
-// calls its Sink. Reader and Registration belong to the goroutine that runs them.
+// calls its Sink. Its cursor and age have another one, which is never held during
+// calls, since the gossip asks for them under the lock that a Sink may wait for.
+// Reader and Registration belong to the goroutine that runs them.
 package discovery
--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -37,16 +37,50 @@
 
 // Replica is a copy of the store's entries.
 type Replica struct {
-	sink Sink
-	now  func() time.Time
+	sink  Sink
+	now   func() time.Time
+	known progress
 
+	mu       sync.Mutex
+	entries  map[kv.Key]kv.Entry
+	removed  map[kv.Key]kv.Version
+	floor    kv.Cursor // removals up to it are forgotten
+	doubtful time.Time // until when removals are doubtful
+}
+
+// progress is how far a replica is. Its mutex is not held while the sink is called,
+// so that what a sink waits for may ask for it.
+type progress struct {
 	mu        sync.Mutex
-	entries   map[kv.Key]kv.Entry
-	removed   map[kv.Key]kv.Version
-	floor     kv.Cursor // removals up to it are forgotten
 	cursor    kv.Cursor
 	confirmed time.Time
-	doubtful  time.Time // until when removals are doubtful
+}
+
+func (p *progress) get() (cursor kv.Cursor, confirmed time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cursor, p.confirmed
+}
+
+// confirm notes that the store was not beyond a cursor at a time; it reports false
+// if the replica is not there yet.
+func (p *progress) confirm(cursor kv.Cursor, at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if cursor > p.cursor {
+		return false
+	}
+	if at.After(p.confirmed) {
+		p.confirmed = at
+	}
+	return true
+}
+
+// reach moves the cursor on.
+func (p *progress) reach(cursor kv.Cursor) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cursor = max(p.cursor, cursor)
 }
 
 // NewReplica returns an empty replica.
@@ -61,9 +95,8 @@
 
 // Cursor returns up to where the replica is complete; 0 before the first listing.
 func (r *Replica) Cursor() kv.Cursor {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.cursor
+	cursor, _ := r.known.get()
+	return cursor
 }
 
 // Version returns the version of an entry, 0 if there is none.
@@ -75,35 +108,18 @@
 
 // Age returns how long ago the replica was known to be the latest.
 func (r *Replica) Age() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.age()
-}
-
-func (r *Replica) age() time.Duration {
 	const never = time.Hour
-	if r.confirmed.IsZero() {
+	_, confirmed := r.known.get()
+	if confirmed.IsZero() {
 		return never
 	}
-	return min(never, max(0, r.now().Sub(r.confirmed)))
+	return min(never, max(0, r.now().Sub(confirmed)))
 }
 
 // Confirm notes that the store was not beyond a cursor some time ago. It reports
 // whether the replica lacks changes.
 func (r *Replica) Confirm(cursor kv.Cursor, age time.Duration) (behind bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if cursor > r.cursor {
-		return true
-	}
-	r.confirm(age)
-	return false
-}
-
-func (r *Replica) confirm(age time.Duration) {
-	if at := r.now().Add(-age); at.After(r.confirmed) {
-		r.confirmed = at
-	}
+	return !r.known.confirm(cursor, r.now().Add(-age))
 }
 
 // List takes a complete listing, whose cursor is that of its first page.
@@ -120,18 +136,18 @@
 func (r *Replica) Watched(after kv.Cursor, changes kv.Changes) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if after != r.cursor || changes.Cursor < r.cursor {
+	if cursor := r.Cursor(); after != cursor || changes.Cursor < cursor {
 		return // another answer was faster
 	}
 	r.settle()
 	r.apply(changes.Changes)
-	r.cursor = changes.Cursor
+	r.known.reach(changes.Cursor)
 }
 
 // settle makes removals doubtful for a time if the store has been away for all
 // hosts.
 func (r *Replica) settle() {
-	if !r.confirmed.IsZero() && r.age() > outage {
+	if _, confirmed := r.known.get(); !confirmed.IsZero() && r.Age() > outage {
 		r.doubtful = r.now().Add(returnTime)
 	}
 }
@@ -154,10 +170,11 @@
 func (r *Replica) Apply(delta Delta) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if delta.After > r.cursor {
+	cursor := r.Cursor()
+	if delta.After > cursor {
 		return false
 	}
-	if delta.Cursor < r.cursor {
+	if delta.Cursor < cursor {
 		return true // known already
 	}
 	if until := r.now().Add(delta.Doubt); delta.Doubt > 0 && until.After(r.doubtful) {
@@ -193,8 +210,8 @@
 	defer r.mu.Unlock()
 	delta := Delta{
 		After:  after,
-		Cursor: r.cursor,
-		Age:    r.age(),
+		Cursor: r.Cursor(),
+		Age:    r.Age(),
 		Doubt:  max(0, r.doubtful.Sub(r.now())),
 	}
 	if after < r.floor {
@@ -225,9 +242,9 @@
 }
 
 func (r *Replica) advance(cursor kv.Cursor, age time.Duration) {
-	if cursor >= r.cursor {
-		r.cursor = cursor
-		r.confirm(age)
+	if cursor >= r.Cursor() {
+		r.known.reach(cursor)
+		r.known.confirm(cursor, r.now().Add(-age))
 	}
 }
 
@@ -250,7 +267,7 @@
 	}
 	if len(r.removed) >= maxTombstones {
 		clear(r.removed)
-		r.floor = r.cursor
+		r.floor = r.Cursor()
 	}
 	r.removed[key] = max(r.removed[key], version)
 	if !ok {
--- a/internal/relay/discovery/replica_test.go
+++ b/internal/relay/discovery/replica_test.go
@@ -242,3 +242,46 @@
 	}), qt.IsFalse)
 	c.Check(replica.Cursor(), qt.Equals, kv.Cursor(5))
 }
+
+// waiting is a Sink that waits for something else before it takes an entry.
+type waiting struct {
+	*view
+	wait func()
+}
+
+func (w waiting) Put(entry kv.Entry) {
+	w.wait()
+	w.view.Put(entry)
+}
+
+// Guards against a deadlock: a sink waits for a lock under which the gossip asks how
+// far the replica is.
+func TestSinkMayWait(t *testing.T) {
+	c := qt.New(t)
+	var replica *discovery.Replica
+	asked := false
+	sink := waiting{
+		view: newView(),
+		wait: func() {
+			told := make(chan struct{})
+			go func() {
+				replica.Cursor()
+				replica.Age()
+				replica.Confirm(1, 0)
+				close(told)
+			}()
+			select {
+			case <-told:
+				asked = true
+			case <-time.After(time.Second):
+			}
+		},
+	}
+	replica = discovery.NewReplica(sink, func() time.Time { return start })
+	replica.List([]kv.Entry{{
+		Key:     "a",
+		Version: 1,
+	}}, 1)
+	c.Check(asked, qt.IsTrue)
+	c.Check(replica.Cursor(), qt.Equals, kv.Cursor(1))
+}
--- a/internal/system/process.go
+++ b/internal/system/process.go
@@ -142,14 +142,18 @@
 func (p *process) freeze(t *testing.T) {
 	t.Helper()
 	p.signal(t, syscall.SIGSTOP)
-	await(t, "stop of "+p.name, func() bool {
-		stat, err := os.ReadFile("/proc/" + strconv.Itoa(p.command.Process.Pid) + "/stat")
-		if err != nil {
-			return false
-		}
-		_, state, _ := strings.Cut(string(stat), ") ")
-		return strings.HasPrefix(state, "T")
-	})
+	await(t, "stop of "+p.name, func() bool { return p.state() == "T" })
+}
+
+// state returns the letter of the process's state, empty if it has ended.
+func (p *process) state() string {
+	stat, err := os.ReadFile("/proc/" + strconv.Itoa(p.command.Process.Pid) + "/stat")
+	if err != nil {
+		return ""
+	}
+	_, state, _ := strings.Cut(string(stat), ") ")
+	letter, _, _ := strings.Cut(state, " ")
+	return letter
 }
 
 func (p *process) thaw(t *testing.T) {
--- a/internal/system/soak_cluster_test.go
+++ b/internal/system/soak_cluster_test.go
@@ -248,18 +248,31 @@
 
 // isReady asks as the load balancer does.
 func (h *relayHost) isReady() bool {
-	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	return get(h.ready, platform.ReadyPath, 300*time.Millisecond) == http.StatusOK
+}
+
+// answers sends a request without an id to the port for callers.
+func (h *relayHost) answers() bool {
+	return get(h.callers, "/none/", 2*time.Second) == http.StatusBadRequest
+}
+
+// get returns the status of an answer, 0 if there is none in time.
+func get(from ident.Address, path string, limit time.Duration) int {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(h.ready)+platform.ReadyPath, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(from)+path, nil)
 	if err != nil {
-		return false
+		return 0
 	}
 	request.Close = true
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return false
+		return 0
+	}
+	if response.Body.Close() != nil {
+		return 0
 	}
-	return response.Body.Close() == nil && response.StatusCode == http.StatusOK
+	return response.StatusCode
 }
 
 // served reports whether the process of a host has begun to serve. Before that it
--- a/internal/system/soak_regression_test.go
+++ b/internal/system/soak_regression_test.go
@@ -24,6 +24,9 @@
 			Target: 4,
 		},
 	},
+	// The lock of the replica and that of the members were taken in both orders, one
+	// in 13 times, as hosts registered again after they had stood still.
+	"hosts stand still again and again": standstills(4, 400*time.Millisecond),
 	// A request was refused by both upstreams of its service on kept connections.
 	"kept connections to all upstreams lead to others": {
 		{
@@ -49,6 +52,21 @@
 	},
 }
 
+// standstills returns a plan in which the soak's hosts stand still in turn, so that
+// each pause overlaps those of the hosts before and after it.
+func standstills(rounds int, pauseTime time.Duration) plan {
+	var p plan
+	for i := range rounds * soakHosts {
+		p = append(p, step{
+			At:     time.Duration(i) * pauseTime / soakHosts,
+			Action: pause,
+			Target: i % soakHosts,
+			For:    pauseTime,
+		})
+	}
+	return p
+}
+
 func TestSoakRegressions(t *testing.T) {
 	for name, p := range regressions {
 		t.Run(name, func(t *testing.T) {
--- a/internal/system/soak_test.go
+++ b/internal/system/soak_test.go
@@ -9,6 +9,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -82,6 +83,13 @@
 	spans := c.play(p)
 	last := time.Now()
 	time.Sleep(calmTime)
+	for _, h := range c.hosts {
+		if !h.isReady() || !h.answers() {
+			c.fail("%s does not serve %s after the last step, its process is in state %q", h.name, time.Since(last).Round(time.Millisecond), h.process.state())
+			h.process.signal(t, syscall.SIGQUIT) // its stacks go into the output
+			<-h.process.ended
+		}
+	}
 	finish := time.Now()
 	end()
 	<-ended
