Send rumours of small fleets until hosts that are down have them, too

A rumour was given up once all live hosts had it. Hosts that are cut off from each other for longer than a suspicion take each other for down, so a rumour that had reached the first of them was given up by both, and the third one never got it.

Hosts that are down count as well, within the time that bounds each rumour.

--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -38,9 +38,9 @@
 	seenLimit = 8192
 	// rumourTime bounds the retransmission of rumours that reach nobody.
 	rumourTime = time.Minute
-	// smallFleet is the most live hosts at which a rumour is sent until each of
-	// them has it, instead of a number of times: 3·log2(n) transmissions missed
-	// one of three hosts in some runs, with one link cut.
+	// smallFleet is the most live hosts at which a rumour is sent until every host
+	// has it, instead of a number of times: 3·log2(n) transmissions missed one of
+	// three hosts in some runs, with one link cut.
 	smallFleet  = 32
 	rumourQueue = 1024
 )
@@ -314,10 +314,11 @@
 	delete(g.carried, to)
 }
 
-// allKnow reports whether every other live host has a rumour.
+// allKnow reports whether every other host has a rumour. Those that are down may be
+// cut off only, and need it when they are reached again.
 func (g *Gossip) allKnow(p *pending) bool {
 	for _, e := range g.table.order {
-		if e.row.Live() && e.row.Host != g.table.self && !p.known[e.row.Host] {
+		if e.row.State != Leaving && e.row.Host != g.table.self && !p.known[e.row.Host] {
 			return false
 		}
 	}
--- a/peer/internal/peernet/gossip_test.go
+++ b/peer/internal/peernet/gossip_test.go
@@ -164,32 +164,44 @@
 	}
 }
 
-// Guards against a rumour that is given up while its host cannot reach anyone:
-// a leaving mark that is lost so is not made up for by any digest.
+// Guards against a rumour that is given up while hosts cannot reach each other, or
+// once it has reached the first of them: a leaving mark that is lost so is not made
+// up for by any digest.
 func TestRumourOutlastsCut(t *testing.T) {
 	t.Parallel()
-	for name, ticks := range map[string]int{"a second": 5, "ten seconds": 50} {
+	tests := map[string]struct {
+		ticks int
+		all   bool // the others cannot reach each other either
+	}{
+		"a second":               {ticks: 5},
+		"ten seconds":            {ticks: 50},
+		"all links, a second":    {ticks: 5, all: true},
+		"all links, ten seconds": {ticks: 50, all: true},
+	}
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
-			n := newNetwork(6, 3)
-			cut := true
-			first := n.node(0)
-			n.cut = func(a, b ident.Address) bool {
-				return cut && (a == first.row.Address || b == first.row.Address)
-			}
-			mark := peer.UpstreamLeaving{
-				Upstream:    "u",
-				Incarnation: 1,
-			}
-			first.gossip.Publish(mark)
-			for range ticks {
-				n.step()
+			for seed := range uint64(300) {
+				n := newNetwork(seed, 3)
+				cut := true
+				first := n.node(0)
+				n.cut = func(a, b ident.Address) bool {
+					return cut && (test.all || a == first.row.Address || b == first.row.Address)
+				}
+				mark := peer.UpstreamLeaving{
+					Upstream:    "u",
+					Incarnation: 1,
+				}
+				first.gossip.Publish(mark)
+				for range test.ticks {
+					n.step()
+				}
+				c.Assert(n.count(func(x *node) bool { return hasHeard(x, mark) }), qt.Equals, 0)
+				cut = false
+				took := n.until(25, func() bool { return n.count(func(x *node) bool { return hasHeard(x, mark) }) == 2 })
+				c.Check(took < 25, qt.IsTrue, qt.Commentf("seed %d: not heard within 5 s of the end of the cut", seed))
 			}
-			c.Assert(n.count(func(x *node) bool { return hasHeard(x, mark) }), qt.Equals, 0)
-			cut = false
-			took := n.until(25, func() bool { return n.count(func(x *node) bool { return hasHeard(x, mark) }) == 2 })
-			c.Check(took < 25, qt.IsTrue, qt.Commentf("not heard within 5 s of the end of the cut"))
 		})
 	}
 }
