--- /dev/null
+++ b/internal/stagehttp/fixture_test.go
@@ -0,0 +1,135 @@
+package stagehttp
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/pipeline"
+)
+
+// script answers one request on a raw connection; the connection stays open
+// for another request if it returns true.
+type script func(conn *net.TCPConn, request *http.Request) bool
+
+// rawServer is a server that follows a script byte by byte.
+type rawServer struct {
+	address     ident.Address
+	requests    atomic.Int64 // complete requests read
+	connections atomic.Int64
+}
+
+func serve(t *testing.T, answer script) *rawServer {
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	s := &rawServer{
+		address: ident.Address(listener.Addr().String()),
+	}
+	var running sync.WaitGroup
+	var open sync.Map
+	running.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.connections.Add(1)
+			open.Store(conn, true)
+			running.Go(func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, err = io.Copy(io.Discard, request.Body)
+					if err != nil {
+						return
+					}
+					s.requests.Add(1)
+					if !answer(conn.(*net.TCPConn), request) {
+						return
+					}
+				}
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		open.Range(func(conn, _ any) bool {
+			_ = conn.(net.Conn).Close()
+			return true
+		})
+		running.Wait()
+	})
+	return s
+}
+
+// reply returns a script that answers every request with its own attempt id,
+// extra header lines and a body.
+func reply(status int, body string, lines ...string) script {
+	return func(conn *net.TCPConn, request *http.Request) bool {
+		return write(conn, fmt.Sprintf("HTTP/1.1 %d X\r\nAttempt-Id: %s\r\nContent-Length: %d\r\n%s\r\n%s",
+			status, request.Header.Get(attemptHeader), len(body), joined(lines), body))
+	}
+}
+
+// raw returns a script that answers with a status line, the attempt id, the
+// text and the end of the connection.
+func raw(text string) script {
+	return func(conn *net.TCPConn, request *http.Request) bool {
+		write(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: "+request.Header.Get(attemptHeader)+"\r\n"+text)
+		return false
+	}
+}
+
+func joined(lines []string) string {
+	if len(lines) == 0 {
+		return ""
+	}
+	return strings.Join(lines, "\r\n") + "\r\n"
+}
+
+func write(conn net.Conn, text string) bool {
+	_, err := io.WriteString(conn, text)
+	return err == nil
+}
+
+func reset(conn *net.TCPConn, _ *http.Request) bool {
+	_ = conn.SetLinger(0)
+	return false
+}
+
+func newClient(t *testing.T, config Config) *Client {
+	c := New(config)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func poolCall(attempt ident.AttemptID) pipeline.Call {
+	return pipeline.Call{
+		Attempt: attempt,
+		Method:  http.MethodPost,
+		Path:    "/v1/encode",
+		Body:    []byte(`{"input":"x"}`),
+	}
+}
+
+func plainCall(attempt ident.AttemptID) pipeline.Call {
+	return pipeline.Call{
+		Attempt: attempt,
+		Method:  http.MethodPost,
+		Path:    "/fees?year=1",
+		Body:    []byte(`{"fee":1}`),
+	}
+}
