Doubt removals only if the store answered no host for as long as entries take to lapse

The store turned both readers away, so other hosts polled once their replicas were 2.2 s old, and listed 0.4 s later. The listing counted as the first sign of the store after more than 2 s, which made removals doubtful for another 2.2 s: an upstream that had been removed was still used 3.2 s later.

A replica now remembers when the store last answered any host, by polls and watches as well as by confirmations, and the time after which entries may have lapsed follows from the interval of their renewals, a new setting.

Left: both readers are still replaced only by polls.

--- a/internal/relay/discovery/reader.go
+++ b/internal/relay/discovery/reader.go
@@ -127,6 +127,12 @@
 	}
 }
 
+// succeeded notes an answer of the store.
+func (r *Reader) succeeded() {
+	r.config.Health.Succeeded()
+	r.config.Replica.Answered()
+}
+
 // read watches and polls for as long as this host is a reader. After a failure
 // it lists, since a listing is answered at once when the store is back.
 func (r *Reader) read(ctx context.Context) error {
@@ -179,7 +185,7 @@
 	if err != nil {
 		return err
 	}
-	r.config.Health.Succeeded()
+	r.succeeded()
 	if !r.config.Replica.Confirm(page.Cursor, 0) {
 		return nil
 	}
@@ -199,7 +205,7 @@
 		if err != nil {
 			return err
 		}
-		r.config.Health.Succeeded()
+		r.succeeded()
 		if after == "" {
 			cursor = page.Cursor // later changes may be missing in the first page
 		}
@@ -232,7 +238,7 @@
 	if err != nil {
 		return err
 	}
-	r.config.Health.Succeeded()
+	r.succeeded()
 	r.config.Replica.Watched(cursor, changes)
 	sleep(ctx, r.rest(time.Now(), len(changes.Changes) > 0))
 	return nil
--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -10,10 +10,11 @@
 const (
 	// maxTombstones bounds the removals that a replica remembers for other hosts.
 	maxTombstones = 4096
-	// outage is the least time without a confirmation by any host after which
-	// entries may have lapsed because their owners did not reach the store: an
-	// entry lapses after three renewals of about 1.2 s are missed.
-	outage = 2 * time.Second
+	// lapseRenewals is the least time without an answer of the store to any host
+	// after which entries may have lapsed because their owners did not reach it
+	// either, in renewals: an entry lapses when three are missed, and the last one
+	// may be as old as a renewal, or a tenth older.
+	lapseRenewals = 1.9
 	// returnTime is how long the owner of a lapsed entry may take to write it again
 	// after the store has been away.
 	returnTime = 2200 * time.Millisecond
@@ -37,9 +38,10 @@
 
 // Replica is a copy of the store's entries.
 type Replica struct {
-	sink  Sink
-	now   func() time.Time
-	known progress
+	sink   Sink
+	outage time.Duration // without an answer of the store, after which entries may have lapsed
+	now    func() time.Time
+	known  progress
 
 	mu       sync.Mutex
 	entries  map[kv.Key]kv.Entry
@@ -54,6 +56,7 @@
 	mu        sync.Mutex
 	cursor    kv.Cursor
 	confirmed time.Time
+	answered  time.Time // when the store last answered any host, as far as is known
 }
 
 func (p *progress) get() (cursor kv.Cursor, confirmed time.Time) {
@@ -73,9 +76,26 @@
 	if at.After(p.confirmed) {
 		p.confirmed = at
 	}
+	if at.After(p.answered) {
+		p.answered = at
+	}
 	return true
 }
 
+// answer notes an answer of the store, and returns how long there had been none;
+// 0 if this is the first one.
+func (p *progress) answer(at time.Time) (silence time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.answered.IsZero() {
+		silence = max(0, at.Sub(p.answered))
+	}
+	if at.After(p.answered) {
+		p.answered = at
+	}
+	return silence
+}
+
 // reach moves the cursor on.
 func (p *progress) reach(cursor kv.Cursor) {
 	p.mu.Lock()
@@ -83,9 +103,11 @@
 	p.cursor = max(p.cursor, cursor)
 }
 
-// NewReplica returns an empty replica.
-func NewReplica(sink Sink, now func() time.Time) *Replica {
+// NewReplica returns an empty replica of a store whose entries are renewed by their
+// owners at an interval.
+func NewReplica(sink Sink, renewal time.Duration, now func() time.Time) *Replica {
 	return &Replica{
+		outage:  time.Duration(lapseRenewals * float64(renewal)),
 		sink:    sink,
 		now:     now,
 		entries: make(map[kv.Key]kv.Entry),
@@ -126,7 +148,7 @@
 func (r *Replica) List(entries []kv.Entry, cursor kv.Cursor) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.settle()
+	r.answered()
 	r.list(entries, cursor)
 	r.advance(cursor, 0)
 }
@@ -139,16 +161,23 @@
 	if cursor := r.Cursor(); after != cursor || changes.Cursor < cursor {
 		return // another answer was faster
 	}
-	r.settle()
+	r.answered()
 	r.apply(changes.Changes)
 	r.known.reach(changes.Cursor)
 }
 
-// settle makes removals doubtful for a time if the store has been away for all
-// hosts.
-func (r *Replica) settle() {
-	if _, confirmed := r.known.get(); !confirmed.IsZero() && r.Age() > outage {
-		r.doubtful = r.now().Add(returnTime)
+// Answered notes that the store has answered this host. What it has removed before
+// is doubtful for a time if it had been away for all hosts.
+func (r *Replica) Answered() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answered()
+}
+
+func (r *Replica) answered() {
+	now := r.now()
+	if r.known.answer(now) > r.outage {
+		r.doubtful = now.Add(returnTime)
 	}
 }
 
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -123,7 +123,7 @@
 			Host: h,
 		},
 	}
-	h.replica = discovery.NewReplica(sinks, time.Now)
+	h.replica = discovery.NewReplica(sinks, s.Renewal, time.Now)
 	leaders := cell.NewLeaders()
 	h.leaders = leaders
 	h.peers = newPeers(s, h.replica, leaders, h.observe, h.poison, grpcrelay.NewServer(h.coordinators.get, h.replica, time.Now), log)
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -24,6 +24,7 @@
 	Store     ident.Address
 	Call      time.Duration // longest single call of the store
 	Lease     time.Duration // life of this host's entry in the store without renewal
+	Renewal   time.Duration // between renewals of an upstream's entry in the store
 	Apply     time.Duration // time in which a routing table has to be in force
 	Repeats   float64       // repeats of calls to upstreams, as a share of the requests
 	Allowance float64       // repeats that all hosts may make beside that share, in a window
@@ -138,6 +139,14 @@
 		help:     "life of this host's entry without renewal",
 		set:      func(s *Relay, v string) error { return duration(&s.Lease, v) },
 	},
+	{
+		section:  "store",
+		key:      "renewal",
+		unit:     "duration",
+		fallback: "1200ms",
+		help:     "time between two renewals of an upstream's entry",
+		set:      func(s *Relay, v string) error { return duration(&s.Renewal, v) },
+	},
 	{
 		section:  "store",
 		key:      "apply",
