Pass the reading of the store on from hosts that it turns away

Reading is now two duties, agreed on as the coordination of stages is, in a package of its own. A reader whose calls fail passes its duty to the next host, and tells that at once; the longer the store has answered nobody, the longer it waits, since then the next one would not do better.

--- a/internal/relay/cell/cell_test.go
+++ b/internal/relay/cell/cell_test.go
@@ -10,12 +10,12 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
-	"pgregory.net/rapid"
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/cell"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
+	"github.com/nutmegshift/nutmegshift/internal/relay/duty"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/peer"
@@ -76,112 +76,6 @@
 	return list
 }
 
-// Guards against hosts that do not agree on the coordinator although they see
-// the same members, and against a small host that coordinates beside large ones.
-func TestOrder(t *testing.T) {
-	c := qt.New(t)
-	all := []peer.Row{row("a", 0.4), row("b", 0.4), row("c", 0.4), row("big", 0.8)}
-	var first []ident.HostID
-	for _, self := range []ident.HostID{"a", "b", "c"} {
-		leaders := cell.NewLeaders()
-		order := names(leaders.Order("", newMembers(self, all...).table.Snapshot()))
-		c.Check(order[0], qt.Equals, ident.HostID("big"))
-		c.Check(order, qt.HasLen, 4)
-		if first == nil {
-			first = order
-		}
-		c.Check(order, qt.DeepEquals, first)
-	}
-}
-
-// Guards against a coordinator that changes when a host comes back, or does not
-// change when it leaves.
-func TestLeaderStays(t *testing.T) {
-	c := qt.New(t)
-	leaders := cell.NewLeaders()
-	all := []peer.Row{row("a", 0.4), row("b", 0.4), row("c", 0.4)}
-	m := newMembers("small", all...)
-	order := leaders.Order("", m.table.Snapshot())
-	before, second := order[0].Host, order[1].Host
-	m.leave(before)
-	after := leaders.Order("", m.table.Snapshot())[0].Host
-	c.Assert(after, qt.Equals, second)
-	c.Assert(leaders.Order("", newMembers("small", all...).table.Snapshot())[0].Host, qt.Equals, after)
-}
-
-// Guards against a coordinator that everybody takes from a host that has just
-// started or has stood still, and against one that is not alive.
-func TestHear(t *testing.T) {
-	order := names(cell.NewLeaders().Order("", newMembers("self", row("a", 0.4), row("b", 0.4), row("c", 0.4)).table.Snapshot()))
-	tests := map[string]struct {
-		own   peer.Leader
-		told  peer.Leader
-		leave bool // the told host is not alive
-		moves bool
-	}{
-		"later term":                  {own: peer.Leader{Host: order[0], Term: 3}, told: peer.Leader{Host: order[1], Term: 4}, moves: true},
-		"earlier term":                {own: peer.Leader{Host: order[1], Term: 3}, told: peer.Leader{Host: order[0], Term: 2}},
-		"same term, better rank":      {own: peer.Leader{Host: order[1], Term: 3}, told: peer.Leader{Host: order[0], Term: 3}, moves: true},
-		"same term, worse rank":       {own: peer.Leader{Host: order[0], Term: 3}, told: peer.Leader{Host: order[1], Term: 3}},
-		"later term, host has left":   {own: peer.Leader{Host: order[0], Term: 3}, told: peer.Leader{Host: order[1], Term: 4}, leave: true},
-		"later term, unknown host":    {own: peer.Leader{Host: order[0], Term: 3}, told: peer.Leader{Host: "z", Term: 4}},
-		"later term, another cell":    {own: peer.Leader{Host: order[0], Term: 3}, told: peer.Leader{Duty: "other", Host: order[1], Term: 4}},
-		"same leader, at a later one": {own: peer.Leader{Host: order[0], Term: 3}, told: peer.Leader{Host: order[0], Term: 5}},
-	}
-	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			c := qt.New(t)
-			leaders := cell.NewLeaders()
-			m := newMembers("self", row("a", 0.4), row("b", 0.4), row("c", 0.4))
-			leaders.Hear([]peer.Leader{test.own}, m.table.Snapshot())
-			if test.leave {
-				m.leave(test.told.Host)
-			}
-			leaders.Hear([]peer.Leader{test.told}, m.table.Snapshot())
-			want := test.own.Host
-			if test.moves {
-				want = test.told.Host
-			}
-			c.Assert(leaders.Order("", m.table.Snapshot())[0].Host, qt.Equals, want)
-		})
-	}
-}
-
-// Guards against groups of hosts that follow different coordinators for good,
-// whatever each of them has believed before.
-func TestLeadersConverge(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		hosts := make([]*cell.Leaders, rapid.IntRange(2, 8).Draw(t, "hosts"))
-		var rows []peer.Row
-		for i := range hosts {
-			rows = append(rows, row(ident.HostID(fmt.Sprint("h", i)), 0.4))
-		}
-		view := newMembers(rows[0].Host, rows[1:]...).table.Snapshot()
-		for i := range hosts {
-			hosts[i] = cell.NewLeaders()
-			if rapid.Bool().Draw(t, "has one") {
-				hosts[i].Hear([]peer.Leader{{
-					Host: rows[rapid.IntRange(0, len(rows)-1).Draw(t, "leader")].Host,
-					Term: rapid.Uint64Range(1, 3).Draw(t, "term"),
-				}}, view)
-			}
-			hosts[i].Order("", view)
-		}
-		for range len(hosts) {
-			for i := range hosts {
-				// Each hears its neighbour, so news take as many rounds as there are hosts.
-				hosts[i].Hear(hosts[(i+1)%len(hosts)].Report(), view)
-			}
-		}
-		want := hosts[0].Report()
-		for _, other := range hosts {
-			if got := other.Report(); got[0] != want[0] {
-				t.Fatalf("one follows %v, another %v", want, got)
-			}
-		}
-	})
-}
-
 // Guards against cells that are so large that one host cannot coordinate them.
 func TestOf(t *testing.T) {
 	table := routes.New(1, routes.Limits{}, nil, []*routes.Service{
@@ -296,8 +190,8 @@
 			t.Parallel()
 			c := qt.New(t)
 			m := newMembers("self", row("a", 0.8), row("b", 0.8))
-			leaders := cell.NewLeaders()
-			order := names(leaders.Order("", m.table.Snapshot()))
+			leaders := duty.New(func(duty.Name) bool { return true })
+			order := names(leaders.Order(cell.ID("").Duty(), m.table.Snapshot()))
 			r := &remote{
 				submit: make(map[ident.Address]error),
 				wait:   make(map[ident.Address]func() (coordinator.Prepared, error)),
--- a/internal/relay/cell/doc.go
+++ b/internal/relay/cell/doc.go
@@ -3,9 +3,8 @@
 //
 // All hosts send the stages of their requests to one coordinator a cell, since
 // hosts that batch against each other fill the upstreams with small batches.
-// The coordinator is the first of the live hosts by rendezvous hash, so hosts
-// that see the same members agree without a call. Hosts that disagree for a
-// while only batch less well: an upstream takes calls of several coordinators,
+// Which host that is, they agree on as on any other duty. Hosts that disagree for
+// a while only batch less well: an upstream takes calls of several coordinators,
 // and a piece that is made twice does no harm. A host that reaches no other
 // coordinates its own requests.
 //
--- a/internal/relay/cell/stager.go
+++ b/internal/relay/cell/stager.go
@@ -10,6 +10,7 @@
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
+	"github.com/nutmegshift/nutmegshift/internal/relay/duty"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/peer"
@@ -46,7 +47,7 @@
 	Self    ident.HostID
 	Domain  ident.FailureDomain
 	Hosts   func() *peer.View
-	Leaders *Leaders
+	Leaders *duty.Leaders
 	Table   func() *routes.Table
 	Fleet   func() *fleet.Snapshot
 	Local   func(id ID) *coordinator.Coordinator
@@ -71,7 +72,7 @@
 func (s *Stager) Prepare(ctx context.Context, job batch.Job) (coordinator.Prepared, error) {
 	id := Of(s.config.Domain, s.config.Table(), s.config.Fleet())
 	asked := 0
-	for _, row := range s.config.Leaders.Order(id, s.config.Hosts()) {
+	for _, row := range s.config.Leaders.Order(id.Duty(), s.config.Hosts()) {
 		if row.Host == s.config.Self || asked == maxHosts {
 			break
 		}
--- a/internal/relay/discovery/reader.go
+++ b/internal/relay/discovery/reader.go
@@ -28,11 +28,20 @@
 	// for each host that is known.
 	firstWait = 300 * time.Millisecond
 	hostWait  = 10 * time.Millisecond
+	// silenceShare is the part of the time without an answer to any host that a host
+	// waits before its next call: one that has just become a reader does not call
+	// more often than the one before it.
+	silenceShare = 8
 	// pageTries is how often a page of a listing is asked for.
 	pageTries = 3
 	// passivePause bounds the pause after a failed call of a host that is not a
 	// reader: the readers notice first that the store is back.
 	passivePause = 4 * time.Second
+	// A reader that the store does not answer passes its turn on after shortPatience,
+	// or after half of the time in which the store has answered nobody, up to
+	// longPatience: then another reader would not do better.
+	shortPatience = 300 * time.Millisecond
+	longPatience  = 2 * time.Second
 	// pollShare is the share of the longest age at which a reader polls; the rest
 	// is for the way to the other hosts.
 	pollShare = 0.4
@@ -49,11 +58,12 @@
 	Store   kv.Store
 	Health  *Health
 	Replica *Replica
-	Key     kv.Key        // of an entry that exists
-	Age     time.Duration // longest time without a confirmation
-	Reads   func() bool   // whether this host is one of the readers
-	Hosts   func() int    // live hosts that this one knows, itself included
-	Leads   bool          // reads at the start, for the others
+	Key     kv.Key                    // of an entry that exists
+	Age     time.Duration             // longest time without a confirmation
+	Reads   func() bool               // whether this host is one of the readers
+	Pass    func(ctx context.Context) // makes another host a reader in place of this one
+	Hosts   func() int                // live hosts that this one knows, itself included
+	Leads   bool                      // reads at the start, for the others
 }
 
 // Reader reads the store for a Replica when that is this host's turn.
@@ -78,6 +88,7 @@
 		switch {
 		case r.config.Reads():
 			r.ended(ctx, r.read(ctx), longestPause)
+			r.pass(ctx)
 		case !r.stale():
 			sleep(ctx, lookInterval)
 		case r.config.Hosts() <= 1:
@@ -113,6 +124,20 @@
 	return r.config.Replica.Age() > r.config.Age-rand.N(r.config.Age/4)
 }
 
+// pass makes another host a reader if the store does not answer this one.
+func (r *Reader) pass(ctx context.Context) {
+	since, lost := r.config.Health.Lost()
+	if lost && ctx.Err() == nil && time.Since(since) > Patience(r.config.Replica.Silence()) {
+		r.config.Pass(ctx)
+	}
+}
+
+// Patience returns how long a reader whose calls fail goes on, if the store has
+// answered no host for some time.
+func Patience(silence time.Duration) time.Duration {
+	return min(max(shortPatience, silence/2), longPatience)
+}
+
 // ended pauses after a failed call, for longer after each one.
 func (r *Reader) ended(ctx context.Context, err error, longest time.Duration) {
 	switch {
@@ -122,8 +147,9 @@
 		sleep(ctx, againPause)
 	default:
 		r.config.Health.Failed(err)
-		r.config.Health.Pause(ctx, r, r.pause/2+rand.N(r.pause))
-		r.pause = min(2*r.pause, longest)
+		pause := max(r.pause, min(r.config.Replica.Silence()/silenceShare, longest))
+		r.config.Health.Pause(ctx, r, pause/2+rand.N(pause))
+		r.pause = min(2*pause, longest)
 	}
 }
 
@@ -136,6 +162,9 @@
 // read watches and polls for as long as this host is a reader. After a failure
 // it lists, since a listing is answered at once when the store is back.
 func (r *Reader) read(ctx context.Context) error {
+	if _, lost := r.config.Health.Lost(); lost {
+		return r.list(ctx)
+	}
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var lost error // of the watch, once ended is closed
--- a/internal/relay/discovery/reader_test.go
+++ b/internal/relay/discovery/reader_test.go
@@ -78,6 +78,7 @@
 	replica *discovery.Replica
 	health  *discovery.Health
 	reads   atomic.Bool
+	passes  atomic.Int64
 }
 
 func start1(t *testing.T, reads bool) *fixture {
@@ -105,6 +106,7 @@
 		Age:     time.Second,
 		Reads:   f.reads.Load,
 		Hosts:   func() int { return 2 },
+		Pass:    func(context.Context) { f.passes.Add(1) },
 	}
 	change(&config)
 	reader := discovery.NewReader(config)
@@ -218,6 +220,59 @@
 	c.Assert(f.held.Counts().Reads-before < 15, qt.IsTrue, qt.Commentf("%d calls in two seconds", f.held.Counts().Reads-before))
 }
 
+// Guards against readers that the store turns away, for which other hosts wait in
+// vain, and against reading that goes from host to host while the store answers
+// nobody.
+func TestReaderPassesOn(t *testing.T) {
+	tests := map[string]struct {
+		away   bool // the store, for this host
+		others bool // confirm the replica, so the store answers them
+		least  int64
+		most   int64 // in a second
+	}{
+		"store answers":         {others: true},
+		"this host turned away": {away: true, others: true, least: 1, most: 3},
+		"away for all":          {away: true, least: 1, most: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			f := start1(t, true)
+			f.create(c, "op/config")
+			eventually(c, "first listing", func() bool { return f.replica.Cursor() > 0 })
+			f.held.SetFaults(memkv.Faults{
+				Down: test.away,
+			})
+			for range 100 {
+				if test.others {
+					f.replica.Confirm(f.replica.Cursor(), 0)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			passes := f.passes.Load()
+			c.Check(passes >= test.least && passes <= test.most, qt.IsTrue, qt.Commentf("%d passes", passes))
+		})
+	}
+}
+
+// Guards against impatience that sends the reading around while the store is down,
+// and against patience for which the hosts that it answers wait.
+func TestPatience(t *testing.T) {
+	tests := map[string]struct {
+		silence, want time.Duration
+	}{
+		"others are answered": {silence: 100 * time.Millisecond, want: 300 * time.Millisecond},
+		"nobody, for a while": {silence: 2 * time.Second, want: time.Second},
+		"nobody, for long":    {silence: time.Minute, want: 2 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Assert(t, discovery.Patience(test.silence), qt.Equals, test.want)
+		})
+	}
+}
+
 // Guards against a large fleet whose hosts all list the store as they start, and
 // against a host that waits in vain for others.
 func TestStart(t *testing.T) {
--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -82,6 +82,12 @@
 	return true
 }
 
+func (p *progress) lastAnswer() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.answered
+}
+
 // answer notes an answer of the store, and returns how long there had been none;
 // 0 if this is the first one.
 func (p *progress) answer(at time.Time) (silence time.Duration) {
@@ -138,6 +144,16 @@
 	return min(never, max(0, r.now().Sub(confirmed)))
 }
 
+// Silence returns for how long the store has answered no host, as far as this one
+// knows; 0 before the first answer.
+func (r *Replica) Silence() time.Duration {
+	answered := r.known.lastAnswer()
+	if answered.IsZero() {
+		return 0
+	}
+	return max(0, r.now().Sub(answered))
+}
+
 // Confirm notes that the store was not beyond a cursor some time ago. It reports
 // whether the replica lacks changes.
 func (r *Replica) Confirm(cursor kv.Cursor, age time.Duration) (behind bool) {
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -17,6 +17,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/cell"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
+	"github.com/nutmegshift/nutmegshift/internal/relay/duty"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/forward"
 	"github.com/nutmegshift/nutmegshift/internal/relay/grpcrelay"
@@ -37,13 +38,6 @@
 	// watchWait is shorter than common idle limits of connections on the way.
 	watchWait    = 20 * time.Second
 	tickInterval = 500 * time.Millisecond
-	// readers is how many hosts read the store on behalf of all; with two, the
-	// loss of one goes unnoticed.
-	readers = 2
-	// readersKey ranks the hosts for reading.
-	readersKey = 0x72656164
-	// meetTime is how long a host takes to meet the others.
-	meetTime = time.Second
 	// spreadTime is left of the time in which a routing table has to be in force,
 	// for a host that asks the store itself.
 	spreadTime = 800 * time.Millisecond
@@ -77,7 +71,7 @@
 	replica      *discovery.Replica
 	peers        *peers
 	calls        *grpcrelay.Client
-	leaders      *cell.Leaders
+	leaders      *duty.Leaders
 	coordinators *coordinators
 	handler      *forward.Handler
 	behind       chan ident.HostID // hosts that know more of the store
@@ -124,7 +118,7 @@
 		},
 	}
 	h.replica = discovery.NewReplica(sinks, s.Renewal, time.Now)
-	leaders := cell.NewLeaders()
+	leaders := duty.New(func(name duty.Name) bool { return !slices.Contains(reading, name) })
 	h.leaders = leaders
 	h.peers = newPeers(s, h.replica, leaders, h.observe, h.poison, grpcrelay.NewServer(h.coordinators.get, h.replica, time.Now), log)
 	sinks[hostsPrefix] = h.peers
@@ -269,16 +263,6 @@
 	}
 }
 
-// reads reports whether this host is one of the readers of the store. A host
-// that has just started does not know yet who the others are.
-func (h *Host) reads() bool {
-	if time.Since(h.started) < meetTime {
-		return false
-	}
-	ranked := h.peers.table.Snapshot().Ranked("", readersKey)
-	return slices.Contains(ranked[:min(readers, len(ranked))], h.settings.Host)
-}
-
 // hosts returns the number of live hosts, of which this one is one even while it
 // stops.
 func (h *Host) hosts() int {
@@ -331,6 +315,7 @@
 		Key:     h.platform.Keys.Table,
 		Age:     h.settings.Apply - spreadTime,
 		Reads:   h.reads,
+		Pass:    h.passReading,
 		Hosts:   h.hosts,
 		Leads:   len(h.seeds()) < max(1, len(h.settings.Seeds)),
 	})
--- a/internal/relay/host/peers.go
+++ b/internal/relay/host/peers.go
@@ -13,8 +13,8 @@
 
 	"github.com/nutmegshift/nutmegshift/document"
 	"github.com/nutmegshift/nutmegshift/ident"
-	"github.com/nutmegshift/nutmegshift/internal/relay/cell"
 	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
+	"github.com/nutmegshift/nutmegshift/internal/relay/duty"
 	"github.com/nutmegshift/nutmegshift/internal/relay/grpcrelay"
 	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
 	"github.com/nutmegshift/nutmegshift/internal/settings"
@@ -60,7 +60,7 @@
 // newPeers returns the peers of a host. Hosts exchange the cursors of their
 // replicas with their ages, and the leaders that they follow; observe is told
 // those of other hosts.
-func newPeers(s *settings.Relay, replica *discovery.Replica, leaders *cell.Leaders, observe func(message peer.Message), strikes *poison.Table, relay *grpcrelay.Server, log zerolog.Logger) *peers {
+func newPeers(s *settings.Relay, replica *discovery.Replica, leaders *duty.Leaders, observe func(message peer.Message), strikes *poison.Table, relay *grpcrelay.Server, log zerolog.Logger) *peers {
 	clock := timeline.NewClock(time.Now)
 	p := &peers{
 		self:    s.Host,
@@ -164,10 +164,14 @@
 	if len(seeds) == 0 {
 		return
 	}
-	seed := seeds[rand.IntN(len(seeds))]
-	reply, err := p.client.Exchange(ctx, seed, p.gossip.Greet())
+	p.tell(ctx, seeds[rand.IntN(len(seeds))])
+}
+
+// tell sends a message to a host besides the regular ones.
+func (p *peers) tell(ctx context.Context, address ident.Address) {
+	reply, err := p.client.Exchange(ctx, address, p.gossip.Greet())
 	if err != nil {
-		p.log.Debug().Err(err).Str("seed", string(seed)).Msg("peers: seed does not answer")
+		p.log.Debug().Err(err).Str("peer", string(address)).Msg("peers: no answer")
 		return
 	}
 	p.gossip.Met(time.Now(), reply)
--- a/internal/settings/relay_test.go
+++ b/internal/settings/relay_test.go
@@ -85,7 +85,7 @@
 		"{{limits.cpu_share}}":          "0.4",
 		"{{limits.memory_mb}}":          "284",
 		"{{platform.address}}":          "10.200.1.7:8624",
-		"{{heartbeat_ms}}":             "1200",
+		"{{heartbeat_ms}}":              "1200",
 		"{{bounds.config_apply_ms}}":    "2000",
 		"{{bounds.retry_budget_ratio}}": "0.2",
 		"{{bounds.retry_allowance}}":    "58",
