Pass over coordinators that have just not answered

Until the membership suspects them, after 1.1 to 1.9 s, each request waited 0.4 s for one and 0.4 s for the other.

A host that has not answered a job is passed over for a second. At most three are, since a host that reaches nobody else plans by itself.

--- a/internal/relay/cell/cell_test.go
+++ b/internal/relay/cell/cell_test.go
@@ -40,12 +40,12 @@
 	return m
 }
 
-func row(host ident.HostID, capacity float32) peer.Row {
+func row(host ident.HostID) peer.Row {
 	return peer.Row{
 		Host:        host,
 		Address:     ident.Address(host),
 		Incarnation: 1,
-		Capacity:    capacity,
+		Capacity:    0.8,
 		State:       peer.Alive,
 	}
 }
@@ -189,7 +189,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
-			m := newMembers("self", row("a", 0.8), row("b", 0.8))
+			m := newMembers("self", row("a"), row("b"))
 			leaders := duty.New(func(duty.Name) bool { return true })
 			order := names(leaders.Order(cell.ID("").Duty(), m.table.Snapshot()))
 			r := &remote{
@@ -200,30 +200,7 @@
 				r.submit[ident.Address(order[i])] = err
 				r.wait[ident.Address(order[i])] = test.wait[i]
 			}
-			local := coordinator.New(coordinator.Config{
-				Table:    func() *routes.Table { return routes.New(1, routes.Limits{}, nil, nil, nil) },
-				Fleet:    fleet.New().Snapshot,
-				Includes: cell.ID("").Includes,
-				Now:      time.Now,
-				Log:      zerolog.Nop(),
-			})
-			ctx, cancel := context.WithCancel(context.Background())
-			ended := make(chan error, 1)
-			go func(ctx context.Context) { ended <- local.Run(ctx) }(ctx)
-			defer func() {
-				cancel()
-				c.Check(<-ended, qt.IsNil)
-			}()
-			stager := cell.New(cell.Config{
-				Self:    "self",
-				Hosts:   m.table.Snapshot,
-				Leaders: leaders,
-				Table:   func() *routes.Table { return routes.New(1, routes.Limits{}, nil, nil, nil) },
-				Fleet:   fleet.New().Snapshot,
-				Local:   func(cell.ID) *coordinator.Coordinator { return local },
-				Remote:  r,
-				Log:     zerolog.Nop(),
-			})
+			stager := newStager(c, m, leaders, r, time.Now)
 			if test.leaves {
 				time.AfterFunc(50*time.Millisecond, func() { m.leave(order[0]) })
 			}
@@ -243,3 +220,76 @@
 		})
 	}
 }
+
+// newStager returns the stager of a host that coordinates the cell of all upstreams
+// if it has to.
+func newStager(c *qt.C, m *members, leaders *duty.Leaders, remote cell.Remote, now func() time.Time) *cell.Stager {
+	local := coordinator.New(coordinator.Config{
+		Table:    func() *routes.Table { return routes.New(1, routes.Limits{}, nil, nil, nil) },
+		Fleet:    fleet.New().Snapshot,
+		Includes: cell.ID("").Includes,
+		Now:      time.Now,
+		Log:      zerolog.Nop(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func(ctx context.Context) { ended <- local.Run(ctx) }(ctx)
+	c.Cleanup(func() {
+		cancel()
+		c.Check(<-ended, qt.IsNil)
+	})
+	return cell.New(cell.Config{
+		Self:    "self",
+		Hosts:   m.table.Snapshot,
+		Leaders: leaders,
+		Table:   func() *routes.Table { return routes.New(1, routes.Limits{}, nil, nil, nil) },
+		Fleet:   fleet.New().Snapshot,
+		Local:   func(cell.ID) *coordinator.Coordinator { return local },
+		Remote:  remote,
+		Now:     now,
+		Log:     zerolog.Nop(),
+	})
+}
+
+// Guards against requests that wait one after the other for coordinators that stand
+// still, and against a coordinator that is passed over for good.
+func TestPassesOver(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(0, 0)
+	m := newMembers("self", row("a"), row("b"), row("c"), row("d"))
+	leaders := duty.New(func(duty.Name) bool { return true })
+	var order []ident.Address
+	for _, host := range names(leaders.Order(cell.ID("").Duty(), m.table.Snapshot())) {
+		order = append(order, ident.Address(host))
+	}
+	r := &remote{
+		submit: make(map[ident.Address]error),
+		wait:   make(map[ident.Address]func() (coordinator.Prepared, error)),
+	}
+	for _, address := range order {
+		r.submit[address] = cell.ErrUnreachable
+		r.wait[address] = func() (coordinator.Prepared, error) { return coordinator.Prepared{}, nil }
+	}
+	stager := newStager(c, m, leaders, r, func() time.Time { return now })
+	asked := func() []ident.Address {
+		r.asked = nil
+		_, err := stager.Prepare(t.Context(), batch.Job{
+			Deadline: time.Now().Add(time.Minute),
+		})
+		c.Assert(err, qt.IsNil)
+		return r.asked
+	}
+	c.Check(asked(), qt.DeepEquals, order[:2])
+	c.Check(asked(), qt.DeepEquals, order[2:4], qt.Commentf("the first two have not answered"))
+	c.Check(asked(), qt.HasLen, 0, qt.Commentf("nobody answers"))
+	now = now.Add(2 * time.Second)
+	for _, address := range order[1:] {
+		r.submit[address] = nil
+	}
+	c.Check(asked(), qt.DeepEquals, order[:2], qt.Commentf("asked again after a while"))
+	c.Check(asked(), qt.DeepEquals, order[1:2])
+	r.submit[order[0]] = nil
+	now = now.Add(2 * time.Second)
+	c.Check(asked(), qt.DeepEquals, order[:1])
+	c.Check(asked(), qt.DeepEquals, order[:1], qt.Commentf("it has answered"))
+}
--- a/internal/relay/cell/doc.go
+++ b/internal/relay/cell/doc.go
@@ -8,5 +8,8 @@
 // and a piece that is made twice does no harm. A host that reaches no other
 // coordinates its own requests.
 //
-// Locking: a Stager has no mutable state.
+// A host that does not answer a job is passed over for a while, so that requests do
+// not wait for it one after the other until the membership suspects it.
+//
+// Locking: one mutex of the Stager guards the hosts that it passes over.
 package cell
--- a/internal/relay/cell/stager.go
+++ b/internal/relay/cell/stager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -22,6 +23,11 @@
 const (
 	// maxHosts is how many other hosts are asked before this host coordinates by itself.
 	maxHosts = 2
+	// maxAvoided is how many hosts that have not answered are passed over.
+	maxAvoided = 3
+	// avoidTime is how long a host that has not answered is passed over: about as
+	// long as the membership takes to suspect it.
+	avoidTime = time.Second
 	// checkInterval is how often a host that waits looks whether its coordinator is alive.
 	checkInterval = 400 * time.Millisecond
 )
@@ -52,18 +58,23 @@
 	Fleet   func() *fleet.Snapshot
 	Local   func(id ID) *coordinator.Coordinator
 	Remote  Remote
+	Now     func() time.Time
 	Log     zerolog.Logger
 }
 
 // Stager runs the stages of requests at the coordinators of their cells.
 type Stager struct {
 	config Config
+
+	mu    sync.Mutex
+	avoid map[ident.HostID]time.Time // until when hosts are passed over
 }
 
 // New returns a stager.
 func New(config Config) *Stager {
 	return &Stager{
 		config: config,
+		avoid:  make(map[ident.HostID]time.Time),
 	}
 }
 
@@ -71,11 +82,15 @@
 // coordinator.ErrStopped and that of the context.
 func (s *Stager) Prepare(ctx context.Context, job batch.Job) (coordinator.Prepared, error) {
 	id := Of(s.config.Domain, s.config.Table(), s.config.Fleet())
-	asked := 0
+	asked, avoided := 0, 0
 	for _, row := range s.config.Leaders.Order(id.Duty(), s.config.Hosts()) {
-		if row.Host == s.config.Self || asked == maxHosts {
+		if row.Host == s.config.Self || asked == maxHosts || avoided == maxAvoided {
 			break
 		}
+		if s.avoids(row.Host) {
+			avoided++
+			continue
+		}
 		asked++
 		prepared, err := s.remote(ctx, row, id, job)
 		if !errors.Is(err, ErrUnreachable) {
@@ -96,6 +111,29 @@
 	return prepared, err
 }
 
+// avoids reports whether a host has not answered a short time ago.
+func (s *Stager) avoids(host ident.HostID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until, ok := s.avoid[host]
+	if ok && !s.config.Now().Before(until) {
+		delete(s.avoid, host)
+		ok = false
+	}
+	return ok
+}
+
+// answered notes whether a host has answered.
+func (s *Stager) answered(host ident.HostID, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ok {
+		delete(s.avoid, host)
+		return
+	}
+	s.avoid[host] = s.config.Now().Add(avoidTime)
+}
+
 // result is the end of a job.
 type result struct {
 	prepared coordinator.Prepared
@@ -105,6 +143,9 @@
 // remote runs a job at another host, for as long as that is alive.
 func (s *Stager) remote(ctx context.Context, row peer.Row, id ID, job batch.Job) (coordinator.Prepared, error) {
 	ticket, err := s.config.Remote.Submit(ctx, row.Address, id, job)
+	if ctx.Err() == nil {
+		s.answered(row.Host, !errors.Is(err, ErrUnreachable))
+	}
 	if err != nil {
 		return coordinator.Prepared{}, err
 	}
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -148,6 +148,7 @@
 			Fleet:   h.fleet.Snapshot,
 			Local:   h.coordinators.get,
 			Remote:  h.calls,
+			Now:     time.Now,
 			Log:     log,
 		}),
 		Domain:   s.Domain,
