Place prompts by what upstreams have still to read

Placement counted requests, whatever their prompts.

Costs are now counted in tokens that are read: the prompts that an upstream has not read yet, a part of the prompt for each request in flight, which it delays, and what would have to be read again elsewhere. The emulated engines fetch from each other, and count a part as read again as the users do.

--- a/internal/emulation/engine/engine.go
+++ b/internal/emulation/engine/engine.go
@@ -28,9 +28,10 @@
 // Request is a request to an engine.
 type Request struct {
 	Prompt wire.Prompt
-	Output int // tokens that it makes
-	Made   int // tokens that another engine has made before, which are read as well
-	Rank   int // lower ones are more urgent
+	Output int     // tokens that it makes
+	Made   int     // tokens that another engine has made before, which are read as well
+	Rank   int     // lower ones are more urgent
+	From   *Engine // from which parts that it keeps are fetched; nil is none
 	Event  func(last bool)
 	Broken func() // the engine has crashed
 
@@ -45,12 +46,28 @@
 // Counts are what an engine has done.
 type Counts struct {
 	Read      int // prompt tokens
-	Again     int // of these, tokens of shared parts that it had read before
+	Again     int // of these, tokens of parts that some engine has read within the reuse time
 	Found     int // prompt tokens that were in memory
+	Moved     int // prompt tokens that were fetched from another engine
 	Preempted int // requests
 	Refused   int // requests
 }
 
+// reuseTime is how long after its last use a part counts as read again.
+const reuseTime = 10 * time.Second
+
+// Parts are the parts of prompts that the engines of a service have used.
+type Parts struct {
+	used map[wire.PartID]time.Time
+}
+
+// NewParts returns parts of which none has been used.
+func NewParts() *Parts {
+	return &Parts{
+		used: make(map[wire.PartID]time.Time),
+	}
+}
+
 // kept is a part of a prompt in memory.
 type kept struct {
 	tokens int
@@ -65,8 +82,8 @@
 	running []*Request
 	waiting []*Request
 	parts   map[wire.PartID]*kept
-	known   map[wire.PartID]bool // parts that it has ever read
-	used    int                  // tokens of memory
+	known   *Parts
+	used    int // tokens of memory
 	arrived int
 	busy    bool
 	life    int // counts the crashes
@@ -75,12 +92,12 @@
 }
 
 // New returns an engine without requests.
-func New(clock *clock.Clock, limits Limits) *Engine {
+func New(clock *clock.Clock, limits Limits, known *Parts) *Engine {
 	return &Engine{
 		clock:  clock,
 		limits: limits,
 		parts:  make(map[wire.PartID]*kept),
-		known:  make(map[wire.PartID]bool),
+		known:  known,
 	}
 }
 
@@ -122,7 +139,6 @@
 	broken := append(e.running, e.waiting...)
 	e.running, e.waiting = nil, nil
 	clear(e.parts)
-	clear(e.known)
 	e.used = 0
 	e.life++
 	e.busy = false
@@ -148,6 +164,9 @@
 	for len(e.waiting) > 0 && len(e.running) < e.limits.Batch {
 		r := e.waiting[0]
 		found := e.found(r.Prompt)
+		if r.From != nil {
+			found = max(found, r.From.found(r.Prompt))
+		}
 		fresh := r.Prompt.Input + r.made - found
 		if !e.room(fresh, r.Prompt) {
 			return
@@ -174,7 +193,9 @@
 func (e *Engine) begin(r *Request, found int) {
 	e.running = append(e.running, r)
 	r.unread = r.Prompt.Input + r.made - found
-	e.Counts.Found += found
+	own := e.found(r.Prompt)
+	e.Counts.Found += own
+	e.Counts.Moved += found - own
 	e.Counts.Read += r.unread
 	r.held = r.made
 	r.parts = nil
@@ -183,18 +204,18 @@
 		listed += part.Tokens
 		k := e.parts[part.ID]
 		if k == nil {
-			if e.known[part.ID] {
+			if last, ok := e.known.used[part.ID]; ok && listed > found && e.clock.Now().Sub(last) < reuseTime {
 				e.Counts.Again += part.Tokens
 			}
 			k = &kept{
 				tokens: part.Tokens,
 			}
 			e.parts[part.ID] = k
-			e.known[part.ID] = true
 			e.used += part.Tokens
 		}
 		k.users++
 		k.used = e.clock.Now()
+		e.known.used[part.ID] = k.used
 		r.parts = append(r.parts, part)
 	}
 	r.held += r.Prompt.Input - listed
--- a/internal/emulation/engine/engine_test.go
+++ b/internal/emulation/engine/engine_test.go
@@ -25,6 +25,8 @@
 	}
 }
 
+func newClock() *clock.Clock { return clock.New(time.Unix(0, 0)) }
+
 // run is what became of a request.
 type run struct {
 	first  time.Duration // time of the first event
@@ -67,8 +69,8 @@
 // without their time.
 func TestTimes(t *testing.T) {
 	c := qt.New(t)
-	clock := clock.New(time.Unix(0, 0))
-	e := engine.New(clock, limits())
+	clock := newClock()
+	e := engine.New(clock, limits(), engine.NewParts())
 	got := ask(clock, e, 0, request(2500, 11))
 	clock.Run()
 	// Three steps read 1000, 1000 and 500 tokens, then each one makes a token.
@@ -82,8 +84,8 @@
 // Guards against a model in which long prompts do not delay the others.
 func TestPromptsDelayTokens(t *testing.T) {
 	c := qt.New(t)
-	clock := clock.New(time.Unix(0, 0))
-	e := engine.New(clock, limits())
+	clock := newClock()
+	e := engine.New(clock, limits(), engine.NewParts())
 	first := ask(clock, e, 0, request(100, 100))
 	ask(clock, e, 200*time.Millisecond, request(5000, 1))
 	clock.Run()
@@ -111,8 +113,8 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			clock := clock.New(time.Unix(0, 0))
-			e := engine.New(clock, limits())
+			clock := newClock()
+			e := engine.New(clock, limits(), engine.NewParts())
 			ask(clock, e, 0, request(1000, 1, part("a", 500), part("b", 300)))
 			ask(clock, e, time.Second, request(1000, 1, test.second...))
 			clock.Run()
@@ -120,22 +122,35 @@
 		})
 	}
 	c := qt.New(t)
-	clock := clock.New(time.Unix(0, 0))
-	e := engine.New(clock, limits())
+	clock := newClock()
+	e := engine.New(clock, limits(), engine.NewParts())
 	ask(clock, e, 0, request(1000, 1, part("a", 900)))
 	ask(clock, e, time.Second, request(9500, 1))
 	ask(clock, e, 2*time.Second, request(1000, 1, part("a", 900)))
 	clock.Run()
 	c.Check(e.Counts.Found, qt.Equals, 0, qt.Commentf("the part had to yield"))
 	c.Check(e.Counts.Again, qt.Equals, 900)
+
+	clock = newClock()
+	known := engine.NewParts()
+	e = engine.New(clock, limits(), known)
+	other := engine.New(clock, limits(), known)
+	ask(clock, e, 0, request(1000, 1, part("a", 900)))
+	moved := request(1000, 1, part("a", 900))
+	moved.From = e
+	ask(clock, other, time.Second, moved)
+	clock.Run()
+	c.Check(other.Counts.Moved, qt.Equals, 900)
+	c.Check(other.Counts.Read, qt.Equals, 100)
+	c.Check(other.Counts.Again, qt.Equals, 0)
 }
 
 // Guards against memory without limit, and against preempted requests that never
 // end.
 func TestPreemption(t *testing.T) {
 	c := qt.New(t)
-	clock := clock.New(time.Unix(0, 0))
-	e := engine.New(clock, limits())
+	clock := newClock()
+	e := engine.New(clock, limits(), engine.NewParts())
 	urgent := ask(clock, e, 0, request(4000, 900))
 	other := request(4500, 900)
 	other.Rank = 1
@@ -150,8 +165,8 @@
 // has crashed.
 func TestRefusals(t *testing.T) {
 	c := qt.New(t)
-	clock := clock.New(time.Unix(0, 0))
-	e := engine.New(clock, limits())
+	clock := newClock()
+	e := engine.New(clock, limits(), engine.NewParts())
 	var all []*run
 	for range 8 {
 		all = append(all, ask(clock, e, 0, request(100, 50)))
--- a/internal/emulation/experiment/table.go
+++ b/internal/emulation/experiment/table.go
@@ -34,8 +34,8 @@
 	}
 	_, _ = fmt.Fprintf(w, "stages: %d calls, %d items, %d found their upstream full, %s, %s of it wasted\n", report.Calls, report.Items, report.Full,
 		report.Busy.Round(time.Second), report.Wasted.Round(time.Second))
-	_, _ = fmt.Fprintf(w, "engines: %d prompt tokens read, %d of them again, %d found, %d requests preempted\n", report.Engines.Read, report.Engines.Again,
-		report.Engines.Found, report.Engines.Preempted)
+	_, _ = fmt.Fprintf(w, "engines: %d prompt tokens read, %d of them again, %d found, %d fetched, %d requests preempted\n", report.Engines.Read, report.Engines.Again,
+		report.Engines.Found, report.Engines.Moved, report.Engines.Preempted)
 	return errors.Trace(w.Flush())
 }
 
--- a/internal/emulation/play/play_test.go
+++ b/internal/emulation/play/play_test.go
@@ -228,7 +228,7 @@
 func TestEngineCrash(t *testing.T) {
 	for _, name := range deployments {
 		t.Run(name, func(t *testing.T) {
-			d := load(t, name, "fault.service="+engines[name], "fault.count=3", "fault.from=10s", "fault.to=14s")
+			d := load(t, name, "fault.service="+engines[name], "fault.count=6", "fault.from=10s", "fault.to=14s")
 			each(t, d, func(c *qt.C, report play.Report) {
 				total := report.Total()
 				c.Check(total.Failed > 0, qt.IsTrue, qt.Commentf("streams that may not run twice are lost"))
--- a/internal/emulation/play/request.go
+++ b/internal/emulation/play/request.go
@@ -10,7 +10,6 @@
 	"github.com/nutmegshift/nutmegshift/internal/emulation/deployment"
 	"github.com/nutmegshift/nutmegshift/internal/emulation/engine"
 	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
-	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
@@ -60,7 +59,8 @@
 	ran         int
 	running     *engine.Request
 	at          *engine.Engine
-	began       bool // the host has read it
+	ended       func() // tells the chooser of the end at the engine; nil if there is none
+	began       bool   // the host has read it
 	over        bool
 }
 
@@ -198,6 +198,7 @@
 	query := placement.Query{
 		Service: ident.ServiceName(a.spec().Engines),
 		Domain:  domain,
+		Tokens:  a.prompt.Input,
 		Exclude: make(map[ident.UpstreamID]bool),
 	}
 	for _, id := range a.sends {
@@ -206,9 +207,9 @@
 	upstreams := len(a.snapshot.Ready(query.Service))
 	switch a.deployment.Policy.Affinity {
 	case deployment.Bounded:
-		query.Affinity = a.host.popularity.Affinity(a.clock.Now(), a.prompt, upstreams)
+		query.Shared = a.host.popularity.Affinity(a.clock.Now(), a.prompt, upstreams)
 	case deployment.Strict:
-		query.Affinity = a.host.popularity.Affinity(a.clock.Now(), a.prompt, 1)
+		query.Shared = a.host.popularity.Affinity(a.clock.Now(), a.prompt, 1)
 	case deployment.Balanced:
 	}
 	return query
@@ -225,10 +226,10 @@
 		return
 	}
 	query := a.query(domain)
-	to, ok := a.host.chooser.Choose(query, a.snapshot)
-	if preferred, found := placement.Preferred(query, a.snapshot); found && a.deployment.Policy.Affinity == deployment.Strict && !query.Exclude[preferred.ID] {
-		to = preferred
+	if a.deployment.Policy.Affinity == deployment.Strict {
+		a.insist(query)
 	}
+	to, ok := a.host.chooser.Choose(query, a.snapshot)
 	if !ok {
 		a.refused(errors.New("no engine is left"))
 		return
@@ -238,8 +239,19 @@
 	a.clock.After(way, func() { a.enter(to, domain, way) })
 }
 
+// insist excludes all engines but the preferred one, if that has not been asked.
+func (a *attempt) insist(query placement.Query) {
+	preferred, ok := placement.Preferred(query, a.snapshot)
+	if !ok || query.Exclude[preferred.ID] {
+		return
+	}
+	for _, other := range a.snapshot.Ready(query.Service) {
+		query.Exclude[other.ID] = other.ID != preferred.ID
+	}
+}
+
 // enter submits the request at an engine.
-func (a *attempt) enter(to fleet.Upstream, domain ident.FailureDomain, way time.Duration) {
+func (a *attempt) enter(to *placement.Placed, domain ident.FailureDomain, way time.Duration) {
 	if a.over {
 		a.host.chooser.Done(to, placement.Left, 0)
 		return
@@ -252,22 +264,29 @@
 		Made:   from * max(1, a.prompt.Output/max(1, a.events)),
 		Rank:   a.spec().Rank,
 	}
+	if keeper, ok := placement.Keeper(a.query(domain), a.snapshot, to.Upstream, a.clock.Now()); ok {
+		r.From = a.engines[keeper.ID]
+	}
 	count := 0
 	r.Event = func(last bool) {
 		count++
 		number := from + count
 		a.host.after(way+a.lost(), func() { a.event(r, number, last) })
 		if count == 1 {
-			a.host.chooser.Done(to, placement.Served, a.clock.Elapsed()-began)
+			first := a.clock.Elapsed() - began
+			a.host.after(way, func() { a.host.chooser.Began(to) })
+			a.ended = func() { a.host.chooser.Done(to, placement.Served, first) }
 		}
 	}
 	r.Broken = func() {
 		a.host.after(way, func() { a.broken(to, domain, count > 0) })
 	}
+	a.ended = func() { a.host.chooser.Done(to, placement.Left, 0) }
 	a.running = r
 	a.at = a.engines[to.ID]
 	if !a.at.Submit(r) {
 		a.running = nil
+		a.ended = nil
 		a.host.after(way, func() {
 			a.host.chooser.Done(to, placement.Full, 0)
 			a.generate(domain)
@@ -315,14 +334,13 @@
 }
 
 // broken takes the crash of the engine that ran the request.
-func (a *attempt) broken(to fleet.Upstream, domain ident.FailureDomain, started bool) {
+func (a *attempt) broken(to *placement.Placed, domain ident.FailureDomain, started bool) {
 	if a.over {
 		return
 	}
-	if !started {
-		a.host.chooser.Done(to, placement.Failed, 0)
-	}
+	a.host.chooser.Done(to, placement.Failed, 0)
 	a.running = nil
+	a.ended = nil
 	if !a.spec().Resumes || a.ran > 1 {
 		a.fail()
 		return
@@ -354,6 +372,9 @@
 	if a.running != nil {
 		a.at.Cancel(a.running)
 	}
+	if a.ended != nil {
+		a.ended()
+	}
 }
 
 // refused tells the caller that the request did not run.
--- a/internal/emulation/play/run.go
+++ b/internal/emulation/play/run.go
@@ -79,6 +79,7 @@
 		counts := r.engines[id].Counts
 		r.report.Engines.Read += counts.Read
 		r.report.Engines.Again += counts.Again
+		r.report.Engines.Moved += counts.Moved
 		r.report.Engines.Found += counts.Found
 		r.report.Engines.Preempted += counts.Preempted
 		r.report.Engines.Refused += counts.Refused
@@ -102,9 +103,10 @@
 		}
 	}
 	for _, engines := range d.Engines {
+		known := engine.NewParts()
 		for i := range engines.Count {
 			u := r.upstream(directory, engines.Name, i)
-			r.engines[u.ID] = engine.New(r.clock, limits(engines, i))
+			r.engines[u.ID] = engine.New(r.clock, limits(engines, i), known)
 		}
 	}
 	r.snapshot = directory.Snapshot()
--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -86,8 +86,8 @@
 	service      *routes.Service
 	organisation *routes.Organisation // nil on a public route
 	arrived      time.Time
-	deadline     time.Time // of the caller or the route, whichever is earlier
-	shared       uint64    // hash of the part of the prompt that requests share; 0 before it is known
+	deadline     time.Time        // of the caller or the route, whichever is earlier
+	shared       placement.Shared // what the prompt shares; nothing before it is known
 	tried        []ident.UpstreamID
 	ran          int // upstreams that may have run the request
 	record       record
--- a/internal/relay/forward/plain.go
+++ b/internal/relay/forward/plain.go
@@ -5,7 +5,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
@@ -69,7 +68,7 @@
 }
 
 // try sends the request to one upstream and reads the whole answer.
-func (e *exchange) try(to fleet.Upstream) (*reply, error) {
+func (e *exchange) try(to *placement.Placed) (*reply, error) {
 	started := e.config.Now()
 	answer, err := e.send(e.ctx, to, wire.Dispatch{})
 	if err != nil {
--- a/internal/relay/forward/send.go
+++ b/internal/relay/forward/send.go
@@ -9,7 +9,6 @@
 	"github.com/juju/errors"
 
 	"github.com/nutmegshift/nutmegshift/ident"
-	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
@@ -55,12 +54,12 @@
 
 // next returns the upstream for the next try, if there may be one: the request
 // may run again, an upstream is left, and the budget allows a repeat.
-func (e *exchange) next(query placement.Query) (fleet.Upstream, bool) {
+func (e *exchange) next(query placement.Query) (*placement.Placed, bool) {
 	if len(e.tried) >= maxSends || e.ctx.Err() != nil {
-		return fleet.Upstream{}, false
+		return nil, false
 	}
 	if e.ran > 0 && (!e.route.Idempotent() || e.ran >= e.route.Attempts) {
-		return fleet.Upstream{}, false
+		return nil, false
 	}
 	query.Service = e.service.Name
 	query.Exclude = make(map[ident.UpstreamID]bool, len(e.tried))
@@ -69,13 +68,13 @@
 	}
 	to, ok := e.config.Chooser.Choose(query, e.config.Fleet.Snapshot())
 	if !ok {
-		return fleet.Upstream{}, false
+		return nil, false
 	}
 	if len(e.tried) == 0 {
 		e.config.Budget.Request(e.arrived, e.service.Name)
 	} else if !e.repeat() {
 		e.config.Chooser.Done(to, placement.Left, 0)
-		return fleet.Upstream{}, false
+		return nil, false
 	}
 	e.tried = append(e.tried, to.ID)
 	return to, true
@@ -94,7 +93,7 @@
 // send sends the request to an upstream. If the upstream has forgotten the
 // connection, a request that may run again is sent to it on a new one, and so is any
 // request if the connection leads to another upstream.
-func (e *exchange) send(ctx context.Context, to fleet.Upstream, dispatch wire.Dispatch) (*upstreamhttp.Answer, error) {
+func (e *exchange) send(ctx context.Context, to *placement.Placed, dispatch wire.Dispatch) (*upstreamhttp.Answer, error) {
 	answer, err := e.call(ctx, to, dispatch, false)
 	switch {
 	case err == nil && answer.Moved && answer.Reply.NotRun && e.repeat():
@@ -114,7 +113,7 @@
 }
 
 // call sends the request to an upstream once, on a new connection if connect is set.
-func (e *exchange) call(ctx context.Context, to fleet.Upstream, dispatch wire.Dispatch, connect bool) (*upstreamhttp.Answer, error) {
+func (e *exchange) call(ctx context.Context, to *placement.Placed, dispatch wire.Dispatch, connect bool) (*upstreamhttp.Answer, error) {
 	dispatch.Upstream = to.ID
 	dispatch.Organisation = e.organisationID()
 	dispatch.Patience = max(time.Millisecond, e.deadline.Sub(e.config.Now()))
@@ -137,7 +136,7 @@
 }
 
 // ended tells the chooser and the metrics how an upstream handled the request.
-func (e *exchange) ended(to fleet.Upstream, ending placement.Ending, latency time.Duration) {
+func (e *exchange) ended(to *placement.Placed, ending placement.Ending, latency time.Duration) {
 	results := map[placement.Ending]meter.Result{
 		placement.Served: meter.Served,
 		placement.Full:   meter.Refused,
@@ -149,7 +148,7 @@
 }
 
 // unanswered handles a request without an answer.
-func (e *exchange) unanswered(to fleet.Upstream, err error, latency time.Duration) {
+func (e *exchange) unanswered(to *placement.Placed, err error, latency time.Duration) {
 	ending := placement.Failed
 	switch {
 	case errors.Is(err, upstreamhttp.ErrBusy):
@@ -165,7 +164,7 @@
 
 // suspect counts a strike against the request if the upstream has crashed while
 // it had the request: a lost connection alone says nothing about that.
-func (e *exchange) suspect(to fleet.Upstream) {
+func (e *exchange) suspect(to *placement.Placed) {
 	ctx, cancel := context.WithTimeout(e.ctx, crashProbe)
 	defer cancel()
 	if !e.config.Client.Refuses(ctx, to.Address) {
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -13,7 +13,6 @@
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
-	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
@@ -66,8 +65,9 @@
 			}
 		}
 		to, ok := e.next(placement.Query{
-			Domain:   e.domain(results),
-			Affinity: e.affinity(),
+			Domain: e.domain(results),
+			Tokens: e.head.Prompt.Input,
+			Shared: e.affinity(),
 		})
 		if !ok {
 			break
@@ -104,9 +104,9 @@
 	return e.config.Domain
 }
 
-// affinity names the part of the prompt whose requests go to one upstream.
-func (e *exchange) affinity() uint64 {
-	if e.shared == 0 {
+// affinity returns the beginning of the prompt whose requests go to one upstream.
+func (e *exchange) affinity() placement.Shared {
+	if e.shared.Key == 0 {
 		upstreams := len(e.config.Fleet.Snapshot().Ready(e.service.Name))
 		e.shared = e.config.Popularity.Affinity(e.arrived, e.head.Prompt, upstreams)
 	}
@@ -115,14 +115,14 @@
 
 // cache returns the upstream from which the one that runs the request should
 // fetch what it has read of the prompt.
-func (e *exchange) cache(to fleet.Upstream) ident.Address {
+func (e *exchange) cache(to *placement.Placed) ident.Address {
 	if e.service.Engine == nil {
 		return ""
 	}
 	keeper, ok := placement.Keeper(placement.Query{
-		Service:  e.service.Name,
-		Affinity: e.affinity(),
-	}, e.config.Fleet.Snapshot(), to, e.config.Now())
+		Service: e.service.Name,
+		Shared:  e.affinity(),
+	}, e.config.Fleet.Snapshot(), to.Upstream, e.config.Now())
 	if !ok {
 		return ""
 	}
@@ -132,8 +132,8 @@
 // home returns the failure domain where the request will probably run.
 func (e *exchange) home() ident.FailureDomain {
 	preferred, ok := placement.Preferred(placement.Query{
-		Service:  e.service.Name,
-		Affinity: e.affinity(),
+		Service: e.service.Name,
+		Shared:  e.affinity(),
 	}, e.config.Fleet.Snapshot())
 	if !ok {
 		return e.config.Domain
@@ -215,7 +215,7 @@
 }
 
 // generate runs the request at one upstream and passes its events on.
-func (e *exchange) generate(to fleet.Upstream, results *inputs, sent *relayed) streamEnd {
+func (e *exchange) generate(to *placement.Placed, results *inputs, sent *relayed) streamEnd {
 	started := e.config.Now()
 	answer, err := e.send(e.ctx, to, wire.Dispatch{
 		Inputs:    results.Inputs,
@@ -234,7 +234,7 @@
 	if !succeeded(answer) {
 		return e.refusedStream(to, answer, sent)
 	}
-	if err := e.relay(answer, sent, results); err != nil {
+	if err := e.relay(to, answer, sent, results); err != nil {
 		e.unanswered(to, err, latency)
 		return streamBroken
 	}
@@ -244,7 +244,7 @@
 }
 
 // refusedStream handles an answer without success.
-func (e *exchange) refusedStream(to fleet.Upstream, answer *upstreamhttp.Answer, sent *relayed) streamEnd {
+func (e *exchange) refusedStream(to *placement.Placed, answer *upstreamhttp.Answer, sent *relayed) streamEnd {
 	body, err := answer.All(replyBytes)
 	e.log.Info().Err(err).Str("upstream", string(to.ID)).Int("status", answer.Status).Bool("sealed", answer.Reply.Sealed).Bool("ran", !answer.Reply.NotRun).Dur("age", e.age()).Msg("forward: upstream refused")
 	switch {
@@ -269,7 +269,7 @@
 
 // relay passes events on until the stream is complete. The results of the
 // stages are no longer needed once the upstream has sent an event.
-func (e *exchange) relay(answer *upstreamhttp.Answer, sent *relayed, results *inputs) error {
+func (e *exchange) relay(to *placement.Placed, answer *upstreamhttp.Answer, sent *relayed, results *inputs) error {
 	events := upstreamhttp.NewEvents(answer)
 	flusher := http.NewResponseController(e.writer)
 	for {
@@ -282,6 +282,7 @@
 			return err
 		}
 		e.start(answer, sent)
+		e.config.Chooser.Began(to)
 		results.release()
 		if event.ID != 0 {
 			if event.ID <= sent.last {
--- a/internal/relay/placement/chooser.go
+++ b/internal/relay/placement/chooser.go
@@ -20,22 +20,50 @@
 	shortBreak = 50 * time.Millisecond
 	longBreak  = 300 * time.Millisecond
 	maxBreak   = 4 * time.Second
-	// crossing is the cost of another failure domain, in requests in flight.
-	crossing = 1.5
 	// youth is how long after its start an upstream may lack what the others have
 	// read; requests that share something rarely come less often.
 	youth = 20 * time.Second
-	// affinity is the advantage of the upstream that a prompt prefers, in
-	// requests in flight.
-	affinity = 20.0
+)
+
+// The costs of an upstream are counted in tokens of prompts that it reads.
+const (
+	// flightCost is the cost of a request in flight, whose tokens delay those of
+	// the others.
+	flightCost = 300.0
+	// disturbance is the part of the tokens of a prompt that each request in flight
+	// has to wait for.
+	disturbance = 0.05
+	// againCost is the cost of a token that is read although another upstream has
+	// read it.
+	againCost = 2.0
+	// crossingCost is the cost of another failure domain.
+	crossingCost = 1.5 * flightCost
+	// avoidedCost is that of an upstream that is the last resort, beyond the tokens
+	// of any number of requests; waitCost is added for each millisecond until it may
+	// be used again.
+	avoidedCost = 1e9
+	waitCost    = 1e4
 )
 
 // Query says what an upstream is needed for.
 type Query struct {
-	Service  ident.ServiceName
-	Domain   ident.FailureDomain // where the upstream should be
-	Affinity uint64              // hash of what requests share; 0 is nothing
-	Exclude  map[ident.UpstreamID]bool
+	Service ident.ServiceName
+	Domain  ident.FailureDomain // where the upstream should be
+	Tokens  int                 // of the prompt; 0 if there is none
+	Shared  Shared
+	Exclude map[ident.UpstreamID]bool
+}
+
+// Shared is the beginning of a prompt that it has in common with others.
+type Shared struct {
+	Key    uint64 // hash of its last part; 0 is nothing
+	Tokens int
+}
+
+// Placed is a request in flight at an upstream.
+type Placed struct {
+	fleet.Upstream
+	unread int // tokens of its prompt, until it has been read
 }
 
 // Ending says how an upstream handled a request.
@@ -53,6 +81,7 @@
 type row struct {
 	started ident.Incarnation
 	flight  int
+	unread  int           // tokens of prompts that it has not read yet
 	latency time.Duration // moving average until the first byte of an answer
 	broken  time.Duration // length of the last break; 0 while requests succeed
 	resume  time.Time     // when the break ends
@@ -77,7 +106,7 @@
 }
 
 // Choose returns an upstream and counts a request in flight at it, until Done.
-func (c *Chooser) Choose(query Query, snapshot *fleet.Snapshot) (fleet.Upstream, bool) {
+func (c *Chooser) Choose(query Query, snapshot *fleet.Snapshot) (*Placed, bool) {
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -88,31 +117,52 @@
 		if query.Exclude[upstream.ID] {
 			continue
 		}
-		cost := c.row(upstream).cost(now)
+		cost := c.row(upstream).cost(now, query.Tokens)
 		if upstream.Domain != query.Domain {
-			cost += crossing
+			cost += crossingCost
 		}
-		if upstream.ID == preferred.ID {
-			cost -= affinity
+		if upstream.ID != preferred.ID {
+			cost += againCost * float64(query.Shared.Tokens)
 		}
-		cost += c.random() / 2 // hosts that know the same spread their requests
+		cost += flightCost * c.random() / 2 // hosts that know the same spread their requests
 		if !found || cost < lowest {
 			best, lowest, found = upstream, cost, true
 		}
 	}
-	if found {
-		c.row(best).flight++
+	if !found {
+		return nil, false
 	}
-	return best, found
+	r := c.row(best)
+	r.flight++
+	r.unread += query.Tokens
+	return &Placed{
+		Upstream: best,
+		unread:   query.Tokens,
+	}, true
+}
+
+// Began notes that the upstream has read the prompt of a request; it may be called
+// more than once.
+func (c *Chooser) Began(placed *Placed) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.began(placed)
+}
+
+func (c *Chooser) began(placed *Placed) {
+	r := c.row(placed.Upstream)
+	r.unread = max(0, r.unread-placed.unread)
+	placed.unread = 0
 }
 
-// Done takes the end of a request that Choose placed; latency is that until the
-// first byte of the answer, 0 if there was none.
-func (c *Chooser) Done(upstream fleet.Upstream, ending Ending, latency time.Duration) {
+// Done takes the end of a request; latency is that until the first byte of the
+// answer, 0 if there was none.
+func (c *Chooser) Done(placed *Placed, ending Ending, latency time.Duration) {
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := c.row(upstream)
+	c.began(placed)
+	r := c.row(placed.Upstream)
 	r.flight = max(0, r.flight-1)
 	if latency > 0 {
 		if r.latency == 0 {
@@ -144,12 +194,12 @@
 	return r
 }
 
-// cost grows with the work in flight; an upstream in a break is the last resort.
-func (r *row) cost(now time.Time) float64 {
-	const avoided = 1e3 // beyond any number of requests in flight
-	cost := float64(r.flight)
+// cost returns what a request with a prompt costs at the upstream: it waits for the
+// prompts before it, and the requests in flight wait for its own.
+func (r *row) cost(now time.Time, tokens int) float64 {
+	cost := float64(r.unread) + float64(r.flight)*(flightCost+disturbance*float64(tokens))
 	if now.Before(r.resume) {
-		cost += avoided + float64(r.resume.Sub(now).Milliseconds())
+		cost += avoidedCost + waitCost*float64(r.resume.Sub(now).Milliseconds())
 	}
 	return cost
 }
@@ -157,7 +207,7 @@
 // Preferred returns the upstream with the highest rendezvous hash for what
 // requests share; there is none if they share nothing.
 func Preferred(query Query, snapshot *fleet.Snapshot) (fleet.Upstream, bool) {
-	return highest(query.Affinity, snapshot.Ready(query.Service))
+	return highest(query.Shared.Key, snapshot.Ready(query.Service))
 }
 
 // highest returns the upstream with the highest rendezvous hash for a key.
@@ -180,12 +230,12 @@
 			others = append(others, upstream)
 		}
 	}
-	keeper, ok := highest(query.Affinity, others)
+	keeper, ok := highest(query.Shared.Key, others)
 	if !ok {
 		return fleet.Upstream{}, false
 	}
 	young := now.Sub(time.UnixMilli(int64(to.Started))) < youth
-	return keeper, young || mix(keeper.ID, query.Affinity) > mix(to.ID, query.Affinity)
+	return keeper, young || mix(keeper.ID, query.Shared.Key) > mix(to.ID, query.Shared.Key)
 }
 
 // mix is the rendezvous hash of an upstream for a key.
--- a/internal/relay/placement/chooser_test.go
+++ b/internal/relay/placement/chooser_test.go
@@ -118,8 +118,11 @@
 	moved := 0
 	for key := range uint64(200) {
 		query := placement.Query{
-			Service:  "s",
-			Affinity: key + 1,
+			Service: "s",
+			Shared: placement.Shared{
+				Key:    key + 1,
+				Tokens: 1000,
+			},
 		}
 		preferred, ok := placement.Preferred(query, snapshot)
 		c.Assert(ok, qt.IsTrue)
@@ -142,8 +145,11 @@
 	others := 0
 	for range 60 {
 		query := placement.Query{
-			Service:  "s",
-			Affinity: 1,
+			Service: "s",
+			Shared: placement.Shared{
+				Key:    1,
+				Tokens: 1000,
+			},
 		}
 		preferred, _ := placement.Preferred(query, snapshot)
 		chosen, ok := chooser.Choose(query, snapshot)
@@ -172,8 +178,11 @@
 	}
 	// By the hash of this query, b goes before a, and a before c.
 	query := placement.Query{
-		Service:  "s",
-		Affinity: 1,
+		Service: "s",
+		Shared: placement.Shared{
+			Key:    1,
+			Tokens: 1000,
+		},
 	}
 	tests := map[string]struct {
 		listed []fleet.Listed
@@ -227,6 +236,59 @@
 	c.Check(popularity.Count(now, 7, 1) > 0.9, qt.IsTrue, qt.Commentf("old requests no longer count"))
 }
 
+// Guards against streams that stand still while long prompts of others are read
+// before them: a prompt waits at the upstream of its shared part only if that costs
+// less than to read the part again.
+func TestChooserUnread(t *testing.T) {
+	tests := map[string]struct {
+		unread int // tokens that the preferred upstream has still to read
+		read   bool
+		shared int
+		moves  bool
+	}{
+		"idle":                        {shared: 5000},
+		"short prompt before it":      {unread: 2000, shared: 5000},
+		"long prompt before it":       {unread: 30000, shared: 5000, moves: true},
+		"long prompt that is read":    {unread: 30000, read: true, shared: 5000},
+		"little to read again":        {unread: 2000, shared: 200, moves: true},
+		"much more to be read again":  {unread: 30000, shared: 20000},
+		"nothing before a short part": {shared: 200},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			snapshot := upstreams(2)
+			chooser := placement.New(func() time.Time { return start }, rand.Float64)
+			query := placement.Query{
+				Service: "s",
+				Tokens:  test.shared + 1000,
+				Shared: placement.Shared{
+					Key:    1,
+					Tokens: test.shared,
+				},
+			}
+			preferred, ok := placement.Preferred(query, snapshot)
+			c.Assert(ok, qt.IsTrue)
+			query.Domain = preferred.Domain
+			if test.unread > 0 {
+				before := query
+				before.Tokens = test.unread
+				before.Shared.Tokens = 1e6
+				placed, ok := chooser.Choose(before, snapshot)
+				c.Assert(ok, qt.IsTrue)
+				c.Assert(placed.ID, qt.Equals, preferred.ID)
+				if test.read {
+					chooser.Began(placed)
+					chooser.Began(placed)
+				}
+			}
+			chosen, ok := chooser.Choose(query, snapshot)
+			c.Assert(ok, qt.IsTrue)
+			c.Check(chosen.ID != preferred.ID, qt.Equals, test.moves)
+		})
+	}
+}
+
 // Guards against prompts that are sent by a part that is short, of one request
 // only, or in too many requests for one upstream.
 func TestAffinityPart(t *testing.T) {
@@ -239,19 +301,28 @@
 	tests := map[string]struct {
 		parts   []wire.Part
 		same    []wire.Part // has the same affinity
+		tokens  int         // of the beginning that is shared
 		crowded bool        // half of all work has the first part
 	}{
 		"largest shared part": {
-			parts: []wire.Part{part("a", 100), part("b", 500), part("own 1", 900)},
-			same:  []wire.Part{part("c", 100), part("b", 500), part("own 2", 900)},
+			parts:  []wire.Part{part("a", 100), part("b", 500), part("own 1", 900)},
+			same:   []wire.Part{part("c", 100), part("b", 500), part("own 2", 900)},
+			tokens: 600,
+		},
+		"first part is the largest": {
+			parts:  []wire.Part{part("a", 500), part("b", 100), part("own 1", 900)},
+			same:   []wire.Part{part("a", 500), part("c", 100), part("own 2", 900)},
+			tokens: 500,
 		},
 		"part of one request": {
-			parts: []wire.Part{part("own 1", 900)},
-			same:  []wire.Part{part("own 1", 900)},
+			parts:  []wire.Part{part("own 1", 900)},
+			same:   []wire.Part{part("own 1", 900)},
+			tokens: 900,
 		},
 		"crowded part": {
 			parts:   []wire.Part{part("a", 500), part("b", 100), part("own 1", 900)},
 			same:    []wire.Part{part("c", 500), part("b", 600), part("own 2", 900)},
+			tokens:  600,
 			crowded: true,
 		},
 	}
@@ -274,10 +345,11 @@
 			}
 			first := popularity.Affinity(start, prompt(test.parts), 9)
 			second := popularity.Affinity(start, prompt(test.same), 9)
-			c.Check(first, qt.Equals, second)
-			c.Check(first, qt.Not(qt.Equals), uint64(0))
+			c.Check(first.Key, qt.Equals, second.Key)
+			c.Check(first.Key, qt.Not(qt.Equals), uint64(0))
+			c.Check(first.Tokens, qt.Equals, test.tokens)
 		})
 	}
 	c := qt.New(t)
-	c.Check(placement.NewPopularity().Affinity(start, wire.Prompt{}, 9), qt.Equals, uint64(0), qt.Commentf("no parts"))
+	c.Check(placement.NewPopularity().Affinity(start, wire.Prompt{}, 9), qt.Equals, placement.Shared{}, qt.Commentf("no parts"))
 }
