--- a/internal/emulation/deployment/deployment.go
+++ b/internal/emulation/deployment/deployment.go
@@ -7,13 +7,13 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 )
 
-// Batching says who batches the stages of requests.
-type Batching string
+// Decider says who decides about the requests.
+type Decider string
 
 // The ways to batch.
 const (
-	ByCoordinator Batching = "coordinator" // one host for all
-	ByHost        Batching = "host"        // each host the stages of its own requests
+	ByCoordinator Decider = "coordinator" // one host for all
+	ByHost        Decider = "host"        // each host for its own requests
 )
 
 // Affinity says which upstream a prompt is sent to.
@@ -37,7 +37,8 @@
 
 // Policy is what the hosts decide by.
 type Policy struct {
-	Batching  Batching      `ini:"batching"`
+	Batching  Decider       `ini:"batching"`  // of the stages of requests
+	Placement Decider       `ini:"placement"` // at engines
 	Affinity  Affinity      `ini:"affinity"`
 	Admission Admission     `ini:"admission"`
 	Usual     float64       `ini:"usual"`  // share of the usual slack by which stages may be delayed
--- a/internal/emulation/deployment/parse.go
+++ b/internal/emulation/deployment/parse.go
@@ -97,6 +97,7 @@
 	case "policy":
 		d.Policy = Policy{
 			Batching:  ByCoordinator,
+			Placement: ByCoordinator,
 			Affinity:  Bounded,
 			Admission: ByDelay,
 			Usual:     batch.DefaultPolicy().Usual,
@@ -213,6 +214,7 @@
 	p.positive("[deployment] length", d.Length)
 	p.share("[deployment] loss", d.Loss)
 	p.among("[policy] batching", d.Policy.Batching, ByCoordinator, ByHost)
+	p.among("[policy] placement", d.Policy.Placement, ByCoordinator, ByHost)
 	p.among("[policy] affinity", d.Policy.Affinity, Bounded, Strict, Balanced)
 	p.among("[policy] admission", d.Policy.Admission, ByDelay, All)
 	p.positive("[policy] usual", d.Policy.Usual)
--- a/internal/emulation/play/request.go
+++ b/internal/emulation/play/request.go
@@ -165,9 +165,7 @@
 		Objective: now.Add(k.Objective - batch.FirstEventTime),
 		Deadline:  now.Add(a.left() - batch.FirstEventTime),
 	}
-	if home, ok := placement.Preferred(a.query(""), a.snapshot); ok {
-		a.job.Domain = home.Domain
-	}
+	a.job.Domain = a.chooser().Domain(a.query(""), a.snapshot)
 	work := 0
 	for i, s := range k.Stages {
 		work += a.pieces[i]
@@ -190,6 +188,14 @@
 
 func (h *host) index() int { return slices.Index(h.hosts, h) }
 
+// chooser returns the one that places the request.
+func (a *attempt) chooser() *placement.Chooser {
+	if a.deployment.Policy.Placement == deployment.ByCoordinator {
+		return a.placer
+	}
+	return a.host.chooser
+}
+
 // query says which engine the request needs.
 func (a *attempt) query(domain ident.FailureDomain) placement.Query {
 	if domain == "" {
@@ -198,7 +204,7 @@
 	query := placement.Query{
 		Service: ident.ServiceName(a.spec().Engines),
 		Domain:  domain,
-		Tokens:  a.prompt.Input,
+		Prompt:  a.prompt,
 		Exclude: make(map[ident.UpstreamID]bool),
 	}
 	for _, id := range a.sends {
@@ -229,7 +235,7 @@
 	if a.deployment.Policy.Affinity == deployment.Strict {
 		a.insist(query)
 	}
-	to, ok := a.host.chooser.Choose(query, a.snapshot)
+	to, ok := a.chooser().Choose(query, a.snapshot)
 	if !ok {
 		a.refused(errors.New("no engine is left"))
 		return
@@ -253,7 +259,7 @@
 // enter submits the request at an engine.
 func (a *attempt) enter(to *placement.Placed, domain ident.FailureDomain, way time.Duration) {
 	if a.over {
-		a.host.chooser.Done(to, placement.Left, 0)
+		a.chooser().Done(to, placement.Left, 0)
 		return
 	}
 	began := a.clock.Elapsed()
@@ -264,31 +270,33 @@
 		Made:   from * max(1, a.prompt.Output/max(1, a.events)),
 		Rank:   a.spec().Rank,
 	}
-	if keeper, ok := placement.Keeper(a.query(domain), a.snapshot, to.Upstream, a.clock.Now()); ok {
-		r.From = a.engines[keeper.ID]
-	}
+	r.From = a.engines[to.Cache.ID]
 	count := 0
 	r.Event = func(last bool) {
 		count++
 		number := from + count
 		a.host.after(way+a.lost(), func() { a.event(r, number, last) })
 		if count == 1 {
-			first := a.clock.Elapsed() - began
-			a.host.after(way, func() { a.host.chooser.Began(to) })
-			a.ended = func() { a.host.chooser.Done(to, placement.Served, first) }
+			began = a.clock.Elapsed()
+			a.host.after(way, func() { a.chooser().Began(to) })
+			a.ended = func() { a.chooser().Done(to, placement.Served, 0) }
+		}
+		if last && count > 1 {
+			pace := (a.clock.Elapsed() - began) / time.Duration(count-1)
+			a.ended = func() { a.chooser().Done(to, placement.Served, pace) }
 		}
 	}
 	r.Broken = func() {
 		a.host.after(way, func() { a.broken(to, domain, count > 0) })
 	}
-	a.ended = func() { a.host.chooser.Done(to, placement.Left, 0) }
+	a.ended = func() { a.chooser().Done(to, placement.Left, 0) }
 	a.running = r
 	a.at = a.engines[to.ID]
 	if !a.at.Submit(r) {
 		a.running = nil
 		a.ended = nil
 		a.host.after(way, func() {
-			a.host.chooser.Done(to, placement.Full, 0)
+			a.chooser().Done(to, placement.Full, 0)
 			a.generate(domain)
 		})
 		return
@@ -338,7 +346,7 @@
 	if a.over {
 		return
 	}
-	a.host.chooser.Done(to, placement.Failed, 0)
+	a.chooser().Done(to, placement.Failed, 0)
 	a.running = nil
 	a.ended = nil
 	if !a.spec().Resumes || a.ran > 1 {
--- a/internal/emulation/play/run.go
+++ b/internal/emulation/play/run.go
@@ -38,6 +38,7 @@
 	random       *rand.Rand
 	hosts        []*host
 	coordinators []*coordinator
+	placer       *placement.Chooser // of the coordinator
 	services     map[ident.ServiceName]*routes.Service
 	ready        map[ident.ServiceName][]fleet.Upstream
 	domains      map[ident.UpstreamID]int
@@ -110,6 +111,7 @@
 		}
 	}
 	r.snapshot = directory.Snapshot()
+	r.placer = placement.New(r.clock.Now, r.random.Float64)
 	for i := range d.Hosts {
 		h := &host{
 			run:        r,
--- a/internal/relay/batch/job.go
+++ b/internal/relay/batch/job.go
@@ -85,6 +85,11 @@
 	Deadline  time.Time // when they must be done for any answer
 }
 
+// Work reports whether any stage has pieces.
+func (j Job) Work() bool {
+	return slices.ContainsFunc(j.Stages, func(s Stage) bool { return s.Pieces > 0 })
+}
+
 // Call is a batch to send to an upstream.
 type Call struct {
 	ID       CallID
@@ -129,6 +134,7 @@
 	Err    error
 	Inputs []wire.Handle       // results of the last stages
 	Domain ident.FailureDomain // that holds most of their bytes; empty if there are none
+	Bytes  int64               // that it holds
 }
 
 // Release lists results that are no longer needed, by the upstream that holds them.
--- a/internal/relay/batch/scheduler.go
+++ b/internal/relay/batch/scheduler.go
@@ -380,8 +380,8 @@
 			done.Inputs = append(done.Inputs, r.handle)
 			domain := r.worker.upstream.Domain
 			bytes[domain] += r.bytes
-			if bytes[domain] > bytes[done.Domain] {
-				done.Domain = domain
+			if bytes[domain] > done.Bytes {
+				done.Domain, done.Bytes = domain, bytes[domain]
 			}
 		}
 	}
--- a/internal/relay/cell/cell_test.go
+++ b/internal/relay/cell/cell_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/duty"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/peer"
 )
@@ -121,6 +123,17 @@
 	submit map[ident.Address]error
 	wait   map[ident.Address]func() (coordinator.Prepared, error)
 	asked  []ident.Address
+
+	reports []coordinator.Report // of the last job
+}
+
+// job returns one without stages that has time.
+func job() coordinator.Job {
+	return coordinator.Job{
+		Job: batch.Job{
+			Deadline: time.Now().Add(time.Minute),
+		},
+	}
 }
 
 type ticket struct {
@@ -128,8 +141,9 @@
 	cancel chan struct{}
 }
 
-func (r *remote) Submit(_ context.Context, to ident.Address, _ cell.ID, _ batch.Job) (cell.Ticket, error) {
+func (r *remote) Submit(_ context.Context, to ident.Address, _ cell.ID, job coordinator.Job) (cell.Ticket, error) {
 	r.asked = append(r.asked, to)
+	r.reports = job.Reports
 	if err := r.submit[to]; err != nil {
 		return nil, err
 	}
@@ -207,9 +221,7 @@
 			if test.dies {
 				time.AfterFunc(50*time.Millisecond, func() { m.suspect(order[0]) })
 			}
-			prepared, err := stager.Prepare(t.Context(), batch.Job{
-				Deadline: time.Now().Add(time.Minute),
-			})
+			prepared, err := stager.Prepare(t.Context(), job())
 			c.Check(r.asked, qt.HasLen, test.asked)
 			if test.err != nil {
 				c.Check(errors.Is(err, test.err), qt.IsTrue)
@@ -228,6 +240,7 @@
 		Table:    func() *routes.Table { return routes.New(1, routes.Limits{}, nil, nil, nil) },
 		Fleet:    fleet.New().Snapshot,
 		Includes: cell.ID("").Includes,
+		Chooser:  placement.New(time.Now, rand.Float64),
 		Now:      time.Now,
 		Log:      zerolog.Nop(),
 	})
@@ -273,9 +286,7 @@
 	stager := newStager(c, m, leaders, r, func() time.Time { return now })
 	asked := func() []ident.Address {
 		r.asked = nil
-		_, err := stager.Prepare(t.Context(), batch.Job{
-			Deadline: time.Now().Add(time.Minute),
-		})
+		_, err := stager.Prepare(t.Context(), job())
 		c.Assert(err, qt.IsNil)
 		return r.asked
 	}
@@ -293,3 +304,41 @@
 	c.Check(asked(), qt.DeepEquals, order[:1])
 	c.Check(asked(), qt.DeepEquals, order[:1], qt.Commentf("it has answered"))
 }
+
+// Guards against a coordinator that does not learn how the requests that it has placed
+// have ended, and against reports that pile up or go to another one.
+func TestReports(t *testing.T) {
+	c := qt.New(t)
+	m := newMembers("self", row("a"), row("b"))
+	leaders := duty.New(func(duty.Name) bool { return true })
+	order := names(leaders.Order(cell.ID("").Duty(), m.table.Snapshot()))
+	r := &remote{
+		submit: make(map[ident.Address]error),
+		wait:   make(map[ident.Address]func() (coordinator.Prepared, error)),
+	}
+	for _, host := range order {
+		r.wait[ident.Address(host)] = func() (coordinator.Prepared, error) { return coordinator.Prepared{}, nil }
+	}
+	stager := newStager(c, m, leaders, r, time.Now)
+	prepare := func() []coordinator.Report {
+		r.reports = nil
+		_, err := stager.Prepare(t.Context(), job())
+		c.Assert(err, qt.IsNil)
+		return r.reports
+	}
+	report := coordinator.Report{
+		Request: "r1",
+		Ending:  placement.Served,
+		Pace:    20 * time.Millisecond,
+	}
+	c.Check(prepare(), qt.HasLen, 0)
+	stager.Report(order[0], report)
+	c.Check(prepare(), qt.DeepEquals, []coordinator.Report{report})
+	c.Check(prepare(), qt.HasLen, 0, qt.Commentf("it has got the report"))
+	stager.Report(order[1], report)
+	c.Check(prepare(), qt.HasLen, 0, qt.Commentf("another one has placed the request"))
+	for range 10000 {
+		stager.Report(order[0], report)
+	}
+	c.Check(len(prepare()) <= 256, qt.IsTrue)
+}
--- a/internal/relay/cell/stager.go
+++ b/internal/relay/cell/stager.go
@@ -9,7 +9,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/nutmegshift/nutmegshift/ident"
-	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/duty"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
@@ -28,6 +27,8 @@
 	// avoidTime is how long a host that has not answered is passed over: about as
 	// long as the membership takes to suspect it.
 	avoidTime = time.Second
+	// maxReports bounds the reports that wait for a job to go with.
+	maxReports = 256
 	// checkInterval is how often a host that waits looks whether its coordinator is alive.
 	checkInterval = 400 * time.Millisecond
 )
@@ -45,7 +46,7 @@
 type Remote interface {
 	// Submit returns an error of package batch, or ErrUnreachable. The job ends
 	// with the context.
-	Submit(ctx context.Context, to ident.Address, id ID, job batch.Job) (Ticket, error)
+	Submit(ctx context.Context, to ident.Address, id ID, job coordinator.Job) (Ticket, error)
 }
 
 // Config holds the dependencies of a Stager.
@@ -66,21 +67,43 @@
 type Stager struct {
 	config Config
 
-	mu    sync.Mutex
-	avoid map[ident.HostID]time.Time // until when hosts are passed over
+	mu      sync.Mutex
+	avoid   map[ident.HostID]time.Time            // until when hosts are passed over
+	reports map[ident.HostID][]coordinator.Report // that coordinators have not got yet
 }
 
 // New returns a stager.
 func New(config Config) *Stager {
 	return &Stager{
-		config: config,
-		avoid:  make(map[ident.HostID]time.Time),
+		config:  config,
+		avoid:   make(map[ident.HostID]time.Time),
+		reports: make(map[ident.HostID][]coordinator.Report),
 	}
 }
 
+// Report keeps a report for the coordinator that placed the request, which gets it
+// with the next job.
+func (s *Stager) Report(to ident.HostID, report coordinator.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.reports[to]) < maxReports {
+		s.reports[to] = append(s.reports[to], report)
+	}
+}
+
+// takeReports returns the reports for a coordinator. Those for others are dropped:
+// the duty has moved on.
+func (s *Stager) takeReports(to ident.HostID) []coordinator.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reports := s.reports[to]
+	clear(s.reports)
+	return reports
+}
+
 // Prepare runs the stages of a job. Errors are those of package batch,
 // coordinator.ErrStopped and that of the context.
-func (s *Stager) Prepare(ctx context.Context, job batch.Job) (coordinator.Prepared, error) {
+func (s *Stager) Prepare(ctx context.Context, job coordinator.Job) (coordinator.Prepared, error) {
 	id := Of(s.config.Domain, s.config.Table(), s.config.Fleet())
 	asked, avoided := 0, 0
 	for _, row := range s.config.Leaders.Order(id.Duty(), s.config.Hosts()) {
@@ -102,6 +125,7 @@
 		}
 		s.config.Log.Info().Err(err).Str("request", string(job.Request)).Str("coordinator", string(row.Host)).Msg("cell: coordinator does not answer")
 	}
+	job.Reports = s.takeReports(s.config.Self)
 	ticket, err := s.config.Local(id).Submit(job)
 	if err != nil {
 		return coordinator.Prepared{}, err
@@ -141,7 +165,8 @@
 }
 
 // remote runs a job at another host, for as long as that is alive.
-func (s *Stager) remote(ctx context.Context, row peer.Row, id ID, job batch.Job) (coordinator.Prepared, error) {
+func (s *Stager) remote(ctx context.Context, row peer.Row, id ID, job coordinator.Job) (coordinator.Prepared, error) {
+	job.Reports = s.takeReports(row.Host)
 	ticket, err := s.config.Remote.Submit(ctx, row.Address, id, job)
 	if ctx.Err() == nil {
 		s.answered(row.Host, !errors.Is(err, ErrUnreachable))
--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
+	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
@@ -32,11 +33,28 @@
 // ErrStopped means that the coordinator does not run.
 const ErrStopped = errors.ConstError("coordinator is stopped")
 
-// Prepared are the results of a request's stages.
+// Job is the work of all stages of a request, and what it needs afterwards.
+type Job struct {
+	batch.Job
+	Target  placement.Query // the upstream that it needs; no service if the host chooses it
+	Reports []Report        // of requests before it
+}
+
+// Report tells how an upstream handled a request that the coordinator placed.
+type Report struct {
+	Request ident.RequestID
+	Ending  placement.Ending
+	Pace    time.Duration // 0 if it is not known
+}
+
+// Prepared are the results of a request's stages, and where it should run.
 type Prepared struct {
 	Inputs      []wire.Handle
 	Domain      ident.FailureDomain // that holds most of their bytes; empty if there are none
-	Release     func()              // drops the results; it may be called more than once
+	Bytes       int64               // that it holds
+	Upstream    ident.UpstreamID    // that should run the request; empty if the host chooses it
+	Cache       ident.UpstreamID    // from which that one should fetch the prompt; empty if there is none
+	Release     func()              // drops the results, once the upstream has read them; it may be called more than once
 	Coordinator ident.HostID        // that ran the stages
 }
 
@@ -47,6 +65,7 @@
 	Table    func() *routes.Table
 	Fleet    func() *fleet.Snapshot
 	Includes func(upstream fleet.Upstream) bool // whether an upstream is the coordinator's
+	Chooser  *placement.Chooser
 	Meter    *meter.Meter
 	Now      func() time.Time
 	Log      zerolog.Logger
@@ -73,6 +92,7 @@
 	table     *routes.Table
 	snapshot  *fleet.Snapshot
 	running   int
+	placed    *placements
 }
 
 // New returns a coordinator; Run starts it.
@@ -84,6 +104,7 @@
 		ends:      make(chan ended),
 		scheduler: batch.New(batch.DefaultPolicy()),
 		waiting:   make(map[batch.JobID]chan batch.Done),
+		placed:    newPlacements(config.Chooser),
 	}
 }
 
@@ -176,22 +197,30 @@
 // Ticket stands for a job that has been accepted.
 type Ticket struct {
 	coordinator *Coordinator
-	id          batch.JobID
+	job         Job
 	done        chan batch.Done
 }
 
 // Submit hands in a job; its id is set here. Errors are those of package batch
 // and ErrStopped; then nothing is kept of the job.
-func (c *Coordinator) Submit(job batch.Job) (*Ticket, error) {
+func (c *Coordinator) Submit(job Job) (*Ticket, error) {
+	c.placed.report(job.Reports)
+	job.ID = batch.JobID(c.last.Add(1))
+	if job.Target.Service != "" {
+		job.Domain = c.config.Chooser.Domain(job.Target, c.config.Fleet())
+	}
 	ticket := &Ticket{
 		coordinator: c,
-		id:          batch.JobID(c.last.Add(1)),
+		job:         job,
 		done:        make(chan batch.Done, 1),
 	}
-	job.ID = ticket.id
+	if !job.Work() {
+		ticket.done <- batch.Done{}
+		return ticket, nil
+	}
 	accepted := make(chan error, 1)
 	submit := func(now time.Time) {
-		err := c.scheduler.Submit(now, job)
+		err := c.scheduler.Submit(now, job.Job)
 		if err == nil {
 			c.waiting[job.ID] = ticket.done
 		}
@@ -216,11 +245,7 @@
 		if end.Err != nil {
 			return Prepared{}, end.Err
 		}
-		return Prepared{
-			Inputs:  end.Inputs,
-			Domain:  end.Domain,
-			Release: t.Cancel,
-		}, nil
+		return t.place(end), nil
 	case <-ctx.Done():
 		t.Cancel()
 		return Prepared{}, ctx.Err()
@@ -229,11 +254,42 @@
 	}
 }
 
+// place chooses the upstream for the request of a job that is done.
+func (t *Ticket) place(end batch.Done) Prepared {
+	prepared := Prepared{
+		Inputs:  end.Inputs,
+		Domain:  end.Domain,
+		Bytes:   end.Bytes,
+		Release: t.release,
+	}
+	query := t.job.Target
+	if query.Service == "" {
+		return prepared
+	}
+	if end.Domain != "" {
+		query.Domain, query.Bytes = end.Domain, end.Bytes
+	}
+	placed, ok := t.coordinator.placed.place(t.coordinator.config.Now(), t.job, query, t.coordinator.config.Fleet())
+	if ok {
+		prepared.Upstream, prepared.Cache = placed.ID, placed.Cache.ID
+	}
+	return prepared
+}
+
+// release drops the results when the upstream has read them.
+func (t *Ticket) release() {
+	t.coordinator.placed.began(t.job.Request)
+	t.Cancel()
+}
+
 // Cancel ends the job and drops its results; it may be called more than once.
 func (t *Ticket) Cancel() {
+	if !t.job.Work() {
+		return
+	}
 	t.coordinator.do(func(time.Time) {
-		delete(t.coordinator.waiting, t.id)
-		t.coordinator.scheduler.Cancel(t.id)
+		delete(t.coordinator.waiting, t.job.ID)
+		t.coordinator.scheduler.Cancel(t.job.ID)
 	})
 }
 
--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -20,7 +20,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/nutmegshift/nutmegshift/ident"
-	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/budget"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
@@ -69,6 +68,7 @@
 	forwarded.Set("Organisation", string(dispatch.Organisation))
 	forwarded.Set("Last", strconv.Itoa(int(dispatch.LastEvent)))
 	forwarded.Set("Inputs", fmt.Sprint(dispatch.Inputs))
+	forwarded.Set("Upstream", string(dispatch.Upstream))
 	return forwarded
 }
 
@@ -92,11 +92,22 @@
 type stager struct {
 	mu       sync.Mutex
 	err      error
+	upstream ident.UpstreamID // that it proposes
 	prepared int
 	released int
+	reports  []coordinator.Report
 }
 
-func (s *stager) Prepare(context.Context, batch.Job) (coordinator.Prepared, error) {
+func (s *stager) Report(to ident.HostID, report coordinator.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	report.Pace = 0
+	if to == "coordinator" {
+		s.reports = append(s.reports, report)
+	}
+}
+
+func (s *stager) Prepare(context.Context, coordinator.Job) (coordinator.Prepared, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.err != nil {
@@ -105,7 +116,9 @@
 	s.prepared++
 	var once sync.Once
 	return coordinator.Prepared{
-		Inputs: []wire.Handle{wire.Handle(fmt.Sprintf("h%d", s.prepared))},
+		Inputs:      []wire.Handle{wire.Handle(fmt.Sprintf("h%d", s.prepared))},
+		Upstream:    s.upstream,
+		Coordinator: "coordinator",
 		Release: func() {
 			once.Do(func() {
 				s.mu.Lock()
@@ -132,6 +145,7 @@
 	mu   sync.Mutex
 	acts []act
 	seen []string // requests as an upstream gets them
+	to   []string // the upstreams that they are meant for
 
 	listener net.Listener
 }
@@ -143,6 +157,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.seen = append(u.seen, fmt.Sprintf("%s %s %s last=%s inputs=%s %s", r.Method, r.RequestURI, r.Header.Get("Organisation"), r.Header.Get("Last"), r.Header.Get("Inputs"), body))
+	u.to = append(u.to, r.Header.Get("Upstream"))
 	if len(u.seen) > len(u.acts) {
 		return act{}, false
 	}
--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -11,7 +11,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/nutmegshift/nutmegshift/ident"
-	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/budget"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
@@ -34,9 +33,11 @@
 	fullTime = 500 * time.Millisecond
 )
 
-// Stager runs the stages of requests.
+// Stager runs the stages of requests and chooses where they run afterwards.
 type Stager interface {
-	Prepare(ctx context.Context, job batch.Job) (coordinator.Prepared, error)
+	Prepare(ctx context.Context, job coordinator.Job) (coordinator.Prepared, error)
+	// Report tells a coordinator how a request that it placed has ended.
+	Report(to ident.HostID, report coordinator.Report)
 }
 
 // Config holds the dependencies of a Handler.
@@ -88,6 +89,7 @@
 	arrived      time.Time
 	deadline     time.Time        // of the caller or the route, whichever is earlier
 	shared       placement.Shared // what the prompt shares; nothing before it is known
+	proposal     *proposal        // where a coordinator would run the request; nil if it was carried out or refused
 	tried        []ident.UpstreamID
 	ran          int // upstreams that may have run the request
 	record       record
--- a/internal/relay/forward/handler_test.go
+++ b/internal/relay/forward/handler_test.go
@@ -11,8 +11,10 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
+	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
+	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 )
 
@@ -291,6 +293,46 @@
 	}
 }
 
+// Guards against a request that does not run where its coordinator has placed it,
+// although nothing speaks against that, and against a coordinator that counts it as in
+// flight after its end.
+func TestProposal(t *testing.T) {
+	complete := act{text: stream + events(1) + endOfChunks}
+	tests := map[string]struct {
+		upstream ident.UpstreamID
+		acts     []act
+		first    bool // the proposed upstream gets the request first
+		ending   placement.Ending
+		want     int
+	}{
+		"served":          {upstream: "u2", acts: []act{complete}, first: true, ending: placement.Served, want: 200},
+		"full":            {upstream: "u2", acts: []act{status(503, "Not-Run: 1\r\n"), complete}, first: true, ending: placement.Full, want: 200},
+		"broken":          {upstream: "u2", acts: []act{{text: stream, reset: true}, complete}, first: true, ending: placement.Failed, want: 200},
+		"not registered":  {upstream: "u9", acts: []act{complete}, ending: placement.Left, want: 200},
+		"nothing is said": {acts: []act{complete}, want: 200},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			f := start(t, test.acts...)
+			f.stager.upstream = test.upstream
+			g := f.ask(c, "/staged/x", map[string]string{"Pieces": "1"})
+			c.Check(g.status, qt.Equals, test.want)
+			f.server.Close() // ends the handler
+			c.Check(f.upstreams.to[0] == string(test.upstream), qt.Equals, test.first)
+			var reports []coordinator.Report
+			if test.ending != 0 {
+				reports = append(reports, coordinator.Report{
+					Request: "r1",
+					Ending:  test.ending,
+				})
+			}
+			c.Check(f.stager.reports, qt.DeepEquals, reports)
+		})
+	}
+}
+
 // Guards against a caller who is asked to come back while the load is still up.
 func TestReturnTime(t *testing.T) {
 	c := qt.New(t)
--- a/internal/relay/forward/plain.go
+++ b/internal/relay/forward/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -26,9 +27,7 @@
 func (e *exchange) plain() {
 	var last *reply // the latest answer of an upstream that ran the request
 	for {
-		to, ok := e.next(placement.Query{
-			Domain: e.config.Domain,
-		})
+		to, ok := e.next(e.needs(e.config.Domain, 0))
 		if !ok {
 			break
 		}
@@ -86,14 +85,16 @@
 		answer: answer,
 		body:   body,
 	}
-	ending := placement.Served
+	ending, pace := placement.Served, time.Duration(0)
 	switch {
 	case answer.Reply.NotRun:
 		ending = placement.Full
 		e.log.Info().Str("upstream", string(to.ID)).Int("status", answer.Status).Dur("age", e.age()).Msg("forward: upstream refused")
 	case !got.final():
 		e.log.Info().Str("upstream", string(to.ID)).Int("status", answer.Status).Bool("sealed", answer.Reply.Sealed).Dur("age", e.age()).Msg("forward: upstream failed")
+	default:
+		pace = latency
 	}
-	e.ended(to, ending, latency)
+	e.ended(to, ending, latency, pace)
 	return got, nil
 }
--- a/internal/relay/forward/record.go
+++ b/internal/relay/forward/record.go
@@ -15,12 +15,13 @@
 	result      meter.Result
 	status      int
 	reason      string
-	after       time.Duration // when the caller may come back
-	stages      time.Duration // time that the stages took
-	coordinator ident.HostID  // that ran the stages
-	first       time.Duration // time until the first event
-	last        wire.EventID  // that the caller got
-	pause       time.Duration // longest time between two events
+	after       time.Duration    // when the caller may come back
+	stages      time.Duration    // time that the stages took
+	coordinator ident.HostID     // that ran the stages
+	cache       ident.UpstreamID // from which the prompt was to be fetched
+	first       time.Duration    // time until the first event
+	last        wire.EventID     // that the caller got
+	pause       time.Duration    // longest time between two events
 }
 
 // reject answers a request that is not valid or not allowed.
@@ -114,6 +115,9 @@
 	if e.record.coordinator != "" {
 		line = line.Str("coordinator", string(e.record.coordinator)).Dur("stages", e.record.stages)
 	}
+	if e.record.cache != "" {
+		line = line.Str("cache", string(e.record.cache))
+	}
 	if e.record.first > 0 {
 		line = line.Dur("first", e.record.first).Int("last", int(e.record.last)).Dur("pause", e.record.pause)
 	}
--- a/internal/relay/forward/send.go
+++ b/internal/relay/forward/send.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
-	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
@@ -61,12 +60,7 @@
 	if e.ran > 0 && (!e.route.Idempotent() || e.ran >= e.route.Attempts) {
 		return nil, false
 	}
-	query.Service = e.service.Name
-	query.Exclude = make(map[ident.UpstreamID]bool, len(e.tried))
-	for _, id := range e.tried {
-		query.Exclude[id] = true
-	}
-	to, ok := e.config.Chooser.Choose(query, e.config.Fleet.Snapshot())
+	to, ok := e.choose(query)
 	if !ok {
 		return nil, false
 	}
@@ -135,15 +129,19 @@
 	})
 }
 
-// ended tells the chooser and the metrics how an upstream handled the request.
-func (e *exchange) ended(to *placement.Placed, ending placement.Ending, latency time.Duration) {
+// ended tells the chooser and the metrics how an upstream handled the request; pace
+// is what it took for a part that is alike in all requests, 0 if that is not known.
+func (e *exchange) ended(to *placement.Placed, ending placement.Ending, latency, pace time.Duration) {
 	results := map[placement.Ending]meter.Result{
 		placement.Served: meter.Served,
 		placement.Full:   meter.Refused,
 		placement.Failed: meter.Failed,
 		placement.Left:   meter.Left,
 	}
-	e.config.Chooser.Done(to, ending, latency)
+	e.config.Chooser.Done(to, ending, pace)
+	if e.proposal != nil && e.proposal.placed == to {
+		e.settle(ending, pace)
+	}
 	e.config.Meter.Call(e.service.Name, results[ending], latency)
 }
 
@@ -159,7 +157,7 @@
 		e.suspect(to)
 	}
 	e.log.Info().Err(err).Str("upstream", string(to.ID)).Str("address", string(to.Address)).Dur("age", e.age()).Dur("waited", latency).Msg("forward: no answer of upstream")
-	e.ended(to, ending, latency)
+	e.ended(to, ending, latency, 0)
 }
 
 // suspect counts a strike against the request if the upstream has crashed while
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -33,9 +33,33 @@
 type relayed struct {
 	started bool
 	last    wire.EventID
+	events  int       // of the present upstream
+	first   time.Time // of these
 	at      time.Time // of the latest event
 }
 
+// next notes an event, and returns the time since the one before.
+func (r *relayed) next(now time.Time) (pause time.Duration) {
+	if !r.at.IsZero() {
+		pause = now.Sub(r.at)
+	}
+	if r.events == 0 {
+		r.first = now
+	}
+	r.events++
+	r.at = now
+	return pause
+}
+
+// pace returns the mean time between events of the present upstream, 0 if there
+// were less than two.
+func (r *relayed) pace() time.Duration {
+	if r.events < 2 {
+		return 0
+	}
+	return r.at.Sub(r.first) / time.Duration(r.events-1)
+}
+
 // inputs are the results of the stages of a request.
 type inputs struct {
 	coordinator.Prepared
@@ -57,6 +81,7 @@
 	}
 	results := &inputs{}
 	defer results.release()
+	defer e.settle(placement.Left, 0)
 	for {
 		if !results.ready {
 			if err := e.prepare(results); err != nil {
@@ -64,11 +89,7 @@
 				return
 			}
 		}
-		to, ok := e.next(placement.Query{
-			Domain: e.domain(results),
-			Tokens: e.head.Prompt.Input,
-			Shared: e.affinity(),
-		})
+		to, ok := e.next(e.needs(e.domain(results), results.Bytes))
 		if !ok {
 			break
 		}
@@ -113,22 +134,6 @@
 	return e.shared
 }
 
-// cache returns the upstream from which the one that runs the request should
-// fetch what it has read of the prompt.
-func (e *exchange) cache(to *placement.Placed) ident.Address {
-	if e.service.Engine == nil {
-		return ""
-	}
-	keeper, ok := placement.Keeper(placement.Query{
-		Service: e.service.Name,
-		Shared:  e.affinity(),
-	}, e.config.Fleet.Snapshot(), to.Upstream, e.config.Now())
-	if !ok {
-		return ""
-	}
-	return keeper.Address
-}
-
 // home returns the failure domain where the request will probably run.
 func (e *exchange) home() ident.FailureDomain {
 	preferred, ok := placement.Preferred(placement.Query{
@@ -141,10 +146,10 @@
 	return preferred.Domain
 }
 
-// prepare runs the stages.
+// prepare runs the stages, and finds out where the request should run.
 func (e *exchange) prepare(results *inputs) error {
-	job, work := e.job()
-	if !work {
+	job := e.job()
+	if !job.Work() && job.Target.Service == "" {
 		results.ready = true
 		return nil
 	}
@@ -160,25 +165,30 @@
 	e.config.Meter.Prepared(e.route.Name, meter.Served, took)
 	results.Prepared = prepared
 	results.ready = true
+	e.propose(prepared)
 	return nil
 }
 
-// job returns the work of the stages, and whether there is any.
-func (e *exchange) job() (job batch.Job, work bool) {
-	job = batch.Job{
-		Request:   e.head.Request,
-		Domain:    e.home(),
-		Rank:      batch.Rank(e.table.Rank(e.route, e.organisation)),
-		Key:       e.head.PieceKey,
-		Objective: e.arrived.Add(e.route.Objective - batch.FirstEventTime),
-		Deadline:  e.deadline.Add(-batch.FirstEventTime),
+// job returns the work of the stages, and what the request needs afterwards.
+func (e *exchange) job() coordinator.Job {
+	job := coordinator.Job{
+		Job: batch.Job{
+			Request:   e.head.Request,
+			Domain:    e.home(),
+			Rank:      batch.Rank(e.table.Rank(e.route, e.organisation)),
+			Key:       e.head.PieceKey,
+			Objective: e.arrived.Add(e.route.Objective - batch.FirstEventTime),
+			Deadline:  e.deadline.Add(-batch.FirstEventTime),
+		},
+	}
+	if e.service.Engine != nil {
+		job.Target = e.needs(e.config.Domain, 0)
 	}
 	for i, stage := range e.route.Stages {
 		pieces := 0
 		if i < len(e.head.Pieces) {
 			pieces = e.head.Pieces[i]
 		}
-		work = work || pieces > 0
 		job.Stages = append(job.Stages, batch.Stage{
 			Service: stage.Service,
 			Kind:    batch.Kind(e.route.Name + "/" + strconv.Itoa(i)),
@@ -187,7 +197,24 @@
 			Bytes:   stage.Bytes,
 		})
 	}
-	return job, work
+	return job
+}
+
+// needs says which upstream the request needs: near a failure domain that holds
+// some bytes of its results, and none that it has tried.
+func (e *exchange) needs(domain ident.FailureDomain, bytes int64) placement.Query {
+	query := placement.Query{
+		Service: e.service.Name,
+		Domain:  domain,
+		Bytes:   bytes,
+		Prompt:  e.head.Prompt,
+		Shared:  e.affinity(),
+		Exclude: make(map[ident.UpstreamID]bool, len(e.tried)),
+	}
+	for _, id := range e.tried {
+		query.Exclude[id] = true
+	}
+	return query
 }
 
 // unprepared answers a request whose stages have failed.
@@ -217,10 +244,11 @@
 // generate runs the request at one upstream and passes its events on.
 func (e *exchange) generate(to *placement.Placed, results *inputs, sent *relayed) streamEnd {
 	started := e.config.Now()
+	e.record.cache = to.Cache.ID
 	answer, err := e.send(e.ctx, to, wire.Dispatch{
 		Inputs:    results.Inputs,
 		LastEvent: sent.last,
-		Cache:     e.cache(to),
+		Cache:     to.Cache.Address,
 	})
 	if err != nil {
 		e.unanswered(to, err, 0)
@@ -239,7 +267,7 @@
 		return streamBroken
 	}
 	e.record.result = meter.Served
-	e.ended(to, placement.Served, latency)
+	e.ended(to, placement.Served, latency, sent.pace())
 	return streamComplete
 }
 
@@ -249,13 +277,13 @@
 	e.log.Info().Err(err).Str("upstream", string(to.ID)).Int("status", answer.Status).Bool("sealed", answer.Reply.Sealed).Bool("ran", !answer.Reply.NotRun).Dur("age", e.age()).Msg("forward: upstream refused")
 	switch {
 	case answer.Reply.NotRun && answer.Status == http.StatusConflict:
-		e.ended(to, placement.Served, 0)
+		e.ended(to, placement.Served, 0, 0)
 		return streamNoInputs
 	case answer.Reply.NotRun:
-		e.ended(to, placement.Full, 0)
+		e.ended(to, placement.Full, 0, 0)
 		return streamNotRun
 	}
-	e.ended(to, placement.Failed, 0)
+	e.ended(to, placement.Failed, 0, 0)
 	if err != nil || !answer.Reply.Sealed || sent.started || promises[answer.Status] || answer.Status/100 == 2 || e.route.Idempotent() {
 		return streamBroken
 	}
@@ -271,6 +299,7 @@
 // stages are no longer needed once the upstream has sent an event.
 func (e *exchange) relay(to *placement.Placed, answer *upstreamhttp.Answer, sent *relayed, results *inputs) error {
 	events := upstreamhttp.NewEvents(answer)
+	sent.events = 0
 	flusher := http.NewResponseController(e.writer)
 	for {
 		event, err := events.Next()
@@ -294,7 +323,7 @@
 			sent.last = event.ID
 			e.record.last = event.ID
 		}
-		e.paused(sent)
+		e.record.pause = max(e.record.pause, sent.next(e.config.Now()))
 		if _, err := e.writer.Write(event.Text); err != nil {
 			return err
 		}
@@ -307,15 +336,6 @@
 	}
 }
 
-// paused notes the time since the event before.
-func (e *exchange) paused(sent *relayed) {
-	now := e.config.Now()
-	if !sent.at.IsZero() {
-		e.record.pause = max(e.record.pause, now.Sub(sent.at))
-	}
-	sent.at = now
-}
-
 // start sends the head of the first answer whose events reach the caller.
 func (e *exchange) start(answer *upstreamhttp.Answer, sent *relayed) {
 	if sent.started {
--- a/internal/relay/grpcrelay/client.go
+++ b/internal/relay/grpcrelay/client.go
@@ -8,7 +8,6 @@
 	"google.golang.org/grpc"
 
 	"github.com/nutmegshift/nutmegshift/ident"
-	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/cell"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
@@ -33,7 +32,7 @@
 }
 
 // Submit implements cell.Remote.
-func (c *Client) Submit(ctx context.Context, to ident.Address, id cell.ID, job batch.Job) (cell.Ticket, error) {
+func (c *Client) Submit(ctx context.Context, to ident.Address, id cell.ID, job coordinator.Job) (cell.Ticket, error) {
 	connection, err := c.connect(to)
 	if err != nil {
 		return nil, errors.Annotatef(cell.ErrUnreachable, "%v", err)
@@ -51,7 +50,7 @@
 	return ticket, nil
 }
 
-func (c *Client) submit(ctx context.Context, stub RelayClient, id cell.ID, job batch.Job) (*ticket, error) {
+func (c *Client) submit(ctx context.Context, stub RelayClient, id cell.ID, job coordinator.Job) (*ticket, error) {
 	stream, err := stub.Prepare(ctx)
 	if err != nil {
 		return nil, errors.Annotatef(cell.ErrUnreachable, "open stream: %v", err)
@@ -91,8 +90,11 @@
 	switch kind := reply.GetKind().(type) {
 	case *JobReply_Prepared:
 		prepared := coordinator.Prepared{
-			Domain:  ident.FailureDomain(kind.Prepared.GetDomain()),
-			Release: t.cancel,
+			Domain:   ident.FailureDomain(kind.Prepared.GetDomain()),
+			Bytes:    kind.Prepared.GetBytes(),
+			Upstream: ident.UpstreamID(kind.Prepared.GetUpstream()),
+			Cache:    ident.UpstreamID(kind.Prepared.GetCache()),
+			Release:  t.cancel,
 		}
 		for _, input := range kind.Prepared.GetInputs() {
 			prepared.Inputs = append(prepared.Inputs, wire.Handle(input))
--- a/internal/relay/grpcrelay/codec.go
+++ b/internal/relay/grpcrelay/codec.go
@@ -8,12 +8,18 @@
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/cell"
+	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
+	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
+	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
 
 const (
-	// maxStages and maxPieces bound a job against damaged messages.
+	// maxStages and maxPieces bound a job against damaged messages, maxParts and
+	// maxTokens what it says of its prompt.
 	maxStages = 64
 	maxPieces = 4096
+	maxParts  = 1024
+	maxTokens = 1 << 30
 )
 
 // causes translate the errors of a job.
@@ -23,7 +29,7 @@
 	Cause_CAUSE_NO_UPSTREAM: batch.ErrNoUpstream,
 }
 
-func encodeJob(now time.Time, id cell.ID, job batch.Job) *Job {
+func encodeJob(now time.Time, id cell.ID, job coordinator.Job) *Job {
 	encoded := &Job{
 		Cell:      string(id),
 		Request:   string(job.Request),
@@ -45,20 +51,92 @@
 		}
 		encoded.Stages = append(encoded.Stages, s)
 	}
+	if job.Target.Service != "" {
+		encoded.Target = encodeTarget(job.Target)
+	}
+	for _, report := range job.Reports {
+		encoded.Reports = append(encoded.Reports, &Report{
+			Request: string(report.Request),
+			Ending:  uint32(report.Ending),
+			Pace:    report.Pace.Microseconds(),
+		})
+	}
 	return encoded
 }
 
-func decodeJob(now time.Time, encoded *Job) (cell.ID, batch.Job, error) {
-	job := batch.Job{
-		Request:   ident.RequestID(encoded.GetRequest()),
-		Domain:    ident.FailureDomain(encoded.GetDomain()),
-		Rank:      batch.Rank(encoded.GetRank()),
-		Key:       encoded.GetKey(),
-		Objective: now.Add(time.Duration(encoded.GetObjective()) * time.Millisecond),
-		Deadline:  now.Add(time.Duration(encoded.GetDeadline()) * time.Millisecond),
+func encodeTarget(query placement.Query) *Target {
+	target := &Target{
+		Service: string(query.Service),
+		Domain:  string(query.Domain),
+		Model:   string(query.Prompt.Model),
+		Input:   int64(query.Prompt.Input),
+		Output:  int64(query.Prompt.Output),
+		Shared:  query.Shared.Key,
+		Tokens:  int64(query.Shared.Tokens),
+	}
+	for _, part := range query.Prompt.Parts {
+		target.Parts = append(target.Parts, &Part{
+			Id:     string(part.ID),
+			Tokens: int64(part.Tokens),
+		})
+	}
+	for id := range query.Exclude {
+		target.Exclude = append(target.Exclude, string(id))
+	}
+	return target
+}
+
+func decodeTarget(target *Target) (placement.Query, error) {
+	query := placement.Query{
+		Service: ident.ServiceName(target.GetService()),
+		Domain:  ident.FailureDomain(target.GetDomain()),
+		Prompt: wire.Prompt{
+			Model:  ident.ModelName(target.GetModel()),
+			Input:  int(target.GetInput()),
+			Output: int(target.GetOutput()),
+		},
+		Shared: placement.Shared{
+			Key:    target.GetShared(),
+			Tokens: int(target.GetTokens()),
+		},
+	}
+	if len(target.GetParts()) > maxParts || len(target.GetExclude()) > maxParts {
+		return placement.Query{}, errors.NotValidf("target with %d parts and %d excluded upstreams", len(target.GetParts()), len(target.GetExclude()))
+	}
+	if min(target.GetInput(), target.GetOutput(), target.GetTokens()) < 0 || max(target.GetInput(), target.GetOutput(), target.GetTokens()) > maxTokens {
+		return placement.Query{}, errors.NotValidf("target with %d, %d and %d tokens", target.GetInput(), target.GetOutput(), target.GetTokens())
+	}
+	for _, part := range target.GetParts() {
+		if part.GetTokens() < 0 || part.GetTokens() > maxTokens {
+			return placement.Query{}, errors.NotValidf("part with %d tokens", part.GetTokens())
+		}
+		query.Prompt.Parts = append(query.Prompt.Parts, wire.Part{
+			ID:     wire.PartID(part.GetId()),
+			Tokens: int(part.GetTokens()),
+		})
+	}
+	if len(target.GetExclude()) > 0 {
+		query.Exclude = make(map[ident.UpstreamID]bool)
+	}
+	for _, id := range target.GetExclude() {
+		query.Exclude[ident.UpstreamID(id)] = true
+	}
+	return query, nil
+}
+
+func decodeJob(now time.Time, encoded *Job) (cell.ID, coordinator.Job, error) {
+	job := coordinator.Job{
+		Job: batch.Job{
+			Request:   ident.RequestID(encoded.GetRequest()),
+			Domain:    ident.FailureDomain(encoded.GetDomain()),
+			Rank:      batch.Rank(encoded.GetRank()),
+			Key:       encoded.GetKey(),
+			Objective: now.Add(time.Duration(encoded.GetObjective()) * time.Millisecond),
+			Deadline:  now.Add(time.Duration(encoded.GetDeadline()) * time.Millisecond),
+		},
 	}
 	if len(encoded.GetStages()) > maxStages {
-		return "", batch.Job{}, errors.NotValidf("job with %d stages", len(encoded.GetStages()))
+		return "", coordinator.Job{}, errors.NotValidf("job with %d stages", len(encoded.GetStages()))
 	}
 	for i, s := range encoded.GetStages() {
 		stage := batch.Stage{
@@ -68,16 +146,30 @@
 			Bytes:   s.GetBytes(),
 		}
 		if s.GetPieces() > maxPieces {
-			return "", batch.Job{}, errors.NotValidf("stage with %d pieces", s.GetPieces())
+			return "", coordinator.Job{}, errors.NotValidf("stage with %d pieces", s.GetPieces())
 		}
 		for _, before := range s.GetAfter() {
 			if int(before) >= i {
-				return "", batch.Job{}, errors.NotValidf("stage %d after %d", i, before)
+				return "", coordinator.Job{}, errors.NotValidf("stage %d after %d", i, before)
 			}
 			stage.After = append(stage.After, int(before))
 		}
 		job.Stages = append(job.Stages, stage)
 	}
+	if encoded.GetTarget().GetService() != "" {
+		target, err := decodeTarget(encoded.GetTarget())
+		if err != nil {
+			return "", coordinator.Job{}, err
+		}
+		job.Target = target
+	}
+	for _, report := range encoded.GetReports() {
+		job.Reports = append(job.Reports, coordinator.Report{
+			Request: ident.RequestID(report.GetRequest()),
+			Ending:  placement.Ending(min(report.GetEnding(), uint32(placement.Left))),
+			Pace:    max(0, time.Duration(report.GetPace())*time.Microsecond),
+		})
+	}
 	return cell.ID(encoded.GetCell()), job, nil
 }
 
--- a/internal/relay/grpcrelay/codec_test.go
+++ b/internal/relay/grpcrelay/codec_test.go
@@ -7,8 +7,12 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/juju/errors"
 
+	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/cell"
+	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
+	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
+	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
 
 // Guards against a job that changes on its way to its coordinator, and against
@@ -17,28 +21,59 @@
 	c := qt.New(t)
 	here := time.Unix(1_700_000_000, 0)
 	there := here.Add(time.Hour)
-	job := batch.Job{
-		Request:   "9c41",
-		Domain:    "erie-hall",
-		Rank:      -1,
-		Key:       "7c1e",
-		Objective: here.Add(1500 * time.Millisecond),
-		Deadline:  here.Add(15 * time.Second),
-		Stages: []batch.Stage{
-			{
-				Service: "board",
-				Kind:    "chat/0",
-				Pieces:  2,
-				Bytes:   800_000,
+	job := coordinator.Job{
+		Job: batch.Job{
+			Request:   "9c41",
+			Domain:    "erie-hall",
+			Rank:      -1,
+			Key:       "7c1e",
+			Objective: here.Add(1500 * time.Millisecond),
+			Deadline:  here.Add(15 * time.Second),
+			Stages: []batch.Stage{
+				{
+					Service: "board",
+					Kind:    "chat/0",
+					Pieces:  2,
+					Bytes:   800_000,
+				},
+				{
+					Service: "portal",
+					Kind:    "chat/1",
+					After:   []int{0},
+					Pieces:  4,
+					Bytes:   60_000,
+				},
 			},
-			{
-				Service: "portal",
-				Kind:    "chat/1",
-				After:   []int{0},
-				Pieces:  4,
-				Bytes:   60_000,
+		},
+		Target: placement.Query{
+			Service: "pool",
+			Domain:  "huron-hall",
+			Prompt: wire.Prompt{
+				Model:  "m",
+				Input:  1460,
+				Output: 80,
+				Parts: []wire.Part{
+					{
+						ID:     "5c1e",
+						Tokens: 800,
+					},
+					{
+						ID:     "e440",
+						Tokens: 250,
+					},
+				},
+			},
+			Shared: placement.Shared{
+				Key:    1 << 63,
+				Tokens: 800,
 			},
+			Exclude: map[ident.UpstreamID]bool{"i-7f3a": true},
 		},
+		Reports: []coordinator.Report{{
+			Request: "8b30",
+			Ending:  placement.Full,
+			Pace:    20 * time.Millisecond,
+		}},
 	}
 	id, got, err := decodeJob(there, encodeJob(here, "cell", job))
 	c.Assert(err, qt.IsNil)
@@ -55,6 +90,9 @@
 		"stage after a later one": {Stages: []*Stage{{After: []uint32{1}}, {}}},
 		"many pieces":             {Stages: []*Stage{{Pieces: 1 << 30}}},
 		"many stages":             {Stages: make([]*Stage, 1000)},
+		"negative tokens":         {Target: &Target{Service: "s", Input: -1}},
+		"part of many tokens":     {Target: &Target{Service: "s", Parts: []*Part{{Tokens: 1 << 40}}}},
+		"many parts":              {Target: &Target{Service: "s", Parts: make([]*Part, 5000)}},
 	}
 	for name, job := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/relay/grpcrelay/server.go
+++ b/internal/relay/grpcrelay/server.go
@@ -73,7 +73,10 @@
 	}
 	defer prepared.Release()
 	reply := &Prepared{
-		Domain: string(prepared.Domain),
+		Domain:   string(prepared.Domain),
+		Bytes:    prepared.Bytes,
+		Upstream: string(prepared.Upstream),
+		Cache:    string(prepared.Cache),
 	}
 	for _, input := range prepared.Inputs {
 		reply.Inputs = append(reply.Inputs, string(input))
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -201,6 +201,7 @@
 		Table:    h.routes.Table,
 		Fleet:    h.fleet.Snapshot,
 		Includes: id.Includes,
+		Chooser:  placement.New(time.Now, rand.Float64),
 		Meter:    h.meter,
 		Now:      time.Now,
 		Log:      h.log.With().Str("cell", string(id)).Logger(),
--- a/internal/relay/placement/chooser.go
+++ b/internal/relay/placement/chooser.go
@@ -10,11 +10,10 @@
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
 
 const (
-	// latencyWeight is the weight of a request in the moving average of latency.
-	latencyWeight = 0.2
 	// shortBreak is the time without new requests after an upstream is full,
 	// longBreak after it failed; the latter doubles up to maxBreak.
 	shortBreak = 50 * time.Millisecond
@@ -25,31 +24,12 @@
 	youth = 20 * time.Second
 )
 
-// The costs of an upstream are counted in tokens of prompts that it reads.
-const (
-	// flightCost is the cost of a request in flight, whose tokens delay those of
-	// the others.
-	flightCost = 300.0
-	// disturbance is the part of the tokens of a prompt that each request in flight
-	// has to wait for.
-	disturbance = 0.05
-	// againCost is the cost of a token that is read although another upstream has
-	// read it.
-	againCost = 2.0
-	// crossingCost is the cost of another failure domain.
-	crossingCost = 1.5 * flightCost
-	// avoidedCost is that of an upstream that is the last resort, beyond the tokens
-	// of any number of requests; waitCost is added for each millisecond until it may
-	// be used again.
-	avoidedCost = 1e9
-	waitCost    = 1e4
-)
-
 // Query says what an upstream is needed for.
 type Query struct {
 	Service ident.ServiceName
 	Domain  ident.FailureDomain // where the upstream should be
-	Tokens  int                 // of the prompt; 0 if there is none
+	Bytes   int64               // of what it reads from there
+	Prompt  wire.Prompt         // nothing if there is none
 	Shared  Shared
 	Exclude map[ident.UpstreamID]bool
 }
@@ -63,7 +43,9 @@
 // Placed is a request in flight at an upstream.
 type Placed struct {
 	fleet.Upstream
-	unread int // tokens of its prompt, until it has been read
+	Cache  fleet.Upstream // that has probably read more of the prompt; no ID if there is none
+	prompt []beginning    // until it has been read
+	unread int            // tokens of it
 }
 
 // Ending says how an upstream handled a request.
@@ -82,7 +64,8 @@
 	started ident.Incarnation
 	flight  int
 	unread  int           // tokens of prompts that it has not read yet
-	latency time.Duration // moving average until the first byte of an answer
+	pace    time.Duration // moving average of its paces; 0 if not known
+	paced   time.Time     // when that was measured
 	broken  time.Duration // length of the last break; 0 while requests succeed
 	resume  time.Time     // when the break ends
 }
@@ -92,8 +75,9 @@
 	now    func() time.Time
 	random func() float64
 
-	mu   sync.Mutex
-	rows map[ident.UpstreamID]*row
+	mu     sync.Mutex
+	rows   map[ident.UpstreamID]*row
+	memory *memory
 }
 
 // New returns a chooser that knows nothing; random returns numbers from 0 to 1.
@@ -102,6 +86,7 @@
 		now:    now,
 		random: random,
 		rows:   make(map[ident.UpstreamID]*row),
+		memory: newMemory(),
 	}
 }
 
@@ -110,35 +95,135 @@
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var best fleet.Upstream
-	lowest, found := 0.0, false
-	preferred, _ := Preferred(query, snapshot)
-	for _, upstream := range snapshot.Ready(query.Service) {
+	prompt := beginnings(query.Prompt)
+	best, source, ok := c.best(now, query, prompt, snapshot)
+	if !ok {
+		return nil, false
+	}
+	placed := c.place(now, best.Upstream, prompt, best.fresh)
+	if best.moved > 0 {
+		placed.Cache = source
+	}
+	return placed, true
+}
+
+// Take is Choose for an upstream that another chooser has chosen, which knows the
+// requests of all hosts; cache is what that one fetches from, empty if there is none.
+// It is refused if this host knows better.
+func (c *Chooser) Take(query Query, id, cache ident.UpstreamID, snapshot *fleet.Snapshot) (*Placed, bool) {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	upstream, ok := snapshot.Upstream(id)
+	if !ok || !snapshot.Accepts(upstream) || query.Exclude[id] || now.Before(c.row(upstream).resume) {
+		return nil, false
+	}
+	prompt := beginnings(query.Prompt)
+	fresh := max(0, query.Prompt.Input-c.memory.kept(now, prompt, snapshot)[id].asked)
+	placed := c.place(now, upstream, prompt, fresh)
+	placed.Cache, _ = snapshot.Upstream(cache)
+	return placed, true
+}
+
+// place counts a request in flight.
+func (c *Chooser) place(now time.Time, upstream fleet.Upstream, prompt []beginning, fresh int) *Placed {
+	r := c.row(upstream)
+	r.flight++
+	r.unread += fresh
+	c.memory.note(now, prompt, upstream, false)
+	return &Placed{
+		Upstream: upstream,
+		prompt:   prompt,
+		unread:   fresh,
+	}
+}
+
+// Domain returns the failure domain where a request would be placed now; it is
+// empty if there is no upstream.
+func (c *Chooser) Domain(query Query, snapshot *fleet.Snapshot) ident.FailureDomain {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	best, _, _ := c.best(c.now(), query, beginnings(query.Prompt), snapshot)
+	return best.Domain
+}
+
+// candidate is an upstream with what it would have to do for a request.
+type candidate struct {
+	fleet.Upstream
+	own   int // tokens that it has probably read
+	moved int // tokens that it fetches
+	fresh int // tokens that it reads
+}
+
+// best returns the upstream with the lowest cost, and the one from which it would
+// fetch what that has read of the prompt.
+func (c *Chooser) best(now time.Time, query Query, prompt []beginning, snapshot *fleet.Snapshot) (best candidate, source fleet.Upstream, ok bool) {
+	list := snapshot.Ready(query.Service)
+	usual := c.usual(list)
+	held := c.memory.kept(now, prompt, snapshot)
+	source, most := c.source(query, held, snapshot)
+	preferred, asked := fleet.Upstream{}, mostAsked(held)
+	known := asked >= query.Shared.Tokens
+	if !known {
+		// Requests that this chooser does not know of have gone to the preferred one.
+		preferred, _ = Preferred(query, snapshot)
+		asked = query.Shared.Tokens
+	}
+	lowest := 0.0
+	for _, upstream := range list {
 		if query.Exclude[upstream.ID] {
 			continue
 		}
-		cost := c.row(upstream).cost(now, query.Tokens)
-		if upstream.Domain != query.Domain {
-			cost += crossingCost
+		this := candidate{
+			Upstream: upstream,
+			own:      held[upstream.ID].asked,
 		}
-		if upstream.ID != preferred.ID {
-			cost += againCost * float64(query.Shared.Tokens)
+		if upstream.ID == preferred.ID {
+			this.own = max(this.own, query.Shared.Tokens)
+		}
+		this.moved = max(0, most-this.own)
+		this.fresh = max(0, query.Prompt.Input-this.own-this.moved)
+		cost := c.row(upstream).cost(now, usual, this.fresh) + moveCost*float64(this.moved)
+		cost += againCost * float64(max(0, asked-this.own-this.moved))
+		if upstream.Domain != query.Domain {
+			cost += crossingCost + byteCost*float64(query.Bytes)
 		}
 		cost += flightCost * c.random() / 2 // hosts that know the same spread their requests
-		if !found || cost < lowest {
-			best, lowest, found = upstream, cost, true
+		if !ok || cost < lowest {
+			best, lowest, ok = this, cost, true
 		}
 	}
-	if !found {
-		return nil, false
+	if !known {
+		if keeper, ok := Keeper(query, snapshot, best.Upstream, now); ok {
+			source, best.moved = keeper, max(0, query.Shared.Tokens-held[best.ID].asked)
+		}
 	}
-	r := c.row(best)
-	r.flight++
-	r.unread += query.Tokens
-	return &Placed{
-		Upstream: best,
-		unread:   query.Tokens,
-	}, true
+	return best, source, ok
+}
+
+// mostAsked returns the most tokens of a prompt that any upstream has read or will
+// read.
+func mostAsked(held map[ident.UpstreamID]kept) int {
+	most := 0
+	for _, k := range held {
+		most = max(most, k.asked)
+	}
+	return most
+}
+
+// source returns the upstream that has probably read most of a prompt, and its
+// tokens.
+func (c *Chooser) source(query Query, held map[ident.UpstreamID]kept, snapshot *fleet.Snapshot) (source fleet.Upstream, tokens int) {
+	for id, k := range held {
+		upstream, ok := snapshot.Upstream(id)
+		if !ok || upstream.Service != query.Service {
+			continue
+		}
+		if k.read > tokens || k.read == tokens && id < source.ID {
+			source, tokens = upstream, k.read
+		}
+	}
+	return source, tokens
 }
 
 // Began notes that the upstream has read the prompt of a request; it may be called
@@ -146,29 +231,31 @@
 func (c *Chooser) Began(placed *Placed) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.memory.note(c.now(), placed.prompt, placed.Upstream, true)
 	c.began(placed)
 }
 
 func (c *Chooser) began(placed *Placed) {
 	r := c.row(placed.Upstream)
 	r.unread = max(0, r.unread-placed.unread)
-	placed.unread = 0
+	placed.unread, placed.prompt = 0, nil
 }
 
-// Done takes the end of a request; latency is that until the first byte of the
-// answer, 0 if there was none.
-func (c *Chooser) Done(placed *Placed, ending Ending, latency time.Duration) {
+// Done takes the end of a request; pace is the time that the upstream took for what
+// is alike in all requests to its service, 0 if that is not known.
+func (c *Chooser) Done(placed *Placed, ending Ending, pace time.Duration) {
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.began(placed)
 	r := c.row(placed.Upstream)
 	r.flight = max(0, r.flight-1)
-	if latency > 0 {
-		if r.latency == 0 {
-			r.latency = latency
+	if pace > 0 {
+		if r.pace == 0 {
+			r.pace = pace
 		}
-		r.latency += time.Duration(latencyWeight * float64(latency-r.latency))
+		r.pace += time.Duration(paceWeight * float64(pace-r.pace))
+		r.paced = now
 	}
 	switch ending {
 	case Served:
@@ -194,14 +281,11 @@
 	return r
 }
 
-// cost returns what a request with a prompt costs at the upstream: it waits for the
-// prompts before it, and the requests in flight wait for its own.
-func (r *row) cost(now time.Time, tokens int) float64 {
-	cost := float64(r.unread) + float64(r.flight)*(flightCost+disturbance*float64(tokens))
-	if now.Before(r.resume) {
-		cost += avoidedCost + waitCost*float64(r.resume.Sub(now).Milliseconds())
-	}
-	return cost
+// Remembered returns the number of beginnings of prompts that are remembered.
+func (c *Chooser) Remembered() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.memory.young) + len(c.memory.old)
 }
 
 // Preferred returns the upstream with the highest rendezvous hash for what
--- a/internal/relay/placement/chooser_test.go
+++ b/internal/relay/placement/chooser_test.go
@@ -261,7 +261,9 @@
 			chooser := placement.New(func() time.Time { return start }, rand.Float64)
 			query := placement.Query{
 				Service: "s",
-				Tokens:  test.shared + 1000,
+				Prompt: wire.Prompt{
+					Input: test.shared + 1000,
+				},
 				Shared: placement.Shared{
 					Key:    1,
 					Tokens: test.shared,
@@ -272,7 +274,7 @@
 			query.Domain = preferred.Domain
 			if test.unread > 0 {
 				before := query
-				before.Tokens = test.unread
+				before.Prompt.Input = test.unread + 1e6
 				before.Shared.Tokens = 1e6
 				placed, ok := chooser.Choose(before, snapshot)
 				c.Assert(ok, qt.IsTrue)
