Bound reads from upstreams and believe refusals only with proof of their request

Cause: a response without a request id and without a seal was taken for the response to the request that had just been written, so a faulty upstream that wrote an earlier 503 or 421 once more on a kept connection ended the next request as one that had not run, while it ran; or the request was sent to a second upstream. The header of a response, informational responses and the body of a skipped response were read without a bound.

Ruled out: asking for the id on every response. The first response on a new connection can only belong to the first request, so refusals without an id are still believed there.

Change: on a connection that has carried another request, a response without an id is skipped, or costs a repeatable request its connection. Connections are not kept after a response that a copy could not be told from, nor after a skipped one. Calls of stages have no id: a body equal to the previous one counts as lost. The header is limited to 64 KiB, informational responses to 8, a skipped body to 1 MiB, and an event to 1 MiB also if it has many lines.

--- a/internal/relay/batch/job.go
+++ b/internal/relay/batch/job.go
@@ -141,8 +141,8 @@
 
 // Release lists results that are no longer needed at one upstream.
 type Release struct {
-	Address ident.Address
-	Handles []wire.Handle
+	Upstream fleet.Upstream
+	Handles  []wire.Handle
 }
 
 // result is the result of a piece, which an upstream holds.
--- a/internal/relay/batch/plan.go
+++ b/internal/relay/batch/plan.go
@@ -49,10 +49,10 @@
 	}
 	actions.Done = s.done
 	s.done = nil
-	for address, handles := range s.releases {
+	for upstream, handles := range s.releases {
 		actions.Releases = append(actions.Releases, Release{
-			Address: address,
-			Handles: handles,
+			Upstream: upstream,
+			Handles:  handles,
 		})
 	}
 	clear(s.releases)
--- a/internal/relay/batch/scheduler.go
+++ b/internal/relay/batch/scheduler.go
@@ -41,7 +41,7 @@
 	lastCall    CallID
 	urgentSlack time.Duration // moving average of the slack of the most urgent jobs
 	done        []Done
-	releases    map[ident.Address][]wire.Handle
+	releases    map[fleet.Upstream][]wire.Handle
 }
 
 // New returns a scheduler without upstreams.
@@ -52,7 +52,7 @@
 		workers:  make(map[ident.UpstreamID]*worker),
 		jobs:     make(map[JobID]*job),
 		calls:    make(map[CallID]*call),
-		releases: make(map[ident.Address][]wire.Handle),
+		releases: make(map[fleet.Upstream][]wire.Handle),
 	}
 }
 
@@ -425,8 +425,8 @@
 
 func (s *Scheduler) release(r *result) {
 	r.worker.heldBytes -= r.bytes
-	address := r.worker.upstream.Address
-	s.releases[address] = append(s.releases[address], r.handle)
+	upstream := r.worker.upstream
+	s.releases[upstream] = append(s.releases[upstream], r.handle)
 }
 
 func (t *task) enqueue() {
--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -368,25 +368,23 @@
 		c.config.Log.Error().Err(err).Msg("stage: encoding the release failed")
 		return
 	}
-	response, err := c.send(ctx, fleet.Upstream{
-		Address: release.Address,
-	}, message)
+	response, err := c.send(ctx, release.Upstream, message)
 	if err == nil {
 		_, err = response.ReadAll(maxResponseBytes)
 		response.Close()
 	}
 	if err != nil {
-		c.config.Log.Debug().Err(err).Str("address", string(release.Address)).Int("results", len(release.Handles)).Msg("stage: release failed, results are left to expire")
+		c.config.Log.Debug().Err(err).Str("upstream", string(release.Upstream.ID)).Int("results", len(release.Handles)).Msg("stage: release failed, results are left to expire")
 	}
 }
 
 func (c *Coordinator) send(ctx context.Context, to fleet.Upstream, message wire.Message) (*upstreamhttp.Response, error) {
 	return c.config.Client.Send(ctx, upstreamhttp.Request{
-		Address: to.Address,
-		Method:  message.Method,
-		Target:  message.Path,
-		Host:    string(to.Address),
-		Header:  c.config.Codec.CallHeader(to.ID),
-		Body:    message.Body,
+		Upstream: to,
+		Method:   message.Method,
+		Target:   message.Path,
+		Host:     string(to.Address),
+		Header:   c.config.Codec.CallHeader(to.ID),
+		Body:     message.Body,
 	})
 }
--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -137,6 +137,9 @@
 	hang         bool // the connection stays open although the response is incomplete
 	resetOnReuse bool // the connection is reset when another request is sent on it
 	movedOnReuse bool // another upstream responds to the next request on the connection
+	// repeatOnReuse is written, if not empty, before the response to the next request on
+	// the connection.
+	repeatOnReuse string
 }
 
 // upstreams are the upstreams of one service. They share a listener and send the
@@ -196,18 +199,30 @@
 
 func (u *upstreams) handle(conn *net.TCPConn) {
 	reader := bufio.NewReader(conn)
+	for repeat := ""; ; {
+		response, ok := u.respond(conn, reader, repeat)
+		if !ok || response.repeatOnReuse == "" {
+			return
+		}
+		repeat = response.repeatOnReuse
+	}
+}
+
+// respond reads a request and writes the text repeat and then the scripted response.
+func (u *upstreams) respond(conn *net.TCPConn, reader *bufio.Reader, repeat string) (scriptedResponse, bool) {
 	r, err := http.ReadRequest(reader)
 	if err != nil {
-		return
+		return scriptedResponse{}, false
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		return
+		return scriptedResponse{}, false
 	}
 	response, ok := u.nextResponse(r, string(body))
 	if !ok {
-		return
+		return scriptedResponse{}, false
 	}
+	_, _ = io.WriteString(conn, repeat)
 	time.Sleep(response.delay)
 	_, _ = io.WriteString(conn, strings.ReplaceAll(response.text, "$ID", r.Header.Get("Id")))
 	if response.hang {
@@ -218,14 +233,15 @@
 		_ = conn.SetLinger(0)
 	}
 	if response.movedOnReuse {
-		if _, err := http.ReadRequest(reader); err == nil {
-			_, _ = io.WriteString(conn, "HTTP/1.1 421 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		if r, err := http.ReadRequest(reader); err == nil {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 X\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
 		}
 	}
 	if response.reset {
 		time.Sleep(20 * time.Millisecond) // a reset sooner could discard bytes that were sent before it
 		_ = conn.SetLinger(0)
 	}
+	return response, true
 }
 
 func ok(body string) scriptedResponse {
--- a/internal/relay/forward/handler_test.go
+++ b/internal/relay/forward/handler_test.go
@@ -136,6 +136,53 @@
 	}
 }
 
+// Guards against a refusal that a faulty upstream writes once more on a kept connection:
+// the caller would be told that the next request did not run although it runs, or the
+// request would run at a second upstream as well.
+func TestRepeatedRefusal(t *testing.T) {
+	keep := func(text, repeat string) scriptedResponse {
+		return scriptedResponse{
+			text:          strings.ReplaceAll(text, "Connection: close\r\n", ""),
+			repeatOnReuse: repeat,
+		}
+	}
+	repeats := map[string]string{
+		"unavailable":            "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"misdirected":            "HTTP/1.1 421 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"with the id":            "HTTP/1.1 503 X\r\nId: r0\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"without header fields":  "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
+		"misdirected, no fields": "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n",
+		"two":                    strings.Repeat("HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", 2),
+	}
+	whole := stream + events(1) + endOfChunks
+	kinds := map[string]struct {
+		path       string
+		first      string
+		second     scriptedResponse
+		repeatable bool
+	}{
+		"safe":      {path: "/safe/x", first: ok("a").text, second: ok("b"), repeatable: true},
+		"unsafe":    {path: "/unsafe/x", first: ok("a").text, second: ok("b")},
+		"stream":    {path: "/stream/x", first: whole, second: scriptedResponse{text: whole}},
+		"resumable": {path: "/resumable/x", first: whole, second: scriptedResponse{text: whole}, repeatable: true},
+	}
+	for kindName, kind := range kinds {
+		for repeatName, repeat := range repeats {
+			t.Run(kindName+", "+repeatName, func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				kind.second.delay = 20 * time.Millisecond
+				f := startN(t, 1, keep(kind.first, repeat), kind.second, kind.second)
+				c.Assert(f.post(c, kind.path, map[string]string{"Id": "r0"}).status, qt.Equals, 200)
+				c.Check(f.post(c, kind.path, nil).status, qt.Equals, 200)
+				if !kind.repeatable {
+					c.Check(f.upstreams.requests(), qt.HasLen, 2)
+				}
+			})
+		}
+	}
+}
+
 // Guards against a request that counts as not run although it was in flight at an
 // upstream that crashed: the retry on a new connection is refused, but the request may
 // have run on the first connection.
--- a/internal/relay/forward/send.go
+++ b/internal/relay/forward/send.go
@@ -88,8 +88,9 @@
 }
 
 // send sends the request to an upstream. If a reused connection was closed by the
-// upstream, an idempotent request is sent again on a new connection. If a reused
-// connection led to another upstream, any request is, since it did not run.
+// upstream, or had a response that may belong to an earlier request, an idempotent
+// request is sent again on a new connection. If a reused connection led to another
+// upstream, any request is, since it did not run.
 func (e *exchange) send(ctx context.Context, placed *placement.Placed, dispatch wire.Dispatch) (*upstreamhttp.Response, error) {
 	response, err := e.call(ctx, placed, dispatch, false)
 	switch {
@@ -101,7 +102,7 @@
 	default:
 		return response, err
 	}
-	e.log.Info().Err(err).Str("upstream", string(placed.ID)).Msg("forward: idle connection was closed, retrying on a new connection")
+	e.log.Info().Err(err).Str("upstream", string(placed.ID)).Msg("forward: idle connection was not usable, retrying on a new connection")
 	response, retryErr := e.call(ctx, placed, dispatch, true)
 	if retryErr != nil && !errors.Is(retryErr, upstreamhttp.ErrLost) {
 		return nil, err // the request may have run on the first connection
@@ -119,16 +120,17 @@
 		idle = maxUnsafeIdle
 	}
 	return e.config.Client.Send(ctx, upstreamhttp.Request{
-		Address: placed.Address,
-		Limit:   upstreamhttp.Share(e.service.Connections, e.config.Hosts()),
-		MaxIdle: idle,
-		NewConn: newConn,
-		ID:      e.head.Request,
-		Method:  e.request.Method,
-		Target:  e.target,
-		Host:    e.request.Host,
-		Header:  e.config.Codec.Forward(e.request.Header, dispatch),
-		Body:    e.body,
+		Upstream:   placed.Upstream,
+		Limit:      upstreamhttp.Share(e.service.Connections, e.config.Hosts()),
+		MaxIdle:    idle,
+		NewConn:    newConn,
+		Repeatable: e.route.Idempotent(),
+		ID:         e.head.Request,
+		Method:     e.request.Method,
+		Target:     e.target,
+		Host:       e.request.Host,
+		Header:     e.config.Codec.Forward(e.request.Header, dispatch),
+		Body:       e.body,
 	})
 }
 
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -48,6 +48,7 @@
 	// maxAnnounceBackoff, since many hosts may start at the same time.
 	minAnnounceBackoff = 30 * time.Millisecond
 	maxAnnounceBackoff = 400 * time.Millisecond
+	maxStoreHeader     = 64 << 10 // largest header of a response of the store, in bytes
 	metricsPath        = "/metrics"
 )
 
@@ -425,9 +426,10 @@
 			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 				return upstreamhttp.Dial(ctx, ident.Address(address))
 			},
-			MaxIdleConnsPerHost: 8,
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  true,
+			MaxIdleConnsPerHost:    8,
+			MaxResponseHeaderBytes: maxStoreHeader,
+			IdleConnTimeout:        time.Minute,
+			DisableCompression:     true,
 		},
 	}
 }
--- a/internal/relay/upstreamhttp/client_test.go
+++ b/internal/relay/upstreamhttp/client_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
@@ -32,6 +33,7 @@
 	return wire.Reply{
 		Request: ident.RequestID(header.Get("Id")),
 		Sealed:  header.Get("Seal") != "",
+		NotRun:  header.Get("Not-Run") != "",
 	}
 }
 
@@ -151,13 +153,15 @@
 
 func request(to ident.Address) upstreamhttp.Request {
 	return upstreamhttp.Request{
-		Address: to,
-		ID:      "a",
-		Method:  http.MethodPost,
-		Target:  "/p/%2Fx?q=1&q=2",
-		Host:    "pule25.example",
-		Header:  http.Header{"Id": {"a"}},
-		Body:    []byte("body"),
+		Upstream: fleet.Upstream{
+			Address: to,
+		},
+		ID:     "a",
+		Method: http.MethodPost,
+		Target: "/p/%2Fx?q=1&q=2",
+		Host:   "pule25.example",
+		Header: http.Header{"Id": {"a"}},
+		Body:   []byte("body"),
 	}
 }
 
@@ -384,7 +388,7 @@
 	var moved atomic.Bool
 	s := serve(t, func(conn *net.TCPConn, r *http.Request, body string) bool {
 		if moved.Load() {
-			return write(conn, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+			return write(conn, "HTTP/1.1 421 Misdirected Request\r\nId: a\r\nContent-Length: 0\r\n\r\n")
 		}
 		return reply("ok")(conn, r, body)
 	})
--- a/internal/relay/upstreamhttp/connection.go
+++ b/internal/relay/upstreamhttp/connection.go
@@ -28,18 +28,49 @@
 	// keepAliveMargin is subtracted from the upstream's keep-alive timeout, so
 	// that a request arrives before the connection is closed.
 	keepAliveMargin = 500 * time.Millisecond
-	bufferBytes     = 4 << 10 // size of a connection's read buffer
+	// maxKeepAliveSeconds bounds the timeout that upstreams may state.
+	maxKeepAliveSeconds = 3600
+	bufferBytes         = 4 << 10 // size of a connection's read buffer
 )
 
 // connection is one connection to an upstream.
 type connection struct {
 	net.Conn
 	address   ident.Address
-	reader    *bufio.Reader
+	reader    *bufio.Reader // reads from bounded
+	bounded   *boundedReader
 	keepAlive time.Duration // how long the upstream keeps an idle connection open
 	lastUsed  time.Time     // time of the last use
 	used      bool          // has completed an exchange before
 	limit     Limit         // given by the latest request
+	lastBody  uint64        // hash of the body of the latest response to a call without an id
+}
+
+// boundedReader reads from a connection up to a number of bytes.
+type boundedReader struct {
+	conn net.Conn
+	left int64 // bytes until the bound; negative means no bound
+}
+
+// Read implements io.Reader.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if b.left < 0 {
+		return b.conn.Read(p)
+	}
+	if b.left == 0 {
+		return 0, errors.Errorf("header exceeds %d bytes", maxHeaderBytes)
+	}
+	n, err := b.conn.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
+}
+
+// readHeader reads the header of a response, of at most maxHeaderBytes.
+func (c *connection) readHeader(outgoing *http.Request) (*http.Response, error) {
+	c.bounded.left = maxHeaderBytes
+	response, err := http.ReadResponse(c.reader, outgoing)
+	c.bounded.left = -1
+	return response, err
 }
 
 // Dial opens a TCP connection that fails when the peer stops acknowledging data or
@@ -123,7 +154,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(text); err == nil {
-			c.keepAlive = time.Duration(seconds) * time.Second
+			c.keepAlive = time.Duration(min(max(seconds, 0), maxKeepAliveSeconds)) * time.Second
 		}
 	}
 }
@@ -131,8 +162,9 @@
 // acquire returns an idle or a new connection to the address, within the
 // connection limit.
 func (c *Client) acquire(ctx context.Context, request Request) (*connection, error) {
+	address := request.Upstream.Address
 	for !request.NewConn {
-		conn := c.pop(request.Address, request.MaxIdle)
+		conn := c.pop(address, request.MaxIdle)
 		if conn == nil {
 			break
 		}
@@ -142,19 +174,24 @@
 		}
 		c.discard(conn)
 	}
-	if !c.reserve(request.Address, request.Limit) {
-		return nil, errors.Annotatef(ErrBusy, "all connections to %s are in use", request.Address)
+	if !c.reserve(address, request.Limit) {
+		return nil, errors.Annotatef(ErrBusy, "all connections to %s are in use", address)
 	}
-	raw, err := c.config.Dial(ctx, request.Address)
+	raw, err := c.config.Dial(ctx, address)
 	if err != nil {
-		c.release(request.Address)
-		return nil, errors.Annotatef(ErrNotSent, "connect to %s: %v", request.Address, err)
+		c.release(address)
+		return nil, errors.Annotatef(ErrNotSent, "connect to %s: %v", address, err)
 	}
 	c.config.Opened()
+	bounded := &boundedReader{
+		conn: raw,
+		left: -1,
+	}
 	return &connection{
 		Conn:      raw,
-		address:   request.Address,
-		reader:    bufio.NewReaderSize(raw, bufferBytes),
+		address:   address,
+		reader:    bufio.NewReaderSize(bounded, bufferBytes),
+		bounded:   bounded,
 		keepAlive: defaultKeepAlive,
 		limit:     request.Limit,
 	}, nil
--- a/internal/relay/upstreamhttp/events.go
+++ b/internal/relay/upstreamhttp/events.go
@@ -61,10 +61,9 @@
 		line, err := e.reader.ReadSlice('\n')
 		e.text = append(e.text, line...)
 		switch {
+		case len(e.text) > maxEvent:
+			return Event{}, errors.Annotatef(ErrLost, "event exceeds %d bytes", maxEvent)
 		case err == bufio.ErrBufferFull:
-			if len(e.text) > maxEvent {
-				return Event{}, errors.Annotatef(ErrLost, "event exceeds %d bytes", maxEvent)
-			}
 			continue
 		case err == io.EOF && len(e.text) == 0:
 			return Event{}, io.EOF
--- a/internal/relay/upstreamhttp/events_test.go
+++ b/internal/relay/upstreamhttp/events_test.go
@@ -34,6 +34,7 @@
 		"reset":                      {stream: io.MultiReader(strings.NewReader("id: 1\ndata: a\n\n"), iotest.ErrReader(broken)), ids: []wire.EventID{1}, text: "id: 1\ndata: a\n\n", err: upstreamhttp.ErrLost},
 		"malformed id":               {stream: strings.NewReader("id: x\n\n"), err: upstreamhttp.ErrLost},
 		"long event":                 {stream: strings.NewReader("id: 1\ndata: " + strings.Repeat("a", 10000) + "\n\n"), ids: []wire.EventID{1}, text: "id: 1\ndata: " + strings.Repeat("a", 10000) + "\n\n", err: io.EOF},
+		"endless lines":              {stream: strings.NewReader(strings.Repeat("data: a\n", 1<<18)), err: upstreamhttp.ErrLost},
 		"endless event":              {stream: strings.NewReader(strings.Repeat("a", 2<<20)), err: upstreamhttp.ErrLost},
 	}
 	for name, test := range tests {
--- /dev/null
+++ b/internal/relay/upstreamhttp/response.go
@@ -0,0 +1,194 @@
+package upstreamhttp
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
+)
+
+const (
+	// maxSkipped is the number of responses to other requests, and of informational
+	// responses, that are skipped before a response.
+	maxSkipped       = 2
+	maxInformational = 8
+	// maxHeaderBytes bounds the header of a response, and maxSkippedBytes the body of a
+	// response that is skipped: a faulty upstream may send bytes without end.
+	maxHeaderBytes  = 64 << 10
+	maxSkippedBytes = 1 << 20
+)
+
+// errUnidentified means that a response on a reused connection may belong to an earlier
+// request.
+const errUnidentified = errors.ConstError("response without a request id on a reused connection")
+
+// receivedHeader is the header of the response to a request.
+type receivedHeader struct {
+	header   *http.Response
+	reply    wire.Reply
+	reusable bool // the connection may be used for another request
+}
+
+// readResponse reads the header of the response to the request. It skips
+// informational responses and responses to other requests. It returns errUnidentified if
+// the request may be sent again and the response may belong to another request.
+func (c *Client) readResponse(conn *connection, outgoing *http.Request, request Request) (receivedHeader, error) {
+	skipped, informational := 0, 0
+	for {
+		response, err := conn.readHeader(outgoing) //nolint:bodyclose // Response.Close closes it
+		if err != nil {
+			return receivedHeader{}, err
+		}
+		if response.StatusCode < http.StatusOK {
+			informational++
+			if informational > maxInformational {
+				return receivedHeader{}, errors.Errorf("more than %d informational responses", maxInformational)
+			}
+			continue
+		}
+		reply := c.config.Codec.Reply(response.StatusCode, response.Header)
+		switch owner := ownerOf(reply, request, conn.used || skipped > 0); {
+		case owner == thisRequest:
+			return receivedHeader{
+				header:   response,
+				reply:    reply,
+				reusable: skipped == 0 && isIdentified(response, reply, request),
+			}, nil
+		case owner == unknownRequest && request.Repeatable:
+			return receivedHeader{}, errUnidentified
+		}
+		skipped++
+		if skipped > maxSkipped || response.Close {
+			return receivedHeader{}, errors.Errorf("response belongs to request %q", reply.Request)
+		}
+		if err := skipBody(response); err != nil {
+			return receivedHeader{}, errors.Annotate(err, "skip response to another request")
+		}
+	}
+}
+
+// owner tells to which request a response belongs.
+type owner uint8
+
+const (
+	thisRequest owner = iota + 1
+	otherRequest
+	unknownRequest
+)
+
+// ownerOf returns the owner of a response. Without an id it is this request only if the
+// connection has carried no other one: a faulty upstream may write the response to an
+// earlier request once more.
+func ownerOf(reply wire.Reply, request Request, reused bool) owner {
+	switch {
+	case request.ID == "" || reply.Request == request.ID:
+		return thisRequest
+	case reply.Request != "" || reply.Sealed:
+		return otherRequest
+	case reused:
+		return unknownRequest
+	}
+	return thisRequest
+}
+
+// isIdentified reports whether a copy of the response could be told from the response to
+// another request: by its id or, for calls without an id, by its body.
+func isIdentified(response *http.Response, reply wire.Reply, request Request) bool {
+	if request.ID == "" {
+		return response.StatusCode/100 == 2
+	}
+	return reply.Request == request.ID
+}
+
+// skipBody reads the body of a response to another request.
+func skipBody(response *http.Response) error {
+	n, err := io.CopyN(io.Discard, response.Body, maxSkippedBytes+1)
+	switch {
+	case err == io.EOF:
+		return nil
+	case err != nil:
+		return err
+	}
+	return errors.Errorf("body exceeds %d bytes", n-1)
+}
+
+// Response is an upstream's response. The caller must close it.
+type Response struct {
+	Status      int
+	Header      http.Header
+	Reply       wire.Reply
+	Length      int64 // of the body in bytes; -1 if unknown
+	Misdirected bool  // a reused connection led to an upstream that no longer has the address
+
+	client    *Client
+	conn      *connection
+	body      io.ReadCloser
+	stop      func() bool // detaches the context from the connection
+	sending   *requestWrite
+	reusable  bool
+	complete  bool
+	withoutID bool // the request has no id
+}
+
+// Read reads the body. The body is complete only if the error is io.EOF.
+func (r *Response) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	if err == io.EOF {
+		r.complete = true
+	}
+	return n, err
+}
+
+// ReadAll reads the whole body, of at most limit bytes. It returns ErrLost if the
+// body is incomplete or longer, or if the response repeats the one before it on the
+// connection and has no id.
+func (r *Response) ReadAll(limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	switch {
+	case err != nil:
+		return nil, errors.Annotatef(ErrLost, "read body: %v", err)
+	case int64(len(body)) > limit:
+		return nil, errors.Annotatef(ErrLost, "body exceeds %d bytes", limit)
+	case r.withoutID && r.repeats(body):
+		r.reusable = false
+		return nil, errors.Annotate(ErrLost, "response repeats the one before it")
+	}
+	return body, nil
+}
+
+// repeats reports whether the body is that of the previous response on the connection,
+// and remembers it. Results have handles of their own, so two bodies differ unless one
+// is a copy; empty bodies tell nothing.
+func (r *Response) repeats(body []byte) bool {
+	if len(body) == 0 {
+		return false
+	}
+	previous := r.conn.lastBody
+	r.conn.lastBody = xxhash.Sum64(body)
+	return r.conn.lastBody == previous
+}
+
+// Close ends the exchange. If the exchange is incomplete, Close also closes the
+// connection, which tells the upstream that nobody waits for the response.
+func (r *Response) Close() {
+	detached := r.stop()
+	if detached && r.complete && r.reusable && r.conn.reader.Buffered() == 0 && r.sent() {
+		r.client.putIdle(r.conn)
+		return
+	}
+	r.client.discard(r.conn) // makes writeRequest return
+	<-r.sending.done
+}
+
+// sent reports whether the whole request has been written.
+func (r *Response) sent() bool {
+	select {
+	case <-r.sending.done:
+		return r.sending.err == nil
+	default:
+		return false
+	}
+}
