Bound responses of the store and the host list, and leave out single rows

Cause: the client of the store and the host list read bodies without a limit, and one row of the host list that could not be used made entry hosts stop following the whole list.

Change: 16 MiB for a body, 64 KiB for a header. A row of the host list that is malformed or fails its check is left out with a log line for each version of the list, and the others are in force.

--- a/internal/entry/hosts.go
+++ b/internal/entry/hosts.go
@@ -12,12 +12,19 @@
 // pollHostList reads the host list every hostListInterval and merges it into the
 // upstream table and the peer table.
 func (h *Host) pollHostList(ctx context.Context) error {
+	version := uint64(0)
 	read := func() {
 		list, err := h.hostList.Fetch(ctx)
 		if err != nil {
 			h.log.Debug().Err(err).Msg("host list: fetch failed; keeping the last list")
 			return
 		}
+		if list.Version != version {
+			version = list.Version
+			for _, err := range list.Rejected {
+				h.log.Warn().Err(err).Uint64("version", version).Msg("host list: row left out")
+			}
+		}
 		h.table.Offer(upstreamMembers(list))
 		h.peers.merge(list)
 	}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -18,6 +18,10 @@
 // clients, are kept open.
 const idleTimeout = 60 * time.Second
 
+// maxResponseHeader is the largest header of a response that this host accepts, in
+// bytes.
+const maxResponseHeader = 64 << 10
+
 // listen opens a TCP listener.
 func listen(ctx context.Context, address ident.Address) (net.Listener, error) {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", string(address))
@@ -49,8 +53,9 @@
 func newClient() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			MaxIdleConnsPerHost: 16,
-			IdleConnTimeout:     idleTimeout,
+			MaxIdleConnsPerHost:    16,
+			MaxResponseHeaderBytes: maxResponseHeader,
+			IdleConnTimeout:        idleTimeout,
 		},
 	}
 }
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -70,9 +70,10 @@
 		Client: &http.Client{
 			Transport: &http.Transport{
 				// A pass over a large fleet must not keep a connection open to each engine.
-				MaxIdleConns:        orderEnginesPerTick,
-				MaxIdleConnsPerHost: 1,
-				IdleConnTimeout:     idleTimeout,
+				MaxIdleConns:           orderEnginesPerTick,
+				MaxIdleConnsPerHost:    1,
+				MaxResponseHeaderBytes: maxResponseHeader,
+				IdleConnTimeout:        idleTimeout,
 			},
 		},
 		Address: (&directory{
--- a/internal/hostlist/client.go
+++ b/internal/hostlist/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 
@@ -17,6 +18,10 @@
 	ErrInvalid     = errors.ConstError("answer is not a host list")
 )
 
+// maxListBytes bounds the response, since a faulty service may send bytes without end.
+// The rows of 4,100 hosts take 1 MB.
+const maxListBytes = 16 << 20
+
 // Client reads the host list over HTTP. It is safe for concurrent use.
 //
 // It sends conditional requests, which transfer only a list that has changed: the
@@ -40,8 +45,8 @@
 
 // Fetch returns the current list, which the caller must not change. It returns
 // ErrUnavailable if no complete successful response arrived, and ErrInvalid if it
-// is malformed or has a host that fails Check, so that a reader never acts on a
-// partial list.
+// is malformed, so that a reader never acts on a partial list. Single rows that
+// cannot be used do not invalidate the others.
 func (c *Client) Fetch(ctx context.Context) (List, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
 	if err != nil {
@@ -64,24 +69,52 @@
 	if response.StatusCode != http.StatusOK {
 		return List{}, errors.Annotatef(ErrUnavailable, "fetch host list: status %d", response.StatusCode)
 	}
-	var list List
-	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
-		var syntaxErr *json.SyntaxError
-		var typeErr *json.UnmarshalTypeError
-		if errors.As(err, &syntaxErr) || errors.As(err, &typeErr) {
-			return List{}, errors.Annotatef(ErrInvalid, "decode host list: %v", err)
-		}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes+1))
+	switch {
+	case err != nil:
 		return List{}, errors.Annotatef(ErrUnavailable, "read host list: %v", err)
+	case len(body) > maxListBytes:
+		return List{}, errors.Annotatef(ErrInvalid, "host list exceeds %d bytes", maxListBytes)
 	}
-	for i, host := range list.Hosts {
-		if err := host.Check(); err != nil {
-			return List{}, errors.Annotatef(err, "host list row %d", i)
-		}
+	list, err := decode(body)
+	if err != nil {
+		return List{}, err
 	}
 	c.store(response.Header.Get("ETag"), list)
 	return list, nil
 }
 
+// encodedList is a List whose rows are not decoded yet.
+type encodedList struct {
+	Version uint64            `json:"version"`
+	Hosts   []json.RawMessage `json:"hosts"`
+}
+
+// decode decodes a list. A row that is malformed or fails Check is rejected, and the
+// others are used.
+func decode(body []byte) (List, error) {
+	var encoded encodedList
+	if err := json.Unmarshal(body, &encoded); err != nil {
+		return List{}, errors.Annotatef(ErrInvalid, "decode host list: %v", err)
+	}
+	list := List{
+		Version: encoded.Version,
+	}
+	for i, row := range encoded.Hosts {
+		var host Host
+		err := json.Unmarshal(row, &host)
+		if err == nil {
+			err = host.Check()
+		}
+		if err != nil {
+			list.Rejected = append(list.Rejected, errors.Annotatef(err, "host list row %d", i))
+			continue
+		}
+		list.Hosts = append(list.Hosts, host)
+	}
+	return list, nil
+}
+
 func (c *Client) cached() (string, List) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/hostlist/host.go
+++ b/internal/hostlist/host.go
@@ -38,6 +38,7 @@
 
 // List is one version of the host list.
 type List struct {
-	Version uint64 `json:"version"`
-	Hosts   []Host `json:"hosts"`
+	Version  uint64  `json:"version"`
+	Hosts    []Host  `json:"hosts"`
+	Rejected []error `json:"-"` // reasons why rows were left out of Hosts
 }
--- a/kv/httpkv/httpkv.go
+++ b/kv/httpkv/httpkv.go
@@ -18,6 +18,10 @@
 	"github.com/nutmegshift/nutmegshift/kv"
 )
 
+// maxResponseBytes bounds the body of a response, since a faulty service may send bytes
+// without end. A watch may report several values of kv.MaxValueBytes at a time.
+const maxResponseBytes = 16 << 20
+
 // Config holds the dependencies of a Store.
 type Config struct {
 	Address ident.Address
@@ -189,9 +193,12 @@
 	defer func() {
 		_ = response.Body.Close()
 	}()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	switch {
+	case err != nil:
 		return nil, c.sentError("read answer: " + err.Error())
+	case len(body) > maxResponseBytes:
+		return nil, c.sentError("answer exceeds " + strconv.Itoa(maxResponseBytes) + " bytes")
 	}
 	if response.StatusCode != http.StatusOK {
 		return nil, s.statusError(c, response.StatusCode, body)
--- a/kv/httpkv/httpkv_test.go
+++ b/kv/httpkv/httpkv_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -229,3 +230,30 @@
 		"revoke": store.Revoke(ctx, 1),
 	}
 }
+
+// Guards against a faulty service that exhausts the memory of the process with a body
+// that has no end.
+func TestEndlessResponse(t *testing.T) {
+	const maxAllocated = 128 << 20 // bytes, garbage included
+	endless := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		block := []byte(`{"items":[` + strings.Repeat(" ", 64<<10))
+		for {
+			if _, err := w.Write(block); err != nil {
+				return
+			}
+		}
+	}
+	c := qt.New(t)
+	store := newStore(c, http.HandlerFunc(endless), 30*time.Second)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := store.List(t.Context(), "", "", 10)
+	c.Check(err, qt.ErrorIs, kv.ErrUnavailable)
+	_, err = store.Put(t.Context(), kv.Put{
+		Key: "k",
+	})
+	c.Check(err, qt.ErrorIs, kv.ErrUncertain)
+	runtime.ReadMemStats(&after)
+	c.Check(after.TotalAlloc-before.TotalAlloc < maxAllocated, qt.IsTrue, qt.Commentf("%d bytes were allocated", after.TotalAlloc-before.TotalAlloc))
+}
