--- a/internal/relay/discovery/reader_test.go
+++ b/internal/relay/discovery/reader_test.go
@@ -97,7 +97,7 @@
 	}
 	f.isReader.Store(isReader)
 	f.health = discovery.NewHealth(zerolog.Nop(), time.Now)
-	f.replica = discovery.NewReplica(f.sink, renewal, time.Now)
+	f.replica = discovery.NewReplica(f.sink, renewal, time.Now, anySize)
 	config := discovery.ReaderConfig{
 		Store:     f.store,
 		Health:    f.health,
--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -43,6 +43,7 @@
 // must not call back into it, except for Cursor, Age, SinceLastResponse and Confirm.
 type Replica struct {
 	sink      Sink
+	maxValue  func(key kv.Key) int
 	minOutage time.Duration // time without a response of the store after which entries may have expired
 	now       func() time.Time
 	state     syncState
@@ -114,11 +115,14 @@
 }
 
 // NewReplica returns an empty Replica of a store whose entries are renewed by their
-// owners at the interval renewal.
-func NewReplica(sink Sink, renewal time.Duration, now func() time.Time) *Replica {
+// owners at the interval renewal. The value of an entry is kept, and passed to the sink
+// and to other hosts, only up to the size in bytes that maxValue returns for its key: a
+// larger one, which some other writer has left, becomes empty.
+func NewReplica(sink Sink, renewal time.Duration, now func() time.Time, maxValue func(key kv.Key) int) *Replica {
 	return &Replica{
 		minOutage:  time.Duration(expiryRenewals * float64(renewal)),
 		sink:       sink,
+		maxValue:   maxValue,
 		now:        now,
 		entries:    make(map[kv.Key]kv.Entry),
 		tombstones: make(map[kv.Key]kv.Version),
@@ -312,6 +316,9 @@
 	if tombstone, ok := r.tombstones[entry.Key]; ok && tombstone >= entry.Version {
 		return
 	}
+	if len(entry.Value) > r.maxValue(entry.Key) {
+		entry.Value = nil
+	}
 	delete(r.tombstones, entry.Key)
 	r.entries[entry.Key] = entry
 	r.sink.Put(entry)
--- a/internal/relay/discovery/replica_test.go
+++ b/internal/relay/discovery/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -20,17 +21,22 @@
 // recorder is a Sink that records the entries and removals that it receives.
 type recorder struct {
 	entries  map[kv.Key]kv.Version
+	sizes    map[kv.Key]int       // of values, in bytes
 	removals map[kv.Key]time.Time // when removals take effect
 }
 
 func newRecorder() *recorder {
 	return &recorder{
 		entries:  make(map[kv.Key]kv.Version),
+		sizes:    make(map[kv.Key]int),
 		removals: make(map[kv.Key]time.Time),
 	}
 }
 
-func (r *recorder) Put(entry kv.Entry) { r.entries[entry.Key] = entry.Version }
+func (r *recorder) Put(entry kv.Entry) {
+	r.entries[entry.Key] = entry.Version
+	r.sizes[entry.Key] = len(entry.Value)
+}
 
 func (r *recorder) Removed(key kv.Key, _ kv.Version, until time.Time) {
 	delete(r.entries, key)
@@ -84,6 +90,55 @@
 	return changes
 }
 
+// anySize keeps values of any size.
+func anySize(kv.Key) int { return math.MaxInt }
+
+// Guards against an entry of another writer whose size exhausts the memory of hosts, or
+// that cannot be sent to them: the others must be followed, and the odd one must not stay
+// in force.
+func TestOversizedValue(t *testing.T) {
+	c := qt.New(t)
+	const limit = 100
+	bounded := func(kv.Key) int { return limit }
+	odd := kv.Entry{
+		Key:     "odd",
+		Value:   make([]byte, 10<<20),
+		Version: 2,
+	}
+	good := kv.Entry{
+		Key:     "good",
+		Value:   make([]byte, limit),
+		Version: 3,
+	}
+	now := func() time.Time { return start }
+	listed, watched, transferred := newRecorder(), newRecorder(), newRecorder()
+	lister := discovery.NewReplica(listed, renewal, now, bounded)
+	lister.ApplyListing([]kv.Entry{odd, good}, 3)
+	watcher := discovery.NewReplica(watched, renewal, now, bounded)
+	watcher.ApplyListing([]kv.Entry{{
+		Key:     "odd",
+		Value:   []byte("in force"),
+		Version: 1,
+	}}, 1)
+	watcher.ApplyWatch(1, kv.Changes{
+		Changes: []kv.Change{{
+			Entry: odd,
+		}, {
+			Entry: good,
+		}},
+		Cursor: 3,
+	})
+	receiver := discovery.NewReplica(transferred, renewal, now, bounded)
+	c.Assert(receiver.Apply(lister.Delta(0)), qt.IsTrue)
+	for name, r := range map[string]*recorder{"listed": listed, "watched": watched, "transferred": transferred} {
+		c.Check(r.entries, qt.DeepEquals, map[kv.Key]kv.Version{"odd": 2, "good": 3}, qt.Commentf("%s", name))
+		c.Check(r.sizes, qt.DeepEquals, map[kv.Key]int{"odd": 0, "good": limit}, qt.Commentf("%s", name))
+	}
+	for _, replica := range []*discovery.Replica{lister, watcher, receiver} {
+		c.Check(replica.Cursor(), qt.Equals, kv.Cursor(3))
+	}
+}
+
 // Guards against replicas that differ from the store although their cursors mark them
 // as complete, after any mix of listings, watches and transfers between hosts,
 // including repeated and reordered ones.
@@ -99,7 +154,7 @@
 		for range hosts {
 			v := newRecorder()
 			recorders = append(recorders, v)
-			replicas = append(replicas, discovery.NewReplica(v, renewal, func() time.Time { return now }))
+			replicas = append(replicas, discovery.NewReplica(v, renewal, func() time.Time { return now }, anySize))
 		}
 		var delayed []discovery.Delta
 		steps := rapid.IntRange(1, 60).Draw(t, "steps")
@@ -170,7 +225,7 @@
 			c := qt.New(t)
 			now := start
 			v := newRecorder()
-			replica := discovery.NewReplica(v, renewal, func() time.Time { return now })
+			replica := discovery.NewReplica(v, renewal, func() time.Time { return now }, anySize)
 			replica.ApplyListing([]kv.Entry{{
 				Key:     "servers/a",
 				Version: 1,
@@ -201,7 +256,7 @@
 			c.Assert(until, qt.Equals, now.Add(test.unconfirmed))
 			// The removal is unconfirmed on another host that receives it from this one, too.
 			otherSink := newRecorder()
-			other := discovery.NewReplica(otherSink, renewal, func() time.Time { return now })
+			other := discovery.NewReplica(otherSink, renewal, func() time.Time { return now }, anySize)
 			other.ApplyListing([]kv.Entry{{
 				Key:     "servers/a",
 				Version: 1,
@@ -217,7 +272,7 @@
 func TestConfirm(t *testing.T) {
 	c := qt.New(t)
 	now := start
-	replica := discovery.NewReplica(newRecorder(), renewal, func() time.Time { return now })
+	replica := discovery.NewReplica(newRecorder(), renewal, func() time.Time { return now }, anySize)
 	c.Check(replica.Age() >= time.Hour, qt.IsTrue, qt.Commentf("never confirmed"))
 	replica.ApplyListing(nil, 5)
 	c.Check(replica.Age(), qt.Equals, time.Duration(0))
@@ -244,7 +299,7 @@
 // Guards against applying a delta that leaves a gap after the replica's cursor.
 func TestApplyWithGap(t *testing.T) {
 	c := qt.New(t)
-	replica := discovery.NewReplica(newRecorder(), renewal, func() time.Time { return start })
+	replica := discovery.NewReplica(newRecorder(), renewal, func() time.Time { return start }, anySize)
 	replica.ApplyListing(nil, 5)
 	c.Check(replica.Apply(discovery.Delta{
 		After:  7,
@@ -287,7 +342,7 @@
 			}
 		},
 	}
-	replica = discovery.NewReplica(sink, renewal, func() time.Time { return start })
+	replica = discovery.NewReplica(sink, renewal, func() time.Time { return start }, anySize)
 	replica.ApplyListing([]kv.Entry{{
 		Key:     "a",
 		Version: 1,
--- a/internal/relay/grpcrelay/sync_test.go
+++ b/internal/relay/grpcrelay/sync_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -33,11 +34,14 @@
 	return entries
 }
 
+// anySize keeps values of any size.
+func anySize(kv.Key) int { return math.MaxInt }
+
 // Guards against a full transfer that lacks entries, that is compressed again for every
 // host when many start at once, or that is older than the replica.
 func TestFullTransfer(t *testing.T) {
 	c := qt.New(t)
-	replica := discovery.NewReplica(sink{}, time.Second, time.Now)
+	replica := discovery.NewReplica(sink{}, time.Second, time.Now, anySize)
 	s := NewServer(nil, replica, time.Now)
 	entries := registrations(1000)
 	replica.ApplyListing(entries, 1000)
@@ -80,7 +84,7 @@
 // and none of them ends in time. Transfers of the latest changes are not limited.
 func TestTransfersAreLimited(t *testing.T) {
 	c := qt.New(t)
-	replica := discovery.NewReplica(sink{}, time.Second, time.Now)
+	replica := discovery.NewReplica(sink{}, time.Second, time.Now, anySize)
 	replica.ApplyListing(registrations(10), 10)
 	s := NewServer(nil, replica, time.Now)
 	for range maxFullTransfers {
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -125,7 +125,7 @@
 			Host: h,
 		},
 	}
-	h.replica = discovery.NewReplica(sinks, s.Renewal, time.Now)
+	h.replica = discovery.NewReplica(sinks, s.Renewal, time.Now, h.maxValue)
 	leaders := duty.New(func(name duty.Name) bool { return !slices.Contains(readerDuties, name) })
 	h.leaders = leaders
 	h.peers = newPeers(s, h.replica, leaders, h.observe, h.poison, h.observeDraining, grpcrelay.NewServer(h.coordinators.get, h.replica, time.Now), log)
--- a/internal/relay/wire/wire.go
+++ b/internal/relay/wire/wire.go
@@ -151,4 +151,6 @@
 type Keys struct {
 	Table     kv.Key // the routing table
 	Upstreams kv.Key // prefix of the registrations
+	// MaxRegistration is the size in bytes up to which a registration can be valid.
+	MaxRegistration int
 }
