--- a/internal/relay/upstreamhttp/client_test.go
+++ b/internal/relay/upstreamhttp/client_test.go
@@ -48,6 +48,7 @@
 	mu          sync.Mutex
 	requests    []string
 	connections atomic.Int64
+	handled     chan struct{} // receives an element when a script has returned, and its connection is closed if it is to be
 }
 
 func (s *server) seen() []string {
@@ -61,6 +62,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	s := &server{
 		address: ident.Address(listener.Addr().String()),
+		handled: make(chan struct{}, 1000),
 	}
 	var running sync.WaitGroup
 	var open sync.Map
@@ -103,7 +105,12 @@
 		s.mu.Lock()
 		s.requests = append(s.requests, fmt.Sprintf("%s %s %s %q", request.Method, request.RequestURI, request.Host, body))
 		s.mu.Unlock()
-		if !respond(conn, request, string(body)) {
+		keep := respond(conn, request, string(body))
+		if !keep {
+			_ = conn.Close()
+		}
+		s.handled <- struct{}{}
+		if !keep {
 			return
 		}
 	}
@@ -276,8 +283,8 @@
 		"abandoned exchange":        {respond: reply("ok"), connections: 2},
 		"upstream closes":           {respond: reply("ok", "Connection: close"), read: true, connections: 2},
 		"upstream keeps it briefly": {respond: reply("ok", "Keep-Alive: timeout=0"), read: true, connections: 2},
-		"unread second response":    {respond: stray, read: true, pause: 50 * time.Millisecond, connections: 2},
-		"closed while idle":         {respond: closes, read: true, pause: 50 * time.Millisecond, connections: 2},
+		"unread second response":    {respond: stray, read: true, connections: 2},
+		"closed while idle":         {respond: closes, read: true, connections: 2},
 		"idle for too long":         {respond: reply("ok"), read: true, idle: 10 * time.Millisecond, pause: 50 * time.Millisecond, connections: 2},
 	}
 	for name, test := range tests {
@@ -296,6 +303,7 @@
 					c.Assert(err, qt.IsNil)
 				}
 				response.Close()
+				<-s.handled
 				time.Sleep(test.pause)
 			}
 			c.Check(s.connections.Load(), qt.Equals, test.connections)
--- a/internal/relay/upstreamhttp/identity_test.go
+++ b/internal/relay/upstreamhttp/identity_test.go
@@ -181,10 +181,10 @@
 				c.Assert(err, qt.IsNil)
 				body, err := response.ReadAll(1 << 10)
 				response.Close()
+				<-s.handled // all bytes have arrived
 				if response.Status == http.StatusOK && err == nil {
 					c.Check(string(body), qt.Equals, fmt.Sprintf("result %d", calls.Load()))
 				}
-				time.Sleep(20 * time.Millisecond) // until all bytes have arrived
 			}
 		})
 	}
@@ -209,11 +209,12 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
+			read := make(chan struct{}, 1) // receives an element when a response has been read
 			s := serve(t, func(conn *net.TCPConn, _ *http.Request, _ string) bool {
 				if !write(conn, test.text) {
 					return false
 				}
-				time.Sleep(20 * time.Millisecond)
+				<-read
 				return write(conn, test.later)
 			})
 			client := newClient(t)
@@ -224,7 +225,8 @@
 				c.Assert(err, qt.IsNil)
 				c.Check(string(body), qt.Equals, "ok")
 				response.Close()
-				time.Sleep(50 * time.Millisecond)
+				read <- struct{}{}
+				<-s.handled
 			}
 			c.Check(s.connections.Load(), qt.Equals, int64(2))
 		})
