Write one list of hosts in place of an entry for each host

Cause: each host kept an entry of its own under a lease: two writes a start and a renewal each 20 s, so calls to the store grew with the hosts, and a restart of all hosts wrote all entries again.

Ruled out: a few registered contact points. After a restart of all hosts each would learn of the others by gossip only, 16 rows a message, and choose other coordinators meanwhile. Longer leases leave the two writes of a start.

Change: the first reader of the store writes one compressed list, at most each 10 s and only if a host was added, moved or is gone, and renews its lease. The list has no incarnations, so restarts do not change it. Other hosts take the list with the rest of the store's content.

--- /dev/null
+++ b/internal/relay/deflate/doc.go
@@ -0,0 +1,2 @@
+// Package deflate compresses and decompresses short messages between hosts.
+package deflate
--- a/internal/relay/discovery/doc.go
+++ b/internal/relay/discovery/doc.go
@@ -1,5 +1,5 @@
 // Package discovery keeps a copy of the store's entries on each host, and
-// maintains this host's own entry in the store.
+// maintains the entries that one host writes on behalf of all.
 //
 // A Replica is the copy, complete up to a cursor. It is confirmed when some host
 // has read from the store that this cursor is the latest. Hosts gossip their
@@ -18,6 +18,6 @@
 // Locking: Health and Replica have a mutex each; a Replica holds its mutex while
 // it calls its Sink. The cursor and age of a Replica have a mutex of their own,
 // which is never held during calls, since the gossip asks for them under a lock
-// that a Sink may wait for. Reader and Registration belong to the goroutine that
+// that a Sink may wait for. Reader and Publisher belong to the goroutine that
 // runs them.
 package discovery
--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -136,11 +136,11 @@
 	return cursor
 }
 
-// Version returns the version of an entry, 0 if there is none.
-func (r *Replica) Version(key kv.Key) kv.Version {
+// Entry returns the entry with a key. Its version is 0 if there is none.
+func (r *Replica) Entry(key kv.Key) kv.Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.entries[key].Version
+	return r.entries[key]
 }
 
 // Age returns the time since the replica was last confirmed, at most one hour; one
--- a/internal/relay/forward/handler_test.go
+++ b/internal/relay/forward/handler_test.go
@@ -170,8 +170,9 @@
 			t.Run(kindName+", "+repeatName, func(t *testing.T) {
 				t.Parallel()
 				c := qt.New(t)
-				kind.second.delay = 20 * time.Millisecond
-				f := startN(t, 1, keep(kind.first, repeat), kind.second, kind.second)
+				second := kind.second
+				second.delay = 20 * time.Millisecond
+				f := startN(t, 1, keep(kind.first, repeat), second, second)
 				c.Assert(f.post(c, kind.path, map[string]string{"Id": "r0"}).status, qt.Equals, 200)
 				c.Check(f.post(c, kind.path, nil).status, qt.Equals, 200)
 				if !kind.repeatable {
--- a/internal/relay/grpcrelay/pack.go
+++ b/internal/relay/grpcrelay/pack.go
@@ -1,12 +1,10 @@
 package grpcrelay
 
 import (
-	"bytes"
-	"compress/flate"
-	"io"
-
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
+
+	"github.com/nutmegshift/nutmegshift/internal/relay/deflate"
 )
 
 const (
@@ -26,30 +24,15 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "encode changes")
 	}
-	var packed bytes.Buffer
-	writer, err := flate.NewWriter(&packed, flate.BestSpeed)
-	if err != nil {
-		return nil, errors.Annotate(err, "compress changes")
-	}
-	if _, err := writer.Write(encoded); err != nil {
-		return nil, errors.Annotate(err, "compress changes")
-	}
-	if err := writer.Close(); err != nil {
-		return nil, errors.Annotate(err, "compress changes")
-	}
-	return packed.Bytes(), nil
+	return deflate.Compress(encoded)
 }
 
 // unpack decodes the result of pack. It returns an error if the decompressed size exceeds
 // maxUnpackedBytes.
 func unpack(packed []byte) ([]*Change, error) {
-	reader := flate.NewReader(bytes.NewReader(packed))
-	encoded, err := io.ReadAll(io.LimitReader(reader, maxUnpackedBytes+1))
+	encoded, err := deflate.Decompress(packed, maxUnpackedBytes)
 	if err != nil {
-		return nil, errors.Annotate(err, "decompress changes")
-	}
-	if len(encoded) > maxUnpackedBytes {
-		return nil, errors.Errorf("changes exceed %d bytes", maxUnpackedBytes)
+		return nil, err
 	}
 	var changes Changes
 	if err := proto.Unmarshal(encoded, &changes); err != nil {
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -48,6 +48,9 @@
 	// maxAnnounceBackoff, since many hosts may start at the same time.
 	minAnnounceBackoff = 30 * time.Millisecond
 	maxAnnounceBackoff = 400 * time.Millisecond
+	// minMembersInterval is the shortest time between two writes of the list of hosts.
+	// A host that starts needs only a few others, so the list may lag.
+	minMembersInterval = 10 * time.Second
 	maxStoreHeader     = 64 << 10 // largest header of a response of the store, in bytes
 	metricsPath        = "/metrics"
 )
@@ -129,7 +132,7 @@
 	leaders := duty.New(func(name duty.Name) bool { return !slices.Contains(readerDuties, name) })
 	h.leaders = leaders
 	h.peers = newPeers(s, h.replica, leaders, h.observe, h.poison, h.observeDraining, grpcrelay.NewServer(h.coordinators.get, h.replica, time.Now), log)
-	sinks[hostsPrefix] = h.peers
+	sinks[membersKey] = h.peers
 	h.relayClient = grpcrelay.NewClient(h.peers.client.Connection, time.Now)
 	h.handler = forward.New(forward.Config{
 		Codec:      platform.Codec,
@@ -320,10 +323,6 @@
 	if err != nil {
 		return err
 	}
-	key, value, err := h.peers.registrationEntry()
-	if err != nil {
-		return err
-	}
 	componentCtx, stopComponents := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopComponents()
 	var group run.Group
@@ -340,10 +339,18 @@
 	})
 	h.addComponent(componentCtx, &group, "reader", reader.Run)
 	h.addComponent(componentCtx, &group, "sync", h.syncReplica)
-	registration := discovery.NewRegistration(h.store, h.health, h.replica, h.log, key, value, h.settings.Lease)
-	h.addComponent(componentCtx, &group, "registration", func(ctx context.Context) error {
-		return registration.Run(ctx, h.stopping)
+	members := discovery.NewPublisher(discovery.PublisherConfig{
+		Store:       h.store,
+		Health:      h.health,
+		Replica:     h.replica,
+		Log:         h.log,
+		Key:         membersKey,
+		TTL:         h.settings.Lease,
+		MinInterval: minMembersInterval,
+		IsPublisher: h.writesMembers,
+		Value:       h.peers.nextMembers,
 	})
+	h.addComponent(componentCtx, &group, "members", members.Run)
 	h.addComponent(componentCtx, &group, "coordinators", h.coordinators.run)
 	h.addComponent(componentCtx, &group, "peers", h.peers.serve(peerListener))
 	h.addComponent(componentCtx, &group, "gossip", h.peers.runner.Run)
--- a/internal/relay/host/peers.go
+++ b/internal/relay/host/peers.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -16,6 +14,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
 	"github.com/nutmegshift/nutmegshift/internal/relay/duty"
 	"github.com/nutmegshift/nutmegshift/internal/relay/grpcrelay"
+	"github.com/nutmegshift/nutmegshift/internal/relay/memberlist"
 	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
 	"github.com/nutmegshift/nutmegshift/internal/settings"
 	"github.com/nutmegshift/nutmegshift/kv"
@@ -24,26 +23,21 @@
 	"github.com/nutmegshift/nutmegshift/timeline"
 )
 
-// hostsPrefix is the key prefix of the registrations of hosts.
-const hostsPrefix kv.Key = "hosts/"
+const (
+	// membersKey is the key of the list of hosts in the store.
+	membersKey kv.Key = "members"
+	// maxMembersValue is the size in bytes up to which the list is kept. A list of 4,000
+	// hosts takes a third of it.
+	maxMembersValue = 128 << 10
+)
 
 // errNotServed is the response to the calls of the peer protocol that only entry hosts
 // serve.
 const errNotServed = errors.ConstError("not served by this host")
 
-// registration is the value of a host's entry in the store.
-type registration struct {
-	Address     ident.Address       `json:"address"`
-	Domain      ident.FailureDomain `json:"domain"`
-	Region      ident.Region        `json:"region"`
-	Incarnation ident.Incarnation   `json:"life"`
-	Capacity    float32             `json:"capacity"` // cores
-}
-
 // peers holds the membership and the gossip of this host, and the client and server of
 // its peer port.
 type peers struct {
-	self       ident.HostID
 	log        zerolog.Logger
 	strikes    *poison.Table
 	draining   func(rumour peer.UpstreamLeaving) // called for upstreams that drain, as seen by other hosts
@@ -52,7 +46,7 @@
 	client     *grpcpeer.Client
 	runner     *grpcpeer.Runner
 	server     *grpcpeer.Server
-	registered map[ident.HostID]peer.Row // from the store; guarded by the lock under which the replica calls its sink
+	listWriter *memberlist.Writer
 }
 
 var (
@@ -66,7 +60,6 @@
 func newPeers(s *settings.Relay, replica *discovery.Replica, leaders *duty.Leaders, observe func(message peer.Message), strikes *poison.Table, draining func(rumour peer.UpstreamLeaving), relay *grpcrelay.Server, log zerolog.Logger) *peers {
 	clock := timeline.NewClock(time.Now)
 	p := &peers{
-		self:     s.Host,
 		log:      log,
 		strikes:  strikes,
 		draining: draining,
@@ -79,7 +72,7 @@
 			Capacity:    float32(s.Processor),
 		}),
 		client:     grpcpeer.NewClient(s.Host, clock, time.Now),
-		registered: make(map[ident.HostID]peer.Row),
+		listWriter: memberlist.NewWriter(time.Now),
 	}
 	p.gossip = peer.NewGossip(peer.Config{
 		Table:     p.table,
@@ -102,55 +95,61 @@
 	}
 }
 
-// registrationEntry returns the key and value of this host's registration.
-func (p *peers) registrationEntry() (kv.Key, []byte, error) {
-	row, _ := p.table.Snapshot().Row(p.self)
-	value, err := json.Marshal(registration{
-		Address:     row.Address,
-		Domain:      row.Domain,
-		Region:      row.Region,
-		Incarnation: row.Incarnation,
-		Capacity:    row.Capacity,
-	})
-	return hostsPrefix + kv.Key(p.self), value, errors.Annotate(err, "encode registration")
+// nextMembers returns the value that the list of hosts in the store should have in place
+// of the present one.
+func (p *peers) nextMembers(present []byte) ([]byte, error) {
+	var listed []memberlist.Member
+	if present != nil {
+		decoded, err := memberlist.Decode(present)
+		if err != nil {
+			p.log.Error().Err(err).Msg("peers: list of hosts not readable, writing it anew")
+		}
+		listed = decoded
+	}
+	view := p.table.Snapshot()
+	live := make([]memberlist.Member, 0, len(view.Live()))
+	for _, row := range view.Live() {
+		live = append(live, memberlist.Member{
+			Host:     row.Host,
+			Address:  row.Address,
+			Domain:   row.Domain,
+			Region:   row.Region,
+			Capacity: row.Capacity,
+		})
+	}
+	return memberlist.Encode(p.listWriter.Next(listed, live))
 }
 
 // Put implements discovery.Sink.
 func (p *peers) Put(entry kv.Entry) {
-	var r registration
-	if err := json.Unmarshal(entry.Value, &r); err != nil {
-		p.log.Error().Err(err).Str("key", string(entry.Key)).Msg("peers: registration not readable")
+	if entry.Key != membersKey {
+		return
+	}
+	members, err := memberlist.Decode(entry.Value)
+	if err != nil {
+		p.log.Error().Err(err).Uint64("revision", uint64(entry.Version)).Msg("peers: list of hosts not readable, the last one is kept")
 		return
 	}
-	p.registered[hostOf(entry.Key)] = peer.Row{
-		Host:        hostOf(entry.Key),
-		Address:     r.Address,
-		Domain:      r.Domain,
-		Region:      r.Region,
-		Incarnation: r.Incarnation,
-		State:       peer.Alive,
-		Capacity:    r.Capacity,
+	rows := make([]peer.Row, 0, len(members))
+	for _, member := range members {
+		rows = append(rows, peer.Row{
+			Host:     member.Host,
+			Address:  member.Address,
+			Domain:   member.Domain,
+			Region:   member.Region,
+			State:    peer.Alive,
+			Capacity: member.Capacity,
+		})
 	}
-	p.mergeRegistered()
+	p.table.Merge(time.Now(), rows)
 }
 
-// Removed implements discovery.Sink. A host whose entry is removed may still
-// run; failure detection by gossip decides whether it is alive.
+// Removed implements discovery.Sink. The listed hosts may still run; failure detection by
+// gossip decides whether they are alive.
 func (p *peers) Removed(key kv.Key, _ kv.Version, _ time.Time) {
-	delete(p.registered, hostOf(key))
-	p.mergeRegistered()
-}
-
-func (p *peers) mergeRegistered() {
-	rows := make([]peer.Row, 0, len(p.registered))
-	for _, row := range p.registered {
-		rows = append(rows, row)
+	if key == membersKey {
+		p.table.Merge(time.Now(), nil)
 	}
-	p.table.Merge(time.Now(), rows)
-}
-
-func hostOf(key kv.Key) ident.HostID {
-	return ident.HostID(strings.TrimPrefix(string(key), string(hostsPrefix)))
 }
 
 // address returns the peer port of a live host.
--- a/internal/relay/host/reader.go
+++ b/internal/relay/host/reader.go
@@ -37,6 +37,13 @@
 	return "", false
 }
 
+// writesMembers reports whether this host writes the list of hosts for all others: it is
+// the first of the readers.
+func (h *Host) writesMembers() bool {
+	name, ok := h.ownReaderDuty()
+	return ok && name == readerDuties[0] && time.Since(h.started) >= joinTime && !h.isStopping()
+}
+
 // handOverReaderDuty makes another host the leader of this host's reader duty, and
 // notifies it at once.
 func (h *Host) handOverReaderDuty(ctx context.Context) {
--- a/internal/relay/host/sinks.go
+++ b/internal/relay/host/sinks.go
@@ -28,9 +28,6 @@
 	_ discovery.Sink = fleetSink{}
 )
 
-// maxHostEntry is the size in bytes up to which the entry of a host is kept.
-const maxHostEntry = 4 << 10
-
 // maxValue returns the size in bytes up to which the value of an entry is kept. The store
 // may hold other entries, which no part of this host uses.
 func (h *Host) maxValue(key kv.Key) int {
@@ -39,8 +36,8 @@
 		return kv.MaxValueBytes
 	case strings.HasPrefix(string(key), string(h.platform.Keys.Upstreams)):
 		return h.platform.Keys.MaxRegistration
-	case strings.HasPrefix(string(key), string(hostsPrefix)):
-		return maxHostEntry
+	case key == membersKey:
+		return maxMembersValue
 	}
 	return 0
 }
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -23,7 +23,7 @@
 	Memory       float64       // memory of this host, in megabytes
 	Store        ident.Address // key-value service
 	StoreTimeout time.Duration // of a single call to the store
-	Lease        time.Duration // time after which this host's entry in the store expires without renewal
+	Lease        time.Duration // time after which the list of hosts in the store expires without renewal
 	Renewal      time.Duration // time between two renewals of an upstream's entry in the store
 	Apply        time.Duration // time within which a new routing table must be in force
 	RetryShare   float64       // calls to upstreams that are retries, as a share of the requests to a service
@@ -137,7 +137,7 @@
 		key:          "lease",
 		unit:         "duration",
 		defaultValue: "1m",
-		help:         "life of this host's entry without renewal",
+		help:         "life of the list of hosts in the store without renewal",
 		set:          func(s *Relay, v string) error { return setDuration(&s.Lease, v) },
 	},
 	{
