Spend less of a coordinator's processor on each decision

Cause: a coordinator went through all its jobs for each plan, computed the bytes that cross failure domains for each pair of stage and upstream, and looked up each upstream in maps for each choice, sorting all paces.

Change: plans look at the calls in progress, the queues and the finished jobs only; the bytes of a stage are summed once by domain. The chooser keeps the states of a service's upstreams in a list until the fleet changes, and computes the median pace at most each 100 ms. A request that ends at an earlier process of an upstream no longer clears the state of the present one (TestRestartedUpstream fails before).

--- a/internal/relay/batch/capacity.go
+++ b/internal/relay/batch/capacity.go
@@ -85,14 +85,16 @@
 // upstreams whose capacity is scarce. If such a call fails, its job starts again.
 func (s *Scheduler) releaseReadInputs(now time.Time) {
 	var read []*task
-	for _, j := range s.jobs {
-		for _, t := range j.tasks {
-			if len(t.stage.After) == 0 || t.finished || !t.inputsRead(now) {
+	for _, c := range s.calls {
+		for i, part := range c.parts {
+			t := part.task
+			repeated := i > 0 && c.parts[i-1].task == t
+			if repeated || len(t.stage.After) == 0 || t.finished || t.job.ended || !t.inputsRead(now) {
 				continue
 			}
 			for _, dep := range t.stage.After {
-				producer := j.tasks[dep]
-				if producer.capacityScarce() && j.consumersDone(dep, func(other *task) bool { return other.finished || other.inputsRead(now) }) {
+				producer := t.job.tasks[dep]
+				if producer.capacityScarce() && t.job.consumersDone(dep, func(other *task) bool { return other.finished || other.inputsRead(now) }) {
 					read = append(read, producer)
 				}
 			}
@@ -135,8 +137,8 @@
 // at upstreams whose capacity is scarce. It returns their requests.
 func (s *Scheduler) evictUnread(now time.Time) []ident.RequestID {
 	var unread []*job
-	for _, j := range s.jobs {
-		if !j.finished.IsZero() && now.Sub(j.finished) > unreadTimeout && slices.ContainsFunc(j.tasks, (*task).capacityScarce) {
+	for _, j := range s.unread {
+		if now.Sub(j.finished) > unreadTimeout && slices.ContainsFunc(j.tasks, (*task).capacityScarce) {
 			unread = append(unread, j)
 		}
 	}
--- a/internal/relay/batch/fixture_test.go
+++ b/internal/relay/batch/fixture_test.go
@@ -17,8 +17,9 @@
 type harness struct {
 	*batch.Scheduler
 	now        time.Time
-	lastJob    batch.JobID  // ID of the latest job
-	calls      []batch.Call // in progress
+	lastJob    batch.JobID                // ID of the latest job
+	calls      []batch.Call               // in progress
+	ends       map[batch.CallID]time.Time // expected ends of calls
 	done       map[batch.JobID]batch.Done
 	held       map[wire.Handle]bool // results that are not released
 	lastResult int                  // number of the latest result
@@ -42,6 +43,7 @@
 	h := &harness{
 		Scheduler: batch.New(batch.DefaultPolicy()),
 		now:       start,
+		ends:      make(map[batch.CallID]time.Time),
 		done:      make(map[batch.JobID]batch.Done),
 		held:      make(map[wire.Handle]bool),
 	}
@@ -99,6 +101,9 @@
 func (h *harness) plan() batch.Actions {
 	actions := h.Plan(h.now)
 	h.calls = append(h.calls, actions.Calls...)
+	for _, call := range actions.Calls {
+		h.ends[call.ID] = h.now.Add(call.Expected)
+	}
 	for _, done := range actions.Done {
 		h.done[done.Job] = done
 	}
--- a/internal/relay/batch/plan.go
+++ b/internal/relay/batch/plan.go
@@ -78,21 +78,16 @@
 		)
 	})
 	slots := p.slots(now)
-	idle := 0
-	for _, slot := range slots {
-		if slot.immediate {
-			idle++
-		}
+	if !slices.ContainsFunc(slots, func(s slot) bool { return s.immediate }) {
+		actions.wake(s.wakeTime(now, p))
+		return
 	}
 	for _, t := range p.queue {
-		if idle == 0 {
-			break
-		}
 		place(t, slots)
 	}
-	for _, slot := range slots {
-		if slot.immediate && len(slot.parts) > 0 {
-			actions.Calls = append(actions.Calls, s.startCall(now, slot))
+	for i := range slots {
+		if slots[i].immediate && len(slots[i].parts) > 0 {
+			actions.Calls = append(actions.Calls, s.startCall(now, &slots[i]))
 		}
 	}
 	p.queue = slices.DeleteFunc(p.queue, func(t *task) bool {
@@ -155,13 +150,13 @@
 }
 
 // slots returns an empty batch for each worker that may get calls.
-func (p *pool) slots(now time.Time) []*slot {
-	slots := make([]*slot, 0, len(p.workers))
+func (p *pool) slots(now time.Time) []slot {
+	slots := make([]slot, 0, len(p.workers))
 	for _, w := range p.workers {
 		if w.gone {
 			continue
 		}
-		slots = append(slots, &slot{
+		slots = append(slots, slot{
 			worker:    w,
 			start:     w.available(now),
 			immediate: w.idle(now),
@@ -172,10 +167,11 @@
 }
 
 // place assigns the waiting pieces of a task to the batches that finish them first.
-func place(t *task, slots []*slot) {
+func place(t *task, slots []slot) {
 	pieces := t.waiting
+	crossing := t.crossing()
 	for len(pieces) > 0 {
-		best, fits := choose(t, slots, len(pieces))
+		best, fits := choose(t, crossing, slots, len(pieces))
 		if best == nil {
 			return
 		}
@@ -194,14 +190,15 @@
 // choose returns the batch that finishes the pieces first, and how many of them it
 // can take. It prefers batches that can take more of the pieces; best is nil if none
 // can take any.
-func choose(t *task, slots []*slot, pieces int) (best *slot, fits int) {
+func choose(t *task, crossing crossing, slots []slot, pieces int) (best *slot, fits int) {
 	var earliest time.Time
-	for _, slot := range slots {
+	for i := range slots {
+		slot := &slots[i]
 		n := min(pieces, slot.capacity(t))
 		if n == 0 || n < fits {
 			continue
 		}
-		end := slot.finishTime(t, n)
+		end := slot.finishTime(t, crossing, n)
 		if n > fits || end.Before(earliest) {
 			best, fits, earliest = slot, n, end
 		}
@@ -221,28 +218,64 @@
 
 // finishTime returns when a batch ends if it takes a number of pieces of a task, plus
 // a penalty for results that cross failure domains.
-func (s *slot) finishTime(t *task, pieces int) time.Time {
+func (s *slot) finishTime(t *task, crossing crossing, pieces int) time.Time {
 	p := s.worker.pool
 	took := p.limits.CallTime + s.work + p.work(t, pieces)
 	took = time.Duration(float64(took) * s.worker.slowdown)
-	penalty := time.Duration(float64(crossDomainDelay) * t.crossDomainBytes(s.worker.upstream.Domain) / 1e6)
+	penalty := time.Duration(float64(crossDomainDelay) * crossing.bytes(s.worker.upstream.Domain) / 1e6)
 	return s.start.Add(took + penalty)
 }
 
-// crossDomainBytes returns the bytes of results that cross failure domains if a task
-// runs in domain. Each of its pieces reads all inputs, and the results of the last
-// stages are read in the domain of the job.
-func (t *task) crossDomainBytes(domain ident.FailureDomain) float64 {
-	bytes := 0.0
-	for _, r := range t.inputs() {
-		if r.worker.upstream.Domain != domain {
-			bytes += float64(r.bytes) * float64(t.stage.Pieces)
+// crossing has the bytes of results that a task reads and leaves, by failure domain.
+type crossing struct {
+	total float64
+	local []domainBytes // bytes that do not cross if the task runs in the domain
+}
+
+type domainBytes struct {
+	domain ident.FailureDomain
+	bytes  float64
+}
+
+// crossing returns the bytes of a task. Each of its pieces reads all inputs, and the
+// results of the last stages are read in the domain of the job.
+func (t *task) crossing() crossing {
+	var c crossing
+	for _, dep := range t.stage.After {
+		for _, r := range t.job.tasks[dep].results {
+			if r != nil {
+				c.add(r.worker.upstream.Domain, float64(r.bytes)*float64(t.stage.Pieces))
+			}
+		}
+	}
+	if !t.job.hasDependents(t.index) {
+		c.add(t.job.Domain, float64(t.stage.Bytes)*float64(t.stage.Pieces))
+	}
+	return c
+}
+
+func (c *crossing) add(domain ident.FailureDomain, bytes float64) {
+	c.total += bytes
+	for i := range c.local {
+		if c.local[i].domain == domain {
+			c.local[i].bytes += bytes
+			return
 		}
 	}
-	if domain != t.job.Domain && !t.job.hasDependents(t.index) {
-		bytes += float64(t.stage.Bytes) * float64(t.stage.Pieces)
+	c.local = append(c.local, domainBytes{
+		domain: domain,
+		bytes:  bytes,
+	})
+}
+
+// bytes returns the bytes that cross failure domains if the task runs in domain.
+func (c crossing) bytes(domain ident.FailureDomain) float64 {
+	for _, l := range c.local {
+		if l.domain == domain {
+			return c.total - l.bytes
+		}
 	}
-	return bytes
+	return c.total
 }
 
 // startCall turns a planned batch into a call in progress.
--- a/internal/relay/batch/scheduler.go
+++ b/internal/relay/batch/scheduler.go
@@ -37,6 +37,7 @@
 	order       []*pool // sorted by name, so that the same events lead to the same plans
 	workers     map[ident.UpstreamID]*worker
 	jobs        map[JobID]*job
+	unread      map[JobID]*job // finished jobs whose results are held
 	calls       map[CallID]*call
 	lastCall    CallID
 	urgentSlack time.Duration // moving average of the slack of the most urgent jobs
@@ -51,6 +52,7 @@
 		pools:    make(map[ident.ServiceName]*pool),
 		workers:  make(map[ident.UpstreamID]*worker),
 		jobs:     make(map[JobID]*job),
+		unread:   make(map[JobID]*job),
 		calls:    make(map[CallID]*call),
 		releases: make(map[fleet.Upstream][]wire.Handle),
 	}
@@ -343,9 +345,11 @@
 // restartExpired restarts jobs with queued tasks whose inputs have expired.
 func (s *Scheduler) restartExpired(now time.Time) {
 	var expired []*job
-	for _, j := range s.jobs {
-		if slices.ContainsFunc(j.tasks, func(t *task) bool { return t.queued && t.inputsExpired(now) }) {
-			expired = append(expired, j)
+	for _, p := range s.order {
+		for _, t := range p.queue {
+			if t.queued && !t.job.ended && t.inputsExpired(now) && !slices.Contains(expired, t.job) {
+				expired = append(expired, t.job)
+			}
 		}
 	}
 	slices.SortFunc(expired, func(a, b *job) int { return cmp.Compare(a.ID, b.ID) })
@@ -394,6 +398,7 @@
 		}
 	}
 	j.finished = now
+	s.unread[j.ID] = j
 	s.done = append(s.done, done)
 }
 
@@ -410,6 +415,7 @@
 func (s *Scheduler) remove(j *job) {
 	j.ended = true
 	delete(s.jobs, j.ID)
+	delete(s.unread, j.ID)
 	for _, t := range j.tasks {
 		s.releaseAll(t)
 	}
--- a/internal/relay/placement/chooser.go
+++ b/internal/relay/placement/chooser.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"time"
 
@@ -79,6 +77,7 @@
 
 	mu       sync.Mutex
 	states   map[ident.UpstreamID]*upstreamState
+	pools    map[ident.ServiceName]*pool
 	prefixes *prefixIndex
 }
 
@@ -88,6 +87,7 @@
 		now:      now,
 		random:   random,
 		states:   make(map[ident.UpstreamID]*upstreamState),
+		pools:    make(map[ident.ServiceName]*pool),
 		prefixes: newPrefixIndex(),
 	}
 }
@@ -123,7 +123,7 @@
 		return nil, false
 	}
 	prompt := promptPrefixes(query.Prompt)
-	fresh := max(0, query.Prompt.Input-c.prefixes.cached(now, prompt, snapshot)[id].requested)
+	fresh := max(0, query.Prompt.Input-c.prefixes.requestedAt(now, prompt, upstream, snapshot))
 	placed := c.assign(now, upstream, prompt, fresh)
 	placed.Cache, _ = snapshot.Upstream(cache)
 	return placed, true
@@ -163,11 +163,11 @@
 // best returns the upstream with the lowest cost, and the upstream from which it
 // would fetch prompt tokens.
 func (c *Chooser) best(now time.Time, query Query, prompt []prefix, snapshot *fleet.Snapshot) (best candidate, source fleet.Upstream, ok bool) {
-	list := snapshot.Ready(query.Service)
-	medianPace := c.medianPace(list)
-	cached := c.prefixes.cached(now, prompt, snapshot)
-	source, mostTokens := c.mostRead(query, cached, snapshot)
-	preferred, requested := fleet.Upstream{}, maxRequested(cached)
+	p := c.pool(query.Service, snapshot)
+	medianPace := p.medianPace(now)
+	cached := c.prefixes.cached(now, prompt, query.Service, p)
+	source = cached.source
+	preferred, requested := fleet.Upstream{}, cached.mostRequested
 	known := requested >= query.Shared.Tokens
 	if !known {
 		// Other hosts have probably sent requests with this prefix to the preferred
@@ -176,20 +176,20 @@
 		requested = query.Shared.Tokens
 	}
 	lowest := 0.0
-	for _, upstream := range list {
+	for i, upstream := range p.upstreams {
 		if query.Exclude[upstream.ID] {
 			continue
 		}
 		current := candidate{
 			Upstream: upstream,
-			cached:   cached[upstream.ID].requested,
+			cached:   cached.requested[i],
 		}
 		if upstream.ID == preferred.ID {
 			current.cached = max(current.cached, query.Shared.Tokens)
 		}
-		current.fetched = max(0, mostTokens-current.cached)
+		current.fetched = max(0, cached.sourceTokens-current.cached)
 		current.fresh = max(0, query.Prompt.Input-current.cached-current.fetched)
-		cost := c.state(upstream).cost(now, medianPace, current.fresh) + fetchCost*float64(current.fetched)
+		cost := p.states[i].cost(now, medianPace, current.fresh) + fetchCost*float64(current.fetched)
 		cost += rereadCost * float64(max(0, requested-current.cached-current.fetched))
 		if upstream.Domain != query.Domain {
 			cost += crossDomainCost + crossDomainByteCost*float64(query.Bytes)
@@ -199,39 +199,14 @@
 			best, lowest, ok = current, cost, true
 		}
 	}
-	if !known {
+	if ok && !known {
 		if holder, ok := CacheSource(query, snapshot, best.Upstream, now); ok {
-			source, best.fetched = holder, max(0, query.Shared.Tokens-cached[best.ID].requested)
+			source, best.fetched = holder, max(0, query.Shared.Tokens-cached.requested[p.index[best.ID]])
 		}
 	}
 	return best, source, ok
 }
 
-// maxRequested returns the largest number of prompt tokens that any upstream has
-// read or has been asked to read.
-func maxRequested(cached map[ident.UpstreamID]cachedTokens) int {
-	most := 0
-	for _, k := range cached {
-		most = max(most, k.requested)
-	}
-	return most
-}
-
-// mostRead returns the upstream that has probably read the most of a prompt, and the
-// number of tokens that it has read.
-func (c *Chooser) mostRead(query Query, cached map[ident.UpstreamID]cachedTokens, snapshot *fleet.Snapshot) (source fleet.Upstream, tokens int) {
-	for id, k := range cached {
-		upstream, ok := snapshot.Upstream(id)
-		if !ok || upstream.Service != query.Service {
-			continue
-		}
-		if k.read > tokens || k.read == tokens && id < source.ID {
-			source, tokens = upstream, k.read
-		}
-	}
-	return source, tokens
-}
-
 // MarkPromptRead records that the upstream has read the prompt of a request; it may
 // be called more than once.
 func (c *Chooser) MarkPromptRead(placed *Placed) {
@@ -277,16 +252,56 @@
 	}
 }
 
-// state returns the state of an upstream. It is empty after a restart of the upstream.
+// state returns the state of an upstream. It is empty after a restart of the upstream; a
+// request that ends at the process before gets a state that is not kept.
 func (c *Chooser) state(upstream fleet.Upstream) *upstreamState {
 	s, ok := c.states[upstream.ID]
-	if !ok || s.incarnation != upstream.Started {
-		s = &upstreamState{
-			incarnation: upstream.Started,
-		}
-		c.states[upstream.ID] = s
+	if ok && s.incarnation == upstream.Started {
+		return s
+	}
+	fresh := &upstreamState{
+		incarnation: upstream.Started,
+	}
+	if !ok || s.incarnation < upstream.Started {
+		c.states[upstream.ID] = fresh
+	}
+	return fresh
+}
+
+// medianPaceAge is how long the median pace of a service is used before it is computed
+// again.
+const medianPaceAge = 100 * time.Millisecond
+
+// pool holds the ready upstreams of a service with their states.
+type pool struct {
+	snapshot   *fleet.Snapshot
+	upstreams  []fleet.Upstream
+	states     []*upstreamState // in the order of upstreams
+	index      map[ident.UpstreamID]int
+	requested  []int   // see cached
+	median     float64 // median pace; 0 if none is known
+	medianAt   time.Time
+	paceBuffer []float64
+}
+
+// pool returns the pool of a service, which is built anew when the fleet has changed.
+func (c *Chooser) pool(service ident.ServiceName, snapshot *fleet.Snapshot) *pool {
+	p, ok := c.pools[service]
+	if ok && p.snapshot == snapshot {
+		return p
 	}
-	return s
+	p = &pool{
+		snapshot:  snapshot,
+		upstreams: snapshot.Ready(service),
+		index:     make(map[ident.UpstreamID]int),
+	}
+	p.requested = make([]int, len(p.upstreams))
+	for i, upstream := range p.upstreams {
+		p.states = append(p.states, c.state(upstream))
+		p.index[upstream.ID] = i
+	}
+	c.pools[service] = p
+	return p
 }
 
 // Avoid records that an upstream has asked a host for no requests for some time: it is
@@ -311,17 +326,17 @@
 // Preferred returns the upstream with the highest rendezvous hash for the shared
 // prefix of a request. It returns false if nothing is shared or no upstream is ready.
 func Preferred(query Query, snapshot *fleet.Snapshot) (fleet.Upstream, bool) {
-	return highestRanked(query.Shared.Key, snapshot.Ready(query.Service))
-}
-
-// highestRanked returns the upstream with the highest rendezvous hash for a key.
-func highestRanked(key uint64, list []fleet.Upstream) (fleet.Upstream, bool) {
-	if key == 0 || len(list) == 0 {
+	list := snapshot.Ready(query.Service)
+	if query.Shared.Key == 0 || len(list) == 0 {
 		return fleet.Upstream{}, false
 	}
-	return slices.MaxFunc(list, func(a, b fleet.Upstream) int {
-		return cmp.Compare(rendezvousHash(a.ID, key), rendezvousHash(b.ID, key))
-	}), true
+	best, highest := 0, uint64(0)
+	for i := range list {
+		if hash := rendezvousHash(list[i].ID, query.Shared.Key); i == 0 || hash > highest {
+			best, highest = i, hash
+		}
+	}
+	return list[best], true
 }
 
 // CacheSource returns an upstream that has probably read the shared prefix of a
@@ -329,18 +344,25 @@
 // or the one that was preferred before the chosen one started or before an upstream
 // began to drain.
 func CacheSource(query Query, snapshot *fleet.Snapshot, chosen fleet.Upstream, now time.Time) (fleet.Upstream, bool) {
-	var others []fleet.Upstream
-	for _, upstream := range snapshot.All() {
-		if upstream.Service == query.Service && upstream.ID != chosen.ID {
-			others = append(others, upstream)
+	if query.Shared.Key == 0 {
+		return fleet.Upstream{}, false
+	}
+	var source ident.UpstreamID
+	highest := uint64(0)
+	for id, upstream := range snapshot.All() {
+		if upstream.Service != query.Service || id == chosen.ID {
+			continue
+		}
+		if hash := rendezvousHash(id, query.Shared.Key); source == "" || hash > highest {
+			source, highest = id, hash
 		}
 	}
-	source, ok := highestRanked(query.Shared.Key, others)
-	if !ok {
+	if source == "" {
 		return fleet.Upstream{}, false
 	}
+	upstream, _ := snapshot.Upstream(source)
 	warmingUp := now.Sub(time.UnixMilli(int64(chosen.Started))) < warmupTime
-	return source, warmingUp || rendezvousHash(source.ID, query.Shared.Key) > rendezvousHash(chosen.ID, query.Shared.Key)
+	return upstream, warmingUp || highest > rendezvousHash(chosen.ID, query.Shared.Key)
 }
 
 // rendezvousHash is the rendezvous hash of an upstream for a key.
--- a/internal/relay/placement/chooser_test.go
+++ b/internal/relay/placement/chooser_test.go
@@ -12,6 +12,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
+	"github.com/nutmegshift/nutmegshift/kv"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -356,3 +357,41 @@
 	c := qt.New(t)
 	c.Check(placement.NewPopularity().Affinity(start, wire.Prompt{}, 9), qt.Equals, placement.SharedPrefix{}, qt.Commentf("no parts"))
 }
+
+// Guards against the state of a restarted upstream that is lost when a request ends at the
+// process before it, and against a panic if no upstream is left.
+func TestRestartedUpstream(t *testing.T) {
+	c := qt.New(t)
+	d := fleet.New()
+	put := func(started ident.Incarnation, version kv.Version) {
+		d.Put(fleet.Registration{
+			Upstream: fleet.Upstream{
+				ID:      "u",
+				Service: "s",
+				State:   fleet.Ready,
+				Started: started,
+			},
+			Version: version,
+		})
+	}
+	query := placement.Query{
+		Service: "s",
+		Shared: placement.SharedPrefix{
+			Key: 1,
+		},
+	}
+	chooser := placement.New(func() time.Time { return start }, rand.Float64)
+	put(1, 1)
+	before, ok := chooser.Choose(query, d.Snapshot())
+	c.Assert(ok, qt.IsTrue)
+	put(2, 2)
+	after, ok := chooser.Choose(query, d.Snapshot())
+	c.Assert(ok, qt.IsTrue)
+	chooser.Done(after, placement.Failed, 0)
+	chooser.Done(before, placement.Served, 0)
+	_, ok = chooser.PlaceAt(query, "u", "", d.Snapshot())
+	c.Check(ok, qt.IsFalse, qt.Commentf("the upstream has just failed"))
+	d.Remove("u", 3, time.Time{})
+	_, ok = chooser.Choose(query, d.Snapshot())
+	c.Check(ok, qt.IsFalse)
+}
--- a/internal/relay/placement/cost.go
+++ b/internal/relay/placement/cost.go
@@ -4,8 +4,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 )
 
 // The cost of an upstream is counted in prompt tokens that it reads.
@@ -55,19 +53,23 @@
 	return 1 + (ratio-1)*math.Exp(-float64(now.Sub(s.measuredAt))/float64(paceDecayTime))
 }
 
-// medianPace returns the median pace of upstreams, or 0 if none is known.
-func (c *Chooser) medianPace(list []fleet.Upstream) float64 {
-	var paces []float64
-	for _, upstream := range list {
-		if pace := c.state(upstream).pace; pace > 0 {
-			paces = append(paces, float64(pace))
-		}
+// medianPace returns the median pace of the upstreams, or 0 if none is known.
+func (p *pool) medianPace(now time.Time) float64 {
+	if !p.medianAt.IsZero() && now.Sub(p.medianAt) < medianPaceAge {
+		return p.median
 	}
-	if len(paces) == 0 {
-		return 0
+	paces := p.paceBuffer[:0]
+	for _, s := range p.states {
+		if s.pace > 0 {
+			paces = append(paces, float64(s.pace))
+		}
 	}
 	slices.Sort(paces)
-	return paces[(len(paces)-1)/2]
+	p.paceBuffer, p.median = paces, 0
+	if len(paces) > 0 {
+		p.median, p.medianAt = paces[(len(paces)-1)/2], now
+	}
+	return p.median
 }
 
 // cost returns the cost of a request for which the upstream has to read some fresh
--- a/internal/relay/placement/prefixes.go
+++ b/internal/relay/placement/prefixes.go
@@ -99,30 +99,60 @@
 	}
 }
 
-// cachedTokens is the number of prompt tokens that an upstream has probably cached.
-type cachedTokens struct {
-	requested int // has read or has been asked to read
-	read      int
+// cached is what the upstreams of a pool have probably cached of a prompt, in tokens.
+type cached struct {
+	requested     []int          // by upstream of the pool: has read or has been asked to read; valid until the next call
+	mostRequested int            // of any upstream, draining ones included
+	source        fleet.Upstream // has read the most, may be draining; without an ID if there is none
+	sourceTokens  int
 }
 
-// cached returns, per upstream, the tokens that are probably cached of a prompt.
-func (x *prefixIndex) cached(now time.Time, prompt []prefix, snapshot *fleet.Snapshot) map[ident.UpstreamID]cachedTokens {
-	byUpstream := make(map[ident.UpstreamID]cachedTokens)
-	for _, p := range prompt {
-		for _, h := range x.holders(p.key) {
-			if now.Sub(h.recordedAt) >= cacheRetention {
+// valid returns the upstream of a holder, if that still runs and the prefix counts as
+// cached there.
+func (h holder) valid(now time.Time, snapshot *fleet.Snapshot) (fleet.Upstream, bool) {
+	if now.Sub(h.recordedAt) >= cacheRetention {
+		return fleet.Upstream{}, false
+	}
+	upstream, ok := snapshot.Upstream(h.id)
+	return upstream, ok && upstream.Started == h.incarnation
+}
+
+// cached returns what the upstreams of a service have probably cached of a prompt.
+func (x *prefixIndex) cached(now time.Time, prompt []prefix, service ident.ServiceName, p *pool) cached {
+	clear(p.requested)
+	c := cached{
+		requested: p.requested,
+	}
+	for _, prefix := range prompt {
+		for _, h := range x.holders(prefix.key) {
+			upstream, ok := h.valid(now, p.snapshot)
+			if !ok {
 				continue
 			}
-			if upstream, ok := snapshot.Upstream(h.id); !ok || upstream.Started != h.incarnation {
+			c.mostRequested = prefix.tokens
+			if i, ok := p.index[h.id]; ok {
+				c.requested[i] = prefix.tokens
+			}
+			if h.read && upstream.Service == service && (prefix.tokens > c.sourceTokens || prefix.tokens == c.sourceTokens && h.id < c.source.ID) {
+				c.source, c.sourceTokens = upstream, prefix.tokens
+			}
+		}
+	}
+	return c
+}
+
+// requestedAt returns the tokens of a prompt that one upstream has read or has been asked
+// to read.
+func (x *prefixIndex) requestedAt(now time.Time, prompt []prefix, upstream fleet.Upstream, snapshot *fleet.Snapshot) int {
+	for i := len(prompt) - 1; i >= 0; i-- {
+		for _, h := range x.holders(prompt[i].key) {
+			if h.id != upstream.ID {
 				continue
 			}
-			tokens := byUpstream[h.id]
-			tokens.requested = p.tokens
-			if h.read {
-				tokens.read = p.tokens
+			if _, ok := h.valid(now, snapshot); ok {
+				return prompt[i].tokens
 			}
-			byUpstream[h.id] = tokens
 		}
 	}
-	return byUpstream
+	return 0
 }
