--- a/internal/relay/upstreamhttp/client_test.go
+++ b/internal/relay/upstreamhttp/client_test.go
@@ -354,6 +354,7 @@
 		"few hosts":                   {connections: 52, hosts: 9, want: upstreamhttp.Limit{Open: 5, Idle: 5}},
 		"one connection per host":     {connections: 110, hosts: 74, want: upstreamhttp.Limit{Open: 2, Idle: 1}},
 		"more hosts than connections": {connections: 110, hosts: 300, want: upstreamhttp.Limit{Open: 2}},
+		"one connection, no reserve":  {connections: 370, hosts: 352, want: upstreamhttp.Limit{Open: 2}},
 		"no limit":                    {hosts: 9},
 		"one host":                    {connections: 52, want: upstreamhttp.Limit{Open: 52, Idle: 52}},
 	}
@@ -364,6 +365,26 @@
 	}
 }
 
+// Guards against hosts that together open more connections than an upstream accepts, also
+// while hosts are added: idle ones at each host, and as many more as the upstream has
+// requests in progress.
+func TestShareOfLargeFleets(t *testing.T) {
+	upstreams := map[string]struct{ connections, inProgress int }{
+		"model engine": {connections: 540, inProgress: 64},
+		"plain":        {connections: 370, inProgress: 30},
+		"few":          {connections: 52, inProgress: 5},
+	}
+	for name, u := range upstreams {
+		t.Run(name, func(t *testing.T) {
+			for hosts := 1; hosts <= 1000; hosts++ {
+				limit := upstreamhttp.Share(u.connections, hosts)
+				most := min(hosts*limit.Open, hosts*limit.Idle+u.inProgress)
+				qt.Assert(t, most <= u.connections, qt.IsTrue, qt.Commentf("%d connections of %d hosts", most, hosts))
+			}
+		})
+	}
+}
+
 // Guards against more idle connections than the share: idle connections count
 // towards the limit of the upstream like those in use.
 func TestIdleLimit(t *testing.T) {
