Let coordinators remember the prompts of more sessions

Cause: the index of prompt prefixes has 8,192 places, and each request adds one for its own prompt that nobody shares. At 500 requests a second a session is forgotten after 4 to 8 s, but comes back after 8 to 18 s.

Change: coordinators track 65,536 prefixes, up to 13 MB; hosts as before.

Measured: TestSessionsAreKept fails with 8,192.

--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -48,6 +48,9 @@
 	// maxAnnounceBackoff, since many hosts may start at the same time.
 	minAnnounceBackoff = 30 * time.Millisecond
 	maxAnnounceBackoff = 400 * time.Millisecond
+	// coordinatorPrefixes is the number of prompt prefixes that a coordinator tracks. They
+	// take up to 13 MB. 500 requests a second add 1,000 a second.
+	coordinatorPrefixes = 65536
 	// minMembersInterval is the shortest time between two writes of the list of hosts.
 	// A host that starts needs only a few others, so the list may lag.
 	minMembersInterval = 10 * time.Second
@@ -216,7 +219,7 @@
 		Table:    h.routes.Table,
 		Fleet:    h.fleet.Snapshot,
 		Includes: id.Includes,
-		Chooser:  placement.New(time.Now, rand.Float64),
+		Chooser:  placement.New(time.Now, rand.Float64, placement.WithPrefixes(coordinatorPrefixes)),
 		Pauses:   h.pauses,
 		Meter:    h.meter,
 		Now:      time.Now,
--- a/internal/relay/placement/chooser.go
+++ b/internal/relay/placement/chooser.go
@@ -81,15 +81,28 @@
 	prefixes *prefixIndex
 }
 
+// Option changes a property of a new Chooser.
+type Option func(c *Chooser)
+
+// WithPrefixes sets the number of prompt prefixes that are tracked. A chooser for many
+// requests needs more, since each request adds at least one that nobody shares.
+func WithPrefixes(limit int) Option {
+	return func(c *Chooser) { c.prefixes = newPrefixIndex(limit) }
+}
+
 // New returns a chooser without history; random returns numbers in [0, 1).
-func New(now func() time.Time, random func() float64) *Chooser {
-	return &Chooser{
+func New(now func() time.Time, random func() float64, options ...Option) *Chooser {
+	c := &Chooser{
 		now:      now,
 		random:   random,
 		states:   make(map[ident.UpstreamID]*upstreamState),
 		pools:    make(map[ident.ServiceName]*pool),
-		prefixes: newPrefixIndex(),
+		prefixes: newPrefixIndex(defaultPrefixes),
+	}
+	for _, option := range options {
+		option(c)
 	}
+	return c
 }
 
 // Choose returns the upstream with the lowest cost and counts a request in flight at
--- a/internal/relay/placement/prefixes.go
+++ b/internal/relay/placement/prefixes.go
@@ -14,10 +14,10 @@
 	// cacheRetention is how long a prefix counts as cached by an upstream that has
 	// read it.
 	cacheRetention = 30 * time.Second
-	// maxPrefixes bounds the number of tracked prefixes, maxHolders the number of
-	// upstreams per prefix.
-	maxPrefixes = 8192
-	maxHolders  = 128
+	// defaultPrefixes bounds the number of tracked prefixes unless an option says
+	// otherwise, maxHolders the number of upstreams per prefix.
+	defaultPrefixes = 8192
+	maxHolders      = 128
 )
 
 // prefix is the first parts of a prompt.
@@ -54,11 +54,13 @@
 // the older one is dropped when the younger one is full.
 type prefixIndex struct {
 	young, old map[uint64][]holder
+	limit      int // number of prefixes in both generations
 }
 
-func newPrefixIndex() *prefixIndex {
+func newPrefixIndex(limit int) *prefixIndex {
 	return &prefixIndex{
 		young: make(map[uint64][]holder),
+		limit: limit,
 	}
 }
 
@@ -91,7 +93,7 @@
 			}
 		}
 		remaining[0] = added
-		if _, ok := x.young[p.key]; !ok && len(x.young) >= maxPrefixes/2 {
+		if _, ok := x.young[p.key]; !ok && len(x.young) >= x.limit/2 {
 			x.old = x.young
 			x.young = make(map[uint64][]holder)
 		}
--- a/internal/relay/placement/prefixes_test.go
+++ b/internal/relay/placement/prefixes_test.go
@@ -150,6 +150,40 @@
 	c.Check(chooser.PrefixCount() <= 8192, qt.IsTrue, qt.Commentf("%d prefixes", chooser.PrefixCount()))
 }
 
+// Guards against sessions that a coordinator forgets because of prompts that nobody shares,
+// so that their prompts are read again elsewhere.
+func TestSessionsAreKept(t *testing.T) {
+	c := qt.New(t)
+	const sessions = 2500
+	chooser := placement.New(func() time.Time { return start }, rand.Float64, placement.WithPrefixes(65536))
+	snapshot := engines(1, 1)
+	place := func(session, request int, exclude ...ident.UpstreamID) ident.UpstreamID {
+		query := placement.Query{
+			Service: "s",
+			Domain:  "here",
+			Prompt:  prompt(fmt.Sprint(request), part("popular", 500), part(fmt.Sprint("session", session), 5000)),
+			Exclude: make(map[ident.UpstreamID]bool),
+		}
+		for _, id := range exclude {
+			query.Exclude[id] = true
+		}
+		placed, ok := chooser.Choose(query, snapshot)
+		c.Assert(ok, qt.IsTrue)
+		chooser.MarkPromptRead(placed)
+		chooser.Done(placed, placement.Served, 0)
+		return placed.ID
+	}
+	for i := range sessions {
+		place(i, i, ident.UpstreamID(fmt.Sprintf("e%d", i%2)))
+		for j := range 4 { // requests of one session
+			place(0, sessions+4*i+j)
+		}
+	}
+	for i := range sessions {
+		c.Assert(place(i, -1-i), qt.Equals, ident.UpstreamID(fmt.Sprintf("e%d", 1-i%2)), qt.Commentf("session %d", i))
+	}
+}
+
 // Guards against sending requests to an upstream that has become slow, and against
 // avoiding an upstream forever because it was slow once.
 func TestSlowUpstream(t *testing.T) {
