Write the last log lines before a process ends, and trace two flaky tests

TestRate failed once beside load with 5 lines missing. Cause: the ring buffer of the log library checks for a line, then whether it is closed; lines that are queued in between are lost. TestCloseWritesAll loses a line in most runs before.

TestStartWithoutStore failed once: the host was ready before the test had read the log line that it counts. The test waits for the line.

--- a/internal/relay/logging/logging.go
+++ b/internal/relay/logging/logging.go
@@ -11,6 +11,10 @@
 )
 
 const (
+	// flushTimeout is how long Close waits for an output that blocks; it checks the output
+	// at flushInterval.
+	flushTimeout  = time.Second
+	flushInterval = 100 * time.Microsecond
 	// ringSize is the capacity of the ring buffer in lines.
 	ringSize = 1024
 	// reportInterval is how often dropped lines are reported.
@@ -22,6 +26,9 @@
 type Log struct {
 	zerolog.Logger
 	writer        diode.Writer
+	output        *countedWriter
+	queued        atomic.Int64 // lines passed to writer
+	missed        atomic.Int64 // lines that writer has overwritten before they were written
 	limit         atomic.Int64 // lines per second
 	level         atomic.Int32
 	currentSecond atomic.Int64 // Unix time that lineCount belongs to
@@ -32,15 +39,45 @@
 // New returns a logger that writes lines of the given level and above to out, up to the
 // given number per second. The caller must call Close.
 func New(out io.Writer, level zerolog.Level, lines int64) *Log {
-	l := &Log{}
-	l.writer = diode.NewWriter(out, ringSize, 0, func(missed int) {
+	l := &Log{
+		output: &countedWriter{
+			Writer: out,
+		},
+	}
+	l.writer = diode.NewWriter(l.output, ringSize, 0, func(missed int) {
+		l.missed.Add(int64(missed))
 		l.dropped.Add(int64(missed))
 	})
 	l.Set(level, lines)
-	l.Logger = zerolog.New(l.writer).With().Timestamp().Logger().Sample(l)
+	l.Logger = zerolog.New(queue{
+		Log: l,
+	}).With().Timestamp().Logger().Sample(l)
 	return l
 }
 
+// queue counts the lines that are passed to the ring buffer.
+type queue struct {
+	*Log
+}
+
+// Write implements io.Writer.
+func (q queue) Write(p []byte) (int, error) {
+	q.queued.Add(1)
+	return q.writer.Write(p)
+}
+
+// countedWriter counts the lines that have been written.
+type countedWriter struct {
+	io.Writer
+	lines atomic.Int64
+}
+
+// Write implements io.Writer.
+func (w *countedWriter) Write(p []byte) (int, error) {
+	defer w.lines.Add(1)
+	return w.Writer.Write(p)
+}
+
 // Set changes the lowest level that is logged and the limit of lines per second.
 func (l *Log) Set(level zerolog.Level, lines int64) {
 	l.level.Store(int32(level))
@@ -91,8 +128,13 @@
 	}
 }
 
-// Close writes the buffered lines and stops the logger. It closes the output if that is
-// an io.Closer.
+// Close writes the buffered lines and stops the logger. It waits for the lines itself, up
+// to flushTimeout, since the ring buffer may miss those that are queued while it is being
+// closed.
 func (l *Log) Close() error {
+	deadline := time.Now().Add(flushTimeout)
+	for l.output.lines.Load()+l.missed.Load() < l.queued.Load() && time.Now().Before(deadline) {
+		time.Sleep(flushInterval)
+	}
 	return l.writer.Close()
 }
--- a/internal/relay/logging/logging_test.go
+++ b/internal/relay/logging/logging_test.go
@@ -60,6 +60,18 @@
 	c.Check(log.Dropped(), qt.Equals, int64(1005-out.lines()))
 }
 
+// Guards against lines that are lost if the log is closed right after they were written,
+// such as the reason why a process ends.
+func TestCloseWritesAll(t *testing.T) {
+	for range 1_000 {
+		var out buffer
+		log := logging.New(&out, zerolog.InfoLevel, 10)
+		log.Info().Msg("last")
+		qt.Assert(t, log.Close(), qt.IsNil)
+		qt.Assert(t, out.lines(), qt.Equals, 1)
+	}
+}
+
 // Guards against requests that block because the log output blocks.
 func TestNeverBlocks(t *testing.T) {
 	c := qt.New(t)
--- a/internal/system/peers_test.go
+++ b/internal/system/peers_test.go
@@ -60,6 +60,7 @@
 			d.startHost(1)
 			if test.readyWithoutStore {
 				d.awaitReady(1)
+				await(t, "log line", func() bool { return d.hosts[1].output.countLines(startedFromPeer) > 0 })
 				qt.Check(t, d.hosts[1].output.countLines(startedFromPeer), qt.Equals, 1)
 				qt.Check(t, int(d.revision(1)), qt.Equals, 1)
 				d.checkRead(1, "down")
