--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -319,7 +319,7 @@
 		c.config.Log.Error().Err(err).Msg("stage: encoding the batch failed")
 		return batch.Lost{}, meter.Failed
 	}
-	response, err := c.send(ctx, call.Upstream, message)
+	response, err := c.send(ctx, call.Upstream, message, true) // results have handles of their own
 	if err != nil {
 		c.logCall(call).Err(err).Msg("stage: batch failed")
 		if errors.Is(err, upstreamhttp.ErrOversized) {
@@ -392,7 +392,7 @@
 		c.config.Log.Error().Err(err).Msg("stage: encoding the release failed")
 		return
 	}
-	response, err := c.send(ctx, release.Upstream, message)
+	response, err := c.send(ctx, release.Upstream, message, false)
 	if err == nil {
 		_, err = response.ReadAll(maxResponseBytes)
 		response.Close()
@@ -402,9 +402,11 @@
 	}
 }
 
-func (c *Coordinator) send(ctx context.Context, to fleet.Upstream, message wire.Message) (*upstreamhttp.Response, error) {
+// send sends a call to an upstream. No two responses to distinct calls have the same body.
+func (c *Coordinator) send(ctx context.Context, to fleet.Upstream, message wire.Message, distinct bool) (*upstreamhttp.Response, error) {
 	return c.config.Client.Send(ctx, upstreamhttp.Request{
 		Upstream: to,
+		Distinct: distinct,
 		Method:   message.Method,
 		Target:   message.Path,
 		Host:     string(to.Address),
--- a/internal/relay/upstreamhttp/client.go
+++ b/internal/relay/upstreamhttp/client.go
@@ -51,6 +51,7 @@
 	MaxIdle    time.Duration // maximum idle time of a reused connection; 0 means no limit
 	NewConn    bool          // do not reuse an idle connection
 	Repeatable bool          // the request may run more than once
+	Distinct   bool          // no two responses have the same body, so an equal one is a copy
 	ID         ident.RequestID
 	Method     string
 	Target     string // path and query
@@ -142,6 +143,6 @@
 		body:        received.header.Body,
 		sending:     pending,
 		reusable:    received.reusable && !received.header.Close && !misdirected,
-		withoutID:   request.ID == "",
+		distinct:    request.Distinct,
 	}, nil
 }
--- a/internal/relay/upstreamhttp/connection.go
+++ b/internal/relay/upstreamhttp/connection.go
@@ -44,7 +44,7 @@
 	lastUsed  time.Time     // time of the last use
 	used      bool          // has completed an exchange before
 	limit     Limit         // given by the latest request
-	lastBody  uint64        // hash of the body of the latest response to a call without an id
+	lastBody  uint64        // hash of the body of the latest distinct response
 }
 
 // boundedReader reads from a connection up to a number of bytes.
--- a/internal/relay/upstreamhttp/identity_test.go
+++ b/internal/relay/upstreamhttp/identity_test.go
@@ -177,6 +177,7 @@
 			for call := 1; call <= 5; call++ {
 				r := request(s.address)
 				r.ID = ""
+				r.Distinct = true
 				response, err := client.Send(t.Context(), r)
 				c.Assert(err, qt.IsNil)
 				body, err := response.ReadAll(1 << 10)
@@ -190,6 +191,25 @@
 	}
 }
 
+// Guards against a new connection for each call whose response always has the same body.
+func TestEqualResponses(t *testing.T) {
+	c := qt.New(t)
+	s := serve(t, func(conn *net.TCPConn, _ *http.Request, _ string) bool {
+		return write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+	})
+	client := newClient(t)
+	for range 3 {
+		r := request(s.address)
+		r.ID = ""
+		response, err := client.Send(t.Context(), r)
+		c.Assert(err, qt.IsNil)
+		_, err = response.ReadAll(1 << 10)
+		c.Check(err, qt.IsNil)
+		response.Close()
+	}
+	c.Check(s.connections.Load(), qt.Equals, int64(1))
+}
+
 // Guards against reusing a connection on which bytes have arrived that belong to no
 // request.
 func TestStrayBytes(t *testing.T) {
--- a/internal/relay/upstreamhttp/response.go
+++ b/internal/relay/upstreamhttp/response.go
@@ -123,14 +123,14 @@
 	Length      int64 // of the body in bytes; -1 if unknown
 	Misdirected bool  // a reused connection led to an upstream that no longer has the address
 
-	client    *Client
-	conn      *connection
-	body      io.ReadCloser
-	stop      func() bool // detaches the context from the connection
-	sending   *requestWrite
-	reusable  bool
-	complete  bool
-	withoutID bool // the request has no id
+	client   *Client
+	conn     *connection
+	body     io.ReadCloser
+	stop     func() bool // detaches the context from the connection
+	sending  *requestWrite
+	reusable bool
+	complete bool
+	distinct bool // see Request
 }
 
 // Read reads the body. The body is complete only if the error is io.EOF.
@@ -142,9 +142,9 @@
 	return n, err
 }
 
-// ReadAll reads the whole body, of at most limit bytes. It returns ErrLost if the
-// body is incomplete, ErrOversized if it is longer, and ErrLost if the response repeats the one before it on the
-// connection and has no id.
+// ReadAll reads the whole body, of at most limit bytes. It returns ErrLost if the body is
+// incomplete, or a copy of the previous one although it must be distinct, and ErrOversized
+// if it is longer.
 func (r *Response) ReadAll(limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(r, limit+1))
 	switch {
@@ -152,20 +152,16 @@
 		return nil, errors.Annotatef(ErrLost, "read body: %v", err)
 	case int64(len(body)) > limit:
 		return nil, errors.WithType(errors.Annotatef(ErrLost, "body exceeds %d bytes", limit), ErrOversized)
-	case r.withoutID && r.repeats(body):
+	case r.distinct && r.repeats(body):
 		r.reusable = false
 		return nil, errors.Annotate(ErrLost, "response repeats the one before it")
 	}
 	return body, nil
 }
 
-// repeats reports whether the body is that of the previous response on the connection,
-// and remembers it. Results have handles of their own, so two bodies differ unless one
-// is a copy; empty bodies tell nothing.
+// repeats reports whether the body is that of the previous distinct response on the
+// connection, and remembers it.
 func (r *Response) repeats(body []byte) bool {
-	if len(body) == 0 {
-		return false
-	}
 	previous := r.conn.lastBody
 	r.conn.lastBody = xxhash.Sum64(body)
 	return r.conn.lastBody == previous
