--- a/peer/internal/peernet/network.go
+++ b/peer/internal/peernet/network.go
@@ -30,7 +30,7 @@
 	order    []ident.Address // of the nodes, in order of their start
 	loss     float64         // probability that a message is dropped
 	linkDown func(a, b ident.Address) bool
-	sent     func(from, to ident.Address) // called for each message
+	sent     func(from, to ident.Address) // called for each message; may be nil
 	messages int                          // sent, without replies
 	rumours  int                          // in messages and replies
 }
@@ -41,7 +41,6 @@
 		now:      start,
 		nodes:    make(map[ident.Address]*node),
 		linkDown: func(_, _ ident.Address) bool { return false },
-		sent:     func(_, _ ident.Address) {},
 	}
 	for i := range size {
 		n.start(rowOf(i, 1))
@@ -113,7 +112,9 @@
 		}
 		for _, out := range from.gossip.Tick(n.now) {
 			n.messages++
-			n.sent(from.row.Address, out.Address)
+			if n.sent != nil {
+				n.sent(from.row.Address, out.Address)
+			}
 			n.rumours += len(out.Message.Rumours)
 			to := n.nodes[out.Address]
 			if to == nil || to.stopped || n.lost(from.row.Address, out.Address) {
