Start from a stale listing of the store if it fits into one page

Cause: a host that is no seed waited 0.3 s for another one to send it the entries of the store and then listed them itself. After a restart of all hosts nobody has anything to send, so all of them listed the store 0.3 s late.

Ruled out: a listing at once by each host: 300 hosts with the entries of 3,000 upstreams fill the link of the store for seconds.

Change: a host that is no seed first reads one page that may be stale. If that is all, it serves from it until the others confirm it, for up to 2 s before it reads the store itself; otherwise it waits as before.

--- a/internal/relay/discovery/reader.go
+++ b/internal/relay/discovery/reader.go
@@ -30,6 +30,9 @@
 	// for each known host, but at least startWait.
 	startWait        = 300 * time.Millisecond
 	startWaitPerHost = 10 * time.Millisecond
+	// staleGrace is how long other hosts may take to confirm a stale listing. If all hosts
+	// start at once, the readers among them begin to read after a second.
+	staleGrace = 2 * time.Second
 	// During an outage the backoff is at least the time since the store last responded
 	// to any host, divided by silenceDivisor, so that a host that has just become a
 	// reader does not call more often than its predecessor.
@@ -67,6 +70,8 @@
 	HandOver   func(ctx context.Context) // makes another host a reader in place of this one
 	LiveHosts  func() int                // number of live hosts known here, including this one
 	ListsFirst bool                      // list the store at the start instead of waiting for other hosts
+	// ListStale is like Store.List, but costs the store less and may be out of date.
+	ListStale func(ctx context.Context, prefix, after kv.Key, limit int) (kv.Page, error)
 }
 
 // Reader reads the store for a Replica when this host is a reader, or when no other
@@ -75,6 +80,7 @@
 	config        ReaderConfig
 	recentChanges []time.Time   // times of watch responses with changes, within burstWindow
 	backoff       time.Duration // base of the pause after the next failed call
+	staleUntil    time.Time     // end of the time in which other hosts may still confirm a stale listing
 }
 
 // NewReader returns a Reader; Run starts it.
@@ -106,9 +112,13 @@
 
 // loadInitial obtains the first entries. Without ListsFirst it waits for other hosts
 // to send them, the longer the more hosts there are: if all hosts of a large fleet
-// start at once, their listings would saturate the link to the store.
+// start at once, their listings would saturate the link to the store. A fleet whose
+// entries fit into one page starts from a stale one, which all hosts can read at once.
 func (r *Reader) loadInitial(ctx context.Context) {
 	start := time.Now()
+	if !r.config.ListsFirst {
+		r.loadStale(ctx)
+	}
 	for ctx.Err() == nil && r.config.Replica.Cursor() == 0 {
 		hosts := time.Duration(r.config.LiveHosts())
 		switch {
@@ -122,10 +132,25 @@
 	}
 }
 
+// loadStale obtains the entries by a stale listing of one page. They are used until other
+// hosts send what they lack. A failure, and a second page, leave the replica empty.
+func (r *Reader) loadStale(ctx context.Context) {
+	page, err := r.config.ListStale(ctx, "", "", pageSize)
+	if err != nil || page.More {
+		return
+	}
+	r.recordSuccess()
+	r.config.Replica.ApplyStaleListing(page.Entries, page.Cursor)
+	r.staleUntil = time.Now().Add(staleGrace)
+}
+
 // stale reports whether the replica has not been confirmed for too long. The limit
 // is randomized, so that hosts that depended on the same failed reader do not all
 // call the store at the same moment.
 func (r *Reader) stale() bool {
+	if time.Now().Before(r.staleUntil) {
+		return false
+	}
 	return r.config.Replica.Age() > r.config.MaxAge-rand.N(r.config.MaxAge/4)
 }
 
--- a/internal/relay/discovery/reader_test.go
+++ b/internal/relay/discovery/reader_test.go
@@ -107,6 +107,7 @@
 		IsReader:  f.isReader.Load,
 		LiveHosts: func() int { return 2 },
 		HandOver:  func(context.Context) { f.handovers.Add(1) },
+		ListStale: func(context.Context, kv.Key, kv.Key, int) (kv.Page, error) { return kv.Page{}, kv.ErrUnavailable },
 	}
 	change(&config)
 	reader := discovery.NewReader(config)
@@ -341,3 +342,49 @@
 	eventually(c, "last entry", func() bool { return f.sink.has("servers/599", 600) })
 	c.Check(f.store.pages.Load(), qt.Equals, int64(3))
 }
+
+// Guards against hosts that all read the store when they start together, or that wait for
+// each other although a stale listing would do, and against a host that goes on with a
+// stale listing that nobody confirms.
+func TestStaleListing(t *testing.T) {
+	tests := map[string]struct {
+		more      bool // the listing has further pages
+		confirmed bool // other hosts confirm the replica
+		maxTime   time.Duration
+		calls     bool // the host calls the store in three seconds
+	}{
+		"confirmed":          {confirmed: true, maxTime: 200 * time.Millisecond},
+		"not confirmed":      {maxTime: 200 * time.Millisecond, calls: true},
+		"several pages":      {more: true, confirmed: true, maxTime: 2 * time.Second, calls: true},
+		"several pages, not": {more: true, maxTime: 2 * time.Second, calls: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			startTime := time.Now()
+			f := startReaderWith(t, false, func(config *discovery.ReaderConfig) {
+				_, err := config.Store.Put(context.Background(), kv.Put{
+					Key: "op/config",
+				})
+				c.Assert(err, qt.IsNil)
+				backing := config.Store.(*faultyStore).Store
+				config.ListStale = func(ctx context.Context, prefix, after kv.Key, limit int) (kv.Page, error) {
+					page, err := backing.List(ctx, prefix, after, limit)
+					page.More = test.more
+					return page, err
+				}
+			})
+			eventually(c, "entry", func() bool { return f.sink.has("op/config", 1) })
+			c.Check(time.Since(startTime) < test.maxTime, qt.IsTrue, qt.Commentf("%s", time.Since(startTime)))
+			c.Check(f.replica.Age() > time.Minute || test.more, qt.IsTrue, qt.Commentf("a stale listing confirms nothing"))
+			for time.Since(startTime) < 3*time.Second {
+				if test.confirmed {
+					f.replica.Confirm(f.replica.Cursor(), 0)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			c.Check(f.store.pages.Load() > 0, qt.Equals, test.calls, qt.Commentf("%d pages", f.store.pages.Load()))
+		})
+	}
+}
--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -181,6 +181,18 @@
 	r.advance(cursor, 0)
 }
 
+// ApplyStaleListing applies a complete listing that may be out of date, to a replica that
+// is still empty. It does not confirm the replica.
+func (r *Replica) ApplyStaleListing(entries []kv.Entry, cursor kv.Cursor) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.Cursor() != 0 {
+		return
+	}
+	r.applyListing(entries, cursor)
+	r.state.advanceTo(cursor)
+}
+
 // ApplyWatch applies the response of a watch that started after the given cursor, if
 // that still is the replica's. It does not confirm the replica, since a watch may omit
 // changes.
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -74,7 +74,7 @@
 	meter          *meter.Meter
 	poison         *poison.Table
 	health         *discovery.Health
-	store          kv.Store
+	store          *httpkv.Store
 	routes         *routes.Holder
 	fleet          *fleet.Directory
 	pauses         *fleet.Pauses
@@ -339,6 +339,7 @@
 		HandOver:   h.handOverReaderDuty,
 		LiveHosts:  h.liveHosts,
 		ListsFirst: len(h.seeds()) < max(1, len(h.settings.Seeds)),
+		ListStale:  h.store.ListStale,
 	})
 	h.addComponent(componentCtx, &group, "reader", reader.Run)
 	h.addComponent(componentCtx, &group, "sync", h.syncReplica)
--- a/kv/httpkv/httpkv.go
+++ b/kv/httpkv/httpkv.go
@@ -72,7 +72,17 @@
 // List implements kv.Store. A service that chooses the size of its pages may
 // send more entries than limit; the surplus is cut off.
 func (s *Store) List(ctx context.Context, prefix, after kv.Key, limit int) (kv.Page, error) {
-	page, err := read(ctx, s, s.protocol.List(prefix, after, limit), s.timeout, s.protocol.Page)
+	return s.list(ctx, s.protocol.List(prefix, after, limit), prefix, limit)
+}
+
+// ListStale is a List whose result may be out of date by the time that the service takes
+// to replicate a write. It costs the service less.
+func (s *Store) ListStale(ctx context.Context, prefix, after kv.Key, limit int) (kv.Page, error) {
+	return s.list(ctx, s.protocol.ListStale(prefix, after, limit), prefix, limit)
+}
+
+func (s *Store) list(ctx context.Context, c Call, prefix kv.Key, limit int) (kv.Page, error) {
+	page, err := read(ctx, s, c, s.timeout, s.protocol.Page)
 	if limit > 0 && len(page.Entries) > limit {
 		page.Entries = page.Entries[:limit]
 		page.More = true
--- a/kv/httpkv/protocol.go
+++ b/kv/httpkv/protocol.go
@@ -25,6 +25,8 @@
 type Protocol interface {
 	Get(key kv.Key) Call
 	List(prefix, after kv.Key, limit int) Call
+	// ListStale is a List whose result may be out of date. It costs the service less.
+	ListStale(prefix, after kv.Key, limit int) Call
 	Put(put kv.Put) Call
 	Delete(key kv.Key, expect kv.Version) Call
 	Watch(prefix kv.Key, after kv.Cursor, wait time.Duration) Call
@@ -70,6 +72,10 @@
 	}
 }
 
+func (p kvjsonProtocol) ListStale(prefix, after kv.Key, limit int) Call {
+	return p.List(prefix, after, limit)
+}
+
 func (kvjsonProtocol) Put(put kv.Put) Call {
 	return Call{
 		Method: http.MethodPut,
