Log the parts of prompts and how far a lost response had come

Callers saw one upstream after the other end under their requests. The logs named the requests that were in flight, but not what they have in common, nor whether the upstream had begun to write, so they could not tell the cause from the bystanders.

Lines on attempts and on ended requests now have both.

--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -94,7 +94,8 @@
 	sharedPrefix placement.SharedPrefix // shared prefix of the prompt; zero until affinity has been called
 	proposal     *proposal              // proposed upstream; nil if there is none or its outcome has been reported
 	tried        []ident.UpstreamID
-	ran          int // upstreams that may have run the request
+	ran          int            // upstreams that may have run the request
+	progress     streamProgress // zero if the response is not a stream
 	record       record
 	log          zerolog.Logger
 }
--- a/internal/relay/forward/record.go
+++ b/internal/relay/forward/record.go
@@ -107,6 +107,7 @@
 	if e.route == nil {
 		line = line.Str("name", e.request.Host).Str("path", e.request.URL.Path)
 	}
+	line = e.logParts(line)
 	if len(e.tried) > 0 {
 		line = line.Strs("upstreams", idStrings(e.tried)).Int("ran", e.ran)
 	}
--- a/internal/relay/forward/send.go
+++ b/internal/relay/forward/send.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
@@ -184,7 +185,7 @@
 	if errors.Is(err, upstreamhttp.ErrOversized) {
 		e.config.Meter.Oversized(e.service.Name)
 	}
-	e.log.Info().Err(err).Str("upstream", string(placed.ID)).Str("address", string(placed.Address)).Dur("age", e.age()).Dur("waited", latency).Msg("forward: no response from upstream")
+	e.logAttempt(e.log.Info(), placed).Err(err).Str("address", string(placed.Address)).Dur("age", e.age()).Dur("waited", latency).Msg("forward: no response from upstream")
 	e.recordCall(placed, ending, latency, 0)
 }
 
@@ -200,7 +201,31 @@
 	fingerprint := e.fingerprint()
 	strikes := e.config.Poison.Strike(fingerprint)
 	e.config.OnStrike(fingerprint, strikes)
-	e.log.Warn().Str("upstream", string(placed.ID)).Int("strikes", strikes).Msg("forward: upstream crashed with the request in flight")
+	e.logAttempt(e.log.Warn(), placed).Int("strikes", strikes).Msg("forward: upstream crashed with the request in flight")
+}
+
+// logAttempt adds to a log line the upstream of an attempt, the parts of the prompt, and
+// how far the response had come.
+func (e *exchange) logAttempt(line *zerolog.Event, placed *placement.Placed) *zerolog.Event {
+	line = line.Str("upstream", string(placed.ID)).Uint64("incarnation", uint64(placed.Started))
+	line = e.logParts(line)
+	if e.progress.upstreamEvents > 0 {
+		line = line.Int("events", e.progress.upstreamEvents).Dur("writing", e.config.Now().Sub(e.progress.firstAt))
+	}
+	return line
+}
+
+// logParts adds to a log line the parts of the prompt that other requests may share.
+func (e *exchange) logParts(line *zerolog.Event) *zerolog.Event {
+	shared := e.head.Prompt.Shared()
+	if len(shared) == 0 {
+		return line
+	}
+	ids := make([]string, 0, len(shared))
+	for _, part := range shared {
+		ids = append(ids, string(part.ID))
+	}
+	return line.Strs("parts", ids)
 }
 
 // copyHeader copies the header of an upstream's response, except for the hop-by-hop
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -76,16 +76,14 @@
 
 // stream forwards a request whose response is a stream of events.
 func (e *exchange) stream() {
-	progress := &streamProgress{
-		lastEvent: e.head.LastEvent,
-	}
+	e.progress.lastEvent = e.head.LastEvent
 	results := &stageResults{}
 	defer results.release()
 	defer e.reportProposal(placement.Abandoned, 0)
 	for {
 		if !results.ready {
 			if err := e.prepare(results); err != nil {
-				e.handleStagesFailed(err, progress)
+				e.handleStagesFailed(err)
 				return
 			}
 		}
@@ -93,7 +91,7 @@
 		if !ok {
 			break
 		}
-		switch e.streamFrom(placed, results, progress) {
+		switch e.streamFrom(placed, results) {
 		case streamComplete:
 			return
 		case streamNotRun:
@@ -103,12 +101,12 @@
 			// The results are still held unless an event has been received.
 			e.ran++
 			if !e.mayRunAgain() {
-				e.concludeStream(progress)
+				e.concludeStream()
 				return
 			}
 		}
 	}
-	e.concludeStream(progress)
+	e.concludeStream()
 }
 
 // mayRunAgain reports whether the request may run once more. If not, its stages need
@@ -225,11 +223,11 @@
 }
 
 // handleStagesFailed ends a request whose stages have failed.
-func (e *exchange) handleStagesFailed(err error, progress *streamProgress) {
+func (e *exchange) handleStagesFailed(err error) {
 	switch {
-	case progress.started || e.ran > 0 || e.request.Context().Err() != nil:
+	case e.progress.started || e.ran > 0 || e.request.Context().Err() != nil:
 		e.record.reason = err.Error()
-		e.concludeStream(progress)
+		e.concludeStream()
 	case errors.Is(err, context.DeadlineExceeded):
 		e.refuse("stages were not finished in time", defaultRetryAfter)
 	default:
@@ -250,12 +248,13 @@
 }
 
 // streamFrom sends the request to one upstream and forwards its events to the caller.
-func (e *exchange) streamFrom(placed *placement.Placed, results *stageResults, progress *streamProgress) streamOutcome {
+func (e *exchange) streamFrom(placed *placement.Placed, results *stageResults) streamOutcome {
 	started := e.config.Now()
+	e.progress.upstreamEvents = 0
 	e.record.cacheSource = placed.Cache.ID
 	response, err := e.send(e.ctx, placed, wire.Dispatch{
 		Inputs:    results.Inputs,
-		LastEvent: progress.lastEvent,
+		LastEvent: e.progress.lastEvent,
 		Cache:     placed.Cache.Address,
 	})
 	if err != nil {
@@ -268,19 +267,19 @@
 	defer response.Close()
 	latency := e.config.Now().Sub(started)
 	if !succeeded(response) {
-		return e.handleUnsuccessful(placed, response, progress)
+		return e.handleUnsuccessful(placed, response)
 	}
-	if err := e.relayEvents(placed, response, progress, results); err != nil {
+	if err := e.relayEvents(placed, response, results); err != nil {
 		e.recordFailure(placed, err, latency)
 		return streamBroken
 	}
 	e.record.result = meter.Served
-	e.recordCall(placed, placement.Served, latency, progress.pace())
+	e.recordCall(placed, placement.Served, latency, e.progress.pace())
 	return streamComplete
 }
 
 // handleUnsuccessful handles a response that is not a sealed success.
-func (e *exchange) handleUnsuccessful(placed *placement.Placed, response *upstreamhttp.Response, progress *streamProgress) streamOutcome {
+func (e *exchange) handleUnsuccessful(placed *placement.Placed, response *upstreamhttp.Response) streamOutcome {
 	body, err := response.ReadAll(maxResponseBytes)
 	e.log.Info().Err(err).Str("upstream", string(placed.ID)).Int("status", response.Status).Bool("sealed", response.Reply.Sealed).Bool("ran", !response.Reply.NotRun).Dur("age", e.age()).Msg("forward: upstream refused")
 	switch {
@@ -292,7 +291,7 @@
 		return streamNotRun
 	}
 	e.recordCall(placed, placement.Failed, 0, 0)
-	if err != nil || !response.Reply.Sealed || progress.started || notRunStatuses[response.Status] || response.Status/100 == 2 || e.route.Idempotent() {
+	if err != nil || !response.Reply.Sealed || e.progress.started || notRunStatuses[response.Status] || response.Status/100 == 2 || e.route.Idempotent() {
 		return streamBroken
 	}
 	e.ran++
@@ -305,33 +304,32 @@
 
 // relayEvents forwards events to the caller until the stream is complete. It releases
 // the results of the stages at the first event, since the upstream has read them by then.
-func (e *exchange) relayEvents(placed *placement.Placed, response *upstreamhttp.Response, progress *streamProgress, results *stageResults) error {
+func (e *exchange) relayEvents(placed *placement.Placed, response *upstreamhttp.Response, results *stageResults) error {
 	events := upstreamhttp.NewEvents(response)
-	progress.upstreamEvents = 0
 	flusher := http.NewResponseController(e.writer)
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			e.startResponse(response, progress)
+			e.startResponse(response)
 			return nil
 		}
 		if err != nil {
 			return err
 		}
-		e.startResponse(response, progress)
+		e.startResponse(response)
 		e.config.Chooser.MarkPromptRead(placed)
 		results.release()
 		if event.ID != 0 {
-			if event.ID <= progress.lastEvent {
+			if event.ID <= e.progress.lastEvent {
 				continue // the caller already has this event
 			}
-			if event.ID != progress.lastEvent+1 {
-				return errors.Annotatef(upstreamhttp.ErrLost, "event %d follows %d", event.ID, progress.lastEvent)
+			if event.ID != e.progress.lastEvent+1 {
+				return errors.Annotatef(upstreamhttp.ErrLost, "event %d follows %d", event.ID, e.progress.lastEvent)
 			}
-			progress.lastEvent = event.ID
+			e.progress.lastEvent = event.ID
 			e.record.lastEvent = event.ID
 		}
-		e.record.maxPause = max(e.record.maxPause, progress.addEvent(e.config.Now()))
+		e.record.maxPause = max(e.record.maxPause, e.progress.addEvent(e.config.Now()))
 		if _, err := e.writer.Write(event.Text); err != nil {
 			return err
 		}
@@ -346,11 +344,11 @@
 
 // startResponse sends the status and header of the first response whose events are
 // forwarded; later calls do nothing.
-func (e *exchange) startResponse(response *upstreamhttp.Response, progress *streamProgress) {
-	if progress.started {
+func (e *exchange) startResponse(response *upstreamhttp.Response) {
+	if e.progress.started {
 		return
 	}
-	progress.started = true
+	e.progress.started = true
 	e.record.status = response.Status
 	e.record.firstEvent = e.age()
 	e.config.Meter.FirstEvent(e.route.Name, e.record.firstEvent)
@@ -361,8 +359,8 @@
 
 // concludeStream ends an incomplete stream. It aborts the caller's connection if part of
 // the stream has been sent.
-func (e *exchange) concludeStream(progress *streamProgress) {
-	if !progress.started {
+func (e *exchange) concludeStream() {
+	if !e.progress.started {
 		e.conclude(nil)
 		return
 	}
--- a/internal/relay/wire/wire.go
+++ b/internal/relay/wire/wire.go
@@ -28,6 +28,11 @@
 	OutputEstimate int    // the caller's estimate of the output tokens; 0 if not stated
 }
 
+// Shared returns the parts that other requests may share: all but the last one.
+func (p Prompt) Shared() []Part {
+	return p.Parts[:max(0, len(p.Parts)-1)]
+}
+
 // EventID numbers the events of a stream from 1.
 type EventID int
 
