--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -302,6 +302,8 @@
 		return true
 	case peer.HostSuspected, peer.HostAlive, peer.HostLeaving:
 		// The gossip has applied these to the peer table.
+	case peer.CrashReported:
+		// Only relays use these.
 	}
 	return false
 }
--- a/internal/relay/discovery/publisher.go
+++ b/internal/relay/discovery/publisher.go
@@ -33,7 +33,7 @@
 	// IsPublisher reports whether this host maintains the entry for all hosts.
 	IsPublisher func() bool
 	// Value returns the value that the entry should have in place of the present one,
-	// which is nil if there is none.
+	// which is nil if there is none. If it returns nil, a present entry is left to expire.
 	Value func(present []byte) ([]byte, error)
 }
 
@@ -85,20 +85,24 @@
 // maintain renews the lease and writes the entry if that is due. It reports whether it
 // has called the store.
 func (p *Publisher) maintain(ctx context.Context) (called bool, err error) {
+	present := p.config.Replica.Entry(p.config.Key)
+	value, err := p.config.Value(present.Value)
+	if err != nil {
+		return false, err
+	}
+	if value == nil {
+		p.lease, p.written = 0, 0
+		return false, nil
+	}
 	if p.lease != 0 && !time.Now().Before(p.renewAt) {
 		called = true
 		if err := p.renew(ctx); err != nil {
 			return called, err
 		}
 	}
-	present := p.config.Replica.Entry(p.config.Key)
 	if present.Version != 0 && present.Version < p.written {
 		return called, nil // the replica has not received the latest write yet
 	}
-	value, err := p.config.Value(present.Value)
-	if err != nil {
-		return called, err
-	}
 	changed := !bytes.Equal(value, present.Value)
 	if p.written != 0 && (!changed || time.Since(p.wroteAt) < p.config.MinInterval) {
 		return called, nil
--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -31,6 +31,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 	"github.com/nutmegshift/nutmegshift/kv"
+	"github.com/nutmegshift/nutmegshift/peer"
 )
 
 // codec implements a minimal protocol for these tests.
@@ -275,7 +276,7 @@
 	stager    *stager
 	server    *httptest.Server
 	holder    *routes.Holder
-	strikes   atomic.Int64
+	suspects  atomic.Int64 // in reports of crashes
 }
 
 // start starts a fixture with four upstreams, so that requests can be retried.
@@ -331,9 +332,14 @@
 		Client:     client,
 		Chooser:    placement.New(time.Now, rand.Float64),
 		Popularity: placement.NewPopularity(),
-		Poison:     poison.NewTable(time.Now),
-		OnStrike:   func(poison.Fingerprint, int) { f.strikes.Add(1) },
-		Meter:      meter.New(),
+		Poison: poison.NewTable(poison.Config{
+			Host:      "here",
+			Now:       time.Now,
+			OnReport:  func(report peer.CrashReported) { f.suspects.Add(int64(len(report.Suspects))) },
+			OnSound:   func(poison.Fingerprint) {},
+			OnVerdict: func([]poison.Pattern) {},
+		}),
+		Meter: meter.New(),
 		Budget: budget.New(budget.Config{
 			Share:     0.2,
 			Allowance: 100,
--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -33,6 +33,12 @@
 	fullRetryAfter = 500 * time.Millisecond
 )
 
+// reasonBlocked is the reason of refusals of requests that crash upstreams.
+const reasonBlocked = "requests like this one have crashed several upstreams"
+
+// errBlocked is the cause of the end of a request that has been blocked after it arrived.
+const errBlocked = errors.ConstError(reasonBlocked)
+
 // Stager runs the stages of requests and proposes the upstreams that run the requests
 // afterwards.
 type Stager interface {
@@ -53,7 +59,6 @@
 	Popularity *placement.Popularity
 	Budget     *budget.Budget
 	Poison     *poison.Table
-	OnStrike   func(fingerprint poison.Fingerprint, strikes int) // called for every strike, to notify other hosts
 	Stager     Stager
 	Meter      *meter.Meter
 	Domain     ident.FailureDomain
@@ -93,6 +98,8 @@
 	deadline     time.Time              // the earlier one of the caller's and the route's
 	sharedPrefix placement.SharedPrefix // shared prefix of the prompt; zero until affinity has been called
 	proposal     *proposal              // proposed upstream; nil if there is none or its outcome has been reported
+	identity     *poison.Request
+	latest       *poison.Attempt // at an upstream; nil before the first
 	tried        []ident.UpstreamID
 	ran          int            // upstreams that may have run the request
 	progress     streamProgress // zero if the response is not a stream
@@ -115,6 +122,9 @@
 	}
 	ctx, cancel := context.WithDeadline(e.ctx, e.deadline)
 	defer cancel()
+	ctx, block := context.WithCancelCause(ctx)
+	defer block(nil)
+	defer h.config.Poison.Watch(e.identity, func() { block(errBlocked) })()
 	e.ctx = ctx
 	if after := e.allPaused(); after > 0 {
 		e.refuse(reasonPaused, after)
@@ -215,18 +225,21 @@
 	return true
 }
 
-// checkPoison refuses a request that has crashed too many upstreams, and reports
-// whether the request may run.
+// checkPoison refuses a request that crashes upstreams, and reports whether the request
+// may run.
 func (e *exchange) checkPoison() bool {
-	if e.config.Poison.Empty() || !e.config.Poison.Blocked(e.fingerprint()) {
-		return true
+	e.identity = poison.NewRequest(e.organisationID(), e.target, e.body, e.head.Prompt.Shared())
+	left := e.config.Poison.Blocked(e.identity)
+	if left > 0 {
+		e.refuse(reasonBlocked, left)
 	}
-	e.refuse("request has crashed several upstreams", defaultRetryAfter)
-	return false
+	return left == 0
 }
 
-func (e *exchange) fingerprint() poison.Fingerprint {
-	return poison.NewFingerprint(e.organisationID(), e.target, e.body)
+// blocked reports whether the request has been found to crash upstreams since it
+// arrived.
+func (e *exchange) blocked() bool {
+	return errors.Is(context.Cause(e.ctx), errBlocked)
 }
 
 func (e *exchange) organisationID() ident.OrganisationID {
--- a/internal/relay/forward/handler_test.go
+++ b/internal/relay/forward/handler_test.go
@@ -255,7 +255,7 @@
 	c.Assert(f.post(c, "/safe/x", nil).status, qt.Equals, 200)
 	f.upstreams.close()
 	c.Check(f.post(c, "/safe/x", nil).status, qt.Equals, 502)
-	c.Check(f.strikes.Load() > 0, qt.IsTrue)
+	c.Check(f.suspects.Load() > 0, qt.IsTrue)
 }
 
 // Guards against invalid requests that are forwarded or rejected with the wrong status.
--- a/internal/relay/forward/plain.go
+++ b/internal/relay/forward/plain.go
@@ -55,6 +55,10 @@
 	switch {
 	case e.request.Context().Err() != nil:
 		e.recordAbandoned()
+	case e.blocked() && e.ran == 0:
+		e.refuse(reasonBlocked, max(defaultRetryAfter, e.config.Poison.Blocked(e.identity)))
+	case e.blocked():
+		e.fail(http.StatusBadGateway, reasonBlocked)
 	case last != nil && last.response.Reply.Sealed && !notRunStatuses[last.response.Status] && last.response.Status/100 != 2:
 		e.deliver(last)
 	case e.ran > 0 && e.ctx.Err() != nil:
@@ -80,6 +84,9 @@
 		return nil, err
 	}
 	defer response.Close()
+	if !response.Reply.NotRun {
+		e.latest.Responding()
+	}
 	latency := e.config.Now().Sub(started)
 	body, err := response.ReadAll(maxResponseBytes)
 	if err != nil && !response.Reply.NotRun {
--- a/internal/relay/forward/send.go
+++ b/internal/relay/forward/send.go
@@ -10,8 +10,10 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
+	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
@@ -79,7 +81,7 @@
 	if len(e.tried) >= maxUpstreams || e.ctx.Err() != nil {
 		return nil, false
 	}
-	if e.ran > 0 && (!e.route.Idempotent() || e.ran >= e.route.Attempts) {
+	if e.ran > 0 && !e.mayRunAgain() {
 		return nil, false
 	}
 	placed, ok := e.choose(query)
@@ -112,6 +114,7 @@
 // request is sent again on a new connection. If a reused connection led to another
 // upstream, any request is, since it did not run.
 func (e *exchange) send(ctx context.Context, placed *placement.Placed, dispatch wire.Dispatch) (*upstreamhttp.Response, error) {
+	e.latest = e.config.Poison.Begin(processOf(placed.Upstream), e.identity)
 	response, err := e.call(ctx, placed, dispatch, false)
 	switch {
 	case err == nil && response.Misdirected && response.Reply.NotRun && e.allowRetry():
@@ -154,7 +157,8 @@
 	})
 }
 
-// recordCall records the outcome of a call in the chooser, the proposal and the metrics.
+// recordCall records the outcome of a call in the chooser, the table of crashes, the
+// proposal and the metrics.
 // The pace is the time that the upstream took for the part of the work that is the same
 // in all requests to its service; 0 if unknown.
 func (e *exchange) recordCall(placed *placement.Placed, ending placement.Ending, latency, pace time.Duration) {
@@ -165,6 +169,12 @@
 		placement.Abandoned: meter.Abandoned,
 	}
 	e.config.Chooser.Done(placed, ending, pace)
+	switch ending {
+	case placement.Full:
+		e.latest.Refused()
+	case placement.Served, placement.Failed, placement.Abandoned:
+		e.latest.End(ending == placement.Served)
+	}
 	if e.proposal != nil && e.proposal.placed == placed {
 		e.reportProposal(ending, pace)
 	}
@@ -181,6 +191,8 @@
 		ending = placement.Abandoned
 	case errors.Is(err, upstreamhttp.ErrLost):
 		e.checkCrash(placed)
+	case errors.Is(err, upstreamhttp.ErrNotSent):
+		e.latest.Refused()
 	}
 	if errors.Is(err, upstreamhttp.ErrOversized) {
 		e.config.Meter.Oversized(e.service.Name)
@@ -189,19 +201,30 @@
 	e.recordCall(placed, ending, latency, 0)
 }
 
-// checkCrash counts a strike against the request if the upstream refuses connections,
-// which means that it crashed while the request was in flight. A lost connection alone
-// does not show that.
+// checkCrash reports the requests of this host at the upstream if that has crashed: no
+// other host has to have reported it, but this one must have lost its connection, and new
+// ones must be refused. The end of an upstream that drains is no crash.
 func (e *exchange) checkCrash(placed *placement.Placed) {
-	ctx, cancel := context.WithTimeout(e.ctx, crashProbeTimeout)
-	defer cancel()
-	if !e.config.Client.Refuses(ctx, placed.Address) {
+	if !e.config.Fleet.Snapshot().Accepts(placed.Upstream) {
 		return
 	}
-	fingerprint := e.fingerprint()
-	strikes := e.config.Poison.Strike(fingerprint)
-	e.config.OnStrike(fingerprint, strikes)
-	e.logAttempt(e.log.Warn(), placed).Int("strikes", strikes).Msg("forward: upstream crashed with the request in flight")
+	process := processOf(placed.Upstream)
+	if !e.config.Poison.Known(process) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(e.ctx), crashProbeTimeout)
+		defer cancel()
+		if !e.config.Client.Refuses(ctx, placed.Address) {
+			return
+		}
+	}
+	suspects := e.config.Poison.Crashed(process)
+	e.logAttempt(e.log.Warn(), placed).Int("suspects", suspects).Msg("forward: upstream crashed with the request in flight")
+}
+
+func processOf(upstream fleet.Upstream) poison.Process {
+	return poison.Process{
+		Upstream:    upstream.ID,
+		Incarnation: upstream.Started,
+	}
 }
 
 // logAttempt adds to a log line the upstream of an attempt, the parts of the prompt, and
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -112,7 +112,7 @@
 // mayRunAgain reports whether the request may run once more. If not, its stages need
 // not run again either.
 func (e *exchange) mayRunAgain() bool {
-	return e.ctx.Err() == nil && e.route.Idempotent() && e.ran < e.route.Attempts
+	return e.ctx.Err() == nil && e.route.Idempotent() && e.ran < e.route.Attempts && e.config.Poison.MayRetry(e.identity)
 }
 
 // preferredDomain returns the failure domain where the request should run: the one that
@@ -225,7 +225,7 @@
 // handleStagesFailed ends a request whose stages have failed.
 func (e *exchange) handleStagesFailed(err error) {
 	switch {
-	case e.progress.started || e.ran > 0 || e.request.Context().Err() != nil:
+	case e.progress.started || e.ran > 0 || e.blocked() || e.request.Context().Err() != nil:
 		e.record.reason = err.Error()
 		e.concludeStream()
 	case errors.Is(err, context.DeadlineExceeded):
@@ -317,6 +317,7 @@
 			return err
 		}
 		e.startResponse(response)
+		e.latest.Responding()
 		e.config.Chooser.MarkPromptRead(placed)
 		results.release()
 		if event.ID != 0 {
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -54,6 +54,9 @@
 	// minMembersInterval is the shortest time between two writes of the list of hosts.
 	// A host that starts needs only a few others, so the list may lag.
 	minMembersInterval = 10 * time.Second
+	// minCrashesInterval is the shortest time between two writes of the crashes that are
+	// the reason why requests are blocked.
+	minCrashesInterval = 2 * time.Second
 	maxStoreHeader     = 64 << 10 // largest header of a response of the store, in bytes
 	metricsPath        = "/metrics"
 )
@@ -98,7 +101,6 @@
 		platform:    platform,
 		log:         log,
 		meter:       meter.New(),
-		poison:      poison.NewTable(time.Now),
 		health:      discovery.NewHealth(log, time.Now),
 		routes:      &routes.Holder{},
 		fleet:       fleet.New(),
@@ -107,6 +109,13 @@
 		started:     time.Now(),
 		stopping:    make(chan struct{}),
 	}
+	h.poison = poison.NewTable(poison.Config{
+		Host:      s.Host,
+		Now:       time.Now,
+		OnReport:  h.publishCrash,
+		OnSound:   h.publishSound,
+		OnVerdict: h.logVerdict,
+	})
 	h.store = httpkv.New(httpkv.Config{
 		Address:  s.Store,
 		Client:   storeClient(),
@@ -136,6 +145,9 @@
 	h.leaders = leaders
 	h.peers = newPeers(s, h.replica, leaders, h.observe, h.poison, h.observeDraining, grpcrelay.NewServer(h.coordinators.get, h.replica, time.Now), log)
 	sinks[membersKey] = h.peers
+	sinks[crashesKey] = crashSink{
+		Host: h,
+	}
 	h.relayClient = grpcrelay.NewClient(h.peers.client.Connection, time.Now)
 	h.handler = forward.New(forward.Config{
 		Codec:      platform.Codec,
@@ -151,9 +163,8 @@
 			Window:    s.Window,
 			Hosts:     h.liveHosts,
 		}),
-		Poison:   h.poison,
-		OnStrike: h.publishStrikes,
-		Meter:    h.meter,
+		Poison: h.poison,
+		Meter:  h.meter,
 		Stager: cell.New(cell.Config{
 			Self:    s.Host,
 			Domain:  s.Domain,
@@ -185,6 +196,7 @@
 	h.meter.Gauge("relay_upstreams", func() float64 { return float64(len(h.fleet.Snapshot().All())) })
 	h.meter.Gauge("relay_upstreams_draining", func() float64 { return float64(h.fleet.MarkedDraining()) })
 	h.meter.Gauge("relay_upstreams_paused", func() float64 { return float64(h.pauses.Count()) })
+	h.meter.Gauge("relay_requests_blocked", func() float64 { return float64(h.poison.BlockedPatterns()) })
 	h.meter.Gauge("relay_replica_age_seconds", func() float64 { return h.replica.Age().Seconds() })
 	h.meter.Gauge("relay_replica_cursor", func() float64 { return float64(h.replica.Cursor()) })
 	h.meter.Gauge("relay_log_lines_dropped", func() float64 { return float64(out.Dropped()) })
@@ -202,16 +214,6 @@
 	})
 }
 
-// publishStrikes notifies the other hosts of the number of upstreams that a request has
-// crashed.
-func (h *Host) publishStrikes(fingerprint poison.Fingerprint, strikes int) {
-	h.peers.gossip.Publish(peer.FingerprintStruck{
-		Fingerprint: peer.Fingerprint(fingerprint),
-		Strikes:     strikes,
-		Version:     kv.Version(strikes),
-	})
-}
-
 func (h *Host) newCoordinator(id cell.ID) *coordinator.Coordinator {
 	return coordinator.New(coordinator.Config{
 		Codec:    h.platform.Codec,
@@ -355,6 +357,20 @@
 		Value:       h.peers.nextMembers,
 	})
 	h.addComponent(componentCtx, &group, "members", members.Run)
+	crashes := discovery.NewPublisher(discovery.PublisherConfig{
+		Store:       h.store,
+		Health:      h.health,
+		Replica:     h.replica,
+		Log:         h.log,
+		Key:         crashesKey,
+		TTL:         h.settings.Lease,
+		MinInterval: minCrashesInterval,
+		IsPublisher: h.writesMembers,
+		Value: func([]byte) ([]byte, error) {
+			return poison.EncodeReports(h.poison.Evidence())
+		},
+	})
+	h.addComponent(componentCtx, &group, "crashes", crashes.Run)
 	h.addComponent(componentCtx, &group, "coordinators", h.coordinators.run)
 	h.addComponent(componentCtx, &group, "peers", h.peers.serve(peerListener))
 	h.addComponent(componentCtx, &group, "gossip", h.peers.runner.Run)
@@ -403,6 +419,7 @@
 			return nil
 		case now := <-ticker.C:
 			h.fleet.Tick(now)
+			h.poison.Sweep()
 			h.upstreamClient.Sweep()
 		}
 	}
--- a/internal/relay/host/peers.go
+++ b/internal/relay/host/peers.go
@@ -39,7 +39,7 @@
 // its peer port.
 type peers struct {
 	log        zerolog.Logger
-	strikes    *poison.Table
+	crashes    *poison.Table
 	draining   func(rumour peer.UpstreamLeaving) // called for upstreams that drain, as seen by other hosts
 	table      *peer.Table
 	gossip     *peer.Gossip
@@ -57,11 +57,11 @@
 // newPeers returns the peers of a host. Gossip messages carry the cursor and the age of
 // the sender's replica and the leaders that the sender follows; observe is called with
 // each message from another host.
-func newPeers(s *settings.Relay, replica *discovery.Replica, leaders *duty.Leaders, observe func(message peer.Message), strikes *poison.Table, draining func(rumour peer.UpstreamLeaving), relay *grpcrelay.Server, log zerolog.Logger) *peers {
+func newPeers(s *settings.Relay, replica *discovery.Replica, leaders *duty.Leaders, observe func(message peer.Message), crashes *poison.Table, draining func(rumour peer.UpstreamLeaving), relay *grpcrelay.Server, log zerolog.Logger) *peers {
 	clock := timeline.NewClock(time.Now)
 	p := &peers{
 		log:      log,
-		strikes:  strikes,
+		crashes:  crashes,
 		draining: draining,
 		table: peer.NewTable(peer.Row{
 			Host:        s.Host,
@@ -180,7 +180,7 @@
 	p.gossip.Announced(time.Now(), reply)
 }
 
-// handleRumours logs membership changes and merges the strikes that other hosts report,
+// handleRumours logs membership changes and merges the crashes that other hosts report,
 // until ctx ends.
 func (p *peers) handleRumours(ctx context.Context) error {
 	for {
@@ -195,12 +195,15 @@
 				p.log.Info().Str("peer", string(r.Row.Host)).Msg("peers: alive")
 			case peer.HostLeaving:
 				p.log.Info().Str("peer", string(r.Host)).Msg("peers: leaving")
-			case peer.FingerprintStruck:
-				p.strikes.Merge(poison.Fingerprint(r.Fingerprint), r.Strikes)
-				p.log.Info().Hex("fingerprint", r.Fingerprint[:]).Int("strikes", r.Strikes).Msg("poison: another host reports strikes against a request")
+			case peer.CrashReported:
+				p.log.Info().Str("peer", string(r.Host)).Str("upstream", string(r.Upstream)).Uint64("incarnation", uint64(r.Incarnation)).Int("suspects", len(r.Suspects)).Msg("poison: another host reports the crash of an upstream")
+				p.crashes.Merge(r)
+			case peer.FingerprintCleared:
+				p.log.Info().Hex("fingerprint", r.Fingerprint[:]).Msg("poison: another host states that a fingerprint is sound")
+				p.crashes.Clear(r.Fingerprint)
 			case peer.UpstreamLeaving:
 				p.draining(r)
-			case peer.UpstreamCrashed, peer.FingerprintCleared, peer.DocumentRevised, peer.TopOrganisations:
+			case peer.UpstreamCrashed, peer.FingerprintStruck, peer.DocumentRevised, peer.TopOrganisations:
 				// Only entry hosts use these.
 			}
 		}
--- a/internal/relay/host/sinks.go
+++ b/internal/relay/host/sinks.go
@@ -38,6 +38,8 @@
 		return h.platform.Keys.MaxRegistration
 	case key == membersKey:
 		return maxMembersValue
+	case key == crashesKey:
+		return maxCrashesValue
 	}
 	return 0
 }
--- /dev/null
+++ b/internal/relay/poison/attempt.go
@@ -0,0 +1,155 @@
+package poison
+
+import (
+	"slices"
+	"time"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/peer"
+)
+
+const (
+	// settleTime is how long an upstream has to keep running after it has begun to
+	// respond to a request, before the request counts as sound.
+	settleTime = 500 * time.Millisecond
+	// maxAttempts bounds the attempts that are tracked for an upstream.
+	maxAttempts = 256
+	// attemptRetention is how long an attempt that has ended is tracked, in case the
+	// upstream crashes or is seen running.
+	attemptRetention = 10 * time.Second
+)
+
+// Process is one incarnation of an upstream.
+type Process struct {
+	Upstream    ident.UpstreamID
+	Incarnation ident.Incarnation
+}
+
+// Attempt is a request that has been sent to an upstream.
+type Attempt struct {
+	table       *Table
+	process     Process
+	request     *Request
+	respondedAt time.Time // when the response began; zero before
+	endedAt     time.Time // zero before the end
+	settled     bool      // written and read by the caller of Responding only
+}
+
+// Begin records that a request is about to be sent to an upstream.
+func (t *Table) Begin(process Process, request *Request) *Attempt {
+	a := &Attempt{
+		table:   t,
+		process: process,
+		request: request,
+	}
+	now := t.config.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweepAttempts(now)
+	list := t.attempts[process]
+	if len(list) >= maxAttempts {
+		list = slices.Delete(list, 0, 1)
+	}
+	t.attempts[process] = append(list, a)
+	return a
+}
+
+// Responding records that the header or an event of the response has arrived.
+func (a *Attempt) Responding() {
+	if a.settled {
+		return
+	}
+	now := a.table.config.Now()
+	a.table.mu.Lock()
+	if a.respondedAt.IsZero() {
+		a.respondedAt = now
+	}
+	a.settled = now.Sub(a.respondedAt) >= settleTime
+	sound := a.table.seenRunning(now, a.process)
+	a.table.mu.Unlock()
+	a.table.publishSound(sound)
+}
+
+// Refused records that the upstream did not run the request.
+func (a *Attempt) Refused() {
+	a.table.mu.Lock()
+	defer a.table.mu.Unlock()
+	a.table.dropAttempts(a.process, func(other *Attempt) bool { return other == a })
+}
+
+// End records the end of the attempt. Complete tells whether the upstream has sent the
+// whole response.
+func (a *Attempt) End(complete bool) {
+	now := a.table.config.Now()
+	var sound []Fingerprint
+	a.table.mu.Lock()
+	a.endedAt = now
+	if complete {
+		sound = a.table.seenRunning(now, a.process)
+	}
+	a.table.mu.Unlock()
+	a.table.publishSound(sound)
+}
+
+// seenRunning records that a process runs. It returns the fingerprints that other hosts
+// should know as sound. The caller holds the mutex.
+func (t *Table) seenRunning(now time.Time, process Process) []Fingerprint {
+	var publish []Fingerprint
+	t.dropAttempts(process, func(a *Attempt) bool {
+		if a.respondedAt.IsZero() || now.Sub(a.respondedAt) < settleTime {
+			return false
+		}
+		publish = append(publish, t.markSound(now, a.request)...)
+		return true
+	})
+	return publish
+}
+
+// dropAttempts drops the attempts at a process for which drop returns true. The caller
+// holds the mutex.
+func (t *Table) dropAttempts(process Process, drop func(a *Attempt) bool) {
+	list, ok := t.attempts[process]
+	if !ok {
+		return
+	}
+	list = slices.DeleteFunc(list, drop)
+	if len(list) == 0 {
+		delete(t.attempts, process)
+		return
+	}
+	t.attempts[process] = list
+}
+
+// sweepAttempts drops, at intervals, the attempts that ended so long ago that they cannot
+// be the cause of a crash. The caller holds the mutex.
+func (t *Table) sweepAttempts(now time.Time) {
+	if now.Sub(t.sweptAt) < attemptRetention {
+		return
+	}
+	t.sweptAt = now
+	for process := range t.attempts {
+		t.dropAttempts(process, func(a *Attempt) bool {
+			return !a.endedAt.IsZero() && now.Sub(a.endedAt) >= attemptRetention
+		})
+	}
+}
+
+// suspects returns the attempts at a process that has crashed, without the fingerprints
+// that are sound. The caller holds the mutex.
+func (t *Table) suspects(now time.Time, process Process) []peer.CrashSuspect {
+	var suspects []peer.CrashSuspect
+	for _, a := range t.attempts[process] {
+		if !a.endedAt.IsZero() && now.Sub(a.endedAt) >= settleTime {
+			continue // if it were the cause, the process would have ended before
+		}
+		suspect := peer.CrashSuspect{a.request.contentFingerprint()}
+		for _, part := range a.request.parts {
+			if !t.sound.knownSince(part, now.Add(-soundPeriod)) {
+				suspect = append(suspect, part)
+			}
+		}
+		suspects = append(suspects, suspect[:min(len(suspect), peer.MaxFingerprints)])
+	}
+	delete(t.attempts, process)
+	return suspects[:min(len(suspects), peer.MaxSuspects)]
+}
--- /dev/null
+++ b/internal/relay/poison/report.go
@@ -0,0 +1,48 @@
+package poison
+
+import (
+	"time"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/peer"
+)
+
+const (
+	// reportRetention is how long a report counts, and so how long a request is blocked
+	// after the last crash that it has caused.
+	reportRetention = 15 * time.Minute
+	// maxCrashes bounds the crashes that a Table keeps; the oldest is dropped.
+	maxCrashes = 256
+)
+
+// crash is what all hosts have reported about the end of one process.
+type crash struct {
+	expires  time.Time
+	noticed  time.Time // when this host first learned of it
+	hosts    map[ident.HostID]bool
+	suspects []peer.CrashSuspect
+	all      map[Fingerprint]bool // fingerprints of the suspects; false if the crash does not count against one
+}
+
+// countsAgainst reports whether the crash counts against a fingerprint.
+func (c *crash) countsAgainst(f Fingerprint) bool { return c.all[f] }
+
+// clear makes the crash no longer count against a fingerprint.
+func (c *crash) clear(f Fingerprint) {
+	if _, ok := c.all[f]; ok {
+		c.all[f] = false
+	}
+}
+
+// add adds the report of another host. Fingerprints that are sound do not count.
+func (c *crash) add(report peer.CrashReported, sound func(f Fingerprint) bool) {
+	c.hosts[report.Host] = true
+	for _, suspect := range report.Suspects {
+		c.suspects = append(c.suspects, suspect)
+		for _, f := range suspect {
+			if _, ok := c.all[f]; !ok {
+				c.all[f] = !sound(f)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/poison/request.go
@@ -0,0 +1,83 @@
+package poison
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
+	"github.com/nutmegshift/nutmegshift/peer"
+)
+
+// Fingerprint identifies a property that requests may have in common.
+type Fingerprint = peer.Fingerprint
+
+// ContentFingerprint returns the fingerprint of requests with the same organisation,
+// target and body, whatever their ids.
+func ContentFingerprint(organisation ident.OrganisationID, target string, body []byte) Fingerprint {
+	return fingerprint([]byte("content"), []byte(organisation), []byte(target), body)
+}
+
+// PartFingerprint returns the fingerprint of requests whose prompts have a part.
+func PartFingerprint(part wire.PartID) Fingerprint {
+	return fingerprint([]byte("part"), []byte(part))
+}
+
+func fingerprint(fields ...[]byte) Fingerprint {
+	hash := sha256.New()
+	for _, field := range fields {
+		// The length keeps ("a", "bc") and ("ab", "c") apart.
+		hash.Write(binary.BigEndian.AppendUint64(nil, uint64(len(field))))
+		hash.Write(field)
+	}
+	var f Fingerprint
+	copy(f[:], hash.Sum(nil))
+	return f
+}
+
+// Request holds the fingerprints of a request. It must be used with one Table only.
+type Request struct {
+	parts      []Fingerprint
+	newContent func() Fingerprint
+	content    Fingerprint // zero until it is needed, since hashing a body takes time
+}
+
+// NewRequest returns the fingerprints of a request. The parts are those of its prompt
+// that other requests may share.
+func NewRequest(organisation ident.OrganisationID, target string, body []byte, parts []wire.Part) *Request {
+	r := &Request{
+		newContent: func() Fingerprint { return ContentFingerprint(organisation, target, body) },
+	}
+	for _, part := range parts {
+		r.parts = append(r.parts, PartFingerprint(part.ID))
+	}
+	return r
+}
+
+// contentFingerprint returns the fingerprint of the content.
+func (r *Request) contentFingerprint() Fingerprint {
+	if r.content == (Fingerprint{}) {
+		r.content = r.newContent()
+	}
+	return r.content
+}
+
+// has reports whether the request has a fingerprint.
+func (r *Request) has(f Fingerprint) bool {
+	for _, part := range r.parts {
+		if part == f {
+			return true
+		}
+	}
+	return r.contentFingerprint() == f
+}
+
+// hasAll reports whether the request has all of the fingerprints.
+func (r *Request) hasAll(fingerprints []Fingerprint) bool {
+	for _, f := range fingerprints {
+		if !r.has(f) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/relay/poison/table.go
+++ b/internal/relay/poison/table.go
@@ -1,127 +1,343 @@
 package poison
 
 import (
-	"crypto/sha256"
-	"encoding/binary"
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/peer"
 )
 
-const (
-	// maxCrashes is the number of crashes after which a request is blocked.
-	maxCrashes = 3
-	// strikeRetention is how long strikes count after the last one. It is longer
-	// than hosts keep each other's reports, so that a new count is not taken for
-	// an old one.
-	strikeRetention = 15 * time.Minute
-	// maxEntries bounds the table; the oldest entries are evicted.
-	maxEntries = 4096
-)
+// clearInterval is the shortest time between two statements that the same fingerprint is
+// sound.
+const clearInterval = 5 * time.Second
 
-// Fingerprint is a hash that is equal for requests with the same organisation,
-// target and body, whatever their ids.
-type Fingerprint [16]byte
+// Config holds the dependencies of a Table. The functions are called without a lock,
+// possibly concurrently.
+type Config struct {
+	Host ident.HostID
+	Now  func() time.Time
+	// OnReport is called with each report of this host.
+	OnReport func(report peer.CrashReported)
+	// OnSound is called with each fingerprint that other hosts may suspect although it is
+	// sound.
+	OnSound func(f Fingerprint)
+	// OnVerdict is called with the blocked patterns when they have changed.
+	OnVerdict func(blocked []Pattern)
+}
 
-// NewFingerprint returns the fingerprint of a request of an organisation.
-func NewFingerprint(organisation ident.OrganisationID, target string, body []byte) Fingerprint {
-	hash := sha256.New()
-	for _, part := range [][]byte{[]byte(organisation), []byte(target), body} {
-		// The length keeps ("a", "bc") and ("ab", "c") apart.
-		hash.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
-		hash.Write(part)
+// Table collects reports of crashes and decides which requests are blocked. It is safe
+// for concurrent use.
+type Table struct {
+	config Config
+
+	mu       sync.Mutex
+	attempts map[Process][]*Attempt
+	sweptAt  time.Time // when attempts were last swept
+	sound    soundTimes
+	crashes  map[Process]*crash
+	cleared  map[Fingerprint]time.Time // when any host last stated that a reported fingerprint is sound
+	verdict  verdict
+	watchers map[*watcher]bool
+}
+
+// watcher waits for a request to be blocked.
+type watcher struct {
+	request *Request
+	blocked func()
+}
+
+// NewTable returns a table without reports.
+func NewTable(config Config) *Table {
+	return &Table{
+		config:   config,
+		attempts: make(map[Process][]*Attempt),
+		crashes:  make(map[Process]*crash),
+		cleared:  make(map[Fingerprint]time.Time),
+		watchers: make(map[*watcher]bool),
 	}
-	var fingerprint Fingerprint
-	copy(fingerprint[:], hash.Sum(nil))
-	return fingerprint
 }
 
-// entry holds the strikes of a fingerprint.
-type entry struct {
-	strikes int
-	last    time.Time
+// Known reports whether any host has reported that a process has crashed.
+func (t *Table) Known(process Process) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, ok := t.crashes[process]
+	return ok
 }
 
-// Table counts strikes per fingerprint; it is safe for concurrent use.
-type Table struct {
-	now func() time.Time
+// Crashed records that a process has crashed, and reports the requests of this host that
+// may have caused it. It returns their number; 0 if they have been reported before.
+func (t *Table) Crashed(process Process) int {
+	now := t.config.Now()
+	t.mu.Lock()
+	report := peer.CrashReported{
+		Host:        t.config.Host,
+		Upstream:    process.Upstream,
+		Incarnation: process.Incarnation,
+		At:          now,
+		Suspects:    t.suspects(now, process),
+	}
+	t.mu.Unlock()
+	if len(report.Suspects) == 0 || !t.merge(report) {
+		return 0
+	}
+	t.config.OnReport(report)
+	return len(report.Suspects)
+}
 
-	mu      sync.Mutex
-	entries map[Fingerprint]entry
+// Merge adds the report of another host, unless it is known. A report without a host, as
+// in Evidence, counts only if no host's report on the process is known.
+func (t *Table) Merge(report peer.CrashReported) {
+	t.merge(report)
 }
 
-// NewTable returns a table without strikes.
-func NewTable(now func() time.Time) *Table {
-	return &Table{
-		now:     now,
-		entries: make(map[Fingerprint]entry),
+// merge adds a report. It returns false if it is known or has expired.
+func (t *Table) merge(report peer.CrashReported) bool {
+	now := t.config.Now()
+	expires := report.At.Add(reportRetention)
+	if latest := now.Add(reportRetention); expires.After(latest) {
+		expires = latest // the clock of the other host is ahead
+	}
+	t.mu.Lock()
+	t.expire(now)
+	process := Process{
+		Upstream:    report.Upstream,
+		Incarnation: report.Incarnation,
+	}
+	known, ok := t.crashes[process]
+	if !expires.After(now) || ok && (report.Host == "" || known.hosts[report.Host]) {
+		t.mu.Unlock()
+		return false
+	}
+	if !ok {
+		known = &crash{
+			expires: expires,
+			noticed: now,
+			hosts:   make(map[ident.HostID]bool),
+			all:     make(map[Fingerprint]bool),
+		}
+		t.dropOldestCrash()
+		t.crashes[process] = known
+	}
+	known.add(report, func(f Fingerprint) bool { return t.sound.knownSince(f, now.Add(-soundPeriod)) })
+	var publish []Fingerprint
+	for f, counts := range known.all {
+		if !counts && t.mustClear(now, f) {
+			publish = append(publish, f)
+		}
+	}
+	notify := t.update()
+	t.mu.Unlock()
+	t.publishSound(publish)
+	notify()
+	return true
+}
+
+// dropOldestCrash makes room for another crash. The caller holds the mutex.
+func (t *Table) dropOldestCrash() {
+	if len(t.crashes) < maxCrashes {
+		return
+	}
+	var oldest Process
+	for process, c := range t.crashes {
+		if first, ok := t.crashes[oldest]; !ok || c.noticed.Before(first.noticed) {
+			oldest = process
+		}
+	}
+	delete(t.crashes, oldest)
+}
+
+// expire drops the crashes that no longer count. The caller holds the mutex, and calls
+// update afterwards.
+func (t *Table) expire(now time.Time) (expired bool) {
+	for process, c := range t.crashes {
+		if !now.Before(c.expires) {
+			delete(t.crashes, process)
+			expired = true
+		}
+	}
+	for f, at := range t.cleared {
+		if now.Sub(at) >= soundPeriod {
+			delete(t.cleared, f)
+		}
 	}
+	return expired
 }
 
-// Strike adds a strike to a fingerprint and returns its number of strikes.
-func (t *Table) Strike(fingerprint Fingerprint) int {
+// Sweep drops the crashes that no longer count. It has to be called at intervals.
+func (t *Table) Sweep() {
+	now := t.config.Now()
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.set(fingerprint, t.strikes(fingerprint)+1)
+	notify := func() {}
+	if t.expire(now) {
+		notify = t.update()
+	}
+	t.mu.Unlock()
+	notify()
+}
+
+// markSound records that a request is sound. It returns the fingerprints that other hosts
+// should know as sound. The caller holds the mutex.
+func (t *Table) markSound(now time.Time, request *Request) []Fingerprint {
+	var publish []Fingerprint
+	for _, part := range request.parts {
+		t.sound.add(now, part)
+		if t.mustClear(now, part) {
+			publish = append(publish, part)
+		}
+	}
+	if len(t.crashes) > 0 && t.mustClear(now, request.contentFingerprint()) {
+		publish = append(publish, request.contentFingerprint())
+	}
+	return publish
+}
+
+// mustClear reports whether other hosts should be told that a fingerprint is sound, since
+// it has been reported with enough crashes to be suspected. The caller holds the mutex.
+func (t *Table) mustClear(now time.Time, f Fingerprint) bool {
+	reported := 0
+	for _, c := range t.crashes {
+		if _, ok := c.all[f]; ok {
+			reported++
+		}
+	}
+	last, ok := t.cleared[f]
+	return reported >= retryCrashes && (!ok || now.Sub(last) >= clearInterval)
 }
 
-// Merge raises the number of strikes to the number that another host has counted.
-func (t *Table) Merge(fingerprint Fingerprint, strikes int) {
+// publishSound makes crashes no longer count against fingerprints, and tells other hosts
+// so.
+func (t *Table) publishSound(fingerprints []Fingerprint) {
+	for _, f := range fingerprints {
+		t.Clear(f)
+		t.config.OnSound(f)
+	}
+}
+
+// Clear records that a fingerprint is sound, as this or another host has seen.
+func (t *Table) Clear(f Fingerprint) {
+	now := t.config.Now()
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	if strikes > t.strikes(fingerprint) {
-		t.set(fingerprint, strikes)
+	t.sound.add(now, f)
+	t.cleared[f] = now
+	for _, c := range t.crashes {
+		c.clear(f)
 	}
+	notify := t.update()
+	t.mu.Unlock()
+	notify()
 }
 
-// Empty reports whether no request has a strike, so that none needs a fingerprint.
-func (t *Table) Empty() bool {
+// Blocked returns how much longer a request is blocked; 0 if it may be sent.
+func (t *Table) Blocked(request *Request) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.entries) == 0
+	if pattern, ok := t.verdict.blocks(request); ok {
+		return max(0, pattern.until.Sub(t.config.Now()))
+	}
+	return 0
 }
 
-// Blocked reports whether a request has crashed too many upstreams.
-func (t *Table) Blocked(fingerprint Fingerprint) bool {
+// BlockedPatterns returns the number of patterns of which requests are blocked.
+func (t *Table) BlockedPatterns() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.strikes(fingerprint) >= maxCrashes
+	return len(t.verdict.blocked)
 }
 
-func (t *Table) strikes(fingerprint Fingerprint) int {
-	known, ok := t.entries[fingerprint]
-	if !ok || t.now().Sub(known.last) > strikeRetention {
-		return 0
+// MayRetry reports whether a request that an upstream has not responded to may be sent to
+// another one.
+func (t *Table) MayRetry(request *Request) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.crashes) == 0 {
+		return true
 	}
-	return known.strikes
+	for f := range t.verdict.repeated {
+		if request.has(f) {
+			return false
+		}
+	}
+	return true
 }
 
-func (t *Table) set(fingerprint Fingerprint, strikes int) int {
-	if len(t.entries) >= maxEntries {
-		t.evict()
+// Watch calls blocked once if the request becomes blocked before stop is called.
+func (t *Table) Watch(request *Request, blocked func()) (stop func()) {
+	w := &watcher{
+		request: request,
+		blocked: blocked,
 	}
-	t.entries[fingerprint] = entry{
-		strikes: strikes,
-		last:    t.now(),
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.watchers[w] = true
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.watchers, w)
 	}
-	return strikes
 }
 
-// evict deletes the expired entries, or the oldest entry if none has expired.
-func (t *Table) evict() {
-	var oldest Fingerprint
-	first := true
-	for fingerprint, e := range t.entries {
-		if t.now().Sub(e.last) > strikeRetention {
-			delete(t.entries, fingerprint)
-			continue
+// update derives the verdict anew. It returns a function that notifies the watchers of
+// requests that are blocked now; the caller holds the mutex, and calls it without.
+func (t *Table) update() (notify func()) {
+	before := t.verdict
+	t.verdict = conclude(t.crashes)
+	var blocked []func()
+	for w := range t.watchers {
+		if _, ok := t.verdict.blocks(w.request); ok {
+			blocked = append(blocked, w.blocked)
+			delete(t.watchers, w)
+		}
+	}
+	patterns := t.verdict.blocked
+	changed := !slices.EqualFunc(before.blocked, patterns, Pattern.equal)
+	return func() {
+		if changed {
+			t.config.OnVerdict(patterns)
 		}
-		if first || e.last.Before(t.entries[oldest].last) {
-			oldest, first = fingerprint, false
+		for _, f := range blocked {
+			f()
 		}
 	}
-	if len(t.entries) >= maxEntries {
-		delete(t.entries, oldest)
+}
+
+// Evidence returns reports, without a host, from which hosts that know no others derive
+// the patterns that are blocked now.
+func (t *Table) Evidence() []peer.CrashReported {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var reports []peer.CrashReported
+	for _, pattern := range t.verdict.blocked {
+		for _, process := range pattern.Crashes[:min(len(pattern.Crashes), blockCrashes)] {
+			c := t.crashes[process]
+			report := peer.CrashReported{
+				Upstream:    process.Upstream,
+				Incarnation: process.Incarnation,
+				At:          c.expires.Add(-reportRetention),
+			}
+			for _, suspect := range c.suspects {
+				if containsAll(suspect, pattern.Fingerprints) {
+					report.Suspects = append(report.Suspects, pattern.Fingerprints)
+					break
+				}
+			}
+			reports = append(reports, report)
+		}
+	}
+	slices.SortFunc(reports, func(a, b peer.CrashReported) int {
+		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return reports
+}
+
+func containsAll(suspect peer.CrashSuspect, fingerprints []Fingerprint) bool {
+	for _, f := range fingerprints {
+		if !slices.Contains(suspect, f) {
+			return false
+		}
 	}
+	return true
 }
--- a/internal/relay/poison/table_test.go
+++ b/internal/relay/poison/table_test.go
@@ -2,62 +2,400 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
+	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
+	"github.com/nutmegshift/nutmegshift/peer"
 )
 
-// Guards against a request that crashes one upstream after the other, and
-// against harmless requests that stay blocked.
-func TestTable(t *testing.T) {
-	c := qt.New(t)
+// host is a Table whose reports go to the tables of other hosts at once.
+type host struct {
+	*poison.Table
+	c       *qt.C
+	now     *time.Time
+	others  []*host
+	reports []peer.CrashReported
+	sound   int // statements that a fingerprint is sound
+}
+
+// newHosts returns hosts with one clock that tell each other what they see.
+func newHosts(c *qt.C, count int) []*host {
 	now := time.Unix(1_700_000_000, 0)
-	table := poison.NewTable(func() time.Time { return now })
-	bad := poison.NewFingerprint("o", "/x", []byte("body"))
-	c.Check(table.Empty(), qt.IsTrue)
-	for strikes := 1; strikes <= 3; strikes++ {
-		c.Check(table.Blocked(bad), qt.IsFalse)
-		c.Check(table.Strike(bad), qt.Equals, strikes)
-	}
-	c.Check(table.Blocked(bad), qt.IsTrue)
-	for name, other := range map[string]poison.Fingerprint{
-		"organisation": poison.NewFingerprint("p", "/x", []byte("body")),
-		"target":       poison.NewFingerprint("o", "/y", []byte("body")),
-		"body":         poison.NewFingerprint("o", "/x", []byte("bodies")),
-		"division":     poison.NewFingerprint("o", "/xb", []byte("ody")),
+	var hosts []*host
+	for i := range count {
+		h := &host{
+			c:   c,
+			now: &now,
+		}
+		h.Table = poison.NewTable(poison.Config{
+			Host: ident.HostID(fmt.Sprint(i)),
+			Now:  func() time.Time { return now },
+			OnReport: func(report peer.CrashReported) {
+				h.reports = append(h.reports, report)
+				for _, other := range h.others {
+					other.Merge(report)
+				}
+			},
+			OnSound: func(f poison.Fingerprint) {
+				h.sound++
+				for _, other := range h.others {
+					other.Clear(f)
+				}
+			},
+			OnVerdict: func([]poison.Pattern) {},
+		})
+		hosts = append(hosts, h)
+	}
+	for i, h := range hosts {
+		for j, other := range hosts {
+			if i != j {
+				h.others = append(h.others, other)
+			}
+		}
+	}
+	return hosts
+}
+
+var lastBody int
+
+// prompt returns a request with the given shared parts and a body of its own.
+func prompt(parts ...wire.PartID) *poison.Request {
+	lastBody++
+	var shared []wire.Part
+	for _, part := range parts {
+		shared = append(shared, wire.Part{
+			ID: part,
+		})
+	}
+	return poison.NewRequest("o", "/chat", fmt.Appendf(nil, "body %d", lastBody), shared)
+}
+
+func process(number int) poison.Process {
+	return poison.Process{
+		Upstream:    ident.UpstreamID(fmt.Sprintf("u%d", number)),
+		Incarnation: 1,
+	}
+}
+
+// serve plays a request that an upstream serves.
+func (h *host) serve(at poison.Process, request *poison.Request) {
+	attempt := h.Begin(at, request)
+	attempt.Responding()
+	*h.now = h.now.Add(time.Second)
+	attempt.Responding()
+	attempt.End(true)
+}
+
+// crash plays the crash of an upstream with requests of this host in flight.
+func (h *host) crash(at poison.Process, requests ...*poison.Request) {
+	var attempts []*poison.Attempt
+	for _, request := range requests {
+		attempts = append(attempts, h.Begin(at, request))
+	}
+	h.Crashed(at)
+	for _, attempt := range attempts {
+		attempt.End(false)
+	}
+	*h.now = h.now.Add(50 * time.Millisecond)
+}
+
+func (h *host) blocks(request *poison.Request) bool { return h.Blocked(request) > 0 }
+
+// Guards against a request that crashes one upstream after the other, and against
+// harmless requests that stay blocked.
+func TestEqualRequestsCrash(t *testing.T) {
+	c := qt.New(t)
+	h := newHosts(c, 1)[0]
+	request := func(organisation ident.OrganisationID, target, body string) *poison.Request {
+		return poison.NewRequest(organisation, target, []byte(body), nil)
+	}
+	for crashes := range 3 {
+		c.Check(h.blocks(request("o", "/x", "body")), qt.IsFalse)
+		h.crash(process(crashes), request("o", "/x", "body"))
+	}
+	c.Check(h.blocks(request("o", "/x", "body")), qt.IsTrue)
+	for name, other := range map[string]*poison.Request{
+		"organisation": request("p", "/x", "body"),
+		"target":       request("o", "/y", "body"),
+		"body":         request("o", "/x", "bodies"),
+		"division":     request("o", "/xb", "ody"),
 	} {
-		c.Check(table.Blocked(other), qt.IsFalse, qt.Commentf("another %s", name))
+		c.Check(h.blocks(other), qt.IsFalse, qt.Commentf("another %s", name))
 	}
-	now = now.Add(16 * time.Minute)
-	c.Check(table.Blocked(bad), qt.IsFalse)
-	c.Check(table.Strike(bad), qt.Equals, 1)
+	*h.now = h.now.Add(16 * time.Minute)
+	h.Sweep()
+	c.Check(h.blocks(request("o", "/x", "body")), qt.IsFalse)
+	for crashes := range 2 {
+		h.crash(process(10+crashes), request("o", "/x", "body"))
+	}
+	c.Check(h.blocks(request("o", "/x", "body")), qt.IsFalse, qt.Commentf("the count starts anew"))
 }
 
-// Guards against strikes that are known only to the host that saw the crash, and
-// against a count that decreases.
-func TestMerge(t *testing.T) {
+// Guards against crashes that are known only to the host that saw them, and against
+// several reports on one crash that count as several crashes.
+func TestReportsOfOtherHosts(t *testing.T) {
 	c := qt.New(t)
-	table := poison.NewTable(time.Now)
-	bad := poison.NewFingerprint("o", "/x", nil)
-	table.Merge(bad, 2)
-	table.Merge(bad, 1)
-	c.Check(table.Strike(bad), qt.Equals, 3)
-	c.Check(table.Blocked(bad), qt.IsTrue)
+	hosts := newHosts(c, 3)
+	for i, h := range hosts {
+		h.crash(process(i), prompt("dead"))
+		if i < 2 {
+			h.Merge(hosts[0].reports[0]) // a copy that arrives late
+			c.Check(h.blocks(prompt("dead")), qt.IsFalse)
+		}
+	}
+	for _, h := range hosts {
+		c.Check(h.blocks(prompt("dead")), qt.IsTrue)
+	}
+	more := newHosts(c, 3)
+	for _, h := range more {
+		h.crash(process(0), prompt("dead"))
+	}
+	c.Check(more[0].blocks(prompt("dead")), qt.IsFalse, qt.Commentf("one crash, seen by three hosts"))
 }
 
-// Guards against a table that grows with every crash.
+// Guards against the refusal of sound requests that share other parts with those that
+// crash upstreams.
+func TestBlocksOnlyThePartAtFault(t *testing.T) {
+	tests := map[string]struct {
+		play    func(h []*host)
+		blocked map[string]bool // parts of a prompt, divided by spaces
+	}{
+		"first part is shared by all": {
+			play: func(h []*host) {
+				h[1].serve(process(9), prompt("first", "a"))
+				for i := range 3 {
+					h[0].crash(process(i), prompt("first", "dead"))
+				}
+			},
+			blocked: map[string]bool{"first dead": true, "dead": true, "first a": false, "first": false},
+		},
+		"part that is always beside it": {
+			play: func(h []*host) {
+				for i := range 3 {
+					h[0].crash(process(i), prompt("rare", "dead"))
+				}
+			},
+			blocked: map[string]bool{"rare dead": true, "rare": false, "dead": false},
+		},
+		"part that was beside it at first": {
+			play: func(h []*host) {
+				for i := range 3 {
+					h[0].crash(process(i), prompt("rare", "dead"))
+				}
+				h[0].crash(process(3), prompt("dead"))
+			},
+			blocked: map[string]bool{"rare dead": true, "dead": true, "rare": false},
+		},
+		"bystanders": {
+			play: func(h []*host) {
+				for i := range 4 {
+					h[0].crash(process(i), prompt("a"), prompt("b"))
+					h[1].crash(process(i), prompt("c"), prompt("dead"))
+					h[2].serve(process(9), prompt("a"))
+					h[2].serve(process(9), prompt("b"))
+					h[2].serve(process(9), prompt("c"))
+				}
+			},
+			blocked: map[string]bool{"dead": true, "a": false, "b": false, "c": false},
+		},
+		"bystander of all crashes, never served": {
+			play: func(h []*host) {
+				for i := range 4 {
+					bystanders := []*poison.Request{prompt("rare"), prompt("dead")}
+					if i == 0 {
+						bystanders = append(bystanders, prompt("rare"))
+					}
+					h[0].crash(process(i), bystanders...)
+				}
+			},
+			blocked: map[string]bool{"dead": true, "rare": false},
+		},
+		"two parts at fault": {
+			play: func(h []*host) {
+				for i := range 3 {
+					h[0].crash(process(i), prompt("one"), prompt("x"))
+					h[1].crash(process(10+i), prompt("two"), prompt("x"))
+				}
+				h[2].serve(process(9), prompt("x"))
+			},
+			blocked: map[string]bool{"one": true, "two": true, "x": false},
+		},
+		"many upstreams crash together": {
+			play: func(h []*host) {
+				for i := range 3 {
+					h[i].serve(process(20+i), prompt("usual"))
+				}
+				for i := range 12 {
+					h[i%3].crash(process(i), prompt("usual", numbered("rare", i)))
+				}
+			},
+			blocked: map[string]bool{"usual": false, "rare3": false},
+		},
+		"many upstreams crash before others know a part as sound": {
+			play: func(h []*host) {
+				for i := range 12 {
+					h[i%2].crash(process(i), prompt("usual"))
+				}
+				h[2].serve(process(20), prompt("usual"))
+			},
+			blocked: map[string]bool{"usual": false},
+		},
+		"responding when the upstream crashed": {
+			play: func(h []*host) {
+				for i := range 4 {
+					longer := h[0].Begin(process(i), prompt("longer"))
+					longer.Responding()
+					*h[0].now = h[0].now.Add(time.Second)
+					longer.Responding()
+					h[0].crash(process(i), prompt("dead"))
+				}
+			},
+			blocked: map[string]bool{"longer": false, "dead": true},
+		},
+		"responses that end before the crash": {
+			play: func(h []*host) {
+				for i := range 3 {
+					short := h[0].Begin(process(i), prompt("dead"))
+					short.Responding()
+					short.End(true)
+					*h[0].now = h[0].now.Add(100 * time.Millisecond)
+					h[0].crash(process(i), prompt(numbered("rare", i)))
+				}
+			},
+			blocked: map[string]bool{"dead": true},
+		},
+		"requests that did not run": {
+			play: func(h []*host) {
+				for i := range 3 {
+					h[0].Begin(process(i), prompt("refused")).Refused()
+					h[0].crash(process(i), prompt("dead"))
+				}
+			},
+			blocked: map[string]bool{"dead": true, "refused": false},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			hosts := newHosts(c, 3)
+			test.play(hosts)
+			for _, h := range hosts {
+				for parts, blocked := range test.blocked {
+					c.Check(h.blocks(prompt(split(parts)...)), qt.Equals, blocked, qt.Commentf("%q", parts))
+				}
+			}
+		})
+	}
+}
+
+func numbered(name string, number int) wire.PartID { return wire.PartID(fmt.Sprint(name, number)) }
+
+func split(parts string) []wire.PartID {
+	var list []wire.PartID
+	for part := range strings.FieldsSeq(parts) {
+		list = append(list, wire.PartID(part))
+	}
+	return list
+}
+
+// Guards against a part that is blocked for good on a host that has not seen it served.
+func TestClearedByAnotherHost(t *testing.T) {
+	c := qt.New(t)
+	hosts := newHosts(c, 3)
+	for i := range 3 {
+		hosts[0].crash(process(i), prompt("usual"))
+	}
+	c.Check(hosts[1].blocks(prompt("usual")), qt.IsTrue)
+	running := hosts[2].Begin(process(9), prompt("usual"))
+	running.Responding()
+	*hosts[2].now = hosts[2].now.Add(time.Second)
+	running.Responding()
+	for _, h := range hosts {
+		c.Check(h.blocks(prompt("usual")), qt.IsFalse)
+	}
+	c.Check(hosts[2].sound, qt.Equals, 1)
+}
+
+// Guards against requests that crash an upstream each while they wait, although they are
+// blocked since they arrived.
+func TestWatch(t *testing.T) {
+	c := qt.New(t)
+	h := newHosts(c, 1)[0]
+	dead, stopped, other := 0, 0, 0
+	h.Watch(prompt("dead"), func() { dead++ })
+	h.Watch(prompt("dead"), func() { stopped++ })()
+	h.Watch(prompt("other"), func() { other++ })
+	for i := range 5 {
+		h.crash(process(i), prompt("dead"))
+	}
+	c.Check(dead, qt.Equals, 1)
+	c.Check(stopped, qt.Equals, 0)
+	c.Check(other, qt.Equals, 0)
+}
+
+// Guards against a request that crashes further upstreams because it is sent again.
+func TestMayRetry(t *testing.T) {
+	c := qt.New(t)
+	h := newHosts(c, 1)[0]
+	c.Check(h.MayRetry(prompt("dead")), qt.IsTrue)
+	h.crash(process(0), prompt("dead"))
+	c.Check(h.MayRetry(prompt("dead")), qt.IsTrue, qt.Commentf("after one crash, bystanders are retried"))
+	h.crash(process(1), prompt("dead"))
+	c.Check(h.MayRetry(prompt("dead")), qt.IsFalse)
+	c.Check(h.MayRetry(prompt("other")), qt.IsTrue)
+}
+
+// Guards against hosts that start after the crashes, or reach no other host, and do not
+// know what is blocked.
+func TestEvidence(t *testing.T) {
+	c := qt.New(t)
+	h := newHosts(c, 1)[0]
+	value, err := poison.EncodeReports(h.Evidence())
+	c.Assert(err, qt.IsNil)
+	c.Check(value, qt.IsNil, qt.Commentf("nothing is blocked"))
+	h.serve(process(9), prompt("first"))
+	for i := range 5 {
+		h.crash(process(i), prompt("first", "rare", "dead"), prompt("bystander"))
+	}
+	h.crash(process(5), prompt("dead"))
+	value, err = poison.EncodeReports(h.Evidence())
+	c.Assert(err, qt.IsNil)
+	started := newHosts(c, 1)[0]
+	*started.now = *h.now
+	for range 2 {
+		reports, err := poison.DecodeReports(value)
+		c.Assert(err, qt.IsNil)
+		for _, report := range reports {
+			started.Merge(report)
+		}
+	}
+	c.Check(started.blocks(prompt("first", "rare", "dead")), qt.IsTrue)
+	c.Check(started.blocks(prompt("first", "rare")), qt.IsFalse)
+	*started.now = started.now.Add(16 * time.Minute)
+	started.Sweep()
+	c.Check(started.blocks(prompt("first", "rare", "dead")), qt.IsFalse)
+}
+
+// Guards against tables that grow with every crash and every request.
 func TestTableIsBounded(t *testing.T) {
 	c := qt.New(t)
-	now := time.Unix(1_700_000_000, 0)
-	table := poison.NewTable(func() time.Time { return now })
-	first := poison.NewFingerprint("o", "0", nil)
-	for i := range 5000 {
-		now = now.Add(time.Millisecond)
-		table.Merge(poison.NewFingerprint("o", fmt.Sprint(i), nil), 3)
-	}
-	c.Check(table.Blocked(first), qt.IsFalse, qt.Commentf("the oldest entry is evicted"))
-	c.Check(table.Blocked(poison.NewFingerprint("o", "4999", nil)), qt.IsTrue)
+	h := newHosts(c, 1)[0]
+	for i := range 3 {
+		h.crash(process(i), prompt("old"))
+	}
+	c.Check(h.blocks(prompt("old")), qt.IsTrue)
+	for i := range 1000 {
+		h.crash(process(3+i), prompt(numbered("x", i)))
+	}
+	for i := range 3 {
+		h.crash(process(2000+i), prompt("new"))
+	}
+	c.Check(h.blocks(prompt("old")), qt.IsFalse, qt.Commentf("the oldest crashes are dropped"))
+	c.Check(h.blocks(prompt("new")), qt.IsTrue)
 }
--- a/peer/grpcpeer/codec.go
+++ b/peer/grpcpeer/codec.go
@@ -187,6 +187,12 @@
 				UpstreamCrashed: encodeUpstreamIncarnation(r.Upstream, r.Incarnation),
 			},
 		}
+	case peer.CrashReported:
+		return &Rumour{
+			Kind: &Rumour_CrashReported{
+				CrashReported: encodeCrash(r),
+			},
+		}
 	case peer.FingerprintStruck:
 		return &Rumour{
 			Kind: &Rumour_FingerprintStruck{
@@ -260,6 +266,8 @@
 			Upstream:    ident.UpstreamID(r.UpstreamCrashed.GetUpstream()),
 			Incarnation: ident.Incarnation(r.UpstreamCrashed.GetIncarnation()),
 		}, validateIDs(r.UpstreamCrashed.GetUpstream())
+	case *Rumour_CrashReported:
+		return decodeCrash(r.CrashReported)
 	case *Rumour_FingerprintStruck:
 		return decodeFingerprintStruck(r.FingerprintStruck)
 	case *Rumour_FingerprintCleared:
@@ -318,6 +326,44 @@
 	}
 }
 
+func encodeCrash(c peer.CrashReported) *Crash {
+	crash := &Crash{
+		Host:        string(c.Host),
+		Upstream:    string(c.Upstream),
+		Incarnation: uint64(c.Incarnation),
+		At:          c.At.UnixMilli(),
+	}
+	for _, suspect := range c.Suspects {
+		crash.Suspects = append(crash.Suspects, &Suspect{
+			Fingerprints: suspect.JoinFingerprints(),
+		})
+	}
+	return crash
+}
+
+func decodeCrash(c *Crash) (peer.CrashReported, error) {
+	if err := validateIDs(c.GetHost(), c.GetUpstream()); err != nil {
+		return peer.CrashReported{}, err
+	}
+	if len(c.GetSuspects()) > peer.MaxSuspects {
+		return peer.CrashReported{}, errors.Errorf("%d suspects, limit is %d", len(c.GetSuspects()), peer.MaxSuspects)
+	}
+	reported := peer.CrashReported{
+		Host:        ident.HostID(c.GetHost()),
+		Upstream:    ident.UpstreamID(c.GetUpstream()),
+		Incarnation: ident.Incarnation(c.GetIncarnation()),
+		At:          time.UnixMilli(c.GetAt()),
+	}
+	for _, s := range c.GetSuspects() {
+		suspect, err := peer.SplitFingerprints(s.GetFingerprints())
+		if err != nil {
+			return peer.CrashReported{}, err
+		}
+		reported.Suspects = append(reported.Suspects, suspect)
+	}
+	return reported, nil
+}
+
 func encodeFingerprintStruck(s peer.FingerprintStruck) *Fingerprint {
 	return &Fingerprint{
 		Fingerprint: s.Fingerprint[:],
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -107,7 +107,7 @@
 	case TopOrganisations:
 		g.deliver(r)
 		return
-	case UpstreamLeaving, UpstreamCrashed, FingerprintStruck, FingerprintCleared, DocumentRevised:
+	case UpstreamLeaving, UpstreamCrashed, CrashReported, FingerprintStruck, FingerprintCleared, DocumentRevised:
 		isNew = g.recordSeen(rumour)
 	default:
 		return
--- a/peer/rumour.go
+++ b/peer/rumour.go
@@ -2,6 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/kv"
@@ -14,8 +18,8 @@
 type Fingerprint [16]byte
 
 // Rumour is a fact that hosts forward to each other. It is one of HostSuspected,
-// HostAlive, HostLeaving, UpstreamLeaving, UpstreamCrashed, FingerprintStruck,
-// FingerprintCleared, DocumentRevised and TopOrganisations.
+// HostAlive, HostLeaving, UpstreamLeaving, UpstreamCrashed, CrashReported,
+// FingerprintStruck, FingerprintCleared, DocumentRevised and TopOrganisations.
 //
 //sumtype:decl
 type Rumour interface{ rumour() }
@@ -50,6 +54,50 @@
 	Incarnation ident.Incarnation
 }
 
+// MaxSuspects is the largest number of suspects in a CrashReported, and MaxFingerprints
+// the largest number of fingerprints of a suspect.
+const (
+	MaxSuspects     = 64
+	MaxFingerprints = 16
+)
+
+// CrashSuspect holds the fingerprints of one request that may have crashed an upstream.
+// Those that the reporting host knows as harmless may be missing.
+type CrashSuspect []Fingerprint
+
+// JoinFingerprints returns the concatenated fingerprints of a suspect.
+func (s CrashSuspect) JoinFingerprints() []byte {
+	var joined []byte
+	for _, f := range s {
+		joined = append(joined, f[:]...)
+	}
+	return joined
+}
+
+// SplitFingerprints returns the suspect whose concatenated fingerprints are given. It
+// returns an error if they are incomplete or more than MaxFingerprints.
+func SplitFingerprints(joined []byte) (CrashSuspect, error) {
+	const size = len(Fingerprint{})
+	if len(joined)%size != 0 || len(joined) > MaxFingerprints*size {
+		return nil, errors.NotValidf("fingerprints of %d bytes", len(joined))
+	}
+	var suspect CrashSuspect
+	for f := range slices.Chunk(joined, size) {
+		suspect = append(suspect, Fingerprint(f))
+	}
+	return suspect, nil
+}
+
+// CrashReported states which requests of one host may have crashed an upstream. Each host
+// reports a crash once.
+type CrashReported struct {
+	Host        ident.HostID
+	Upstream    ident.UpstreamID
+	Incarnation ident.Incarnation
+	At          time.Time      // when the host noticed the crash; in milliseconds
+	Suspects    []CrashSuspect // at most MaxSuspects
+}
+
 // FingerprintStruck states that a request was in flight on an upstream that crashed.
 type FingerprintStruck struct {
 	Fingerprint Fingerprint
@@ -89,6 +137,7 @@
 func (HostLeaving) rumour()        {}
 func (UpstreamLeaving) rumour()    {}
 func (UpstreamCrashed) rumour()    {}
+func (CrashReported) rumour()      {}
 func (FingerprintStruck) rumour()  {}
 func (FingerprintCleared) rumour() {}
 func (DocumentRevised) rumour()    {}
@@ -108,6 +157,8 @@
 		return "upstream/" + string(r.Upstream)
 	case UpstreamCrashed:
 		return "upstream/" + string(r.Upstream)
+	case CrashReported:
+		return fmt.Sprintf("crash/%s/%d/%s", r.Upstream, r.Incarnation, r.Host)
 	case FingerprintStruck:
 		return "fingerprint/" + string(r.Fingerprint[:])
 	case FingerprintCleared:
@@ -135,6 +186,8 @@
 		return uint64(r.Incarnation), 0
 	case UpstreamCrashed:
 		return uint64(r.Incarnation), 1
+	case CrashReported:
+		return 0, 0
 	case FingerprintStruck:
 		return uint64(r.Version), 0
 	case FingerprintCleared:
@@ -161,7 +214,7 @@
 // urgent reports whether a rumour is sent before rumours about hosts.
 func urgent(r Rumour) bool {
 	switch r.(type) {
-	case UpstreamLeaving, UpstreamCrashed, FingerprintStruck, FingerprintCleared, DocumentRevised:
+	case UpstreamLeaving, UpstreamCrashed, CrashReported, FingerprintStruck, FingerprintCleared, DocumentRevised:
 		return true
 	case HostSuspected, HostAlive, HostLeaving, TopOrganisations:
 		return false
