Do not blame a part for upstreams that fail together

Crashes block a request only if the first and the last of them are 400 ms apart. Upstreams that fail together end within a few milliseconds, and by the next crash other hosts have stated that the part is sound. Reports carry their age in place of a time of day, since clocks of hosts differ and jump. An upstream has survived a response 250 ms after it began, in place of 500 ms. Callers of blocked requests are told to come again after a second at first, and later after as long as the block has held.

--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -229,11 +229,11 @@
 // may run.
 func (e *exchange) checkPoison() bool {
 	e.identity = poison.NewRequest(e.organisationID(), e.target, e.body, e.head.Prompt.Shared())
-	left := e.config.Poison.Blocked(e.identity)
-	if left > 0 {
-		e.refuse(reasonBlocked, left)
+	after, blocked := e.config.Poison.Blocked(e.identity)
+	if blocked {
+		e.refuse(reasonBlocked, after)
 	}
-	return left == 0
+	return !blocked
 }
 
 // blocked reports whether the request has been found to crash upstreams since it
--- a/internal/relay/forward/plain.go
+++ b/internal/relay/forward/plain.go
@@ -56,7 +56,7 @@
 	case e.request.Context().Err() != nil:
 		e.recordAbandoned()
 	case e.blocked() && e.ran == 0:
-		e.refuse(reasonBlocked, max(defaultRetryAfter, e.config.Poison.Blocked(e.identity)))
+		e.refuse(reasonBlocked, defaultRetryAfter) // a request that comes again learns how long the block holds
 	case e.blocked():
 		e.fail(http.StatusBadGateway, reasonBlocked)
 	case last != nil && last.response.Reply.Sealed && !notRunStatuses[last.response.Status] && last.response.Status/100 != 2:
--- a/internal/relay/poison/attempt.go
+++ b/internal/relay/poison/attempt.go
@@ -11,7 +11,7 @@
 const (
 	// settleTime is how long an upstream has to keep running after it has begun to
 	// respond to a request, before the request counts as sound.
-	settleTime = 500 * time.Millisecond
+	settleTime = 250 * time.Millisecond
 	// maxAttempts bounds the attempts that are tracked for an upstream.
 	maxAttempts = 256
 	// attemptRetention is how long an attempt that has ended is tracked, in case the
--- a/internal/relay/poison/report.go
+++ b/internal/relay/poison/report.go
@@ -17,13 +17,15 @@
 
 // crash is what all hosts have reported about the end of one process.
 type crash struct {
-	expires  time.Time
-	noticed  time.Time // when this host first learned of it
+	at       time.Time // when the first host noticed it
 	hosts    map[ident.HostID]bool
 	suspects []peer.CrashSuspect
 	all      map[Fingerprint]bool // fingerprints of the suspects; false if the crash does not count against one
 }
 
+// expired reports whether the crash no longer counts.
+func (c *crash) expired(now time.Time) bool { return now.Sub(c.at) >= reportRetention }
+
 // countsAgainst reports whether the crash counts against a fingerprint.
 func (c *crash) countsAgainst(f Fingerprint) bool { return c.all[f] }
 
@@ -37,6 +39,9 @@
 // add adds the report of another host. Fingerprints that are sound do not count.
 func (c *crash) add(report peer.CrashReported, sound func(f Fingerprint) bool) {
 	c.hosts[report.Host] = true
+	if report.At.Before(c.at) {
+		c.at = report.At
+	}
 	for _, suspect := range report.Suspects {
 		c.suspects = append(c.suspects, suspect)
 		for _, f := range suspect {
--- a/internal/relay/poison/table.go
+++ b/internal/relay/poison/table.go
@@ -97,9 +97,8 @@
 // merge adds a report. It returns false if it is known or has expired.
 func (t *Table) merge(report peer.CrashReported) bool {
 	now := t.config.Now()
-	expires := report.At.Add(reportRetention)
-	if latest := now.Add(reportRetention); expires.After(latest) {
-		expires = latest // the clock of the other host is ahead
+	if report.At.After(now) {
+		report.At = now // in the store by a host whose clock is ahead
 	}
 	t.mu.Lock()
 	t.expire(now)
@@ -108,16 +107,15 @@
 		Incarnation: report.Incarnation,
 	}
 	known, ok := t.crashes[process]
-	if !expires.After(now) || ok && (report.Host == "" || known.hosts[report.Host]) {
+	if now.Sub(report.At) >= reportRetention || ok && (report.Host == "" || known.hosts[report.Host]) {
 		t.mu.Unlock()
 		return false
 	}
 	if !ok {
 		known = &crash{
-			expires: expires,
-			noticed: now,
-			hosts:   make(map[ident.HostID]bool),
-			all:     make(map[Fingerprint]bool),
+			at:    report.At,
+			hosts: make(map[ident.HostID]bool),
+			all:   make(map[Fingerprint]bool),
 		}
 		t.dropOldestCrash()
 		t.crashes[process] = known
@@ -143,7 +141,7 @@
 	}
 	var oldest Process
 	for process, c := range t.crashes {
-		if first, ok := t.crashes[oldest]; !ok || c.noticed.Before(first.noticed) {
+		if first, ok := t.crashes[oldest]; !ok || c.at.Before(first.at) {
 			oldest = process
 		}
 	}
@@ -154,7 +152,7 @@
 // update afterwards.
 func (t *Table) expire(now time.Time) (expired bool) {
 	for process, c := range t.crashes {
-		if !now.Before(c.expires) {
+		if c.expired(now) {
 			delete(t.crashes, process)
 			expired = true
 		}
@@ -231,14 +229,16 @@
 	notify()
 }
 
-// Blocked returns how much longer a request is blocked; 0 if it may be sent.
-func (t *Table) Blocked(request *Request) time.Duration {
+// Blocked reports whether a request is blocked, and after what time its caller may try
+// again.
+func (t *Table) Blocked(request *Request) (retryAfter time.Duration, blocked bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if pattern, ok := t.verdict.blocks(request); ok {
-		return max(0, pattern.until.Sub(t.config.Now()))
+	pattern, blocked := t.verdict.blocks(request)
+	if !blocked {
+		return 0, false
 	}
-	return 0
+	return pattern.retryAfter(t.config.Now()), true
 }
 
 // BlockedPatterns returns the number of patterns of which requests are blocked.
@@ -285,6 +285,7 @@
 func (t *Table) update() (notify func()) {
 	before := t.verdict
 	t.verdict = conclude(t.crashes)
+	t.verdict.keepSince(t.config.Now(), before)
 	var blocked []func()
 	for w := range t.watchers {
 		if _, ok := t.verdict.blocks(w.request); ok {
@@ -311,12 +312,13 @@
 	defer t.mu.Unlock()
 	var reports []peer.CrashReported
 	for _, pattern := range t.verdict.blocked {
-		for _, process := range pattern.Crashes[:min(len(pattern.Crashes), blockCrashes)] {
+		// The first and the latest ones have the span that a block needs.
+		for _, process := range append(pattern.Crashes[:blockCrashes-1:blockCrashes-1], pattern.Crashes[len(pattern.Crashes)-1]) {
 			c := t.crashes[process]
 			report := peer.CrashReported{
 				Upstream:    process.Upstream,
 				Incarnation: process.Incarnation,
-				At:          c.expires.Add(-reportRetention),
+				At:          c.at,
 			}
 			for _, suspect := range c.suspects {
 				if containsAll(suspect, pattern.Fingerprints) {
--- a/internal/relay/poison/verdict.go
+++ b/internal/relay/poison/verdict.go
@@ -13,6 +13,13 @@
 	// retryCrashes is the number of crashes after which a request is not sent again, once
 	// it has been lost.
 	retryCrashes = 2
+	// minCrashSpan is the shortest time in which blockCrashes crashes block a request.
+	// Upstreams that fail together end within less, and many requests are in flight at
+	// several of them.
+	minCrashSpan = 400 * time.Millisecond
+	// minRetryAfter is the shortest time after which the callers of blocked requests may
+	// try again.
+	minRetryAfter = time.Second
 )
 
 // Pattern is a set of fingerprints. Requests that have all of them crash upstreams. There
@@ -20,6 +27,7 @@
 type Pattern struct {
 	Fingerprints []Fingerprint
 	Crashes      []Process // that the pattern explains, the latest first
+	since        time.Time // when this host first blocked it
 	until        time.Time // when the last of the crashes expires
 }
 
@@ -32,6 +40,24 @@
 // tally counts in how many crashes and suspects a fingerprint occurs.
 type tally struct {
 	crashes, suspects int
+	first, last       time.Time // of the crashes
+}
+
+// add counts a crash.
+func (t tally) add(at time.Time) tally {
+	if t.crashes == 0 || at.Before(t.first) {
+		t.first = at
+	}
+	if at.After(t.last) {
+		t.last = at
+	}
+	t.crashes++
+	return t
+}
+
+// blocks reports whether the crashes are reason enough to block requests.
+func (t tally) blocks() bool {
+	return t.crashes >= blockCrashes && t.last.Sub(t.first) >= minCrashSpan
 }
 
 // conclude returns the patterns that explain the crashes best. The cause of several
@@ -51,7 +77,7 @@
 	for {
 		tallies := tallyOf(unexplained)
 		best, ok := mostLikely(tallies)
-		if !ok || tallies[best].crashes < blockCrashes {
+		if !ok {
 			for f, t := range tallies {
 				if t.crashes >= retryCrashes {
 					v.repeated[f] = true
@@ -69,9 +95,7 @@
 	for _, c := range crashes {
 		for f := range c.all {
 			if c.countsAgainst(f) {
-				t := tallies[f]
-				t.crashes++
-				tallies[f] = t
+				tallies[f] = tallies[f].add(c.at)
 			}
 		}
 		for _, suspect := range c.suspects {
@@ -87,10 +111,13 @@
 	return tallies
 }
 
-// mostLikely returns the fingerprint that is most likely the cause of crashes; see
-// conclude.
+// mostLikely returns the fingerprint that is most likely the cause of crashes, see
+// conclude, if there is one with enough of them.
 func mostLikely(tallies map[Fingerprint]tally) (best Fingerprint, ok bool) {
 	for f, t := range tallies {
+		if !t.blocks() {
+			continue
+		}
 		order := cmp.Or(
 			cmp.Compare(t.crashes, tallies[best].crashes),
 			cmp.Compare(tallies[best].suspects, t.suspects),
@@ -128,13 +155,13 @@
 	for process, c := range unexplained {
 		if c.countsAgainst(best) {
 			pattern.Crashes = append(pattern.Crashes, process)
-			if c.expires.After(pattern.until) {
-				pattern.until = c.expires
+			if until := c.at.Add(reportRetention); until.After(pattern.until) {
+				pattern.until = until
 			}
 		}
 	}
 	slices.SortFunc(pattern.Crashes, func(a, b Process) int {
-		return cmp.Or(unexplained[b].expires.Compare(unexplained[a].expires), cmp.Compare(a.Upstream, b.Upstream))
+		return cmp.Or(unexplained[b].at.Compare(unexplained[a].at), cmp.Compare(a.Upstream, b.Upstream))
 	})
 	for _, process := range pattern.Crashes {
 		delete(unexplained, process)
@@ -153,6 +180,24 @@
 	return Pattern{}, false
 }
 
+// retryAfter returns when the callers of blocked requests may try again. A wrong verdict
+// usually ends within seconds, so that is soon at first, and later the longer the verdict
+// has held.
+func (p Pattern) retryAfter(now time.Time) time.Duration {
+	return max(0, min(max(now.Sub(p.since), minRetryAfter), p.until.Sub(now)))
+}
+
+// keepSince sets the times since which the patterns that a previous verdict had too have
+// been blocked.
+func (v verdict) keepSince(now time.Time, previous verdict) {
+	for i, pattern := range v.blocked {
+		v.blocked[i].since = now
+		if known := slices.IndexFunc(previous.blocked, pattern.equal); known >= 0 {
+			v.blocked[i].since = previous.blocked[known].since
+		}
+	}
+}
+
 // equal reports whether two patterns block the same requests.
 func (p Pattern) equal(other Pattern) bool {
 	return slices.Equal(p.Fingerprints, other.Fingerprints)
--- a/peer/grpcpeer/codec.go
+++ b/peer/grpcpeer/codec.go
@@ -28,6 +28,8 @@
 	maxStampCount = 1 << 31
 	maxClaims     = 4096 // in one call
 	maxNames      = 4096 // in one request for documents
+	// maxCrashAge bounds the age of a crash that another host reports.
+	maxCrashAge = time.Hour
 	// maxLeaders exceeds the number of cells in the largest deployment.
 	maxLeaders = 64
 )
@@ -331,7 +333,7 @@
 		Host:        string(c.Host),
 		Upstream:    string(c.Upstream),
 		Incarnation: uint64(c.Incarnation),
-		At:          c.At.UnixMilli(),
+		Age:         time.Since(c.At).Microseconds(),
 	}
 	for _, suspect := range c.Suspects {
 		crash.Suspects = append(crash.Suspects, &Suspect{
@@ -352,7 +354,7 @@
 		Host:        ident.HostID(c.GetHost()),
 		Upstream:    ident.UpstreamID(c.GetUpstream()),
 		Incarnation: ident.Incarnation(c.GetIncarnation()),
-		At:          time.UnixMilli(c.GetAt()),
+		At:          time.Now().Add(-time.Duration(max(0, min(c.GetAge(), maxCrashAge.Microseconds()))) * time.Microsecond),
 	}
 	for _, s := range c.GetSuspects() {
 		suspect, err := peer.SplitFingerprints(s.GetFingerprints())
