Test streams whose second upstream fails, and responses cut in the header

Other operators report that the error of a second upstream appeared in streams that had begun, or ended them as if they were complete, and that a response cut within its header became an empty 200.

--- a/internal/relay/forward/handler_test.go
+++ b/internal/relay/forward/handler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -310,6 +311,7 @@
 	breaks := scriptedResponse{text: stream + events(1, 2), reset: true}
 	inEvent := scriptedResponse{text: stream + events(1) + "5\r\nid: 2\r\n", reset: true}
 	full := status(503, "Not-Run: 1\r\n")
+	brokenAfterTwo := callerResponse{status: 200, sealed: true, body: "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n", broken: true}
 	tests := map[string]struct {
 		path      string
 		responses []scriptedResponse
@@ -332,6 +334,12 @@
 		"upstream fails, then another":   {path: "/resumable/x", responses: []scriptedResponse{status(500, "Seal: s\r\n"), complete}, want: callerResponse{status: 200, sealed: true, body: all}, last: []string{"0", "0"}},
 		"ends with connection":           {path: "/stream/x", responses: []scriptedResponse{{text: okHead + "\r\nid: 1\ndata: 1\n\n"}}, want: callerResponse{status: 200, sealed: true, body: "id: 1\ndata: 1\n\n"}, last: []string{"0"}},
 		"ends with connection, in event": {path: "/stream/x", responses: []scriptedResponse{{text: okHead + "\r\nid: 1\ndata: 1\n\nid: 2\n"}}, want: callerResponse{status: 200, sealed: true, body: "id: 1\ndata: 1\n\n", broken: true}, last: []string{"0"}},
+		"resumed, then fails":            {path: "/resumable/x", responses: []scriptedResponse{breaks, status(500, "Seal: s\r\n")}, want: brokenAfterTwo, last: []string{"0", "2"}},
+		"resumed, then fails unsealed":   {path: "/resumable/x", responses: []scriptedResponse{breaks, status(500, "")}, want: brokenAfterTwo, last: []string{"0", "2"}},
+		"resumed, then is refused":       {path: "/resumable/x", responses: []scriptedResponse{breaks, full, full, full}, want: brokenAfterTwo, last: []string{"0", "2", "2", "2"}},
+		"resumed, then invalid":          {path: "/resumable/x", responses: []scriptedResponse{breaks, {text: "error: out of memory\r\n\r\n"}}, want: brokenAfterTwo, last: []string{"0", "2"}},
+		"resumed, then unsealed":         {path: "/resumable/x", responses: []scriptedResponse{breaks, {text: strings.Replace(stream, "Seal: s\r\n", "", 1) + events(3) + endOfChunks}}, want: brokenAfterTwo, last: []string{"0", "2"}},
+		"resumed, then cut in the head":  {path: "/resumable/x", responses: []scriptedResponse{breaks, {text: strings.TrimSuffix(stream, "\r\n")}}, want: brokenAfterTwo, last: []string{"0", "2"}},
 		"silent until the deadline":      {path: "/stream/x", responses: []scriptedResponse{{text: stream + events(1), hang: true}}, want: callerResponse{status: 200, sealed: true, body: "id: 1\ndata: 1\n\n", broken: true}, last: []string{"0"}},
 	}
 	for name, test := range tests {
@@ -355,6 +363,21 @@
 	}
 }
 
+// Guards against a response whose upstream stops within the header, and that seems to be
+// an empty success.
+func TestCutInHeader(t *testing.T) {
+	head := okHead + "Content-Length: 0\r\n\r\n"
+	for _, path := range []string{"/unsafe/x", "/stream/x"} {
+		for length := range len(head) {
+			t.Run(fmt.Sprintf("%s after %d bytes", path, length), func(t *testing.T) {
+				t.Parallel()
+				f := start(t, scriptedResponse{text: head[:length]})
+				qt.Check(t, f.post(qt.New(t), path, nil), qt.Equals, callerResponse{status: 502})
+			})
+		}
+	}
+}
+
 // Guards against results of stages that are never released or are used after their
 // release, and against a request that runs without results.
 func TestStages(t *testing.T) {
