Respond to every request before a stopping host ends

Callers of a host that was told to stop lost their connections without a response at the end of the grace period, if their requests still waited for their stages or for an upstream that did not respond; among them requests that may not be repeated.

Cause: at the end of the grace period the host closed all connections, whatever their requests had come to. Requests that arrive late are not the cause here: after 2.5 s the port is closed, and net/http passes on none that it reads later (TestStopPassesOnNoLateRequest passes on the code before).

Requests that wait for their stages are refused when 1.5 s are left, so that their callers can turn to another host. Those without a response at the end get 503, or 502 if an upstream may have run them.

Evidence: the four cases of TestStopRespondsToEveryRequest ended with EOF before and get 503 or 502 now.

--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -99,6 +99,7 @@
 	upstream ident.UpstreamID // proposed for every request
 	prepared int
 	released int
+	dropped  int // results whose context ended before their release, which drops them
 	reports  []coordinator.Report
 }
 
@@ -111,7 +112,7 @@
 	}
 }
 
-func (s *stager) Prepare(context.Context, coordinator.Job) (coordinator.Prepared, error) {
+func (s *stager) Prepare(ctx context.Context, _ coordinator.Job) (coordinator.Prepared, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.err != nil {
@@ -128,6 +129,9 @@
 				s.mu.Lock()
 				defer s.mu.Unlock()
 				s.released++
+				if ctx.Err() != nil {
+					s.dropped++
+				}
 			})
 		},
 	}, nil
--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -31,6 +31,9 @@
 	// fullRetryAfter is the Retry-After time if all upstreams were full. Requests take a
 	// fraction of this time, so some will have ended by then.
 	fullRetryAfter = 500 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After time if the host stops. A caller that tries
+	// again reaches another host.
+	stoppingRetryAfter = 50 * time.Millisecond
 )
 
 // reasonBlocked is the reason of refusals of requests that crash upstreams.
@@ -71,13 +74,15 @@
 
 // Handler serves callers' requests; it is safe for concurrent use.
 type Handler struct {
-	config Config
+	config   Config
+	shutdown *shutdown
 }
 
 // New returns a handler.
 func New(config Config) *Handler {
 	return &Handler{
-		config: config,
+		config:   config,
+		shutdown: newShutdown(),
 	}
 }
 
@@ -122,9 +127,10 @@
 	}
 	ctx, cancel := context.WithDeadline(e.ctx, e.deadline)
 	defer cancel()
-	ctx, block := context.WithCancelCause(ctx)
-	defer block(nil)
-	defer h.config.Poison.Watch(e.identity, func() { block(errBlocked) })()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer h.config.Poison.Watch(e.identity, func() { end(errBlocked) })()
+	defer cancelAt(h.shutdown.running, end)()
 	e.ctx = ctx
 	if after := e.allPaused(); after > 0 {
 		e.refuse(reasonPaused, after)
--- a/internal/relay/forward/handler_test.go
+++ b/internal/relay/forward/handler_test.go
@@ -419,6 +419,7 @@
 			f.server.Close() // ends the handler
 			c.Check(f.stager.prepared, qt.Equals, test.prepared)
 			c.Check(f.stager.released, qt.Equals, test.prepared)
+			c.Check(f.stager.dropped, qt.Equals, 0)
 		})
 	}
 }
--- a/internal/relay/forward/plain.go
+++ b/internal/relay/forward/plain.go
@@ -55,6 +55,10 @@
 	switch {
 	case e.request.Context().Err() != nil:
 		e.recordAbandoned()
+	case e.stopped() && e.ran == 0:
+		e.refuse(reasonStopping, stoppingRetryAfter)
+	case e.stopped():
+		e.fail(http.StatusBadGateway, reasonStopping)
 	case e.blocked() && e.ran == 0:
 		e.refuse(reasonBlocked, defaultRetryAfter) // a request that comes again learns how long the block holds
 	case e.blocked():
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -63,7 +63,8 @@
 // stageResults holds the results of the stages of a request.
 type stageResults struct {
 	coordinator.Prepared
-	ready bool // the stages have finished, or there are none
+	ready  bool                    // the stages have finished, or there are none
+	cancel context.CancelCauseFunc // ends the job; nil if there is none
 }
 
 // release drops the results at the upstreams that hold them.
@@ -71,6 +72,9 @@
 	if r.ready && r.Release != nil {
 		r.Release()
 	}
+	if r.cancel != nil {
+		r.cancel(nil)
+	}
 	*r = stageResults{}
 }
 
@@ -153,8 +157,14 @@
 		results.ready = true
 		return nil
 	}
+	ctx, cancel := context.WithCancelCause(e.ctx)
+	results.cancel = cancel // not before the results are released, since it would drop them
+	defer cancelAt(e.shutdown.waiting, cancel)()
 	started := e.config.Now()
-	prepared, err := e.config.Stager.Prepare(e.ctx, job)
+	prepared, err := e.config.Stager.Prepare(ctx, job)
+	if err != nil && errors.Is(context.Cause(ctx), errStopping) {
+		err = errStopping
+	}
 	took := e.config.Now().Sub(started)
 	e.record.stagesTime += took
 	if err != nil {
@@ -225,9 +235,11 @@
 // handleStagesFailed ends a request whose stages have failed.
 func (e *exchange) handleStagesFailed(err error) {
 	switch {
-	case e.progress.started || e.ran > 0 || e.blocked() || e.request.Context().Err() != nil:
+	case e.progress.started || e.ran > 0 || e.blocked() || e.stopped() || e.request.Context().Err() != nil:
 		e.record.reason = err.Error()
 		e.concludeStream()
+	case errors.Is(err, errStopping):
+		e.refuse(reasonStopping, stoppingRetryAfter)
 	case errors.Is(err, context.DeadlineExceeded):
 		e.refuse("stages were not finished in time", defaultRetryAfter)
 	default:
--- a/internal/relay/host/serve.go
+++ b/internal/relay/host/serve.go
@@ -23,6 +23,12 @@
 	// exitMargin is the part of the grace period that is reserved for the exit of the
 	// process after the last request; closing the peer port takes up to 300 ms of it.
 	exitMargin = 600 * time.Millisecond
+	// responseMargin is the time, before the process ends, in which callers receive
+	// responses to the requests that are still in progress.
+	responseMargin = 150 * time.Millisecond
+	// minResponseTime is the shortest time in which an upstream may still respond to a
+	// request that has waited for its stages.
+	minResponseTime = 1500 * time.Millisecond
 )
 
 // newServer returns a server for the port of callers, readiness or metrics.
@@ -53,7 +59,7 @@
 
 // serveCallers serves until the context ends. Then it fails the readiness check, accepts
 // new connections until the load balancer has stopped sending requests, and waits for the
-// requests in progress until the grace period is nearly over.
+// requests in progress. Shortly before the grace period is over, it ends those that remain.
 func (h *Host) serveCallers(ctx context.Context, listener net.Listener) error {
 	server := h.newServer(h.handler)
 	serveErr := make(chan error, 1)
@@ -66,14 +72,20 @@
 	h.log.Info().Msg("host: stopping")
 	close(h.stopping)
 	h.peers.gossip.Leave()
-	drainStart := time.Now()
+	end := time.Now().Add(h.settings.Grace - exitMargin)
 	time.Sleep(drainDelay)
-	remaining := h.settings.Grace - exitMargin - time.Since(drainStart)
-	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(remaining, 0))
+	waits := time.AfterFunc(time.Until(end)-responseMargin-minResponseTime, h.handler.EndWaiting)
+	defer waits.Stop()
+	runs := time.AfterFunc(time.Until(end)-responseMargin, func() {
+		h.log.Warn().Msg("host: requests were broken off at the end of the grace period")
+		h.handler.Abort()
+	})
+	defer runs.Stop()
+	shutdownCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), end)
 	defer cancel()
 	err := server.Shutdown(shutdownCtx)
 	if err != nil {
-		h.log.Warn().Err(err).Msg("host: requests were broken off at the end of the grace period")
+		h.log.Warn().Err(err).Msg("host: connections were closed at the end of the grace period")
 		err = server.Close()
 	}
 	if err != nil {
