Treat a response without a length as cut short if its upstream has crashed

A response may have neither a length nor chunks and end with its connection. When a process is killed its connections end in the same way, so callers could get a part of a response, or a stream without its last events, as complete.

Now a host that has read such a response to its end tries to connect to the upstream. If that refuses and does not drain, the response counts as lost.

Evidence: the two new cases of TestPlain and TestStream ended as complete before.

--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -143,6 +143,7 @@
 	delay        time.Duration // before the text is written
 	reset        bool
 	hang         bool // the connection stays open although the response is incomplete
+	crash        bool // all upstreams refuse connections from then on
 	resetOnReuse bool // the connection is reset when another request is sent on it
 	movedOnReuse bool // another upstream responds to the next request on the connection
 	// repeatOnReuse is written, if not empty, before the response to the next request on
@@ -233,6 +234,9 @@
 	_, _ = io.WriteString(conn, repeat)
 	time.Sleep(response.delay)
 	_, _ = io.WriteString(conn, strings.ReplaceAll(response.text, "$ID", r.Header.Get("Id")))
+	if response.crash {
+		u.close()
+	}
 	if response.hang {
 		_, _ = conn.Read(make([]byte, 1)) // until the peer closes the connection
 	}
--- a/internal/relay/forward/handler_test.go
+++ b/internal/relay/forward/handler_test.go
@@ -59,6 +59,7 @@
 		"unsafe, response with a redirect":      {path: "/unsafe/x", responses: []scriptedResponse{status(302, "Seal: s\r\nLocation: /y\r\n")}, want: callerResponse{status: 302, sealed: true, body: "error"}, runs: 1},
 		"unsafe, upstream does not respond":     {path: "/unsafe/x", responses: []scriptedResponse{{hang: true}}, want: callerResponse{status: 504}, runs: 1},
 		"public route needs no key":             {path: "/public/x", responses: []scriptedResponse{ok("a")}, want: callerResponse{status: 200, sealed: true, body: "a"}, runs: 1},
+		"unsafe, crashed without a length":      {path: "/unsafe/x", responses: []scriptedResponse{{text: okHead + "\r\nab", crash: true}}, want: callerResponse{status: 502}, runs: 1},
 		"response without a length is complete": {path: "/safe/x", responses: []scriptedResponse{{text: okHead + "\r\nab"}}, want: callerResponse{status: 200, sealed: true, body: "ab"}, runs: 1},
 	}
 	for name, test := range tests {
@@ -334,6 +335,7 @@
 		"upstream fails, then another":   {path: "/resumable/x", responses: []scriptedResponse{status(500, "Seal: s\r\n"), complete}, want: callerResponse{status: 200, sealed: true, body: all}, last: []string{"0", "0"}},
 		"ends with connection":           {path: "/stream/x", responses: []scriptedResponse{{text: okHead + "\r\nid: 1\ndata: 1\n\n"}}, want: callerResponse{status: 200, sealed: true, body: "id: 1\ndata: 1\n\n"}, last: []string{"0"}},
 		"ends with connection, in event": {path: "/stream/x", responses: []scriptedResponse{{text: okHead + "\r\nid: 1\ndata: 1\n\nid: 2\n"}}, want: callerResponse{status: 200, sealed: true, body: "id: 1\ndata: 1\n\n", broken: true}, last: []string{"0"}},
+		"ends with connection, crashed":  {path: "/stream/x", responses: []scriptedResponse{{text: okHead + "\r\nid: 1\ndata: 1\n\n", crash: true}}, want: callerResponse{status: 200, sealed: true, body: "id: 1\ndata: 1\n\n", broken: true}, last: []string{"0"}},
 		"resumed, then fails":            {path: "/resumable/x", responses: []scriptedResponse{breaks, status(500, "Seal: s\r\n")}, want: brokenAfterTwo, last: []string{"0", "2"}},
 		"resumed, then fails unsealed":   {path: "/resumable/x", responses: []scriptedResponse{breaks, status(500, "")}, want: brokenAfterTwo, last: []string{"0", "2"}},
 		"resumed, then is refused":       {path: "/resumable/x", responses: []scriptedResponse{breaks, full, full, full}, want: brokenAfterTwo, last: []string{"0", "2", "2", "2"}},
--- a/internal/relay/forward/plain.go
+++ b/internal/relay/forward/plain.go
@@ -93,6 +93,9 @@
 	}
 	latency := e.config.Now().Sub(started)
 	body, err := response.ReadAll(maxResponseBytes)
+	if err == nil {
+		err = e.checkEnd(placed, response)
+	}
 	if err != nil && !response.Reply.NotRun {
 		e.recordFailure(placed, err, latency)
 		return nil, err
--- a/internal/relay/forward/send.go
+++ b/internal/relay/forward/send.go
@@ -201,25 +201,42 @@
 	e.recordCall(placed, ending, latency, 0)
 }
 
-// checkCrash reports the requests of this host at the upstream if that has crashed: no
-// other host has to have reported it, but this one must have lost its connection, and new
-// ones must be refused. The end of an upstream that drains is no crash.
+// errCutShort means that a response has probably been cut short by a crash.
+const errCutShort = errors.ConstError("response ends with the connection to an upstream that refuses new ones")
+
+// checkEnd returns an error if a response that seems to be complete may have been cut
+// short: its end is the end of the connection, and the upstream has crashed.
+func (e *exchange) checkEnd(placed *placement.Placed, response *upstreamhttp.Response) error {
+	if response.Unframed && e.hasCrashed(placed.Upstream) {
+		return errors.WithType(errCutShort, upstreamhttp.ErrLost)
+	}
+	return nil
+}
+
+// checkCrash reports the requests of this host at an upstream to which it has lost the
+// connection, if that has crashed.
 func (e *exchange) checkCrash(placed *placement.Placed) {
-	if !e.config.Fleet.Snapshot().Accepts(placed.Upstream) {
+	if !e.hasCrashed(placed.Upstream) {
 		return
 	}
-	process := processOf(placed.Upstream)
-	if !e.config.Poison.Known(process) {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(e.ctx), crashProbeTimeout)
-		defer cancel()
-		if !e.config.Client.Refuses(ctx, placed.Address) {
-			return
-		}
-	}
-	suspects := e.config.Poison.Crashed(process)
+	suspects := e.config.Poison.Crashed(processOf(placed.Upstream))
 	e.logAttempt(e.log.Warn(), placed).Int("suspects", suspects).Msg("forward: upstream crashed with the request in flight")
 }
 
+// hasCrashed reports whether an upstream has crashed, as another host reports, or because
+// it refuses connections. The end of an upstream that drains is no crash.
+func (e *exchange) hasCrashed(upstream fleet.Upstream) bool {
+	if !e.config.Fleet.Snapshot().Accepts(upstream) {
+		return false
+	}
+	if e.config.Poison.Known(processOf(upstream)) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(e.ctx), crashProbeTimeout)
+	defer cancel()
+	return e.config.Client.Refuses(ctx, upstream.Address)
+}
+
 func processOf(upstream fleet.Upstream) poison.Process {
 	return poison.Process{
 		Upstream:    upstream.ID,
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -322,8 +322,11 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			e.startResponse(response)
-			return nil
+			err = e.checkEnd(placed, response)
+			if err == nil {
+				e.startResponse(response)
+				return nil
+			}
 		}
 		if err != nil {
 			return err
--- a/internal/relay/upstreamhttp/response.go
+++ b/internal/relay/upstreamhttp/response.go
@@ -121,6 +121,7 @@
 	Header      http.Header
 	Reply       wire.Reply
 	Length      int64 // of the body in bytes; -1 if unknown
+	Unframed    bool  // the body ends with the connection, whether it is complete or not
 	Misdirected bool  // a reused connection led to an upstream that no longer has the address
 
 	client   *Client
