Play prompts that crash engines in the soak

The soak missed the fault since all its prompts were alike, and since its crashed upstreams still accepted connections, which hosts do not take for a crash. Prompts now differ, a refused link has no listener, and a step of plans makes callers send prompts with a part that crashes engines. Checked: at most three of them run later than the contact bound after the fifth crash, and half of the others are served.

--- a/internal/system/soak_cluster_test.go
+++ b/internal/system/soak_cluster_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -90,7 +91,10 @@
 
 	publishMu sync.Mutex // held while a routing table is written, so that versions are stored in order
 
+	deadlyShare atomic.Int64 // share of the prompts that have the deadly part, in percent
+
 	mu           sync.Mutex
+	crashes      []time.Time // of engines, by prompts with the deadly part
 	versions     []tableVersion
 	upstreams    []*standin.Upstream // including those that were replaced or crashed
 	drained      []drainedUpstream
@@ -324,6 +328,7 @@
 // caller holds slot.mu.
 func (c *soakCluster) startUpstream(slot *upstreamSlot) {
 	slot.upstream = standin.NewUpstream(slot.config)
+	slot.upstream.CrashOn(soakDeadlyPart, func() { c.crashByPrompt(slot) })
 	slot.server = httptest.NewServer(slot.upstream.Handler())
 	c.t.Cleanup(slot.server.Close)
 	slot.forwarder.mu.Lock()
@@ -549,6 +554,8 @@
 		faultLink(slot.forwarder, linkFault{Mute: true})
 	case resetUpstream:
 		slot.forwarder.reset()
+	case deadlyPart:
+		c.sendDeadlyPart(s)
 	}
 }
 
--- a/internal/system/soak_forwarder_test.go
+++ b/internal/system/soak_forwarder_test.go
@@ -14,7 +14,7 @@
 type linkFault struct {
 	Delay  time.Duration // added to every chunk of data
 	Block  [2]bool       // holds back data, per direction: to the server, from the server
-	Refuse bool          // resets new connections
+	Refuse bool          // refuses new connections, since nothing listens
 	Mute   bool          // permanently holds back data on the connections that are open when it is set
 }
 
@@ -23,14 +23,16 @@
 // packets.
 type forwarder struct {
 	address ident.Address
+	t       *testing.T
 	ctx     context.Context // ends with the run
 	conns   sync.WaitGroup
 
-	mu      sync.Mutex
-	target  ident.Address
-	fault   linkFault
-	changed chan struct{} // closed when fault changes
-	open    map[*forwardedConn]bool
+	mu       sync.Mutex
+	listener net.Listener // nil while connections are refused
+	target   ident.Address
+	fault    linkFault
+	changed  chan struct{} // closed when fault changes
+	open     map[*forwardedConn]bool
 }
 
 // forwardedConn is a pair of connections, from a client and to the server.
@@ -44,19 +46,30 @@
 	t.Helper()
 	f := &forwarder{
 		address: address,
+		t:       t,
 		ctx:     ctx,
 		target:  target,
 		changed: make(chan struct{}),
 		open:    make(map[*forwardedConn]bool),
 	}
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp4", string(address))
-	if err != nil {
-		t.Fatal(err)
-	}
+	f.setFault(linkFault{})
 	context.AfterFunc(ctx, func() {
-		_ = listener.Close()
+		f.setFault(linkFault{
+			Refuse: true,
+		})
 		f.reset()
 	})
+	return f
+}
+
+// listen starts to accept connections. The caller holds the mutex.
+func (f *forwarder) listen() {
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", string(f.address))
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	f.listener = listener
 	f.conns.Go(func() {
 		for {
 			conn, err := listener.Accept()
@@ -66,7 +79,6 @@
 			f.conns.Go(func() { f.forward(conn.(*net.TCPConn)) })
 		}
 	})
-	return f
 }
 
 // setFault replaces the fault. Connections that a previous one muted stay muted.
@@ -74,6 +86,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.fault = fault
+	switch {
+	case fault.Refuse && f.listener != nil:
+		_ = f.listener.Close()
+		f.listener = nil
+	case !fault.Refuse && f.listener == nil && f.ctx.Err() == nil:
+		f.listen()
+	}
 	if fault.Mute {
 		for c := range f.open {
 			c.muted = true
@@ -104,15 +123,11 @@
 
 func (f *forwarder) forward(client *net.TCPConn) {
 	f.mu.Lock()
-	target, refuse := f.target, f.fault.Refuse
+	target := f.target
 	f.mu.Unlock()
 	c := &forwardedConn{
 		client: client,
 	}
-	if refuse {
-		c.reset()
-		return
-	}
 	server, err := new(net.Dialer).DialContext(f.ctx, "tcp4", string(target))
 	if err != nil {
 		c.reset() // no process listens on the target
--- a/internal/system/soak_load_test.go
+++ b/internal/system/soak_load_test.go
@@ -28,6 +28,7 @@
 	route     string // submit, lookup, chat or extra
 	key       string // API key, first or second
 	body      string
+	deadly    bool // the prompt has the deadly part
 	host      int
 	hostStart int // startNumber of the host; 0 if it changed during the request or is unknown
 	sent      time.Time
@@ -127,6 +128,7 @@
 		sent:      time.Now(),
 	}
 	l.mu.Unlock()
+	r.deadly = r.route == "chat" && rand.Int64N(100) < l.cluster.deadlyShare.Load()
 	if r.route == "lookup" && rand.IntN(2) == 0 {
 		r.key = "second"
 	}
@@ -145,7 +147,7 @@
 		request.Header.Set("Chunks", "2")
 		request.Header.Set("Chunk-Key", string(r.id))
 		request.Header.Set("Token-Counts", "100,20")
-		request.Header.Set("Prefix-Hash", "aa:50,bb:20,cc:30")
+		request.Header.Set("Prefix-Hash", r.prompt())
 	}
 	response, err := client.Do(request)
 	if err != nil {
--- a/internal/system/soak_plan_test.go
+++ b/internal/system/soak_plan_test.go
@@ -41,13 +41,14 @@
 	cutUpstream         action = "cut"           // an upstream cannot be reached
 	muteUpstream        action = "mute"          // open connections to an upstream carry no data any more; new ones work
 	resetUpstream       action = "reset"         // resets the open connections to an upstream
+	deadlyPart          action = "deadly part"   // callers send prompts with a part that crashes engines
 )
 
 var actions = []action{
 	publish, revoke, replace, stop, reload, kill, killAll, pause,
 	storeDown, storeSlow, storeDropsResponses, storeCompacts,
 	cutStore, cutPeers, slowPeers, resetPeers,
-	failRequests, dropResponses, rejectRequests, truncateStreams, crashUpstream, cutUpstream, muteUpstream, resetUpstream,
+	failRequests, dropResponses, rejectRequests, truncateStreams, crashUpstream, cutUpstream, muteUpstream, resetUpstream, deadlyPart,
 }
 
 // planned reports whether the action is planned work, which must not make any
--- a/internal/system/soak_regression_test.go
+++ b/internal/system/soak_regression_test.go
@@ -25,6 +25,15 @@
 			Target: 4,
 		},
 	},
+	// Prompts that are alike in one part only crashed engine after engine.
+	"prompts crash engines": {
+		{
+			At:     0,
+			Action: deadlyPart,
+			Share:  0.5,
+			For:    3 * time.Second,
+		},
+	},
 	// In 1 of 13 runs, a host deadlocked when hosts registered again after a pause: the
 	// locks of the replica and of the member list were taken in both orders.
 	"hosts pause repeatedly": overlappingPauses(4, 400*time.Millisecond),
--- a/internal/system/soak_test.go
+++ b/internal/system/soak_test.go
@@ -180,6 +180,7 @@
 	c.checkRuns(byID)
 	c.checkVersions()
 	c.checkDrains()
+	c.checkDeadlyPart()
 	c.checkRecovery(recovered, loadEnd)
 }
 
