Count moments with crashes, and retries that crash the next upstream

Three moments, at least 100 ms apart, block a request now. A crash counts as a moment of its own, however soon, if the request was sent to that upstream after it had been in flight at another crash: upstreams that fail together do so before any request is sent again. Retries end after two moments, in place of two crashes.

--- a/internal/relay/poison/attempt.go
+++ b/internal/relay/poison/attempt.go
@@ -30,6 +30,7 @@
 	table       *Table
 	process     Process
 	request     *Request
+	repeated    bool      // the request has been in flight at another crash before
 	respondedAt time.Time // when the response began; zero before
 	endedAt     time.Time // zero before the end
 	settled     bool      // written and read by the caller of Responding only
@@ -45,6 +46,7 @@
 	now := t.config.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	a.repeated = request.suspected
 	t.sweepAttempts(now)
 	list := t.attempts[process]
 	if len(list) >= maxAttempts {
@@ -142,13 +144,17 @@
 		if !a.endedAt.IsZero() && now.Sub(a.endedAt) >= settleTime {
 			continue // if it were the cause, the process would have ended before
 		}
-		suspect := peer.CrashSuspect{a.request.contentFingerprint()}
+		fingerprints := []Fingerprint{a.request.contentFingerprint()}
 		for _, part := range a.request.parts {
 			if !t.sound.knownSince(part, now.Add(-soundPeriod)) {
-				suspect = append(suspect, part)
+				fingerprints = append(fingerprints, part)
 			}
 		}
-		suspects = append(suspects, suspect[:min(len(suspect), peer.MaxFingerprints)])
+		suspects = append(suspects, peer.CrashSuspect{
+			Fingerprints: fingerprints[:min(len(fingerprints), peer.MaxFingerprints)],
+			Repeated:     a.repeated,
+		})
+		a.request.suspected = true
 	}
 	delete(t.attempts, process)
 	return suspects[:min(len(suspects), peer.MaxSuspects)]
--- a/internal/relay/poison/report.go
+++ b/internal/relay/poison/report.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"slices"
 	"time"
 
 	"github.com/nutmegshift/nutmegshift/ident"
@@ -29,6 +30,14 @@
 // countsAgainst reports whether the crash counts against a fingerprint.
 func (c *crash) countsAgainst(f Fingerprint) bool { return c.all[f] }
 
+// follows reports whether a request with the fingerprint was sent after it had been in
+// flight at another crash.
+func (c *crash) follows(f Fingerprint) bool {
+	return slices.ContainsFunc(c.suspects, func(s peer.CrashSuspect) bool {
+		return s.Repeated && slices.Contains(s.Fingerprints, f)
+	})
+}
+
 // clear makes the crash no longer count against a fingerprint.
 func (c *crash) clear(f Fingerprint) {
 	if _, ok := c.all[f]; ok {
@@ -44,7 +53,7 @@
 	}
 	for _, suspect := range report.Suspects {
 		c.suspects = append(c.suspects, suspect)
-		for _, f := range suspect {
+		for _, f := range suspect.Fingerprints {
 			if _, ok := c.all[f]; !ok {
 				c.all[f] = !sound(f)
 			}
--- a/internal/relay/poison/request.go
+++ b/internal/relay/poison/request.go
@@ -40,6 +40,7 @@
 	parts      []Fingerprint
 	newContent func() Fingerprint
 	content    Fingerprint // zero until it is needed, since hashing a body takes time
+	suspected  bool        // has been in flight at a crash
 }
 
 // NewRequest returns the fingerprints of a request. The parts are those of its prompt
--- a/internal/relay/poison/stored.go
+++ b/internal/relay/poison/stored.go
@@ -14,8 +14,14 @@
 type storedReport struct {
 	Upstream    ident.UpstreamID  `json:"upstream"`
 	Incarnation ident.Incarnation `json:"incarnation"`
-	At          int64             `json:"at"`       // milliseconds since the Unix epoch
-	Suspects    [][]byte          `json:"suspects"` // concatenated fingerprints of each suspect
+	At          int64             `json:"at"` // milliseconds since the Unix epoch
+	Suspects    []storedSuspect   `json:"suspects"`
+}
+
+// storedSuspect is a suspect of a report.
+type storedSuspect struct {
+	Fingerprints []byte `json:"fingerprints"` // concatenated
+	Repeated     bool   `json:"repeated"`
 }
 
 // EncodeReports returns the value of an entry of the store that holds reports. It returns
@@ -32,7 +38,10 @@
 			At:          report.At.UnixMilli(),
 		}
 		for _, suspect := range report.Suspects {
-			s.Suspects = append(s.Suspects, suspect.JoinFingerprints())
+			s.Suspects = append(s.Suspects, storedSuspect{
+				Fingerprints: peer.JoinFingerprints(suspect.Fingerprints),
+				Repeated:     suspect.Repeated,
+			})
 		}
 		stored = append(stored, s)
 	}
@@ -53,12 +62,15 @@
 			Incarnation: s.Incarnation,
 			At:          time.UnixMilli(s.At),
 		}
-		for _, fingerprints := range s.Suspects {
-			suspect, err := peer.SplitFingerprints(fingerprints)
+		for _, suspect := range s.Suspects {
+			fingerprints, err := peer.SplitFingerprints(suspect.Fingerprints)
 			if err != nil {
 				return nil, err
 			}
-			report.Suspects = append(report.Suspects, suspect)
+			report.Suspects = append(report.Suspects, peer.CrashSuspect{
+				Fingerprints: fingerprints,
+				Repeated:     suspect.Repeated,
+			})
 		}
 		reports = append(reports, report)
 	}
--- a/internal/relay/poison/table.go
+++ b/internal/relay/poison/table.go
@@ -10,9 +10,14 @@
 	"github.com/nutmegshift/nutmegshift/peer"
 )
 
-// clearInterval is the shortest time between two statements that the same fingerprint is
-// sound.
-const clearInterval = 5 * time.Second
+const (
+	// clearInterval is the shortest time between two statements that the same fingerprint
+	// is sound.
+	clearInterval = 5 * time.Second
+	// clearCrashes is the number of crashes with which a sound fingerprint has to be
+	// reported before other hosts are told that it is sound.
+	clearCrashes = 2
+)
 
 // Config holds the dependencies of a Table. The functions are called without a lock,
 // possibly concurrently.
@@ -203,7 +208,7 @@
 		}
 	}
 	last, ok := t.cleared[f]
-	return reported >= retryCrashes && (!ok || now.Sub(last) >= clearInterval)
+	return reported >= clearCrashes && (!ok || now.Sub(last) >= clearInterval)
 }
 
 // publishSound makes crashes no longer count against fingerprints, and tells other hosts
@@ -312,22 +317,7 @@
 	defer t.mu.Unlock()
 	var reports []peer.CrashReported
 	for _, pattern := range t.verdict.blocked {
-		// The first and the latest ones have the span that a block needs.
-		for _, process := range append(pattern.Crashes[:blockCrashes-1:blockCrashes-1], pattern.Crashes[len(pattern.Crashes)-1]) {
-			c := t.crashes[process]
-			report := peer.CrashReported{
-				Upstream:    process.Upstream,
-				Incarnation: process.Incarnation,
-				At:          c.at,
-			}
-			for _, suspect := range c.suspects {
-				if containsAll(suspect, pattern.Fingerprints) {
-					report.Suspects = append(report.Suspects, pattern.Fingerprints)
-					break
-				}
-			}
-			reports = append(reports, report)
-		}
+		reports = append(reports, t.evidence(pattern)...)
 	}
 	slices.SortFunc(reports, func(a, b peer.CrashReported) int {
 		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Incarnation, b.Incarnation))
@@ -335,11 +325,29 @@
 	return reports
 }
 
-func containsAll(suspect peer.CrashSuspect, fingerprints []Fingerprint) bool {
-	for _, f := range fingerprints {
-		if !slices.Contains(suspect, f) {
-			return false
+// evidence returns reports on the latest moments with crashes that a pattern explains, as
+// many as block it. The caller holds the mutex.
+func (t *Table) evidence(pattern Pattern) []peer.CrashReported {
+	var reports []peer.CrashReported
+	var later *crash // of the latest report
+	for _, process := range pattern.Crashes {
+		c := t.crashes[process]
+		if later != nil && !later.follows(pattern.Fingerprints[0]) && later.at.Sub(c.at) < momentLength {
+			continue
+		}
+		reports = append(reports, peer.CrashReported{
+			Upstream:    process.Upstream,
+			Incarnation: process.Incarnation,
+			At:          c.at,
+			Suspects: []peer.CrashSuspect{{
+				Fingerprints: pattern.Fingerprints,
+				Repeated:     c.follows(pattern.Fingerprints[0]),
+			}},
+		})
+		if len(reports) == blockMoments {
+			break
 		}
+		later = c
 	}
-	return true
+	return reports
 }
--- a/internal/relay/poison/table_test.go
+++ b/internal/relay/poison/table_test.go
@@ -382,6 +382,28 @@
 	c.Check(h.MayRetry(prompt("other")), qt.IsTrue)
 }
 
+// Guards against a request that crashes all upstreams of a service within a moment, since
+// it is sent to the next one at once, and is then not told from a bystander of upstreams
+// that fail together.
+func TestSentAgainAtOnce(t *testing.T) {
+	const pause = 20 * time.Millisecond
+	for name, again := range map[string]bool{"the same request": true, "other requests": false} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHosts(c, 1)[0]
+			request := prompt("part")
+			for i := range 3 {
+				h.crash(process(i), request)
+				*h.now = h.now.Add(pause - crashInterval)
+				if !again {
+					request = prompt("part")
+				}
+			}
+			c.Check(h.blocks(request), qt.Equals, again)
+		})
+	}
+}
+
 // Guards against hosts that start after the crashes, or reach no other host, and do not
 // know what is blocked.
 func TestEvidence(t *testing.T) {
--- a/internal/relay/poison/verdict.go
+++ b/internal/relay/poison/verdict.go
@@ -3,20 +3,19 @@
 import (
 	"bytes"
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
 
 const (
-	// blockCrashes is the number of crashes after which a request is blocked.
-	blockCrashes = 3
-	// retryCrashes is the number of crashes after which a request is not sent again, once
-	// it has been lost.
-	retryCrashes = 2
-	// minCrashSpan is the shortest time in which blockCrashes crashes block a request.
-	// Upstreams that fail together end within less, and many requests are in flight at
-	// several of them.
-	minCrashSpan = 400 * time.Millisecond
+	// blockMoments is the number of moments with crashes after which a request is blocked,
+	// retryMoments that after which it is not sent again once it has been lost.
+	blockMoments = 3
+	retryMoments = 2
+	// momentLength is the time between crashes that count as two moments. Upstreams that
+	// fail together end within less, and many requests are in flight at several of them.
+	momentLength = 100 * time.Millisecond
 	// minRetryAfter is the shortest time after which the callers of blocked requests may
 	// try again.
 	minRetryAfter = time.Second
@@ -28,40 +27,36 @@
 	Fingerprints []Fingerprint
 	Crashes      []Process // that the pattern explains, the latest first
 	since        time.Time // when this host first blocked it
-	until        time.Time // when the last of the crashes expires
+	until        time.Time // when too few of the crashes are left
 }
 
 // verdict is what a Table has concluded from the reports.
 type verdict struct {
 	blocked  []Pattern
-	repeated map[Fingerprint]bool // with at least retryCrashes unexplained crashes
+	repeated map[Fingerprint]bool // with at least retryMoments of unexplained crashes
 }
 
-// tally counts in how many crashes and suspects a fingerprint occurs.
+// tally counts the crashes that a fingerprint may have caused.
 type tally struct {
-	crashes, suspects int
-	first, last       time.Time // of the crashes
+	crashes  int
+	suspects int
+	moments  int       // numbers of crashes that have not happened together
+	last     time.Time // latest moment
 }
 
-// add counts a crash.
-func (t tally) add(at time.Time) tally {
-	if t.crashes == 0 || at.Before(t.first) {
-		t.first = at
-	}
-	if at.After(t.last) {
+// add counts a crash, which is not earlier than those counted before. It follows another
+// one if a request was sent after that.
+func (t tally) add(at time.Time, follows bool) tally {
+	t.crashes++
+	if t.moments == 0 || follows || at.Sub(t.last) >= momentLength {
+		t.moments++
 		t.last = at
 	}
-	t.crashes++
 	return t
 }
 
-// blocks reports whether the crashes are reason enough to block requests.
-func (t tally) blocks() bool {
-	return t.crashes >= blockCrashes && t.last.Sub(t.first) >= minCrashSpan
-}
-
 // conclude returns the patterns that explain the crashes best. The cause of several
-// crashes is in flight at each of them, so the fingerprint with the most crashes comes
+// crashes is in flight at each of them, so the fingerprint with the most moments comes
 // first. Of several with the same number, the one in the fewest requests does: blocking it
 // affects the fewest others, and if it is the wrong one, the next crash gives another one
 // the higher number. The crashes that a pattern explains say nothing about the requests
@@ -79,7 +74,7 @@
 		best, ok := mostLikely(tallies)
 		if !ok {
 			for f, t := range tallies {
-				if t.crashes >= retryCrashes {
+				if t.moments >= retryMoments {
 					v.repeated[f] = true
 				}
 			}
@@ -92,14 +87,15 @@
 // tallyOf counts the fingerprints against which crashes count.
 func tallyOf(crashes map[Process]*crash) map[Fingerprint]tally {
 	tallies := make(map[Fingerprint]tally)
-	for _, c := range crashes {
+	ordered := slices.SortedFunc(maps.Values(crashes), func(a, b *crash) int { return a.at.Compare(b.at) })
+	for _, c := range ordered {
 		for f := range c.all {
 			if c.countsAgainst(f) {
-				tallies[f] = tallies[f].add(c.at)
+				tallies[f] = tallies[f].add(c.at, c.follows(f))
 			}
 		}
 		for _, suspect := range c.suspects {
-			for _, f := range suspect {
+			for _, f := range suspect.Fingerprints {
 				if c.countsAgainst(f) {
 					t := tallies[f]
 					t.suspects++
@@ -115,10 +111,11 @@
 // conclude, if there is one with enough of them.
 func mostLikely(tallies map[Fingerprint]tally) (best Fingerprint, ok bool) {
 	for f, t := range tallies {
-		if !t.blocks() {
+		if t.moments < blockMoments {
 			continue
 		}
 		order := cmp.Or(
+			cmp.Compare(t.moments, tallies[best].moments),
 			cmp.Compare(t.crashes, tallies[best].crashes),
 			cmp.Compare(tallies[best].suspects, t.suspects),
 			bytes.Compare(best[:], f[:]), // so that hosts with the same reports agree
@@ -136,11 +133,11 @@
 	var pattern Pattern
 	for _, c := range unexplained {
 		for _, suspect := range c.suspects {
-			if !slices.Contains(suspect, best) || !c.countsAgainst(best) {
+			if !slices.Contains(suspect.Fingerprints, best) || !c.countsAgainst(best) {
 				continue
 			}
 			if pattern.Fingerprints == nil {
-				for _, f := range suspect {
+				for _, f := range suspect.Fingerprints {
 					if c.countsAgainst(f) && tallies[f] == tallies[best] {
 						pattern.Fingerprints = append(pattern.Fingerprints, f)
 					}
@@ -148,21 +145,19 @@
 				continue
 			}
 			pattern.Fingerprints = slices.DeleteFunc(pattern.Fingerprints, func(f Fingerprint) bool {
-				return !slices.Contains(suspect, f)
+				return !slices.Contains(suspect.Fingerprints, f)
 			})
 		}
 	}
 	for process, c := range unexplained {
 		if c.countsAgainst(best) {
 			pattern.Crashes = append(pattern.Crashes, process)
-			if until := c.at.Add(reportRetention); until.After(pattern.until) {
-				pattern.until = until
-			}
 		}
 	}
 	slices.SortFunc(pattern.Crashes, func(a, b Process) int {
 		return cmp.Or(unexplained[b].at.Compare(unexplained[a].at), cmp.Compare(a.Upstream, b.Upstream))
 	})
+	pattern.until = unexplained[pattern.Crashes[blockMoments-1]].at.Add(reportRetention)
 	for _, process := range pattern.Crashes {
 		delete(unexplained, process)
 	}
--- a/peer/grpcpeer/codec.go
+++ b/peer/grpcpeer/codec.go
@@ -337,7 +337,8 @@
 	}
 	for _, suspect := range c.Suspects {
 		crash.Suspects = append(crash.Suspects, &Suspect{
-			Fingerprints: suspect.JoinFingerprints(),
+			Fingerprints: peer.JoinFingerprints(suspect.Fingerprints),
+			Repeated:     suspect.Repeated,
 		})
 	}
 	return crash
@@ -357,11 +358,14 @@
 		At:          time.Now().Add(-time.Duration(max(0, min(c.GetAge(), maxCrashAge.Microseconds()))) * time.Microsecond),
 	}
 	for _, s := range c.GetSuspects() {
-		suspect, err := peer.SplitFingerprints(s.GetFingerprints())
+		fingerprints, err := peer.SplitFingerprints(s.GetFingerprints())
 		if err != nil {
 			return peer.CrashReported{}, err
 		}
-		reported.Suspects = append(reported.Suspects, suspect)
+		reported.Suspects = append(reported.Suspects, peer.CrashSuspect{
+			Fingerprints: fingerprints,
+			Repeated:     s.GetRepeated(),
+		})
 	}
 	return reported, nil
 }
--- a/peer/grpcpeer/crash_test.go
+++ b/peer/grpcpeer/crash_test.go
@@ -31,7 +31,10 @@
 			Upstream:    "u",
 			Incarnation: 7,
 			At:          time.Now().Add(-age),
-			Suspects:    []peer.CrashSuspect{{{1}, {2}}, {{3}}},
+			Suspects: []peer.CrashSuspect{
+				{Fingerprints: []peer.Fingerprint{{1}, {2}}},
+				{Fingerprints: []peer.Fingerprint{{3}}, Repeated: true},
+			},
 		}
 		message.Rumours = []peer.Rumour{sent}
 		_, err := f.client.Exchange(context.Background(), f.address, message)
@@ -45,7 +48,7 @@
 
 		for name, suspects := range map[string][]peer.CrashSuspect{
 			"many suspects":     make([]peer.CrashSuspect, peer.MaxSuspects+1),
-			"many fingerprints": {make(peer.CrashSuspect, peer.MaxFingerprints+1)},
+			"many fingerprints": {{Fingerprints: make([]peer.Fingerprint, peer.MaxFingerprints+1)}},
 		} {
 			sent.Suspects = suspects
 			message.Rumours = []peer.Rumour{sent}
--- a/peer/rumour.go
+++ b/peer/rumour.go
@@ -61,31 +61,33 @@
 	MaxFingerprints = 16
 )
 
-// CrashSuspect holds the fingerprints of one request that may have crashed an upstream.
-// Those that the reporting host knows as harmless may be missing.
-type CrashSuspect []Fingerprint
+// CrashSuspect is one request that may have crashed an upstream.
+type CrashSuspect struct {
+	Fingerprints []Fingerprint // at most MaxFingerprints; those that the host knows as harmless may be missing
+	Repeated     bool          // the request was sent after it had been in flight at another crash
+}
 
-// JoinFingerprints returns the concatenated fingerprints of a suspect.
-func (s CrashSuspect) JoinFingerprints() []byte {
+// JoinFingerprints returns the concatenated fingerprints.
+func JoinFingerprints(fingerprints []Fingerprint) []byte {
 	var joined []byte
-	for _, f := range s {
+	for _, f := range fingerprints {
 		joined = append(joined, f[:]...)
 	}
 	return joined
 }
 
-// SplitFingerprints returns the suspect whose concatenated fingerprints are given. It
-// returns an error if they are incomplete or more than MaxFingerprints.
-func SplitFingerprints(joined []byte) (CrashSuspect, error) {
+// SplitFingerprints returns the fingerprints that JoinFingerprints has joined. It returns
+// an error if one is incomplete, or if they are more than MaxFingerprints.
+func SplitFingerprints(joined []byte) ([]Fingerprint, error) {
 	const size = len(Fingerprint{})
 	if len(joined)%size != 0 || len(joined) > MaxFingerprints*size {
 		return nil, errors.NotValidf("fingerprints of %d bytes", len(joined))
 	}
-	var suspect CrashSuspect
+	var fingerprints []Fingerprint
 	for f := range slices.Chunk(joined, size) {
-		suspect = append(suspect, Fingerprint(f))
+		fingerprints = append(fingerprints, Fingerprint(f))
 	}
-	return suspect, nil
+	return fingerprints, nil
 }
 
 // CrashReported states which requests of one host may have crashed an upstream. Each host
