Send urgent rumours at once

A host sent one message in 200 ms, whatever it had to tell.

While urgent rumours have been sent fewer than three times, a host sends a message every 40 ms, first as soon as a rumour is queued.

--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -10,9 +10,15 @@
 )
 
 const (
-	// Interval is the time between two calls of Gossip.Tick, each of which returns
+	// Interval is the usual time between two calls of Gossip.Tick, each of which returns
 	// at most one message.
 	Interval = 200 * time.Millisecond
+	// UrgentInterval is the time between two calls of Gossip.Tick while there are urgent
+	// rumours that have been sent fewer than urgentTransmissions times: with three, a
+	// rumour reaches all hosts in few steps, although some transmissions meet hosts that
+	// have it already.
+	UrgentInterval      = 40 * time.Millisecond
+	urgentTransmissions = 3
 	// RetransmitFactor times log2(n) is the number of times that a host sends a
 	// rumour among n live hosts, unless they are few.
 	RetransmitFactor = 3
@@ -90,6 +96,7 @@
 	config  Config
 	table   *Table
 	rumours chan Rumour
+	urgent  chan struct{} // has an element while an urgent rumour has been queued since the latest tick
 
 	mu               sync.Mutex
 	tick             int
@@ -115,6 +122,7 @@
 		config:         config,
 		table:          config.Table,
 		rumours:        make(chan Rumour, rumourBuffer),
+		urgent:         make(chan struct{}, 1),
 		queueBySubject: make(map[string]*pending),
 		inFlight:       make(map[ident.HostID][]transmission),
 		seen:           make(map[string]seenRumour),
@@ -136,6 +144,24 @@
 	return g.dropped
 }
 
+// Urgent returns a channel that receives when an urgent rumour has been queued. The next
+// Tick is due as Pause says from then on.
+func (g *Gossip) Urgent() <-chan struct{} {
+	return g.urgent
+}
+
+// Pause returns the time from the latest Tick to the next one.
+func (g *Gossip) Pause() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.queue {
+		if p.urgent && p.sent < urgentTransmissions {
+			return UrgentInterval
+		}
+	}
+	return Interval
+}
+
 // Publish spreads a rumour of this host. TopOrganisations replace the previous
 // ones and are truncated to MaxOrganisations.
 func (g *Gossip) Publish(rumour Rumour) {
@@ -197,6 +223,10 @@
 	defer g.mu.Unlock()
 	g.table.mu.Lock()
 	defer g.table.mu.Unlock()
+	select {
+	case <-g.urgent:
+	default:
+	}
 	g.now = now
 	g.tick++
 	g.table.expire(now)
--- a/peer/grpcpeer/runner.go
+++ b/peer/grpcpeer/runner.go
@@ -31,26 +31,31 @@
 	}
 }
 
-// Run calls gossip.Tick every peer.Interval until ctx ends, and returns nil once all
-// calls have returned.
+// Run calls gossip.Tick until ctx ends, with the pauses that gossip.Pause returns, and
+// returns nil once all calls have returned.
 func (r *Runner) Run(ctx context.Context) error {
 	done := make(chan struct{})
 	running := 0
-	ticker := time.NewTicker(peer.Interval)
-	defer ticker.Stop()
+	timer := time.NewTimer(peer.Interval)
+	defer timer.Stop()
+	ticked := r.now()
 	for tick := 0; ; {
 		select {
 		case <-done:
 			running--
 			continue
+		case <-r.gossip.Urgent():
+			timer.Reset(max(0, r.gossip.Pause()-r.now().Sub(ticked)))
+			continue
 		case <-ctx.Done():
 			for ; running > 0; running-- {
 				<-done
 			}
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
 			tick++
 		}
+		ticked = r.now()
 		for _, out := range r.gossip.Tick(r.now()) {
 			running++
 			go func(ctx context.Context) {
@@ -61,6 +66,7 @@
 		if tick%retainTicks == 0 {
 			r.retain()
 		}
+		timer.Reset(r.gossip.Pause())
 	}
 }
 
--- a/peer/internal/peernet/network.go
+++ b/peer/internal/peernet/network.go
@@ -19,6 +19,7 @@
 	gossip    *peer.Gossip
 	received  []peer.Rumour
 	stopped   bool                    // neither sends nor replies
+	nextTick  time.Time               // used by advance
 	documents map[ident.HostID]uint64 // latest Message.Documents by sender
 }
 
@@ -105,9 +106,32 @@
 // step runs one tick of every host, in random order.
 func (n *network) step() {
 	n.now = n.now.Add(peer.Interval)
+	n.tick(func(*node) bool { return true })
+}
+
+// advance lets time pass until the next tick of a host with urgent rumours may be due, and
+// runs the ticks that are due.
+func (n *network) advance() {
+	n.now = n.now.Add(peer.UrgentInterval)
+	n.tick(func(at *node) bool {
+		if pause := at.gossip.Pause(); at.nextTick.IsZero() {
+			at.nextTick = n.now.Add(time.Duration(n.random.Int64N(int64(pause))))
+		} else if soonest := n.now.Add(pause - peer.UrgentInterval); at.nextTick.After(soonest) {
+			at.nextTick = soonest // a rumour has been queued since the latest tick
+		}
+		if n.now.Before(at.nextTick) {
+			return false
+		}
+		at.nextTick = n.now.Add(peer.Interval)
+		return true
+	})
+}
+
+// tick runs one tick of the hosts for which due returns true, in random order.
+func (n *network) tick(due func(at *node) bool) {
 	for _, i := range n.random.Perm(len(n.order)) {
 		from := n.node(i)
-		if from.stopped {
+		if from.stopped || !due(from) {
 			continue
 		}
 		for _, out := range from.gossip.Tick(n.now) {
--- a/peer/pending.go
+++ b/peer/pending.go
@@ -202,6 +202,12 @@
 	p.sequence = g.sequence
 	p.queuedAt = g.now
 	p.knownBy = make(map[ident.HostID]bool)
+	if p.urgent {
+		select {
+		case g.urgent <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // countDuplicate counts a received duplicate of a queued rumour as a transmission,
