Keep blocks while many other upstreams crash, and probe before a response is dropped

The table of crashes keeps 256. On a large fleet more upstreams than that can crash together, and the crashes behind a block would be dropped first, so that the part at fault would crash upstreams anew. They are dropped last now; TestTableIsBounded failed before.

Whether a response that ends with its connection has been cut short is decided by this host's own attempt to connect. A report of another host may come from one that is cut off.

--- a/internal/relay/forward/send.go
+++ b/internal/relay/forward/send.go
@@ -207,31 +207,29 @@
 // checkEnd returns an error if a response that seems to be complete may have been cut
 // short: its end is the end of the connection, and the upstream has crashed.
 func (e *exchange) checkEnd(placed *placement.Placed, response *upstreamhttp.Response) error {
-	if response.Unframed && e.hasCrashed(placed.Upstream) {
+	if response.Unframed && e.refusesConnections(placed.Upstream) {
 		return errors.WithType(errCutShort, upstreamhttp.ErrLost)
 	}
 	return nil
 }
 
 // checkCrash reports the requests of this host at an upstream to which it has lost the
-// connection, if that has crashed.
+// connection, if that has crashed, as it sees itself or another host reports.
 func (e *exchange) checkCrash(placed *placement.Placed) {
-	if !e.hasCrashed(placed.Upstream) {
+	process := processOf(placed.Upstream)
+	if !e.config.Poison.Known(process) && !e.refusesConnections(placed.Upstream) {
 		return
 	}
-	suspects := e.config.Poison.Crashed(processOf(placed.Upstream))
+	suspects := e.config.Poison.Crashed(process)
 	e.logAttempt(e.log.Warn(), placed).Int("suspects", suspects).Msg("forward: upstream crashed with the request in flight")
 }
 
-// hasCrashed reports whether an upstream has crashed, as another host reports, or because
-// it refuses connections. The end of an upstream that drains is no crash.
-func (e *exchange) hasCrashed(upstream fleet.Upstream) bool {
+// refusesConnections reports whether an upstream refuses connections although it is not
+// known to drain: it has crashed.
+func (e *exchange) refusesConnections(upstream fleet.Upstream) bool {
 	if !e.config.Fleet.Snapshot().Accepts(upstream) {
 		return false
 	}
-	if e.config.Poison.Known(processOf(upstream)) {
-		return true
-	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(e.ctx), crashProbeTimeout)
 	defer cancel()
 	return e.config.Client.Refuses(ctx, upstream.Address)
--- a/internal/relay/poison/table.go
+++ b/internal/relay/poison/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -139,17 +140,27 @@
 	return true
 }
 
-// dropOldestCrash makes room for another crash. The caller holds the mutex.
+// dropOldestCrash makes room for another crash. Crashes that are the reason of a block are
+// dropped last. The caller holds the mutex.
 func (t *Table) dropOldestCrash() {
 	if len(t.crashes) < maxCrashes {
 		return
 	}
-	var oldest Process
-	for process, c := range t.crashes {
-		if first, ok := t.crashes[oldest]; !ok || c.at.Before(first.at) {
-			oldest = process
+	explained := make(map[Process]bool)
+	for _, pattern := range t.verdict.blocked {
+		for _, process := range pattern.Crashes {
+			explained[process] = true
 		}
 	}
+	oldest := slices.MinFunc(slices.Collect(maps.Keys(t.crashes)), func(a, b Process) int {
+		if explained[a] != explained[b] {
+			if explained[b] {
+				return -1
+			}
+			return 1
+		}
+		return t.crashes[a].at.Compare(t.crashes[b].at)
+	})
 	delete(t.crashes, oldest)
 }
 
--- a/internal/relay/poison/table_test.go
+++ b/internal/relay/poison/table_test.go
@@ -435,22 +435,24 @@
 	c.Check(started.blocks(prompt("first", "rare", "dead")), qt.IsFalse)
 }
 
-// Guards against tables that grow with every crash and every request.
+// Guards against tables that grow with every crash, and against a block that ends because
+// many other upstreams crash.
 func TestTableIsBounded(t *testing.T) {
 	c := qt.New(t)
 	h := newHosts(c, 1)[0]
+	for i := range 2 {
+		h.crash(process(i), prompt("twice"))
+	}
 	for i := range 3 {
-		h.crash(process(i), prompt("old"))
+		h.crash(process(2+i), prompt("old"))
 	}
 	c.Check(h.blocks(prompt("old")), qt.IsTrue)
 	for i := range 1000 {
-		h.crash(process(3+i), prompt(numbered("x", i)))
-	}
-	for i := range 3 {
-		h.crash(process(2000+i), prompt("new"))
+		h.crash(process(10+i), prompt(numbered("x", i)))
 	}
-	c.Check(h.blocks(prompt("old")), qt.IsFalse, qt.Commentf("the oldest crashes are dropped"))
-	c.Check(h.blocks(prompt("new")), qt.IsTrue)
+	h.crash(process(2000), prompt("twice"))
+	c.Check(h.blocks(prompt("twice")), qt.IsFalse, qt.Commentf("the oldest crashes are dropped"))
+	c.Check(h.blocks(prompt("old")), qt.IsTrue)
 }
 
 // Guards against callers that stay away for long after a verdict that soon turns out to be
