--- a/review/kit/deployment.go
+++ b/review/kit/deployment.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -139,16 +140,37 @@
 	}
 }
 
+// The ports of hosts are below those that the system gives to outgoing connections, which
+// would otherwise take them before the process listens.
+const (
+	firstPort = 12000
+	lastPort  = 30000
+)
+
+// givenAddresses holds the addresses that freeAddresses has returned.
+var givenAddresses = make(map[string]bool)
+
 // freeAddresses returns loopback addresses with free ports.
+// A port is returned only once, since the process that is to listen on it may still start.
 func freeAddresses(count int) ([]string, error) {
 	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	var failed error
+	for attempt := 0; len(addresses) < count; attempt++ {
+		if attempt > 100*count {
+			return nil, fmt.Errorf("no free ports: %w", failed)
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if givenAddresses[address] {
+			continue
+		}
+		listener, err := net.Listen("tcp4", address)
 		if err != nil {
-			return nil, err
+			failed = err
+			continue
 		}
 		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
+		givenAddresses[address] = true
+		addresses = append(addresses, address)
 	}
 	return addresses, nil
 }
--- a/review/kit/host.go
+++ b/review/kit/host.go
@@ -154,8 +154,11 @@
 			h.d.Record.Printf("host %s: ready", h.Name)
 			return nil
 		}
+		if !h.Running() {
+			return fmt.Errorf("host %s has ended before it was ready: %q", h.Name, h.Log(""))
+		}
 		if err := Sleep(ctx, 50*time.Millisecond); err != nil {
-			return fmt.Errorf("host %s is not ready: %w", h.Name, err)
+			return fmt.Errorf("host %s is not ready: %w; log: %q", h.Name, err, h.Log(""))
 		}
 	}
 }
