--- a/review/2/main.go
+++ b/review/2/main.go
@@ -74,18 +74,9 @@
 	if _, err := d.Publish(config(firstKey, secondKey)); err != nil {
 		return "", err
 	}
-	var hosts []*kit.Host
-	for _, zone := range []string{"erie-hall", "huron-hall", "superior-hall"} {
-		h, err := d.StartHost(kit.HostOptions{Name: "edge-" + zone, Domain: zone})
-		if err != nil {
-			return "", err
-		}
-		hosts = append(hosts, h)
-	}
-	for _, h := range hosts {
-		if err := h.AwaitReady(ctx); err != nil {
-			return "", err
-		}
+	hosts, err := d.StartHosts(ctx, "erie-hall", "huron-hall", "superior-hall")
+	if err != nil {
+		return "", err
 	}
 	client := &http.Client{}
 	send := func(h *kit.Host, key string) kit.Answer {
@@ -99,9 +90,6 @@
 		d.Record.Printf("caller at %s with key %q: %s", h.Name, key, answer)
 		return answer
 	}
-	if err := kit.Sleep(ctx, kit.Contact+time.Second); err != nil {
-		return "", err
-	}
 	for _, h := range hosts {
 		if send(h, firstKey).Status != http.StatusOK || send(h, neverKey).Status != http.StatusUnauthorized {
 			return "before the keys are removed, a request is not handled by its key", nil
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -1,147 +1,162 @@
 //go:build review
 
-// Case 5: an upstream that runs stages drains while a request runs its stages.
+// Case 5: processes are killed while a server leaves.
 package main
 
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/nutmegshift/nutmegshift/review/kit"
 )
 
 const (
-	stages = 6 // of a request, one after the other
-	pieces = 8 // of each stage
-	rounds = 3 // requests, one after the other; the upstream drains during the second one
+	// killed is how many of the five hosts are killed at once.
+	killed = 3
+	// leaveDelay is the time from the kill to the server's leaving, startDelay that from
+	// the kill to the start of the processes that were killed.
+	leaveDelay = 100 * time.Millisecond
+	startDelay = 300 * time.Millisecond
+	// rounds is how many requests each host that was not killed gets after drain_ms.
+	rounds = 20
 )
 
-var limits = kit.Segments{
-	Slots:      1,
-	Queue:      2,
-	Batch:      8,
-	CallMS:     240,
-	ItemMS:     26,
-	HeadroomMB: 9.6,
-	HandleTTLS: 4,
-	LinkMbps:   10000,
-}
+// server is one server of the fee service.
+type server struct {
+	upstream *kit.Upstream
+	record   *kit.Record
 
-func config() kit.Config {
-	route := kit.PlainRoute("dossier", "/dossier/", "streaming", "nutmeg-pool", 2)
-	route.TimeoutMS, route.SLOMS, route.Resumable = 12000, 6000, true
-	for i := range stages {
-		stage := kit.Stage{Service: "judging-board", After: []int{}, Bytes: 8000}
-		if i > 0 {
-			stage.After = []int{i - 1}
-		}
-		route.Stages = append(route.Stages, stage)
-	}
-	board := kit.PlainService("judging-board")
-	board.Segments = &limits
-	board.MaxConns = 280
-	return kit.Config{
-		Routes:   []kit.Route{route},
-		Services: []kit.Service{board, kit.PlainService("nutmeg-pool")},
-		Tenants:  []kit.Tenant{},
-	}
+	mu       sync.Mutex
+	arrivals []arrival
 }
 
-// drainer makes the upstream of the first batch of a request drain, and finds batches
-// that reach it too late.
-type drainer struct {
-	d *kit.Deployment
+// arrival is a request that has reached a server.
+type arrival struct {
+	attempt string
+	at      time.Time
+}
 
-	mu      sync.Mutex
-	trouble bool
-	leaving *kit.Upstream
-	acked   time.Time
-	broken  string
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	attempt := r.Header.Get("Attempt-Id")
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, arrival{attempt: attempt, at: time.Now()})
+	s.mu.Unlock()
+	s.record.Printf("server %s: runs attempt %s", s.upstream.ID, attempt)
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set("Server-Seal", "seal."+attempt)
+	_, _ = io.WriteString(w, "accepted "+attempt)
 }
 
-func (c *drainer) arrived(u *kit.Upstream, at time.Time, items []kit.StageItem) {
-	c.d.Record.Printf("upstream %s: batch of %d pieces arrives, stage %d of attempt %s", u.ID, len(items), items[0].Phase, items[0].ID)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.trouble && c.leaving == nil {
-		c.leaving = u
-		c.acked, _ = u.Drain()
-	}
-	if since := at.Sub(c.acked); u == c.leaving && since > kit.Drain {
-		c.d.Record.Printf("upstream %s: this batch arrives %s after the acknowledgement", u.ID, since)
-		c.broken = fmt.Sprintf("a batch reaches %s %s after the store has acknowledged that it drains; drain_ms is %s", u.ID, since, kit.Drain)
+// late returns how many requests arrived after a time, and the last of them.
+func (s *server) late(after time.Time) (count int, last arrival) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.arrivals {
+		if a.at.After(after) {
+			count++
+			last = a
+		}
 	}
+	return count, last
 }
 
 func run(ctx context.Context, d *kit.Deployment, trouble bool) (string, error) {
-	c := &drainer{
-		d: d,
-	}
-	for _, zone := range []string{"erie-hall", "huron-hall"} {
-		u := &kit.Upstream{ID: "i-board-" + zone, Service: "judging-board", Zone: zone, Slots: 1}
-		if err := d.StartUpstream(u, kit.NewStages(u, limits, d.Record, c.arrived)); err != nil {
-			return "", err
+	var servers []*server
+	for _, zone := range []string{"erie-hall", "huron-hall", "superior-hall"} {
+		s := &server{
+			upstream: &kit.Upstream{ID: "i-" + zone, Service: "entries-api", Zone: zone, Slots: 6},
+			record:   d.Record,
 		}
-		engine := &kit.Upstream{ID: "i-pool-" + zone, Service: "nutmeg-pool", Zone: zone, Slots: 64}
-		if err := d.StartUpstream(engine, &kit.Engine{Record: d.Record, Events: 5, Pause: 20 * time.Millisecond}); err != nil {
+		if err := d.StartUpstream(s.upstream, s); err != nil {
 			return "", err
 		}
+		servers = append(servers, s)
 	}
-	if _, err := d.Publish(config()); err != nil {
+	_, err := d.Publish(kit.Config{
+		Routes:   []kit.Route{kit.PlainRoute("submit", "/submit/", "unsafe", "entries-api", 1)},
+		Services: []kit.Service{kit.PlainService("entries-api")},
+		Tenants:  []kit.Tenant{},
+	})
+	if err != nil {
 		return "", err
 	}
-	var hosts []*kit.Host
-	for _, zone := range []string{"erie-hall", "huron-hall", "superior-hall"} {
-		h, err := d.StartHost(kit.HostOptions{Name: "edge-" + zone, Domain: zone})
-		if err != nil {
-			return "", err
-		}
-		hosts = append(hosts, h)
+	hosts, err := d.StartHosts(ctx, "erie-hall", "huron-hall", "superior-hall", "erie-hall", "huron-hall")
+	if err != nil {
+		return "", err
 	}
+	// Two hosts watch the store for all. They are among those that are killed.
+	var down, up []*kit.Host
 	for _, h := range hosts {
-		if err := h.AwaitReady(ctx); err != nil {
-			return "", err
+		if h.Watches() {
+			down = append(down, h)
+		} else {
+			up = append(up, h)
 		}
 	}
-	if err := kit.Sleep(ctx, 2*kit.Contact); err != nil {
+	for len(down) < killed && len(up) > 0 {
+		down, up = append(down, up[0]), up[1:]
+	}
+	if len(up) != len(hosts)-killed {
+		return "", fmt.Errorf("%d hosts watch the store", len(down))
+	}
+	if trouble {
+		for _, h := range down {
+			if err := h.Signal(syscall.SIGKILL); err != nil {
+				return "", err
+			}
+		}
+	}
+	if err := kit.Sleep(ctx, leaveDelay); err != nil {
 		return "", err
 	}
-	client := &http.Client{}
-	for round := range rounds {
-		if round == 1 {
-			c.mu.Lock()
-			c.trouble = trouble
-			c.mu.Unlock()
+	// A host prefers the server in its zone.
+	leaving := servers[slices.IndexFunc(servers, func(s *server) bool { return s.upstream.Zone == up[0].Zone })]
+	acked, err := leaving.upstream.Leave(ctx)
+	if err != nil {
+		return "", err
+	}
+	if err := kit.Sleep(ctx, startDelay-leaveDelay); err != nil {
+		return "", err
+	}
+	if trouble {
+		for _, h := range down {
+			if err := h.Start(); err != nil {
+				return "", err
+			}
 		}
-		answer := kit.Send(ctx, client, hosts[round%len(hosts)], kit.Request{
-			Method:     http.MethodPost,
-			Path:       "/dossier/1",
-			Body:       []byte("dossier"),
-			DeadlineMS: 12000,
-			Header: map[string]string{
-				"Chunks":    "8,8,8,8,8,8",
-				"Chunk-Key": fmt.Sprintf("7c1e07a291b%d", round),
-			},
-		})
-		d.Record.Printf("caller: %s", answer)
-		if answer.Status != http.StatusOK && round == 0 {
-			return "", fmt.Errorf("first request is not served: %s", answer)
+	}
+	if err := kit.Sleep(ctx, time.Until(acked.Add(kit.Drain+time.Second))); err != nil {
+		return "", err
+	}
+	client := &http.Client{}
+	for range rounds {
+		for _, h := range up {
+			answer := kit.Send(ctx, client, h, kit.Request{
+				Method:     http.MethodPost,
+				Path:       "/submit/entry",
+				Body:       []byte("entry"),
+				DeadlineMS: 4000,
+			})
+			d.Record.Printf("caller at %s: %s", h.Name, answer)
 		}
-		if err := kit.Sleep(ctx, time.Second); err != nil {
+		if err := kit.Sleep(ctx, 200*time.Millisecond); err != nil {
 			return "", err
 		}
 	}
 	for _, h := range hosts {
-		for _, line := range h.Log(`"state":2`) {
-			d.Record.Printf("log of %s: %s", h.Name, line)
-		}
+		d.Record.Printf("log of %s: %d lines on removed servers", h.Name, len(h.Log("fleet: removed")))
+	}
+	count, last := leaving.late(acked.Add(kit.Drain))
+	if count == 0 {
+		return "", nil
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.broken, nil
+	return fmt.Sprintf("%d requests reach %s later than drain_ms after the store has removed it, the last one %s after", count, leaving.upstream.ID, last.at.Sub(acked)), nil
 }
 
 func main() { kit.Main(run) }
--- a/review/kit/deployment.go
+++ b/review/kit/deployment.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/nutmegshift/nutmegshift/kv"
@@ -21,26 +22,21 @@
 
 // Bounds of the rules, as in the site files of the small deployments.
 const (
-	Apply     = 2 * time.Second         // config_apply_ms
-	Drain     = 2 * time.Second         // drain_ms
-	Contact   = 3 * time.Second         // contact_ms
-	Heartbeat = 1200 * time.Millisecond // heartbeat_ms
-	Grace     = 8 * time.Second         // grace_s
-	MemoryMB  = 284                     // limits.memory_mb
+	Apply    = 2 * time.Second // config_apply_ms
+	Drain    = 2 * time.Second // drain_ms
+	Contact  = 3 * time.Second // contact_ms
+	Grace    = 8 * time.Second // grace_s
+	MemoryMB = 284             // limits.memory_mb
 )
 
 // Deployment has the stand-in of the store, and starts upstreams and hosts.
 type Deployment struct {
-	Record *Record
-	Store  *memkv.Store
-	// StoreAddress is the address of the store's API.
-	StoreAddress string
-
+	Record    *Record
+	Store     *memkv.Store
 	directory string
 	servers   []*http.Server
 	listeners []net.Listener
 	hosts     []*Host
-	stop      chan struct{}
 	version   int
 	storeMu   sync.Mutex
 }
@@ -56,14 +52,26 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Deployment{
+	return &Deployment{
 		Record:    record,
 		Store:     memkv.New(time.Now),
 		directory: directory,
-		stop:      make(chan struct{}),
-	}
-	d.StoreAddress, err = d.Serve(standin.NewStore(d.Store).Handler())
-	return d, err
+	}, nil
+}
+
+// ServeStore serves the API of the store on a port of its own, and returns the address and
+// the number of watches that wait there.
+func (d *Deployment) ServeStore() (address string, watches *atomic.Int64, err error) {
+	watches = new(atomic.Int64)
+	store := standin.NewStore(d.Store).Handler()
+	address, err = d.Serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/api/kv-watch" {
+			watches.Add(1)
+			defer watches.Add(-1)
+		}
+		store.ServeHTTP(w, r)
+	}))
+	return address, watches, err
 }
 
 // Serve serves HTTP on a free loopback port until Close, and returns the address.
@@ -80,7 +88,6 @@
 
 // Close ends the processes and servers of the deployment, and removes its files.
 func (d *Deployment) Close() {
-	close(d.stop)
 	for _, h := range d.hosts {
 		h.end()
 	}
--- a/review/kit/host.go
+++ b/review/kit/host.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -23,6 +24,9 @@
 	settingsVariable = "NUTMEGSHIFT_BOOT"
 )
 
+// portsPerHost is the number of ports that a host listens on.
+const portsPerHost = 4
+
 // template has the keys of deploy/relay.ini. All addresses are loopback addresses.
 const template = `[host]
 name = %s
@@ -31,7 +35,6 @@
 callers = %s
 ready = %s
 peers = %s
-advertise = %s
 seeds = %s
 metrics = %s
 processor = 0.4
@@ -51,57 +54,41 @@
 grace = 8s
 `
 
-// HostOptions configures a host.
-type HostOptions struct {
-	Name   string
-	Domain string
-	Store  string // address of the store; empty means that of the deployment
-	// Advertise returns the address at which other hosts reach the given peer port; nil
-	// means that port.
-	Advertise func(peers string) (string, error)
-	Seeds     []string
-}
-
 // Host is a relay host, one process at a time.
 type Host struct {
-	Name      string
-	Callers   string // address for callers
-	Ready     string
-	Peers     string
-	Advertise string
+	Name    string
+	Zone    string
+	Callers string // address for callers
+	Ready   string
+	Peers   string
 
 	d        *Deployment
+	metrics  string
+	watches  *atomic.Int64 // of the store, waiting now
 	settings string
 	command  *exec.Cmd
 	ended    chan struct{} // closed when the process has ended
 }
 
-// StartHost starts a host.
-func (d *Deployment) StartHost(options HostOptions) (*Host, error) {
+func (d *Deployment) startHost(name, domain string) (*Host, error) {
 	addresses, err := freeAddresses(4)
 	if err != nil {
 		return nil, err
 	}
-	h := &Host{
-		Name:      options.Name,
-		Callers:   addresses[0],
-		Ready:     addresses[1],
-		Peers:     addresses[2],
-		Advertise: addresses[2],
-		d:         d,
-		settings:  filepath.Join(d.directory, options.Name+".conf"),
-	}
-	if options.Advertise != nil {
-		if h.Advertise, err = options.Advertise(h.Peers); err != nil {
-			return nil, err
-		}
+	store, watches, err := d.ServeStore()
+	if err != nil {
+		return nil, err
 	}
-	store := options.Store
-	if store == "" {
-		store = d.StoreAddress
+	h := &Host{
+		watches:  watches,
+		Name:     name,
+		Callers:  addresses[0],
+		Ready:    addresses[1],
+		Peers:    addresses[2],
+		d:        d,
+		settings: filepath.Join(d.directory, name+".conf"),
 	}
-	seeds := append([]string{h.Advertise}, options.Seeds...)
-	text := fmt.Sprintf(template, h.Name, options.Domain, h.Callers, h.Ready, h.Peers, h.Advertise, strings.Join(seeds, ","), addresses[3], store)
+	text := fmt.Sprintf(template, h.Name, domain, h.Callers, h.Ready, h.Peers, h.Peers, addresses[3], store)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -109,6 +96,61 @@
 	return h, h.Start()
 }
 
+// maxSeeds is the number of hosts that are seeds of all.
+const maxSeeds = 3
+
+// StartHosts starts a host in each zone, and waits until all are ready and in touch.
+func (d *Deployment) StartHosts(ctx context.Context, zones ...string) ([]*Host, error) {
+	addresses, err := freeAddresses(portsPerHost * len(zones))
+	if err != nil {
+		return nil, err
+	}
+	var hosts []*Host
+	var seeds []string
+	for i, zone := range zones {
+		h := &Host{
+			Name:    fmt.Sprintf("edge-%s-%d", zone, i+1),
+			d:       d,
+			Zone:    zone,
+			metrics: addresses[portsPerHost*i],
+			Callers: addresses[portsPerHost*i+1],
+			Ready:   addresses[portsPerHost*i+2],
+			Peers:   addresses[portsPerHost*i+3],
+		}
+		hosts = append(hosts, h)
+		if i < maxSeeds {
+			seeds = append(seeds, h.Peers)
+		}
+	}
+	for _, h := range hosts {
+		if err := h.configure(seeds); err != nil {
+			return nil, err
+		}
+		d.hosts = append(d.hosts, h)
+		if err := h.Start(); err != nil {
+			return nil, err
+		}
+	}
+	for _, h := range hosts {
+		if err := h.AwaitReady(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return hosts, Sleep(ctx, Contact+time.Second)
+}
+
+// configure writes the settings of the host.
+func (h *Host) configure(seeds []string) error {
+	store, watches, err := h.d.ServeStore()
+	if err != nil {
+		return err
+	}
+	h.watches = watches
+	h.settings = filepath.Join(h.d.directory, h.Name+".conf")
+	text := fmt.Sprintf(template, h.Name, h.Zone, h.Callers, h.Ready, h.Peers, strings.Join(seeds, ","), h.metrics, store)
+	return os.WriteFile(h.settings, []byte(text), 0o600)
+}
+
 // Start starts the process of the host.
 func (h *Host) Start() error {
 	log, err := os.OpenFile(h.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -180,6 +222,11 @@
 	return h.command.Process.Signal(s)
 }
 
+// Watches reports whether the host watches the store, for itself and for others.
+func (h *Host) Watches() bool {
+	return h.watches.Load() > 0
+}
+
 // Running reports whether the process of the host runs.
 func (h *Host) Running() bool {
 	select {
--- a/review/kit/rawstages.go
+++ b/review/kit/rawstages.go
@@ -14,6 +14,15 @@
 	"time"
 )
 
+// StageItem is one piece of a batch.
+type StageItem struct {
+	ID      string   `json:"id"`
+	Phase   int      `json:"phase"`
+	Segment int      `json:"segment"`
+	Key     string   `json:"key"`
+	Inputs  []string `json:"inputs"`
+}
+
 // RawStages is an upstream that runs stages and writes its responses by itself, so that
 // it can write one twice. It serves one request at a time on a connection.
 type RawStages struct {
--- a/review/kit/upstream.go
+++ b/review/kit/upstream.go
@@ -3,9 +3,12 @@
 package kit
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/nutmegshift/nutmegshift/kv"
 )
 
 // Upstream is the registration of an upstream. Its API is that of the handler.
@@ -23,7 +26,7 @@
 	seq   int
 }
 
-// StartUpstream serves the API of an upstream, registers it and renews the registration.
+// StartUpstream serves the API of an upstream and registers it.
 func (d *Deployment) StartUpstream(u *Upstream, handler http.Handler) error {
 	checked := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if id := r.Header.Get("Attempt-Id"); id != "" {
@@ -46,15 +49,13 @@
 	return d.Register(u, address)
 }
 
-// Register registers an upstream that serves at an address, and renews the registration.
+// Register registers an upstream that serves at an address. Heartbeats change nothing in
+// the store as long as only their number differs, so there are none.
 func (d *Deployment) Register(u *Upstream, address string) error {
 	u.d, u.Address, u.state = d, address, "ready"
 	u.born = time.Now().UnixMilli()
-	if _, err := u.register(); err != nil {
-		return err
-	}
-	go u.renew()
-	return nil
+	_, err := u.register()
+	return err
 }
 
 // register writes the registration and returns the time of the acknowledgement.
@@ -75,23 +76,15 @@
 	})
 }
 
-func (u *Upstream) renew() {
-	for {
-		select {
-		case <-u.d.stop:
-			return
-		case <-time.After(Heartbeat):
-			_, _ = u.register()
-		}
+// Leave removes the registration, and returns the time of the acknowledgement. The upstream
+// goes on serving.
+func (u *Upstream) Leave(ctx context.Context) (time.Time, error) {
+	key := kv.Key("servers/" + u.ID)
+	entry, err := u.d.Store.Get(ctx, key)
+	if err != nil {
+		return time.Time{}, err
 	}
-}
-
-// Drain reports that the upstream drains, and returns the time of the acknowledgement.
-func (u *Upstream) Drain() (time.Time, error) {
-	u.mu.Lock()
-	u.state = "draining"
-	u.mu.Unlock()
-	at, err := u.register()
-	u.d.Record.Printf("upstream %s: the store acknowledges that it drains", u.ID)
-	return at, err
+	err = u.d.Store.Delete(ctx, key, entry.Version)
+	u.d.Record.Printf("upstream %s: the store has removed its entry", u.ID)
+	return time.Now(), err
 }
