--- a/review/2/main.go
+++ b/review/2/main.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/nutmegshift/nutmegshift/review/kit"
+	"github.com/nutmegshift/nutmegshift/review"
 )
 
 const (
@@ -24,7 +24,7 @@
 
 // server is the fee service: it runs each request that reaches it.
 type server struct {
-	record *kit.Record
+	record *review.Record
 
 	mu   sync.Mutex
 	runs map[string]string // tenant of each attempt that has run
@@ -48,11 +48,11 @@
 	return tenant, ran
 }
 
-func config(keys ...string) kit.Config {
-	return kit.Config{
-		Routes:   []kit.Route{kit.PlainRoute("submit", "/submit/", "unsafe", "entries-api", 1)},
-		Services: []kit.Service{kit.PlainService("entries-api")},
-		Tenants: []kit.Tenant{{
+func config(keys ...string) review.Config {
+	return review.Config{
+		Routes:   []review.Route{review.PlainRoute("submit", "/submit/", "unsafe", "entries-api", 1)},
+		Services: []review.Service{review.PlainService("entries-api")},
+		Tenants: []review.Tenant{{
 			Name:     "bozi300",
 			APIKeys:  append([]string{}, keys...),
 			Priority: 1,
@@ -60,13 +60,13 @@
 	}
 }
 
-func run(ctx context.Context, d *kit.Deployment, trouble bool) (string, error) {
+func run(ctx context.Context, d *review.Deployment, trouble bool) (string, error) {
 	s := &server{
 		record: d.Record,
 		runs:   make(map[string]string),
 	}
 	for _, zone := range []string{"erie-hall", "huron-hall"} {
-		u := &kit.Upstream{ID: "i-" + zone, Service: "entries-api", Zone: zone, Slots: 6}
+		u := &review.Upstream{ID: "i-" + zone, Service: "entries-api", Zone: zone, Slots: 6}
 		if err := d.StartUpstream(u, s); err != nil {
 			return "", err
 		}
@@ -79,8 +79,8 @@
 		return "", err
 	}
 	client := &http.Client{}
-	send := func(h *kit.Host, key string) kit.Answer {
-		answer := kit.Send(ctx, client, h, kit.Request{
+	send := func(h *review.Host, key string) review.Answer {
+		answer := review.Send(ctx, client, h, review.Request{
 			Method:     http.MethodPost,
 			Path:       "/submit/entry",
 			Key:        key,
@@ -96,14 +96,14 @@
 		}
 	}
 	// Without the disruption the operator writes the same keys again.
-	versions := []kit.Config{config(firstKey, secondKey), config(firstKey, secondKey)}
+	versions := []review.Config{config(firstKey, secondKey), config(firstKey, secondKey)}
 	valid := map[string]bool{firstKey: true, secondKey: true}
 	if trouble {
-		versions = []kit.Config{config(secondKey), config()}
+		versions = []review.Config{config(secondKey), config()}
 		valid = nil
 	}
 	for _, version := range versions {
-		if err := kit.Sleep(ctx, revokeGap); err != nil {
+		if err := review.Sleep(ctx, revokeGap); err != nil {
 			return "", err
 		}
 		if _, err := d.Publish(version); err != nil {
@@ -111,7 +111,7 @@
 		}
 	}
 	// All hosts are in touch, and the rule gives them config_apply_ms.
-	if err := kit.Sleep(ctx, kit.Apply+time.Second); err != nil {
+	if err := review.Sleep(ctx, review.Apply+time.Second); err != nil {
 		return "", err
 	}
 	broken := ""
@@ -125,11 +125,11 @@
 				}
 			}
 		}
-		if err := kit.Sleep(ctx, time.Second); err != nil {
+		if err := review.Sleep(ctx, time.Second); err != nil {
 			return "", err
 		}
 	}
 	return broken, nil
 }
 
-func main() { kit.Main(run) }
+func main() { review.Main(run) }
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the case; see claim.txt.
+# Runs the case; see claim.txt. With TROUBLE=0 it runs without the disruption.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/case-2 review/2
+TROUBLE="${TROUBLE:-1}" exec target/review/case-2 review/2
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -13,7 +13,7 @@
 	"syscall"
 	"time"
 
-	"github.com/nutmegshift/nutmegshift/review/kit"
+	"github.com/nutmegshift/nutmegshift/review"
 )
 
 const (
@@ -29,8 +29,8 @@
 
 // server is one server of the fee service.
 type server struct {
-	upstream *kit.Upstream
-	record   *kit.Record
+	upstream *review.Upstream
+	record   *review.Record
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -66,11 +66,11 @@
 	return count, last
 }
 
-func run(ctx context.Context, d *kit.Deployment, trouble bool) (string, error) {
+func run(ctx context.Context, d *review.Deployment, trouble bool) (string, error) {
 	var servers []*server
 	for _, zone := range []string{"erie-hall", "huron-hall", "superior-hall"} {
 		s := &server{
-			upstream: &kit.Upstream{ID: "i-" + zone, Service: "entries-api", Zone: zone, Slots: 6},
+			upstream: &review.Upstream{ID: "i-" + zone, Service: "entries-api", Zone: zone, Slots: 6},
 			record:   d.Record,
 		}
 		if err := d.StartUpstream(s.upstream, s); err != nil {
@@ -78,10 +78,10 @@
 		}
 		servers = append(servers, s)
 	}
-	_, err := d.Publish(kit.Config{
-		Routes:   []kit.Route{kit.PlainRoute("submit", "/submit/", "unsafe", "entries-api", 1)},
-		Services: []kit.Service{kit.PlainService("entries-api")},
-		Tenants:  []kit.Tenant{},
+	_, err := d.Publish(review.Config{
+		Routes:   []review.Route{review.PlainRoute("submit", "/submit/", "unsafe", "entries-api", 1)},
+		Services: []review.Service{review.PlainService("entries-api")},
+		Tenants:  []review.Tenant{},
 	})
 	if err != nil {
 		return "", err
@@ -91,7 +91,7 @@
 		return "", err
 	}
 	// Two hosts watch the store for all. They are among those that are killed.
-	var down, up []*kit.Host
+	var down, up []*review.Host
 	for _, h := range hosts {
 		if h.Watches() {
 			down = append(down, h)
@@ -112,7 +112,7 @@
 			}
 		}
 	}
-	if err := kit.Sleep(ctx, leaveDelay); err != nil {
+	if err := review.Sleep(ctx, leaveDelay); err != nil {
 		return "", err
 	}
 	// A host prefers the server in its zone.
@@ -121,7 +121,7 @@
 	if err != nil {
 		return "", err
 	}
-	if err := kit.Sleep(ctx, startDelay-leaveDelay); err != nil {
+	if err := review.Sleep(ctx, startDelay-leaveDelay); err != nil {
 		return "", err
 	}
 	if trouble {
@@ -131,13 +131,13 @@
 			}
 		}
 	}
-	if err := kit.Sleep(ctx, time.Until(acked.Add(kit.Drain+time.Second))); err != nil {
+	if err := review.Sleep(ctx, time.Until(acked.Add(review.Drain+time.Second))); err != nil {
 		return "", err
 	}
 	client := &http.Client{}
 	for range rounds {
 		for _, h := range up {
-			answer := kit.Send(ctx, client, h, kit.Request{
+			answer := review.Send(ctx, client, h, review.Request{
 				Method:     http.MethodPost,
 				Path:       "/submit/entry",
 				Body:       []byte("entry"),
@@ -145,18 +145,18 @@
 			})
 			d.Record.Printf("caller at %s: %s", h.Name, answer)
 		}
-		if err := kit.Sleep(ctx, 200*time.Millisecond); err != nil {
+		if err := review.Sleep(ctx, 200*time.Millisecond); err != nil {
 			return "", err
 		}
 	}
 	for _, h := range hosts {
 		d.Record.Printf("log of %s: %d lines on removed servers", h.Name, len(h.Log("fleet: removed")))
 	}
-	count, last := leaving.late(acked.Add(kit.Drain))
+	count, last := leaving.late(acked.Add(review.Drain))
 	if count == 0 {
 		return "", nil
 	}
 	return fmt.Sprintf("%d requests reach %s later than drain_ms after the store has removed it, the last one %s after", count, leaving.upstream.ID, last.at.Sub(acked)), nil
 }
 
-func main() { kit.Main(run) }
+func main() { review.Main(run) }
--- a/review/kit/caller.go
+++ b/review/caller.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package kit
+package review
 
 import (
 	"bytes"
--- a/review/kit/config.go
+++ b/review/config.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package kit
+package review
 
 // Config is the operator's configuration.
 type Config struct {
--- a/review/kit/doc.go
+++ b/review/doc.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Package kit starts a small deployment for the cases of the review: the platform's
+// Package review starts a small deployment for the cases of the review: the platform's
 // store, upstreams and callers are stand-ins in this process, and relay hosts are
 // separate processes.
-package kit
+package review
