Log the listings and transfers that a replica applies

Lines now say which listing, or which transfer from which host, has moved the cursor of a replica, with the number of removals in it.

--- a/internal/relay/discovery/reader.go
+++ b/internal/relay/discovery/reader.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/nutmegshift/nutmegshift/kv"
 )
@@ -64,6 +65,7 @@
 	Store      kv.Store
 	Health     *Health
 	Replica    *Replica
+	Log        zerolog.Logger
 	ProbeKey   kv.Key                    // entry that polls read; has to exist
 	MaxAge     time.Duration             // longest time without a confirmation of the replica
 	IsReader   func() bool               // reports whether this host is one of the readers
@@ -141,6 +143,7 @@
 	}
 	r.recordSuccess()
 	r.config.Replica.ApplyStaleListing(page.Entries, page.Cursor)
+	r.logListing(len(page.Entries), page.Cursor, true)
 	r.staleUntil = time.Now().Add(staleGrace)
 }
 
@@ -281,9 +284,15 @@
 		after = page.Entries[len(page.Entries)-1].Key
 	}
 	r.config.Replica.ApplyListing(entries, cursor)
+	r.logListing(len(entries), cursor, false)
 	return nil
 }
 
+// logListing logs that a listing has been applied.
+func (r *Reader) logListing(entries int, cursor kv.Cursor, stale bool) {
+	r.config.Log.Info().Int("entries", entries).Uint64("cursor", uint64(cursor)).Bool("stale", stale).Msg("replica: listing of the store applied")
+}
+
 // listPage lists one page. Failed requests for pages after the first are retried, so
 // that one lost response does not discard the pages before it.
 func (r *Reader) listPage(ctx context.Context, after kv.Key) (kv.Page, error) {
--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -39,6 +39,17 @@
 	Changes        []kv.Change
 }
 
+// Removals returns the number of changes that are removals.
+func (d Delta) Removals() int {
+	count := 0
+	for _, change := range d.Changes {
+		if change.Deleted {
+			count++
+		}
+	}
+	return count
+}
+
 // Replica is a copy of the store's entries. It is safe for concurrent use; its Sink
 // must not call back into it, except for Cursor, Age, SinceLastResponse and Confirm.
 type Replica struct {
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -284,9 +284,15 @@
 		h.log.Debug().Err(err).Str("peer", string(from)).Msg("replica: transfer from another host failed")
 		return
 	}
+	before := h.replica.Cursor()
 	if !h.replica.Apply(delta) {
 		h.log.Info().Str("peer", string(from)).Uint64("after", uint64(delta.After)).Uint64("cursor", uint64(after)).Msg("replica: transfer ignored, it starts after the cursor of this replica")
+		return
+	}
+	if delta.Cursor <= before {
+		return
 	}
+	h.log.Info().Str("peer", string(from)).Uint64("before", uint64(before)).Uint64("after", uint64(delta.After)).Uint64("cursor", uint64(delta.Cursor)).Int("changes", len(delta.Changes)).Int("removals", delta.Removals()).Msg("replica: changes from another host applied")
 }
 
 // liveHosts returns the number of live hosts. It is at least 1, also while this host is
@@ -335,6 +341,7 @@
 		Store:      h.store,
 		Health:     h.health,
 		Replica:    h.replica,
+		Log:        h.log,
 		ProbeKey:   h.platform.Keys.Table,
 		MaxAge:     h.settings.Apply - pollMargin,
 		IsReader:   h.isReader,
