Do not pass on a listing as the history of the store

Cause: a replica that has taken a listing does not know what was removed before it, but offered its changes to every host with an older cursor as if they were complete. If the hosts that had read a removal were killed, the others took the cursor past it from a host that had just started, and no later comparison of cursors showed that the removal was missing.

A replica now knows from which cursor on it has all removals: the cursor of its last listing, of a transfer of all entries, or the last removal that it has dropped. A host that is behind that gets all entries, which it compares with its own. Such transfers count against the limit on transfers of all entries. A listing older than the replica is ignored.

TestTransfersAreLimited asked a replica that had listed at 10 for the changes after 9 and expected to get them unlimited: that was this fault. It now asks for the changes since the listing, and checks in addition that a host from before it gets all entries, within the limit.

--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -62,7 +62,7 @@
 	mu               sync.Mutex
 	entries          map[kv.Key]kv.Entry
 	tombstones       map[kv.Key]kv.Version // versions of removals
-	tombstoneFloor   kv.Cursor             // removals up to it have been dropped from tombstones
+	historyStart     kv.Cursor             // tombstones has all removals after it
 	unconfirmedUntil time.Time             // removals before it are unconfirmed
 }
 
@@ -183,7 +183,7 @@
 }
 
 // ApplyListing applies a complete listing, whose cursor is that of its first page, and
-// confirms the replica.
+// confirms the replica. A listing from before the cursor of the replica changes nothing.
 func (r *Replica) ApplyListing(entries []kv.Entry, cursor kv.Cursor) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -235,6 +235,12 @@
 }
 
 func (r *Replica) applyListing(entries []kv.Entry, cursor kv.Cursor) {
+	if cursor < r.Cursor() {
+		return // it may have entries whose removal is known here
+	}
+	if cursor > r.Cursor() {
+		r.historyStart = cursor // a listing does not tell what was removed before it
+	}
 	present := make(map[kv.Key]bool, len(entries))
 	for _, entry := range entries {
 		present[entry.Key] = true
@@ -286,8 +292,15 @@
 	}
 }
 
+// HasHistory reports whether this replica knows of all removals after a cursor.
+func (r *Replica) HasHistory(after kv.Cursor) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return after >= r.historyStart
+}
+
 // Delta returns the changes that a replica complete up to the cursor after lacks. If
-// this replica no longer has all removals since then, it returns all entries instead,
+// this replica does not know of all removals since then, it returns all entries instead,
 // with After 0.
 func (r *Replica) Delta(after kv.Cursor) Delta {
 	r.mu.Lock()
@@ -298,9 +311,9 @@
 		Age:            r.Age(),
 		UnconfirmedFor: max(0, r.unconfirmedUntil.Sub(r.now())),
 	}
-	if after < r.tombstoneFloor {
-		// Tombstones that the other replica needs have been dropped here, but it can
-		// apply all existing entries as a listing.
+	if after < r.historyStart {
+		// The other replica may need removals that are not known here, but it can apply
+		// all existing entries as a listing.
 		after = 0
 		delta.After = 0
 	}
@@ -353,8 +366,7 @@
 		return
 	}
 	if len(r.tombstones) >= maxTombstones {
-		clear(r.tombstones)
-		r.tombstoneFloor = r.Cursor()
+		r.dropTombstones()
 	}
 	r.tombstones[key] = max(r.tombstones[key], version)
 	if !ok {
@@ -367,3 +379,12 @@
 	}
 	r.sink.Removed(key, version, until)
 }
+
+// dropTombstones makes room for other tombstones. Those of the changes that are being
+// applied are beyond the cursor.
+func (r *Replica) dropTombstones() {
+	for _, version := range r.tombstones {
+		r.historyStart = max(r.historyStart, kv.Cursor(version))
+	}
+	clear(r.tombstones)
+}
--- a/internal/relay/discovery/replica_test.go
+++ b/internal/relay/discovery/replica_test.go
@@ -78,6 +78,44 @@
 	return entries
 }
 
+// tornListing returns a listing of two pages, with its cursor, that some changes came
+// between.
+func (m *model) tornListing(change func()) ([]kv.Entry, kv.Cursor) {
+	cursor := kv.Cursor(m.version)
+	first := m.list()
+	change()
+	var entries []kv.Entry
+	for _, entry := range first {
+		if entry.Key < secondPage {
+			entries = append(entries, entry)
+		}
+	}
+	for _, entry := range m.list() {
+		if entry.Key >= secondPage {
+			entries = append(entries, entry)
+		}
+	}
+	return entries, cursor
+}
+
+// hasHad reports whether a key had the given version, 0 for none, at the cursor or later.
+func (m *model) hasHad(key kv.Key, version kv.Version, cursor kv.Cursor) bool {
+	current := kv.Version(0)
+	for _, change := range m.history {
+		if kv.Cursor(change.Entry.Version) > cursor && current == version {
+			return true
+		}
+		switch {
+		case change.Entry.Key != key:
+		case change.Deleted:
+			current = 0
+		default:
+			current = change.Entry.Version
+		}
+	}
+	return current == version
+}
+
 func (m *model) since(cursor kv.Cursor) kv.Changes {
 	changes := kv.Changes{
 		Cursor: kv.Cursor(m.version),
@@ -139,12 +177,16 @@
 	}
 }
 
+// secondPage is the first key of the second page of a listing.
+const secondPage = "k3"
+
 // Guards against replicas that differ from the store although their cursors mark them
 // as complete, after any mix of listings, watches and transfers between hosts,
 // including repeated and reordered ones.
 func TestReplicasConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const hosts = 3
+		const keys = 5
 		store := &model{
 			entries: make(map[kv.Key]kv.Entry),
 		}
@@ -156,16 +198,19 @@
 			recorders = append(recorders, v)
 			replicas = append(replicas, discovery.NewReplica(v, renewal, func() time.Time { return now }, anySize))
 		}
+		change := func() {
+			key := kv.Key(fmt.Sprintf("k%d", rapid.IntRange(0, keys-1).Draw(t, "key")))
+			store.change(key, rapid.Bool().Draw(t, "deleted"))
+		}
 		var delayed []discovery.Delta
 		steps := rapid.IntRange(1, 60).Draw(t, "steps")
 		for range steps {
 			now = now.Add(100 * time.Millisecond)
 			h := rapid.IntRange(0, hosts-1).Draw(t, "host")
 			other := rapid.IntRange(0, hosts-1).Draw(t, "other")
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			switch rapid.IntRange(0, 8).Draw(t, "step") {
 			case 0, 1:
-				key := kv.Key(fmt.Sprintf("k%d", rapid.IntRange(0, 4).Draw(t, "key")))
-				store.change(key, rapid.Bool().Draw(t, "deleted"))
+				change()
 			case 2:
 				replicas[h].ApplyListing(store.list(), kv.Cursor(store.version))
 			case 3:
@@ -180,6 +225,23 @@
 				if len(delayed) > 0 {
 					replicas[h].Apply(delayed[rapid.IntRange(0, len(delayed)-1).Draw(t, "delayed")])
 				}
+			case 6: // the host starts again, and takes what a stale listing has
+				recorders[h] = newRecorder()
+				replicas[h] = discovery.NewReplica(recorders[h], renewal, func() time.Time { return now }, anySize)
+				replicas[h].ApplyStaleListing(store.list(), kv.Cursor(store.version))
+			case 7:
+				entries, cursor := store.tornListing(change)
+				replicas[h].ApplyListing(entries, cursor)
+			case 8:
+				replicas[h].DropRemovals()
+			}
+			for h, replica := range replicas {
+				for k := range keys {
+					key := kv.Key(fmt.Sprintf("k%d", k))
+					if version := recorders[h].entries[key]; replica.Cursor() > 0 && !store.hasHad(key, version, replica.Cursor()) {
+						t.Fatalf("host %d has version %d of %q, which the store did not have at %d or later", h, version, key, replica.Cursor())
+					}
+				}
 			}
 		}
 		for h, replica := range replicas {
@@ -204,6 +266,89 @@
 	})
 }
 
+// Guards against a host that keeps a removed entry for good, since it has taken later
+// changes from a host that does not know of the removal but passes them on as complete.
+func TestTransferHasAllRemovals(t *testing.T) {
+	const count = 5000 // more than the removals that a replica retains
+	var entries []kv.Entry
+	var removals []kv.Change
+	for i := range kv.Version(count) {
+		entry := kv.Entry{
+			Key:     kv.Key(fmt.Sprintf("servers/%d", i)),
+			Version: 1 + i,
+		}
+		entries = append(entries, entry)
+		entry.Version += count
+		removals = append(removals, kv.Change{
+			Entry:   entry,
+			Deleted: true,
+		})
+	}
+	watched := kv.Changes{
+		Changes: removals,
+		Cursor:  2 * count,
+	}
+	tests := map[string]func(from *discovery.Replica){
+		"started from a listing": func(from *discovery.Replica) {
+			from.ApplyListing(nil, 2*count)
+		},
+		"started from a stale listing": func(from *discovery.Replica) {
+			from.ApplyStaleListing(nil, 2*count)
+		},
+		"listed again after the store had dropped its history": func(from *discovery.Replica) {
+			from.ApplyListing(entries[:1], 1)
+			from.ApplyListing(nil, 2*count)
+		},
+		"started from another host that had listed": func(from *discovery.Replica) {
+			listed := newReplica()
+			listed.ApplyListing(nil, 2*count)
+			from.Apply(listed.Delta(0))
+		},
+		"joined a host that had listed": func(from *discovery.Replica) {
+			from.ApplyListing(entries[:1], 1)
+			listed := newReplica()
+			listed.ApplyListing(nil, 2*count)
+			from.Apply(listed.Delta(1))
+		},
+		"saw more removals than it retains": func(from *discovery.Replica) {
+			from.ApplyListing(entries, count)
+			from.ApplyWatch(count, watched)
+		},
+		"took more removals than it retains": func(from *discovery.Replica) {
+			from.ApplyListing(entries, count)
+			from.Apply(discovery.Delta{
+				After:   count,
+				Cursor:  2 * count,
+				Changes: removals,
+			})
+		},
+		"saw more removals than it retains and then an old listing": func(from *discovery.Replica) {
+			from.ApplyListing(entries, count)
+			from.ApplyWatch(count, watched)
+			from.ApplyListing(entries, count)
+		},
+	}
+	for name, prepare := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			from := newReplica()
+			prepare(from)
+			c.Assert(from.Cursor(), qt.Equals, kv.Cursor(2*count))
+			receiver := newRecorder()
+			to := discovery.NewReplica(receiver, renewal, func() time.Time { return start }, anySize)
+			to.ApplyListing(entries, count)
+			c.Assert(to.Apply(from.Delta(count)), qt.IsTrue)
+			c.Check(to.Cursor(), qt.Equals, kv.Cursor(2*count))
+			c.Check(len(receiver.entries), qt.Equals, 0)
+		})
+	}
+}
+
+// newReplica returns an empty replica whose clock stands still.
+func newReplica() *discovery.Replica {
+	return discovery.NewReplica(newRecorder(), renewal, func() time.Time { return start }, anySize)
+}
+
 // Guards against dropping a live upstream because its entry expired while the store
 // was unavailable, and against unconfirmed removals while the store is available.
 func TestRemovalsAreUnconfirmedAfterOutage(t *testing.T) {
--- a/internal/relay/grpcrelay/sync.go
+++ b/internal/relay/grpcrelay/sync.go
@@ -84,7 +84,7 @@
 // Sync implements RelayServer.
 func (s *Server) Sync(_ context.Context, request *SyncRequest) (*SyncReply, error) {
 	after := kv.Cursor(request.GetAfter())
-	if after == 0 {
+	if after == 0 || !s.replica.HasHistory(after) {
 		select {
 		case s.transfers.slots <- struct{}{}:
 			defer func() { <-s.transfers.slots }()
--- a/internal/relay/grpcrelay/sync_test.go
+++ b/internal/relay/grpcrelay/sync_test.go
@@ -81,24 +81,47 @@
 }
 
 // Guards against so many full transfers at a time that they saturate the link of a host
-// and none of them ends in time. Transfers of the latest changes are not limited.
+// and none of them ends in time. Transfers of the latest changes are not limited, but
+// those to a host that may lack removals from before the listing of this one are.
 func TestTransfersAreLimited(t *testing.T) {
 	c := qt.New(t)
 	replica := discovery.NewReplica(sink{}, time.Second, time.Now, anySize)
 	replica.ApplyListing(registrations(10), 10)
+	replica.ApplyWatch(10, kv.Changes{
+		Cursor: 11,
+		Changes: []kv.Change{{
+			Entry: kv.Entry{
+				Key:     "servers/new",
+				Version: 11,
+			},
+		}},
+	})
 	s := NewServer(nil, replica, time.Now)
 	for range maxFullTransfers {
 		s.transfers.slots <- struct{}{}
 	}
-	_, err := s.Sync(t.Context(), &SyncRequest{})
-	c.Check(status.Code(err), qt.Equals, codes.ResourceExhausted)
-	_, err = s.Sync(t.Context(), &SyncRequest{
-		After: 9,
+	full := map[string]*SyncRequest{
+		"host that has started": {},
+		"host behind the last listing": {
+			After: 9,
+		},
+	}
+	for name, request := range full {
+		_, err := s.Sync(t.Context(), request)
+		c.Check(status.Code(err), qt.Equals, codes.ResourceExhausted, qt.Commentf("%s", name))
+	}
+	reply, err := s.Sync(t.Context(), &SyncRequest{
+		After: 10,
 	})
 	c.Check(err, qt.IsNil)
+	c.Check(reply.GetChanges(), qt.HasLen, 1)
 	<-s.transfers.slots
-	_, err = s.Sync(context.Background(), &SyncRequest{})
-	c.Check(err, qt.IsNil)
+	for name, request := range full {
+		reply, err := s.Sync(context.Background(), request)
+		c.Assert(err, qt.IsNil, qt.Commentf("%s", name))
+		c.Check(reply.GetAfter(), qt.Equals, uint64(0), qt.Commentf("%s", name))
+		c.Check(reply.GetChanges(), qt.HasLen, 11, qt.Commentf("%s", name))
+	}
 }
 
 // Guards against damaged transfers that crash a host or fill its memory.
