Do not take the time before a start for an outage of the store

Cause: a replica that was never confirmed gives its age as one hour. A host that started took this, from another that had just started as well, for a confirmation of an hour ago, and so its own first response from the store for the end of an outage of an hour. After an outage removals are unconfirmed for 2.2 s, since entries may have lapsed only because their owners did not reach the store either; and a transfer passes that on, so hosts that were never restarted held removals back, too.

An age of an hour no longer confirms anything. What the accident covered now has its own rule: a host whose calls fail from its start counts the time since the first one as silence of the store, so that it doubts removals after an outage that began before it.

--- a/internal/relay/discovery/reader.go
+++ b/internal/relay/discovery/reader.go
@@ -138,10 +138,14 @@
 // hosts send what they lack. A failure, and a second page, leave the replica empty.
 func (r *Reader) loadStale(ctx context.Context) {
 	page, err := r.config.ListStale(ctx, "", "", pageSize)
-	if err != nil || page.More {
+	if err != nil {
+		r.config.Replica.RecordFailure()
 		return
 	}
 	r.recordSuccess()
+	if page.More {
+		return
+	}
 	r.config.Replica.ApplyStaleListing(page.Entries, page.Cursor)
 	r.logListing(len(page.Entries), page.Cursor, true)
 	r.staleUntil = time.Now().Add(staleGrace)
@@ -183,6 +187,7 @@
 		sleep(ctx, retryDelay)
 	default:
 		r.config.Health.RecordFailure(err)
+		r.config.Replica.RecordFailure()
 		pause := max(r.backoff, min(r.config.Replica.SinceLastResponse()/silenceDivisor, limit))
 		r.config.Health.WaitBeforeRetry(ctx, r, pause/2+rand.N(pause))
 		r.backoff = min(2*pause, limit)
--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -18,6 +18,9 @@
 	// reregisterTime is how long the owner of an expired entry may take to write it
 	// again after an outage of the store.
 	reregisterTime = 2200 * time.Millisecond
+	// neverConfirmed is the age of a replica that has not been confirmed, and the largest
+	// age of one that has.
+	neverConfirmed = time.Hour
 )
 
 // Sink receives the changes of a Replica, one call at a time, while the Replica is
@@ -72,7 +75,7 @@
 	mu        sync.Mutex
 	cursor    kv.Cursor
 	confirmed time.Time // when the cursor was last known to be the latest
-	responded time.Time // when the store last responded to any host, as far as known here
+	responded time.Time // when the store last responded to any host, as far as known here, or when the first call failed
 }
 
 func (s *syncState) get() (cursor kv.Cursor, confirmed time.Time) {
@@ -98,6 +101,22 @@
 	return true
 }
 
+// recordFailure records the time of a failed call if there was no response before.
+func (s *syncState) recordFailure(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.responded.IsZero() {
+		s.responded = at
+	}
+}
+
+// has reports whether the replica has reached a cursor.
+func (s *syncState) has(cursor kv.Cursor) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return cursor <= s.cursor
+}
+
 func (s *syncState) lastResponse() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -157,16 +176,15 @@
 // Age returns the time since the replica was last confirmed, at most one hour; one
 // hour if it never was.
 func (r *Replica) Age() time.Duration {
-	const never = time.Hour
 	_, confirmed := r.state.get()
 	if confirmed.IsZero() {
-		return never
+		return neverConfirmed
 	}
-	return min(never, max(0, r.now().Sub(confirmed)))
+	return min(neverConfirmed, max(0, r.now().Sub(confirmed)))
 }
 
 // SinceLastResponse returns the time since the store last responded to any host, as
-// far as known here; 0 before the first response.
+// far as known here, or since the first failed call of this host; 0 before both.
 func (r *Replica) SinceLastResponse() time.Duration {
 	responded := r.state.lastResponse()
 	if responded.IsZero() {
@@ -175,10 +193,13 @@
 	return max(0, r.now().Sub(responded))
 }
 
-// Confirm records that the latest cursor of the store was cursor some time (age) ago.
-// It reports whether the replica lacks changes up to it, in which case it is not
-// confirmed.
+// Confirm records that the latest cursor of the store was cursor some time (age) ago; from
+// neverConfirmed on, nobody knows when. It reports whether the replica lacks changes up to
+// it, in which case it is not confirmed.
 func (r *Replica) Confirm(cursor kv.Cursor, age time.Duration) (incomplete bool) {
+	if age >= neverConfirmed {
+		return !r.state.has(cursor)
+	}
 	return !r.state.confirm(cursor, r.now().Add(-age))
 }
 
@@ -218,6 +239,12 @@
 	r.state.advanceTo(changes.Cursor)
 }
 
+// RecordFailure records that a call of this host to the store has failed. If no host is
+// known to have had a response before, an outage of the store has begun.
+func (r *Replica) RecordFailure() {
+	r.state.recordFailure(r.now())
+}
+
 // RecordResponse records that the store has responded to this host. If it had responded
 // to no host for so long that entries may have expired, removals are unconfirmed for
 // some time.
@@ -341,7 +368,7 @@
 func (r *Replica) advance(cursor kv.Cursor, age time.Duration) {
 	if cursor >= r.Cursor() {
 		r.state.advanceTo(cursor)
-		r.state.confirm(cursor, r.now().Add(-age))
+		r.Confirm(cursor, age)
 	}
 }
 
--- a/internal/relay/discovery/replica_test.go
+++ b/internal/relay/discovery/replica_test.go
@@ -412,6 +412,89 @@
 	}
 }
 
+// Guards against holding back the removal of an upstream because a host that has just
+// started counts the time before as an outage of the store, and tells others of it.
+func TestStartIsNoOutage(t *testing.T) {
+	const outage = 10 * time.Second
+	entries := []kv.Entry{{
+		Key:     "servers/a",
+		Version: 1,
+	}}
+	tests := map[string]struct {
+		prepare     func(replica *discovery.Replica, advance func(time.Duration))
+		unconfirmed bool
+	}{
+		"knows no other host": {
+			prepare: func(*discovery.Replica, func(time.Duration)) {},
+		},
+		"hears of a host that has just started": {
+			prepare: func(replica *discovery.Replica, _ func(time.Duration)) {
+				replica.Confirm(newReplica().Cursor(), newReplica().Age())
+			},
+		},
+		"hears of a host that has only a stale listing": {
+			prepare: func(replica *discovery.Replica, _ func(time.Duration)) {
+				other := newReplica()
+				other.ApplyStaleListing(entries, 1)
+				replica.Confirm(other.Cursor(), other.Age())
+			},
+		},
+		"has the entries of a host that has only a stale listing": {
+			prepare: func(replica *discovery.Replica, _ func(time.Duration)) {
+				other := newReplica()
+				other.ApplyStaleListing(entries, 1)
+				replica.Apply(other.Delta(0))
+			},
+		},
+		"waits for other hosts before its first call": {
+			prepare: func(_ *discovery.Replica, advance func(time.Duration)) {
+				advance(outage)
+			},
+		},
+		"has called the store in vain since the start": {
+			prepare: func(replica *discovery.Replica, advance func(time.Duration)) {
+				replica.RecordFailure()
+				advance(outage)
+				replica.RecordFailure()
+			},
+			unconfirmed: true,
+		},
+		"hears of a host to which the store does not respond": {
+			prepare: func(replica *discovery.Replica, advance func(time.Duration)) {
+				other := newReplica()
+				other.ApplyListing(entries, 1)
+				replica.Apply(other.Delta(0))
+				advance(outage)
+			},
+			unconfirmed: true,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			now := start
+			v := newRecorder()
+			replica := discovery.NewReplica(v, renewal, func() time.Time { return now }, anySize)
+			test.prepare(replica, func(by time.Duration) { now = now.Add(by) })
+			replica.ApplyListing(entries, 1)
+			c.Check(replica.Delta(1).UnconfirmedFor > 0, qt.Equals, test.unconfirmed)
+			replica.ApplyWatch(1, kv.Changes{
+				Cursor: 2,
+				Changes: []kv.Change{{
+					Entry: kv.Entry{
+						Key:     "servers/a",
+						Version: 2,
+					},
+					Deleted: true,
+				}},
+			})
+			until, removed := v.removals["servers/a"]
+			c.Assert(removed, qt.IsTrue)
+			c.Check(until.IsZero(), qt.Equals, !test.unconfirmed)
+		})
+	}
+}
+
 // Guards against a replica that counts as confirmed although no host has read the
 // store, so that a stale routing table stays in force.
 func TestConfirm(t *testing.T) {
