Reject responses of the store that lack what callers rely on

Found while looking for what else counts as complete, or as absent, by being empty; nobody has reported it.

- A page without entries that says that more follow ended a listing: the rest of the entries counted as removed, and the replica passed that on as complete.
The quarantine of entry hosts asked for the same page without end. - A listing without a cursor left the replica empty and counted as success, so a host that starts asked again without a pause: 1,175,293 pages in one second against the stand-in. - A grant without a lease counted as lease 0, which means none, so the entry written next would have stayed for good; a write without a version counted as not made.

Each is now an error of the call: unavailable for reads, uncertain for writes. TestIncompleteResponse and TestListingWithoutCursor failed before.

--- a/document/apply.go
+++ b/document/apply.go
@@ -142,7 +142,7 @@
 			loaded.add(entry)
 			after = entry.Key
 		}
-		if !page.More || len(page.Entries) == 0 {
+		if !page.More {
 			return loaded, nil
 		}
 	}
--- a/internal/relay/discovery/reader.go
+++ b/internal/relay/discovery/reader.go
@@ -282,8 +282,11 @@
 		if after == "" {
 			cursor = page.Cursor // the first page may lack changes after its cursor
 		}
+		if cursor == 0 {
+			return errors.Annotate(kv.ErrUnavailable, "listing has no cursor")
+		}
 		entries = append(entries, page.Entries...)
-		if !page.More || len(page.Entries) == 0 {
+		if !page.More {
 			break
 		}
 		after = page.Entries[len(page.Entries)-1].Key
--- a/internal/relay/discovery/reader_test.go
+++ b/internal/relay/discovery/reader_test.go
@@ -189,6 +189,18 @@
 	f.backing.SetFaults(memkv.Faults{})
 }
 
+// Guards against a host that calls the store without a pause, because a listing has no
+// cursor.
+func TestListingWithoutCursor(t *testing.T) {
+	c := qt.New(t)
+	f := startReader(t, true)
+	time.Sleep(time.Second)
+	const maxPages = 20
+	c.Check(f.store.pages.Load() < maxPages, qt.IsTrue, qt.Commentf("%d pages", f.store.pages.Load()))
+	version := f.create(c, "op/config")
+	eventually(c, "first entry", func() bool { return f.sink.has("op/config", version) })
+}
+
 // Guards against hosts that call the store although other hosts confirm their replicas.
 func TestPassiveHostDoesNotRead(t *testing.T) {
 	c := qt.New(t)
--- a/kv/httpkv/httpkv.go
+++ b/kv/httpkv/httpkv.go
@@ -87,6 +87,9 @@
 		page.Entries = page.Entries[:limit]
 		page.More = true
 	}
+	if err == nil && page.More && len(page.Entries) == 0 {
+		err = errors.Annotate(kv.ErrUnavailable, "page has no entries, but more follow")
+	}
 	return page, errors.Annotatef(err, "list %q", prefix)
 }
 
@@ -99,7 +102,7 @@
 	if len(put.Value) > kv.MaxValueBytes {
 		return 0, errors.Annotatef(kv.ErrTooLarge, "put %q", put.Key)
 	}
-	version, err := write(ctx, s, s.protocol.Put(put), s.protocol.Version)
+	version, err := write(ctx, s, s.protocol.Put(put), present(s.protocol.Version))
 	return version, errors.Annotatef(err, "put %q", put.Key)
 }
 
@@ -117,7 +120,7 @@
 
 // Grant implements kv.Store. The ttl is rounded up to milliseconds.
 func (s *Store) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
-	lease, err := write(ctx, s, s.protocol.Grant(ttl), s.protocol.Lease)
+	lease, err := write(ctx, s, s.protocol.Grant(ttl), present(s.protocol.Lease))
 	return lease, errors.Annotate(err, "grant lease")
 }
 
@@ -140,6 +143,18 @@
 	return struct{}{}, json.Unmarshal(body, &fields)
 }
 
+// present returns a decoder that rejects zero, which a number in a response is if its field
+// is missing.
+func present[T ~uint64](decode func([]byte) (T, error)) func([]byte) (T, error) {
+	return func(body []byte) (T, error) {
+		number, err := decode(body)
+		if err == nil && number == 0 {
+			err = errors.NotFoundf("number in response")
+		}
+		return number, err
+	}
+}
+
 // read makes a call that has no effect on the service.
 func read[T any](ctx context.Context, s *Store, c Call, timeout time.Duration, decode func([]byte) (T, error)) (T, error) {
 	return exchange(ctx, s, call{
--- a/kv/httpkv/httpkv_test.go
+++ b/kv/httpkv/httpkv_test.go
@@ -74,6 +74,50 @@
 	})
 }
 
+// Guards against a response that lacks what the caller relies on: a page that ends a
+// listing too early, or a write that seems to have no version or no lease.
+func TestIncompleteResponse(t *testing.T) {
+	tests := map[string]struct {
+		body string
+		call func(ctx context.Context, s *httpkv.Store) error
+		want error
+	}{
+		"page without entries that is not the last": {
+			body: `{"entries":[],"cursor":7,"more":true}`,
+			call: func(ctx context.Context, s *httpkv.Store) error {
+				_, err := s.List(ctx, "a/", "a/1", 2)
+				return err
+			},
+			want: kv.ErrUnavailable,
+		},
+		"put without a version": {
+			body: `{}`,
+			call: func(ctx context.Context, s *httpkv.Store) error {
+				_, err := s.Put(ctx, kv.Put{
+					Key: "a",
+				})
+				return err
+			},
+			want: kv.ErrUncertain,
+		},
+		"grant without a lease": {
+			body: `{}`,
+			call: func(ctx context.Context, s *httpkv.Store) error {
+				_, err := s.Grant(ctx, time.Second)
+				return err
+			},
+			want: kv.ErrUncertain,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			err := test.call(t.Context(), newStore(c, status(http.StatusOK, test.body), 10*time.Second))
+			c.Assert(err, qt.ErrorIs, test.want)
+		})
+	}
+}
+
 // Guards against a write without a response that is reported as having no
 // effect, and a rejected write that is reported as uncertain.
 func TestErrors(t *testing.T) {
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -45,7 +45,7 @@
 type Page struct {
 	Entries []Entry
 	Cursor  Cursor // a watch after this cursor sees every change made since the page was read
-	More    bool   // further entries follow
+	More    bool   // further entries follow; the page has at least one
 }
 
 // Put describes a write.
