Require a key while the table has organisations, even without keys

An operator who takes the last key away after a leak opened the service to everybody.

Cause: a table asked for keys if it had any key. The empty set of keys counted as a table without organisations.

A table now asks for keys if it has organisations. Looked for beside it: an empty string in a list of keys made every request without a key one of that organisation, which is no key any more; an organisation without a name would have run without any organisation, and makes the table unreadable, so the last one stays in force.

A host that changes from a table with organisations to one without logs a warning.

--- a/internal/relay/host/sinks.go
+++ b/internal/relay/host/sinks.go
@@ -72,8 +72,13 @@
 		s.log.Error().Err(err).Uint64("revision", uint64(entry.Version)).Msg("table: not readable, the last one stays in force")
 		return
 	}
-	if s.routes.Offer(table) {
-		s.log.Info().Uint64("version", uint64(table.Version)).Uint64("revision", uint64(entry.Version)).Msg("table: in force")
+	previous := s.routes.Table()
+	if !s.routes.Offer(table) {
+		return
+	}
+	s.log.Info().Uint64("version", uint64(table.Version)).Uint64("revision", uint64(entry.Version)).Bool("keys", table.RequiresKey()).Msg("table: in force")
+	if previous != nil && previous.RequiresKey() && !table.RequiresKey() {
+		s.log.Warn().Uint64("version", uint64(table.Version)).Msg("table: has no organisations any more, requests need no key")
 	}
 }
 
--- a/internal/relay/routes/table.go
+++ b/internal/relay/routes/table.go
@@ -16,6 +16,7 @@
 	routes         map[string][]*Route // by host name
 	services       map[ident.ServiceName]*Service
 	organisations  map[Key]*Organisation
+	requiresKey    bool
 	lowestPriority int // priority of the least urgent organisation
 }
 
@@ -27,6 +28,7 @@
 		routes:        make(map[string][]*Route),
 		services:      make(map[ident.ServiceName]*Service, len(services)),
 		organisations: make(map[Key]*Organisation),
+		requiresKey:   len(organisations) > 0,
 	}
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
@@ -38,7 +40,9 @@
 	for _, organisation := range organisations {
 		t.lowestPriority = max(t.lowestPriority, organisation.Priority)
 		for _, key := range organisation.Keys {
-			t.organisations[key] = organisation
+			if key != "" { // which a request without a key would match
+				t.organisations[key] = organisation
+			}
 		}
 	}
 	return t
@@ -65,9 +69,9 @@
 }
 
 // RequiresKey reports whether requests to routes that are not public need a key. They
-// do if the table has any key.
+// do if the table has organisations, even if none of these has a key left.
 func (t *Table) RequiresKey() bool {
-	return len(t.organisations) > 0
+	return t.requiresKey
 }
 
 // Rank returns the rank of a request; lower ranks are more urgent. It is the priority of
--- a/internal/relay/routes/table_test.go
+++ b/internal/relay/routes/table_test.go
@@ -94,6 +94,46 @@
 	c.Assert(holder.Table().Version, qt.Equals, routes.Version(100))
 }
 
+// Guards against a table that lets requests without a valid key pass because its
+// organisations have no keys left, and against one that asks for keys although it has no
+// organisations.
+func TestRequiresKey(t *testing.T) {
+	tests := map[string]struct {
+		organisations []*routes.Organisation
+		want          bool
+	}{
+		"no organisations": {},
+		"organisation with a key": {
+			organisations: []*routes.Organisation{{
+				Name: "a",
+				Keys: []routes.Key{"k"},
+			}},
+			want: true,
+		},
+		"organisation without keys": {
+			organisations: []*routes.Organisation{{
+				Name: "a",
+			}},
+			want: true,
+		},
+		"organisation with an empty key": {
+			organisations: []*routes.Organisation{{
+				Name: "a",
+				Keys: []routes.Key{""},
+			}},
+			want: true,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			held := routes.New(1, routes.Limits{}, nil, nil, test.organisations)
+			c.Check(held.RequiresKey(), qt.Equals, test.want)
+			c.Check(held.Organisation(""), qt.IsNil)
+		})
+	}
+}
+
 // Guards against a rank that lets requests of an urgent organisation be refused before
 // those of others.
 func TestRank(t *testing.T) {
