Do not pass on a stream without an event whose connection has ended

A response without a length and without chunks ends with its connection, also if its upstream has stopped after the header. As a stream it was passed on as a success without any event, framed as whole, unless the upstream refused new connections by then.

Every complete stream has an event, so this is a lost response now: a stream that may run again is sent to another upstream, and for another one the caller gets 502. A stream that resumes after its last event may end without another one, and a chunked one that ends properly is passed on as before.

"ends with connection, no event" and "no event, then another" in TestStream failed before: status 200 with an empty body.

--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -322,7 +322,7 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			err = e.checkEnd(placed, response)
+			err = e.checkStreamEnd(placed, response)
 			if err == nil {
 				e.startResponse(response)
 				return nil
@@ -358,6 +358,19 @@
 	}
 }
 
+// errNoEvents means that a stream has probably been cut short before its first event.
+const errNoEvents = errors.ConstError("stream ends with the connection and has no event")
+
+// checkStreamEnd returns an error if a stream that seems to be complete may have been cut
+// short: its end is the end of the connection, and it has no event at all or the upstream
+// has crashed.
+func (e *exchange) checkStreamEnd(placed *placement.Placed, response *upstreamhttp.Response) error {
+	if response.Unframed && e.progress.lastEvent == 0 && e.progress.upstreamEvents == 0 {
+		return errors.WithType(errNoEvents, upstreamhttp.ErrLost)
+	}
+	return e.checkEnd(placed, response)
+}
+
 // startResponse sends the status and header of the first response whose events are
 // forwarded; later calls do nothing.
 func (e *exchange) startResponse(response *upstreamhttp.Response) {
