Write requests to upstreams as they are, without a copy of their body

The header is encoded here now, and the target is written as the caller sent it. "//a?" and "//a#b?c" in TestTargetIsKept failed before.

The body is no longer copied behind the header either: both are written by one call, so a request in flight holds its body once.

--- a/internal/relay/upstreamhttp/client.go
+++ b/internal/relay/upstreamhttp/client.go
@@ -106,14 +106,14 @@
 // exchange sends the request and reads the header of the response. It closes the
 // connection on failure.
 func (c *Client) exchange(ctx context.Context, conn *connection, request Request) (*Response, error) {
-	outgoing, err := buildRequest(request)
+	header, err := encodeHeader(request)
 	if err != nil {
 		c.discard(conn)
-		return nil, errors.Annotatef(ErrNotSent, "build request: %v", err)
+		return nil, errors.Annotatef(ErrNotSent, "encode request: %v", err)
 	}
-	pending := writeRequest(ctx, conn, outgoing, len(request.Body))
+	pending := writeRequest(ctx, conn, header, request.Body)
 	stale := conn.used && !conn.awaitResponse() && ctx.Err() == nil
-	received, err := c.readResponse(conn, outgoing, request) //nolint:bodyclose // Response.Close closes it
+	received, err := c.readResponse(conn, request) //nolint:bodyclose // Response.Close closes it
 	if err != nil {
 		c.discard(conn) // makes writeRequest return
 		<-pending.done
--- a/internal/relay/upstreamhttp/client_test.go
+++ b/internal/relay/upstreamhttp/client_test.go
@@ -234,7 +234,7 @@
 
 // Guards against changing the request target.
 func TestTargetIsKept(t *testing.T) {
-	for _, target := range []string{"/", "/a//b/../c", "//a/b", "/a%2fb%20c?x=%zz;y", "/a?", "/ä"} {
+	for _, target := range []string{"/", "/a//b/../c", "//a/b", "/a%2fb%20c?x=%zz;y", "/a?", "//a?", "/a#b", "//a#b?c", "//[", "/ä"} {
 		t.Run(target, func(t *testing.T) {
 			c := qt.New(t)
 			s := serve(t, reply(""))
--- a/internal/relay/upstreamhttp/request.go
+++ b/internal/relay/upstreamhttp/request.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
-	"net/url"
+	"strconv"
 	"strings"
+
+	"github.com/juju/errors"
 )
 
 // maxInlineBody is the size, in bytes, up to which a body fits into the socket
@@ -19,22 +22,20 @@
 	err  error         // valid once done is closed
 }
 
-// writeRequest writes a request. A long body is written concurrently with reading
-// the response, since an upstream may respond before it has the whole body.
-func writeRequest(ctx context.Context, conn *connection, outgoing *http.Request, length int) *requestWrite {
+// writeRequest writes the header and body of a request. A long body is written
+// concurrently with reading the response, since an upstream may respond before it has the
+// whole body.
+func writeRequest(ctx context.Context, conn *connection, header, body []byte) *requestWrite {
 	pending := &requestWrite{
 		done: make(chan struct{}),
 	}
 	write := func(context.Context) {
 		defer close(pending.done)
 		// A single write, so that the header and a short body share a packet.
-		var b bytes.Buffer
-		if pending.err = outgoing.Write(&b); pending.err != nil {
-			return
-		}
-		_, pending.err = conn.Write(b.Bytes())
+		message := net.Buffers{header, body}
+		_, pending.err = message.WriteTo(conn.Conn)
 	}
-	if length <= maxInlineBody {
+	if len(body) <= maxInlineBody {
 		write(ctx)
 	} else {
 		go write(ctx)
@@ -42,41 +43,32 @@
 	return pending
 }
 
-// buildRequest converts the request; its target and body stay unchanged.
-func buildRequest(request Request) (*http.Request, error) {
-	target := &url.URL{
-		Scheme: "http",
-		Host:   string(request.Upstream.Address),
-		Opaque: request.Target,
-	}
-	if strings.HasPrefix(request.Target, "//") {
-		// net/http puts the scheme in front of an opaque target with two slashes.
-		parsed, err := url.ParseRequestURI(request.Target)
-		if err != nil {
-			return nil, err
-		}
-		target = &url.URL{
-			Path:     "//" + strings.TrimPrefix(parsed.Path, "//"),
-			RawPath:  parsed.RawPath,
-			RawQuery: parsed.RawQuery,
-		}
+// encodeHeader returns the header of a request with its request line. The target is
+// unchanged; net/http would change some targets, such as one that begins with two slashes.
+func encodeHeader(request Request) ([]byte, error) {
+	if request.Target == "" || strings.ContainsAny(request.Method+request.Target+request.Host, " \t\r\n") {
+		return nil, errors.NotValidf("method %.20q, target %.80q or host %.80q", request.Method, request.Target, request.Host)
 	}
-	header := request.Header
-	if header == nil {
-		header = make(http.Header)
+	var b bytes.Buffer
+	for _, text := range []string{request.Method, " ", request.Target, " HTTP/1.1\r\nHost: ", request.Host, "\r\n"} {
+		b.WriteString(text)
 	}
-	if _, ok := header["User-Agent"]; !ok {
-		header["User-Agent"] = []string{""} // keeps net/http from adding its own
+	if len(request.Body) > 0 || hasBody(request.Method) {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
-	outgoing := &http.Request{
-		Method:        request.Method,
-		URL:           target,
-		Host:          request.Host,
-		Header:        header,
-		ContentLength: int64(len(request.Body)),
+	if err := request.Header.Write(&b); err != nil {
+		return nil, err
 	}
-	if len(request.Body) > 0 {
-		outgoing.Body = io.NopCloser(bytes.NewReader(request.Body))
+	_, err := io.WriteString(&b, "\r\n")
+	return b.Bytes(), err
+}
+
+// hasBody reports whether requests with a method usually have a body, so that the length
+// of an empty one has to be stated.
+func hasBody(method string) bool {
+	switch method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+		return true
 	}
-	return outgoing, nil
+	return false
 }
--- a/internal/relay/upstreamhttp/response.go
+++ b/internal/relay/upstreamhttp/response.go
@@ -35,8 +35,11 @@
 // readResponse reads the header of the response to the request. It skips
 // informational responses and responses to other requests. It returns errUnidentified if
 // the request may be sent again and the response may belong to another request.
-func (c *Client) readResponse(conn *connection, outgoing *http.Request, request Request) (receivedHeader, error) {
+func (c *Client) readResponse(conn *connection, request Request) (receivedHeader, error) {
 	skipped, informational := 0, 0
+	outgoing := &http.Request{
+		Method: request.Method, // tells whether the response has a body
+	}
 	for {
 		response, err := conn.readHeader(outgoing) //nolint:bodyclose // Response.Close closes it
 		if err != nil {
