Bound the memory of all requests and responses together

Operators of other systems reported that a faulty engine sent bytes that were no answer, without end, and the machine that had called it ran out of memory, with the requests of all its other clients (LOST). It can happen here: each message had a bound, their sum had none.

internal/relay/memory bounds the sum: a quarter of the host's memory. The first 64 KiB of a message are always there; for more it leases its whole length, and waits up to a second if others are ahead. One party, an upstream or all callers, gets half at most, so a faulty engine leaves room for the others. A request without room is refused with 503, which is true, since it has not run; a response without room is lost. The table of crashes keeps the fingerprint of a finished request in place of its body, and the runtime is told to collect garbage from 0.6 of the memory on. A body that does not arrive by the deadline of its request ends with 408; it could keep its memory for as long as the connection lived.

--- a/internal/command/relay.go
+++ b/internal/command/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/juju/errors"
@@ -16,6 +17,10 @@
 	"github.com/nutmegshift/nutmegshift/platform"
 )
 
+// heapShare is the part of the memory of a host up to which the runtime lets garbage
+// accumulate; the rest is left for what it does not count.
+const heapShare = 0.6
+
 func relayCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "relay",
@@ -54,6 +59,7 @@
 	if err != nil {
 		return errors.Annotate(err, "parse log level")
 	}
+	debug.SetMemoryLimit(int64(heapShare * parsed.Memory * (1 << 20)))
 	log := logging.New(command.Root().Writer, level, parsed.LogRate)
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	settingsReloader := newReloader(name, content, hangups, log)
--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -12,6 +12,7 @@
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/memory"
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
@@ -70,6 +71,7 @@
 	Includes func(upstream fleet.Upstream) bool // reports whether an upstream belongs to the coordinator
 	Chooser  *placement.Chooser
 	Pauses   *fleet.Pauses
+	Memory   *memory.Budget // of the bodies of responses
 	Meter    *meter.Meter
 	Now      func() time.Time
 	Log      zerolog.Logger
@@ -331,7 +333,9 @@
 		return batch.Lost{}, meter.Failed
 	}
 	defer response.Close()
-	body, err := response.ReadAll(maxResponseBytes)
+	lease := c.config.Memory.Lease(memory.Holder(call.Upstream.ID))
+	defer lease.Release()
+	body, err := response.ReadAll(ctx, lease, maxResponseBytes)
 	if response.Reply.NotRun {
 		c.logCall(call).Int("status", response.Status).Dur("pause", response.Reply.Pause).Msg("stage: upstream refused")
 		return c.refused(call), meter.Refused
@@ -394,7 +398,9 @@
 	}
 	response, err := c.send(ctx, release.Upstream, message, false)
 	if err == nil {
-		_, err = response.ReadAll(maxResponseBytes)
+		lease := c.config.Memory.Lease(memory.Holder(release.Upstream.ID))
+		_, err = response.ReadAll(ctx, lease, maxResponseBytes)
+		lease.Release()
 		response.Close()
 	}
 	if err != nil {
--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -24,6 +24,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/forward"
+	"github.com/nutmegshift/nutmegshift/internal/relay/memory"
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
@@ -347,7 +348,8 @@
 			OnSound:   func(poison.Fingerprint) {},
 			OnVerdict: func([]poison.Pattern) {},
 		}),
-		Meter: meter.New(),
+		Memory: memory.New(64 << 20),
+		Meter:  meter.New(),
 		Budget: budget.New(budget.Config{
 			Share:     0.2,
 			Allowance: 100,
--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -14,6 +14,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/budget"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/memory"
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
@@ -62,6 +63,7 @@
 	Popularity *placement.Popularity
 	Budget     *budget.Budget
 	Poison     *poison.Table
+	Memory     *memory.Budget // of the bodies of requests and responses
 	Stager     Stager
 	Meter      *meter.Meter
 	Domain     ident.FailureDomain
@@ -95,6 +97,7 @@
 	head         wire.Head
 	target       string // path and query, as the caller sent them
 	body         []byte
+	bodyLease    *memory.Lease
 	table        *routes.Table
 	route        *routes.Route
 	service      *routes.Service
@@ -115,13 +118,15 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e := &exchange{
-		Handler: h,
-		ctx:     r.Context(),
-		writer:  w,
-		request: r,
-		arrived: h.config.Now(),
+		Handler:   h,
+		ctx:       r.Context(),
+		writer:    w,
+		request:   r,
+		bodyLease: h.config.Memory.Lease(memory.Callers),
+		arrived:   h.config.Now(),
 	}
 	defer e.finish()
+	defer e.bodyLease.Release()
 	if !e.accept() {
 		return
 	}
@@ -129,6 +134,7 @@
 	defer cancel()
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
+	defer h.config.Poison.Finish(e.identity)
 	defer h.config.Poison.Watch(e.identity, func() { end(errBlocked) })()
 	defer cancelAt(h.shutdown.running, end)()
 	e.ctx = ctx
@@ -214,19 +220,40 @@
 }
 
 // readBody reads the request body. It returns false after sending an error response if
-// the body is too large or incomplete.
+// the body is too large or incomplete, has not arrived by the deadline, or if there is no
+// memory for it.
 func (e *exchange) readBody() bool {
+	if e.request.ContentLength == 0 {
+		return true
+	}
+	connection := http.NewResponseController(e.writer)
+	if err := connection.SetReadDeadline(e.deadline); err != nil {
+		e.log.Debug().Err(err).Msg("forward: reading the body has no time limit")
+	}
 	limit := e.table.Limits.Body
-	body, err := io.ReadAll(http.MaxBytesReader(e.writer, e.request.Body, limit))
+	reader := http.MaxBytesReader(e.writer, e.request.Body, limit)
+	body, err := e.bodyLease.ReadAll(e.ctx, reader, e.request.ContentLength, limit)
+	if err != nil {
+		e.writer.Header().Set("Connection", "close")
+	}
 	var large *http.MaxBytesError
 	switch {
-	case errors.As(err, &large):
+	case errors.As(err, &large), errors.Is(err, memory.ErrTooLarge):
 		e.reject(http.StatusRequestEntityTooLarge, "body is too large")
-		return false
+	case errors.Is(err, memory.ErrExhausted):
+		e.config.Meter.OutOfMemory()
+		e.refuse("no memory is left for the body", fullRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		e.reject(http.StatusRequestTimeout, "body was not received by the deadline")
 	case err != nil:
 		e.reject(http.StatusBadRequest, "body was not received: "+err.Error())
+	}
+	if err != nil {
 		return false
 	}
+	if err := connection.SetReadDeadline(time.Time{}); err != nil {
+		e.log.Debug().Err(err).Msg("forward: time limit of the body was not lifted")
+	}
 	e.body = body
 	return true
 }
--- a/internal/relay/forward/plain.go
+++ b/internal/relay/forward/plain.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/nutmegshift/nutmegshift/internal/relay/memory"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
@@ -15,6 +16,14 @@
 type bufferedResponse struct {
 	response *upstreamhttp.Response
 	body     []byte
+	lease    *memory.Lease // of the body
+}
+
+// release returns the memory of the response, which may be nil.
+func (r *bufferedResponse) release() {
+	if r != nil {
+		r.lease.Release()
+	}
 }
 
 // isFinal reports whether the response can be forwarded without a retry. A server
@@ -26,6 +35,7 @@
 // plain forwards a request whose response is buffered until it is complete.
 func (e *exchange) plain() {
 	var last *bufferedResponse // latest response of an upstream that ran the request
+	defer func() { last.release() }()
 	for {
 		placed, ok := e.nextUpstream(e.placementQuery(e.config.Domain, 0))
 		if !ok {
@@ -34,8 +44,10 @@
 		buffered, err := e.attempt(placed)
 		switch {
 		case err == nil && buffered.response.Reply.NotRun:
+			buffered.release()
 		case err == nil:
 			e.ran++
+			last.release()
 			last = buffered
 			if buffered.isFinal() {
 				e.deliver(buffered)
@@ -78,6 +90,11 @@
 	}
 }
 
+// responseLease returns a lease for a response of an upstream.
+func (e *exchange) responseLease(placed *placement.Placed) *memory.Lease {
+	return e.config.Memory.Lease(memory.Holder(placed.ID))
+}
+
 // attempt sends the request to one upstream, reads the whole response and records the
 // outcome of the call.
 func (e *exchange) attempt(placed *placement.Placed) (*bufferedResponse, error) {
@@ -92,18 +109,19 @@
 		e.latest.Responding()
 	}
 	latency := e.config.Now().Sub(started)
-	body, err := response.ReadAll(maxResponseBytes)
+	buffered := &bufferedResponse{
+		response: response,
+		lease:    e.responseLease(placed),
+	}
+	buffered.body, err = response.ReadAll(e.ctx, buffered.lease, maxResponseBytes)
 	if err == nil {
 		err = e.checkEnd(placed, response)
 	}
 	if err != nil && !response.Reply.NotRun {
+		buffered.release()
 		e.recordFailure(placed, err, latency)
 		return nil, err
 	}
-	buffered := &bufferedResponse{
-		response: response,
-		body:     body,
-	}
 	ending, pace := placement.Served, time.Duration(0)
 	switch {
 	case response.Reply.NotRun:
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -292,7 +292,9 @@
 
 // handleUnsuccessful handles a response that is not a sealed success.
 func (e *exchange) handleUnsuccessful(placed *placement.Placed, response *upstreamhttp.Response) streamOutcome {
-	body, err := response.ReadAll(maxResponseBytes)
+	lease := e.responseLease(placed)
+	defer lease.Release()
+	body, err := response.ReadAll(e.ctx, lease, maxResponseBytes)
 	e.log.Info().Err(err).Str("upstream", string(placed.ID)).Int("status", response.Status).Bool("sealed", response.Reply.Sealed).Bool("ran", !response.Reply.NotRun).Dur("age", e.age()).Msg("forward: upstream refused")
 	switch {
 	case response.Reply.NotRun && response.Status == http.StatusConflict:
@@ -310,6 +312,7 @@
 	e.deliver(&bufferedResponse{
 		response: response,
 		body:     body,
+		lease:    lease,
 	})
 	return streamComplete
 }
@@ -317,10 +320,12 @@
 // relayEvents forwards events to the caller until the stream is complete. It releases
 // the results of the stages at the first event, since the upstream has read them by then.
 func (e *exchange) relayEvents(placed *placement.Placed, response *upstreamhttp.Response, results *stageResults) error {
-	events := upstreamhttp.NewEvents(response)
+	lease := e.responseLease(placed)
+	defer lease.Release()
+	events := upstreamhttp.NewEvents(response, lease)
 	flusher := http.NewResponseController(e.writer)
 	for {
-		event, err := events.Next()
+		event, err := events.Next(e.ctx)
 		if errors.Is(err, io.EOF) {
 			err = e.checkStreamEnd(placed, response)
 			if err == nil {
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -22,6 +22,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/forward"
 	"github.com/nutmegshift/nutmegshift/internal/relay/grpcrelay"
 	"github.com/nutmegshift/nutmegshift/internal/relay/logging"
+	"github.com/nutmegshift/nutmegshift/internal/relay/memory"
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
@@ -58,7 +59,11 @@
 	// the reason why requests are blocked.
 	minCrashesInterval = 2 * time.Second
 	maxStoreHeader     = 64 << 10 // largest header of a response of the store, in bytes
-	metricsPath        = "/metrics"
+	// messageShare is the part of the memory of a host that the bodies of requests and
+	// responses may take. About as much is garbage that has not been collected yet.
+	messageShare = 0.25
+	megabyte     = 1 << 20
+	metricsPath  = "/metrics"
 )
 
 // Platform holds what is specific to the platform that a host runs on.
@@ -76,6 +81,7 @@
 	log            zerolog.Logger
 	meter          *meter.Meter
 	poison         *poison.Table
+	memory         *memory.Budget // of the bodies of requests and responses
 	health         *discovery.Health
 	store          *httpkv.Store
 	routes         *routes.Holder
@@ -101,6 +107,7 @@
 		platform:    platform,
 		log:         log,
 		meter:       meter.New(),
+		memory:      memory.New(int64(messageShare * s.Memory * megabyte)),
 		health:      discovery.NewHealth(log, time.Now),
 		routes:      &routes.Holder{},
 		fleet:       fleet.New(),
@@ -164,6 +171,7 @@
 			Hosts:     h.liveHosts,
 		}),
 		Poison: h.poison,
+		Memory: h.memory,
 		Meter:  h.meter,
 		Stager: cell.New(cell.Config{
 			Self:    s.Host,
@@ -196,6 +204,7 @@
 	h.meter.Gauge("relay_upstreams", func() float64 { return float64(len(h.fleet.Snapshot().All())) })
 	h.meter.Gauge("relay_upstreams_draining", func() float64 { return float64(h.fleet.MarkedDraining()) })
 	h.meter.Gauge("relay_upstreams_paused", func() float64 { return float64(h.pauses.Count()) })
+	h.meter.Gauge("relay_message_bytes", func() float64 { return float64(h.memory.Used()) })
 	h.meter.Gauge("relay_requests_blocked", func() float64 { return float64(h.poison.BlockedPatterns()) })
 	h.meter.Gauge("relay_replica_age_seconds", func() float64 { return h.replica.Age().Seconds() })
 	h.meter.Gauge("relay_replica_cursor", func() float64 { return float64(h.replica.Cursor()) })
@@ -223,6 +232,7 @@
 		Includes: id.Includes,
 		Chooser:  placement.New(time.Now, rand.Float64, placement.WithPrefixes(coordinatorPrefixes)),
 		Pauses:   h.pauses,
+		Memory:   h.memory,
 		Meter:    h.meter,
 		Now:      time.Now,
 		Log:      h.log.With().Str("cell", string(id)).Logger(),
--- a/internal/relay/poison/attempt.go
+++ b/internal/relay/poison/attempt.go
@@ -47,6 +47,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a.repeated = request.suspected
+	request.attempted = true
 	t.sweepAttempts(now)
 	list := t.attempts[process]
 	if len(list) >= maxAttempts {
@@ -56,6 +57,25 @@
 	return a
 }
 
+// Finish records that a request has ended. Its attempts are still tracked, but its body is
+// no longer referenced.
+func (t *Table) Finish(request *Request) {
+	t.mu.Lock()
+	newContent := request.newContent
+	if !request.attempted {
+		request.newContent = nil // the request is not tracked
+	}
+	tracked := request.newContent != nil
+	t.mu.Unlock()
+	if !tracked {
+		return
+	}
+	content := newContent() // takes time, so the mutex is not held
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	request.setContent(content)
+}
+
 // Responding records that the header or an event of the response has arrived.
 func (a *Attempt) Responding() {
 	if a.settled {
--- a/internal/relay/poison/request.go
+++ b/internal/relay/poison/request.go
@@ -38,9 +38,10 @@
 // Request holds the fingerprints of a request. It must be used with one Table only.
 type Request struct {
 	parts      []Fingerprint
-	newContent func() Fingerprint
-	content    Fingerprint // zero until it is needed, since hashing a body takes time
-	suspected  bool        // has been in flight at a crash
+	newContent func() Fingerprint // holds the body; nil once the content is known
+	content    Fingerprint        // zero until it is needed, since hashing a body takes time
+	attempted  bool               // has been sent to an upstream
+	suspected  bool               // has been in flight at a crash
 }
 
 // NewRequest returns the fingerprints of a request. The parts are those of its prompt
@@ -57,12 +58,18 @@
 
 // contentFingerprint returns the fingerprint of the content.
 func (r *Request) contentFingerprint() Fingerprint {
-	if r.content == (Fingerprint{}) {
-		r.content = r.newContent()
+	if r.newContent != nil {
+		r.setContent(r.newContent())
 	}
 	return r.content
 }
 
+// setContent sets the fingerprint of the content and drops the body.
+func (r *Request) setContent(content Fingerprint) {
+	r.content = content
+	r.newContent = nil
+}
+
 // has reports whether the request has a fingerprint.
 func (r *Request) has(f Fingerprint) bool {
 	for _, part := range r.parts {
--- a/internal/relay/poison/table_test.go
+++ b/internal/relay/poison/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -117,6 +118,37 @@
 	}
 }
 
+// Guards against a body that stays in memory after its request has ended, because the
+// request is tracked in case its upstream crashes, and against losing the request's
+// content with it.
+func TestFinishedRequestHoldsNoBody(t *testing.T) {
+	c := qt.New(t)
+	h := newHosts(c, 1)[0]
+	collected := make(chan struct{})
+	begin := func() *poison.Attempt {
+		body := make([]byte, 1<<20)
+		runtime.AddCleanup(&body[0], func(done chan struct{}) { close(done) }, collected)
+		request := poison.NewRequest("o", "/chat", body, nil)
+		attempt := h.Begin(process(1), request)
+		h.Finish(request)
+		return attempt
+	}
+	begin().End(false)
+	for range 10 {
+		runtime.GC()
+		select {
+		case <-collected:
+			h.Crashed(process(1))
+			c.Assert(h.reports, qt.HasLen, 1)
+			content := poison.ContentFingerprint("o", "/chat", make([]byte, 1<<20))
+			c.Check(h.reports[0].Suspects[0].Fingerprints[0], qt.Equals, content)
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	c.Fatal("the body is still referenced")
+}
+
 func (h *host) blocks(request *poison.Request) bool {
 	_, blocked := h.Blocked(request)
 	return blocked
--- a/internal/relay/upstreamhttp/bounds_test.go
+++ b/internal/relay/upstreamhttp/bounds_test.go
@@ -86,7 +86,7 @@
 			response, err := newClient(t).Send(ctx, request(s.address))
 			if test.inBody {
 				c.Assert(err, qt.IsNil)
-				_, err = response.ReadAll(1 << 20)
+				_, err = readAll(response, 1<<20)
 				response.Close()
 			}
 			c.Check(err, qt.ErrorIs, upstreamhttp.ErrLost)
@@ -135,7 +135,7 @@
 			response, err := newClient(t).Send(ctx, request(s.address))
 			if test.inBody {
 				c.Assert(err, qt.IsNil)
-				_, err = response.ReadAll(1 << 20)
+				_, err = readAll(response, 1<<20)
 				response.Close()
 			}
 			c.Check(err, qt.ErrorIs, upstreamhttp.ErrLost)
@@ -165,7 +165,7 @@
 			response, err := newClient(t).Send(t.Context(), request(s.address))
 			c.Assert(err, qt.IsNil)
 			defer response.Close()
-			got, err := response.ReadAll(1 << 10)
+			got, err := readAll(response, 1<<10)
 			c.Assert(err, qt.IsNil)
 			c.Check(string(got), qt.Equals, "ok")
 		})
--- a/internal/relay/upstreamhttp/client_test.go
+++ b/internal/relay/upstreamhttp/client_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/memory"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
@@ -160,6 +161,14 @@
 	return client
 }
 
+// newLease returns a lease for a response of any size that tests use.
+func newLease() *memory.Lease { return memory.New(64 << 20).Lease("upstream") }
+
+// readAll reads the body of a response of at most limit bytes.
+func readAll(response *upstreamhttp.Response, limit int64) ([]byte, error) {
+	return response.ReadAll(context.Background(), newLease(), limit)
+}
+
 func request(to ident.Address) upstreamhttp.Request {
 	return upstreamhttp.Request{
 		Upstream: fleet.Upstream{
@@ -220,7 +229,7 @@
 			}
 			c.Assert(err, qt.IsNil)
 			defer response.Close()
-			body, err := response.ReadAll(1 << 10)
+			body, err := readAll(response, 1<<10)
 			if test.broken {
 				c.Assert(err, qt.ErrorIs, upstreamhttp.ErrLost)
 				return
@@ -299,7 +308,7 @@
 				response, err := client.Send(t.Context(), r)
 				c.Assert(err, qt.IsNil)
 				if test.read || i > 0 {
-					_, err = response.ReadAll(1 << 10)
+					_, err = readAll(response, 1<<10)
 					c.Assert(err, qt.IsNil)
 				}
 				response.Close()
@@ -330,7 +339,7 @@
 	_, err := client.Send(t.Context(), r)
 	c.Assert(err, qt.ErrorIs, upstreamhttp.ErrBusy)
 	for _, response := range open {
-		_, err := response.ReadAll(1 << 10)
+		_, err := readAll(response, 1<<10)
 		c.Assert(err, qt.IsNil)
 		response.Close()
 	}
@@ -404,7 +413,7 @@
 			open = append(open, response)
 		}
 		for _, response := range open {
-			_, err := response.ReadAll(1 << 10)
+			_, err := readAll(response, 1<<10)
 			c.Assert(err, qt.IsNil)
 			response.Close()
 		}
@@ -427,7 +436,7 @@
 	send := func() *upstreamhttp.Response {
 		response, err := client.Send(t.Context(), request(s.address))
 		c.Assert(err, qt.IsNil)
-		_, err = response.ReadAll(1 << 10)
+		_, err = readAll(response, 1<<10)
 		c.Assert(err, qt.IsNil)
 		return response
 	}
@@ -457,7 +466,7 @@
 	response, err := newClient(t).Send(ctx, request(s.address))
 	c.Assert(err, qt.IsNil)
 	time.AfterFunc(20*time.Millisecond, cancel)
-	_, err = response.ReadAll(1 << 10)
+	_, err = readAll(response, 1<<10)
 	c.Check(err, qt.ErrorIs, upstreamhttp.ErrLost)
 	response.Close()
 	select {
@@ -501,7 +510,7 @@
 	for range 2 {
 		response, err := client.Send(t.Context(), r)
 		c.Assert(err, qt.IsNil)
-		_, err = response.ReadAll(1 << 10)
+		_, err = readAll(response, 1<<10)
 		c.Assert(err, qt.IsNil)
 		response.Close()
 		c.Check(<-got <= int64(len(r.Body)), qt.IsTrue)
--- a/internal/relay/upstreamhttp/events.go
+++ b/internal/relay/upstreamhttp/events.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
+	"slices"
 	"strconv"
 
 	"github.com/juju/errors"
 
+	"github.com/nutmegshift/nutmegshift/internal/relay/memory"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
 
@@ -25,6 +28,7 @@
 type Events struct {
 	source *eofReader
 	reader *bufio.Reader
+	lease  *memory.Lease // of the text
 	text   []byte
 }
 
@@ -41,29 +45,34 @@
 	return n, err
 }
 
-// NewEvents returns a reader of the events in a response body.
-func NewEvents(body io.Reader) *Events {
+// NewEvents returns a reader of the events in a response body. Events that do not fit into
+// a small buffer take the memory of the lease.
+func NewEvents(body io.Reader, lease *memory.Lease) *Events {
 	e := &eofReader{
 		Reader: body,
 	}
 	return &Events{
 		source: e,
 		reader: bufio.NewReaderSize(e, bufferBytes),
+		lease:  lease,
 	}
 }
 
 // Next returns the next complete event. At the end of a complete stream it returns
-// io.EOF; it returns ErrLost if the stream breaks off or is malformed, and ErrOversized if an
-// event is too long.
-func (e *Events) Next() (Event, error) {
-	e.text = e.text[:0]
+// io.EOF; it returns ErrLost if the stream breaks off or is malformed, or if there is no
+// memory for the event, and ErrOversized if an event is too long.
+func (e *Events) Next(ctx context.Context) (Event, error) {
+	e.reset()
 	event := Event{}
 	for {
 		line, err := e.reader.ReadSlice('\n')
-		e.text = append(e.text, line...)
-		switch {
-		case len(e.text) > maxEvent:
+		if len(e.text)+len(line) > maxEvent {
 			return Event{}, errors.WithType(errors.Annotatef(ErrLost, "event exceeds %d bytes", maxEvent), ErrOversized)
+		}
+		if memoryErr := e.append(ctx, line); memoryErr != nil {
+			return Event{}, errors.Annotatef(ErrLost, "read event: %v", memoryErr)
+		}
+		switch {
 		case err == bufio.ErrBufferFull:
 			continue
 		case err == io.EOF && len(e.text) == 0:
@@ -88,6 +97,33 @@
 	}
 }
 
+// eventBuffers are the sizes of the buffers for the text of an event.
+var eventBuffers = []int{bufferBytes, memory.SmallBytes, maxEvent}
+
+// append adds a line to the text, and replaces the buffer if it is too small.
+func (e *Events) append(ctx context.Context, line []byte) error {
+	if need := len(e.text) + len(line); need > cap(e.text) {
+		i := slices.IndexFunc(eventBuffers, func(size int) bool { return size >= need })
+		if err := e.lease.Resize(ctx, int64(eventBuffers[i])); err != nil {
+			return err
+		}
+		grown := make([]byte, len(e.text), eventBuffers[i])
+		copy(grown, e.text)
+		e.text = grown
+	}
+	e.text = append(e.text, line...)
+	return nil
+}
+
+// reset drops the text, and its buffer if that is a large one.
+func (e *Events) reset() {
+	e.text = e.text[:0]
+	if cap(e.text) > memory.SmallBytes {
+		e.text = nil
+		e.lease.Release()
+	}
+}
+
 // Ready reports whether another complete event, or the end of the stream, can be
 // read without waiting.
 func (e *Events) Ready() bool {
--- a/internal/relay/upstreamhttp/events_test.go
+++ b/internal/relay/upstreamhttp/events_test.go
@@ -1,6 +1,7 @@
 package upstreamhttp_test
 
 import (
+	"context"
 	"errors"
 	"io"
 	"strings"
@@ -40,11 +41,11 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			events := upstreamhttp.NewEvents(test.stream)
+			events := upstreamhttp.NewEvents(test.stream, newLease())
 			var ids []wire.EventID
 			var text strings.Builder
 			for {
-				event, err := events.Next()
+				event, err := events.Next(context.Background())
 				if err != nil {
 					c.Assert(err, qt.ErrorIs, test.err)
 					break
@@ -63,10 +64,10 @@
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"))
 	f.Add([]byte("\n\n: x\n\nid:\n"))
 	f.Fuzz(func(t *testing.T, stream []byte) {
-		events := upstreamhttp.NewEvents(iotest.HalfReader(strings.NewReader(string(stream))))
+		events := upstreamhttp.NewEvents(iotest.HalfReader(strings.NewReader(string(stream))), newLease())
 		var received strings.Builder
 		for {
-			event, err := events.Next()
+			event, err := events.Next(context.Background())
 			if err != nil {
 				if errors.Is(err, io.EOF) && received.String() != string(stream) {
 					t.Fatalf("complete stream %q, received %q", stream, received.String())
@@ -119,10 +120,10 @@
 			if test.end {
 				stream = iotest.DataErrReader(stream)
 			}
-			events := upstreamhttp.NewEvents(stream)
+			events := upstreamhttp.NewEvents(stream, newLease())
 			var ready []bool
 			for {
-				if _, err := events.Next(); err != nil {
+				if _, err := events.Next(context.Background()); err != nil {
 					c.Assert(err, qt.Equals, io.EOF)
 					break
 				}
--- a/internal/relay/upstreamhttp/identity_test.go
+++ b/internal/relay/upstreamhttp/identity_test.go
@@ -77,7 +77,7 @@
 					}
 					response, err := send("first")
 					c.Assert(err, qt.IsNil)
-					_, err = response.ReadAll(1 << 10)
+					_, err = readAll(response, 1<<10)
 					c.Assert(err, qt.IsNil)
 					response.Close()
 
@@ -93,7 +93,7 @@
 					defer response.Close()
 					c.Check(response.Status, qt.Equals, 200)
 					c.Check(response.Reply.NotRun, qt.IsFalse)
-					body, err := response.ReadAll(1 << 10)
+					body, err := readAll(response, 1<<10)
 					c.Assert(err, qt.IsNil)
 					c.Check(string(body), qt.Equals, "body")
 					if !repeatable {
@@ -136,7 +136,7 @@
 				r.Header = http.Header{"Id": {"warm"}}
 				response, err := client.Send(t.Context(), r)
 				c.Assert(err, qt.IsNil)
-				_, err = response.ReadAll(1 << 10)
+				_, err = readAll(response, 1<<10)
 				c.Assert(err, qt.IsNil)
 				response.Close()
 			}
@@ -180,7 +180,7 @@
 				r.Distinct = true
 				response, err := client.Send(t.Context(), r)
 				c.Assert(err, qt.IsNil)
-				body, err := response.ReadAll(1 << 10)
+				body, err := readAll(response, 1<<10)
 				response.Close()
 				<-s.handled // all bytes have arrived
 				if response.Status == http.StatusOK && err == nil {
@@ -203,7 +203,7 @@
 		r.ID = ""
 		response, err := client.Send(t.Context(), r)
 		c.Assert(err, qt.IsNil)
-		_, err = response.ReadAll(1 << 10)
+		_, err = readAll(response, 1<<10)
 		c.Check(err, qt.IsNil)
 		response.Close()
 	}
@@ -241,7 +241,7 @@
 			for range 2 {
 				response, err := client.Send(t.Context(), request(s.address))
 				c.Assert(err, qt.IsNil)
-				body, err := response.ReadAll(1 << 10)
+				body, err := readAll(response, 1<<10)
 				c.Assert(err, qt.IsNil)
 				c.Check(string(body), qt.Equals, "ok")
 				response.Close()
--- a/internal/relay/upstreamhttp/response.go
+++ b/internal/relay/upstreamhttp/response.go
@@ -1,12 +1,14 @@
 package upstreamhttp
 
 import (
+	"context"
 	"io"
 	"net/http"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
+	"github.com/nutmegshift/nutmegshift/internal/relay/memory"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
 
@@ -146,16 +148,16 @@
 	return n, err
 }
 
-// ReadAll reads the whole body, of at most limit bytes. It returns ErrLost if the body is
-// incomplete, or a copy of the previous one although it must be distinct, and ErrOversized
-// if it is longer.
-func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+// ReadAll reads the whole body, of at most limit bytes, into the memory of the lease. It
+// returns ErrLost if the body is incomplete, or a copy of the previous one although it must
+// be distinct, or if there is no memory for it, and ErrOversized if it is longer.
+func (r *Response) ReadAll(ctx context.Context, lease *memory.Lease, limit int64) ([]byte, error) {
+	body, err := lease.ReadAll(ctx, r, r.Length, limit)
 	switch {
+	case errors.Is(err, memory.ErrTooLarge):
+		return nil, errors.WithType(errors.Annotatef(ErrLost, "body exceeds %d bytes", limit), ErrOversized)
 	case err != nil:
 		return nil, errors.Annotatef(ErrLost, "read body: %v", err)
-	case int64(len(body)) > limit:
-		return nil, errors.WithType(errors.Annotatef(ErrLost, "body exceeds %d bytes", limit), ErrOversized)
 	case r.distinct && r.repeats(body):
 		r.reusable = false
 		return nil, errors.Annotate(ErrLost, "response repeats the one before it")
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -114,7 +114,7 @@
 		key:          "memory",
 		unit:         "megabytes",
 		defaultValue: "256",
-		help:         "memory that this host has",
+		help:         "memory that this host has; a quarter of it is for bodies of requests and responses",
 		set:          func(s *Relay, v string) error { return setFloat(&s.Memory, v) },
 	},
 	{
