Plan stages with the present registrations when no job arrives

Cause: registrations were passed to the scheduler when a command arrived, that is when a job was submitted or cancelled. Between two jobs, each batch that ended led to the next one by the registrations of the last job.

Evidence: TestRegistrationsWhileNoJobArrives failed: 14 of 30 batches went to the upstream that drained after the first one, none to the third.

Each plan now begins with the present services and registrations; while jobs wait, there is a plan at least every 200 ms.

Results: the test passes (150 runs with the race detector, 50 of them beside ten busy processes).

--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -25,7 +25,10 @@
 	batchTimeoutFactor = 4
 	minBatchTimeout    = 1500 * time.Millisecond
 	// releaseTimeout limits a call that drops results. If it fails, the results expire.
-	releaseTimeout    = time.Second
+	releaseTimeout = time.Second
+	// maxPlanInterval is the longest time between two plans while jobs wait, since an
+	// upstream may have joined.
+	maxPlanInterval   = 200 * time.Millisecond
 	commandQueueSize  = 256
 	maxResponseBytes  = 1 << 20 // maximum size of the response to a call
 	maxLoggedRequests = 16      // maximum number of request ids in a log line
@@ -165,8 +168,10 @@
 	return list
 }
 
-// runPlan executes the plan of the scheduler and returns the time until the next plan.
+// runPlan executes the plan of the scheduler for the present services and upstreams, and
+// returns the time until the next plan.
 func (c *Coordinator) runPlan(ctx context.Context) time.Duration {
+	c.configure()
 	now := c.config.Now()
 	actions := c.scheduler.Plan(now)
 	for _, done := range actions.Done {
@@ -196,10 +201,14 @@
 			c.ends <- callEnd{}
 		}(ctx)
 	}
-	if actions.Wake.IsZero() {
-		return time.Hour
+	next := time.Hour
+	if len(c.waiters) > 0 {
+		next = maxPlanInterval
 	}
-	return max(time.Millisecond, actions.Wake.Sub(now))
+	if !actions.Wake.IsZero() {
+		next = min(next, max(time.Millisecond, actions.Wake.Sub(now)))
+	}
+	return next
 }
 
 // Ticket represents a job that the coordinator has accepted.
