Use a connection again only if its response is known to be the right one

A server of a stage had written its response to a release twice.

Cause: calls of stages have no ids. The copy, a 200 without a body, was taken for the response to the next batch; the batch failed, but as its response was complete the connection went back to the idle ones while the real response was still due. After the pause the next batch, of another request, went out on it and got the results of the first one.

Evidence: TestRepeatedResponseToRelease failed: the third request got "second-0/0", and the second one the third one's.

A response that does not have the id of its request is now accepted by its caller, who can tell by its content: results for all items of a batch. Without that the connection is closed. Releases, whose responses are all alike, have connections of their own, so none of theirs can arrive where a batch's is due; and a copy is recognised among the last 16 responses of a connection instead of the last one, and if it has the id of a request.

Other kept connections: requests of callers are told apart by their ids; hosts among themselves use HTTP/2; the client of the store closes a connection on which bytes arrive that were not due, but a copy that arrives after the next call was sent would be taken for its response. Nobody has reported that of the store.

TestEqualResponses and TestRepeatedResponseWithoutID accept their responses now, as a caller does; without that the first expects a new connection for each call.

--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -68,7 +68,8 @@
 // Config holds the dependencies of a Coordinator.
 type Config struct {
 	Codec    wire.Codec
-	Client   *upstreamhttp.Client
+	Batches  *upstreamhttp.Client // sends batches
+	Releases *upstreamhttp.Client // sends releases, whose responses are all alike
 	Table    func() *routes.Table
 	Fleet    func() *fleet.Snapshot
 	Includes func(upstream fleet.Upstream) bool // reports whether an upstream belongs to the coordinator
@@ -330,7 +331,7 @@
 		c.config.Log.Error().Err(err).Msg("stage: encoding the batch failed")
 		return batch.Lost{}, meter.Failed
 	}
-	response, err := c.send(ctx, call.Upstream, message, true) // results have handles of their own
+	response, err := c.config.Batches.Send(ctx, newRequest(c.config.Codec, call.Upstream, message))
 	if err != nil {
 		c.logCall(call).Err(err).Msg("stage: batch failed")
 		if errors.Is(err, upstreamhttp.ErrOversized) {
@@ -360,6 +361,7 @@
 		c.logCall(call).Err(err).Int("status", response.Status).Msg("stage: batch failed")
 		return batch.Lost{}, meter.Failed
 	}
+	response.Accept()
 	return batch.Completed{
 		Results: results,
 	}, meter.Served
@@ -405,11 +407,16 @@
 		c.config.Log.Error().Err(err).Msg("stage: encoding the release failed")
 		return
 	}
-	response, err := c.send(ctx, release.Upstream, message, false)
+	request := newRequest(c.config.Codec, release.Upstream, message)
+	request.Distinct = false
+	response, err := c.config.Releases.Send(ctx, request)
 	if err == nil {
 		lease := c.config.Memory.Lease(memory.Holder(release.Upstream.ID))
 		_, err = response.ReadAll(ctx, lease, maxResponseBytes)
 		lease.Release()
+		if response.Status/100 == 2 {
+			response.Accept()
+		}
 		response.Close()
 	}
 	if err != nil {
@@ -417,15 +424,16 @@
 	}
 }
 
-// send sends a call to an upstream. No two responses to distinct calls have the same body.
-func (c *Coordinator) send(ctx context.Context, to fleet.Upstream, message wire.Message, distinct bool) (*upstreamhttp.Response, error) {
-	return c.config.Client.Send(ctx, upstreamhttp.Request{
+// newRequest returns the request of a call. Responses to batches are distinct, since
+// results have handles of their own.
+func newRequest(codec wire.Codec, to fleet.Upstream, message wire.Message) upstreamhttp.Request {
+	return upstreamhttp.Request{
 		Upstream: to,
-		Distinct: distinct,
+		Distinct: true,
 		Method:   message.Method,
 		Target:   message.Path,
 		Host:     string(to.Address),
-		Header:   c.config.Codec.CallHeader(to.ID),
+		Header:   codec.CallHeader(to.ID),
 		Body:     message.Body,
-	})
+	}
 }
--- a/internal/relay/coordinator/coordinator_test.go
+++ b/internal/relay/coordinator/coordinator_test.go
@@ -1,13 +1,16 @@
 package coordinator_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -95,6 +98,147 @@
 	})
 }
 
+// batchTime is how long a repeatingUpstream takes for a batch. It is longer than the pause
+// after a batch without a usable response.
+const batchTime = 600 * time.Millisecond
+
+// repeatingUpstream is an upstream of a stage that writes its response to a release once
+// more when the next batch arrives on the connection, and responds to that later.
+type repeatingUpstream struct {
+	connections atomic.Int64
+	released    chan struct{}        // receives an element for each release
+	received    chan ident.RequestID // receives the request of each batch
+}
+
+func (u *repeatingUpstream) serve(c *qt.C) ident.Address {
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	var connections sync.WaitGroup
+	c.Cleanup(func() {
+		_ = listener.Close()
+		connections.Wait()
+	})
+	connections.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			u.connections.Add(1)
+			connections.Go(func() { u.handle(conn) })
+		}
+	})
+	return ident.Address(listener.Addr().String())
+}
+
+func (u *repeatingUpstream) handle(conn net.Conn) {
+	const released = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	repeats := false
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if request.URL.Path == "/release" {
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(conn, released)
+			repeats = true
+			u.released <- struct{}{}
+			continue
+		}
+		var items []wire.Item
+		if json.NewDecoder(request.Body).Decode(&items) != nil {
+			return
+		}
+		if repeats {
+			_, _ = io.WriteString(conn, released)
+			repeats = false
+		}
+		u.received <- items[0].Request
+		time.Sleep(batchTime)
+		var results []wire.ItemResult
+		for _, item := range items {
+			results = append(results, wire.ItemResult{
+				Status: wire.ItemDone,
+				Handle: wire.Handle(fmt.Sprintf("%s/%d", item.Request, item.Piece)),
+			})
+		}
+		body, _ := json.Marshal(results)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+}
+
+// Guards against a request that gets the results of another one, because a connection was
+// used again on which a response was still due.
+func TestRepeatedResponseToRelease(t *testing.T) {
+	c := qt.New(t)
+	u := &repeatingUpstream{
+		released: make(chan struct{}, 10),
+		received: make(chan ident.RequestID, 10),
+	}
+	directory := fleet.New()
+	(&stageUpstream{
+		id:      "a",
+		address: u.serve(c),
+	}).register(directory, fleet.Ready, 1)
+	started := start(c, directory)
+	submit := func(request ident.RequestID, objective time.Duration) *coordinatorTicket {
+		return submitJob(c, started, request, 1, objective)
+	}
+	check := func(ticket *coordinatorTicket) {
+		prepared, err := ticket.Wait(t.Context())
+		c.Assert(err, qt.IsNil)
+		c.Check(prepared.Inputs, qt.DeepEquals, []wire.Handle{wire.Handle(ticket.request + "/0")})
+		prepared.Release()
+		<-u.released
+	}
+	for round := range 3 {
+		first := submit(ident.RequestID(fmt.Sprintf("first-%d", round)), 10*time.Second)
+		<-u.received
+		check(first)
+		time.Sleep(100 * time.Millisecond) // lets the connection become idle
+		second := submit(ident.RequestID(fmt.Sprintf("second-%d", round)), 10*time.Second)
+		<-u.received
+		// The third request is more urgent than the second one, so it goes out first if
+		// the batch of the second one has to be sent again.
+		third := submit(ident.RequestID(fmt.Sprintf("third-%d", round)), 5*time.Second)
+		check(third)
+		check(second)
+		for len(u.received) > 0 {
+			<-u.received
+		}
+	}
+}
+
+// coordinatorTicket is a ticket with the request that it is for.
+type coordinatorTicket struct {
+	*coordinator.Ticket
+	request ident.RequestID
+}
+
+// submitJob submits a job of one stage.
+func submitJob(c *qt.C, to *coordinator.Coordinator, request ident.RequestID, pieces int, objective time.Duration) *coordinatorTicket {
+	ticket, err := to.Submit(coordinator.Job{
+		Job: batch.Job{
+			Request: request,
+			Stages: []batch.Stage{{
+				Service: "stage",
+				Kind:    "kind",
+				Pieces:  pieces,
+			}},
+			Objective: time.Now().Add(objective),
+			Deadline:  time.Now().Add(objective),
+		},
+	})
+	c.Assert(err, qt.IsNil)
+	return &coordinatorTicket{
+		Ticket:  ticket,
+		request: request,
+	}
+}
+
 // start starts a coordinator of the upstreams in a directory.
 func start(c *qt.C, directory *fleet.Directory) *coordinator.Coordinator {
 	service := &routes.Service{
@@ -110,17 +254,21 @@
 	}
 	table := routes.New(1, routes.Limits{}, nil, []*routes.Service{service}, nil)
 	pauses := fleet.NewPauses(time.Now)
-	client := upstreamhttp.New(upstreamhttp.Config{
-		Codec:   codec{},
-		Dial:    upstreamhttp.Dial,
-		Now:     time.Now,
-		Opened:  func() {},
-		Paused:  pauses.Remaining,
-		Observe: func(fleet.Upstream, wire.Reply) {},
-	})
+	newClient := func() *upstreamhttp.Client {
+		return upstreamhttp.New(upstreamhttp.Config{
+			Codec:   codec{},
+			Dial:    upstreamhttp.Dial,
+			Now:     time.Now,
+			Opened:  func() {},
+			Paused:  pauses.Remaining,
+			Observe: func(fleet.Upstream, wire.Reply) {},
+		})
+	}
+	batches, releases := newClient(), newClient()
 	started := coordinator.New(coordinator.Config{
 		Codec:    codec{},
-		Client:   client,
+		Batches:  batches,
+		Releases: releases,
 		Table:    func() *routes.Table { return table },
 		Fleet:    directory.Snapshot,
 		Includes: cell.ID("").Includes,
@@ -137,7 +285,8 @@
 	c.Cleanup(func() {
 		cancel()
 		c.Check(<-ended, qt.IsNil)
-		client.Close()
+		batches.Close()
+		releases.Close()
 	})
 	return started
 }
@@ -170,19 +319,7 @@
 	draining.register(directory, fleet.Ready, 1)
 	staying.register(directory, fleet.Ready, 1)
 	const pieces = 30
-	ticket, err := start(c, directory).Submit(coordinator.Job{
-		Job: batch.Job{
-			Request: "a",
-			Stages: []batch.Stage{{
-				Service: "stage",
-				Kind:    "kind",
-				Pieces:  pieces,
-			}},
-			Objective: time.Now().Add(10 * time.Second),
-			Deadline:  time.Now().Add(10 * time.Second),
-		},
-	})
-	c.Assert(err, qt.IsNil)
+	ticket := submitJob(c, start(c, directory), "a", pieces, 10*time.Second)
 	prepared, err := ticket.Wait(t.Context())
 	c.Assert(err, qt.IsNil)
 	c.Check(prepared.Inputs, qt.HasLen, pieces)
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -76,27 +76,27 @@
 
 // Host forwards requests according to the routing table. Run may be called once.
 type Host struct {
-	settings       *settings.Relay
-	platform       Platform
-	log            zerolog.Logger
-	meter          *meter.Meter
-	poison         *poison.Table
-	memory         *memory.Budget // of the bodies of requests and responses
-	health         *discovery.Health
-	store          *httpkv.Store
-	routes         *routes.Holder
-	fleet          *fleet.Directory
-	pauses         *fleet.Pauses
-	upstreamClient *upstreamhttp.Client
-	replica        *discovery.Replica
-	peers          *peers
-	relayClient    *grpcrelay.Client
-	leaders        *duty.Leaders
-	coordinators   *coordinators
-	handler        *forward.Handler
-	syncSources    chan ident.HostID // hosts whose replicas are ahead of this one's
-	started        time.Time
-	stopping       chan struct{}
+	settings     *settings.Relay
+	platform     Platform
+	log          zerolog.Logger
+	meter        *meter.Meter
+	poison       *poison.Table
+	memory       *memory.Budget // of the bodies of requests and responses
+	health       *discovery.Health
+	store        *httpkv.Store
+	routes       *routes.Holder
+	fleet        *fleet.Directory
+	pauses       *fleet.Pauses
+	clients      clients
+	replica      *discovery.Replica
+	peers        *peers
+	relayClient  *grpcrelay.Client
+	leaders      *duty.Leaders
+	coordinators *coordinators
+	handler      *forward.Handler
+	syncSources  chan ident.HostID // hosts whose replicas are ahead of this one's
+	started      time.Time
+	stopping     chan struct{}
 }
 
 // New returns a Host; Run starts it.
@@ -130,14 +130,11 @@
 		Wait:     watchWait,
 		Protocol: platform.Store,
 	})
-	h.upstreamClient = upstreamhttp.New(upstreamhttp.Config{
-		Codec:   platform.Codec,
-		Dial:    upstreamhttp.Dial,
-		Now:     time.Now,
-		Opened:  h.meter.Connected,
-		Paused:  h.pauses.Remaining,
-		Observe: h.observeReply,
-	})
+	h.clients = clients{
+		requests: h.newClient(),
+		batches:  h.newClient(),
+		releases: h.newClient(),
+	}
 	h.coordinators = newCoordinators(h.newCoordinator)
 	sinks := sinks{
 		platform.Keys.Table: tableSink{
@@ -161,7 +158,7 @@
 		Routes:     h.routes,
 		Fleet:      h.fleet,
 		Pauses:     h.pauses,
-		Client:     h.upstreamClient,
+		Client:     h.clients.requests,
 		Chooser:    placement.New(time.Now, rand.Float64),
 		Popularity: placement.NewPopularity(),
 		Budget: budget.New(budget.Config{
@@ -226,7 +223,8 @@
 func (h *Host) newCoordinator(id cell.ID) *coordinator.Coordinator {
 	return coordinator.New(coordinator.Config{
 		Codec:    h.platform.Codec,
-		Client:   h.upstreamClient,
+		Batches:  h.clients.batches,
+		Releases: h.clients.releases,
 		Table:    h.routes.Table,
 		Fleet:    h.fleet.Snapshot,
 		Includes: id.Includes,
@@ -406,7 +404,7 @@
 	})
 	h.log.Info().Str("callers", string(h.settings.Callers)).Msg("host: started")
 	err = group.Run()
-	h.upstreamClient.Close()
+	h.clients.each((*upstreamhttp.Client).Close)
 	h.log.Info().Err(err).Msg("host: stopped")
 	return err
 }
@@ -437,7 +435,7 @@
 		case now := <-ticker.C:
 			h.fleet.Tick(now)
 			h.poison.Sweep()
-			h.upstreamClient.Sweep()
+			h.clients.each((*upstreamhttp.Client).Sweep)
 		}
 	}
 }
--- a/internal/relay/upstreamhttp/client.go
+++ b/internal/relay/upstreamhttp/client.go
@@ -143,7 +143,8 @@
 		conn:        conn,
 		body:        received.header.Body,
 		sending:     pending,
-		reusable:    received.reusable && !received.header.Close && !misdirected,
+		reusable:    received.expected && !received.header.Close && !misdirected,
+		accepted:    received.identified,
 		distinct:    request.Distinct,
 	}, nil
 }
--- a/internal/relay/upstreamhttp/connection.go
+++ b/internal/relay/upstreamhttp/connection.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 
@@ -32,6 +34,9 @@
 	// maxKeepAliveSeconds bounds the timeout that upstreams may state.
 	maxKeepAliveSeconds = 3600
 	bufferBytes         = 4 << 10 // size of a connection's read buffer
+	// maxBodies is the number of distinct responses on a connection of which a copy is
+	// recognised. Copies arrive where the next response is expected, or soon after.
+	maxBodies = 16
 )
 
 // connection is one connection to an upstream.
@@ -44,7 +49,7 @@
 	lastUsed  time.Time     // time of the last use
 	used      bool          // has completed an exchange before
 	limit     Limit         // given by the latest request
-	lastBody  uint64        // hash of the body of the latest distinct response
+	bodies    []uint64      // hashes of the bodies of the latest distinct responses
 }
 
 // boundedReader reads from a connection up to a number of bytes.
@@ -143,6 +148,20 @@
 	return err == nil
 }
 
+// hasHad reports whether a body is that of one of the latest distinct responses on the
+// connection, and remembers it.
+func (c *connection) hasHad(body []byte) bool {
+	hash := xxhash.Sum64(body)
+	if slices.Contains(c.bodies, hash) {
+		return true
+	}
+	if len(c.bodies) == maxBodies {
+		c.bodies = slices.Delete(c.bodies, 0, 1)
+	}
+	c.bodies = append(c.bodies, hash)
+	return false
+}
+
 // reusable reports whether an idle connection is recent enough to be used.
 func (c *connection) reusable(now time.Time, maxIdle time.Duration) bool {
 	idle := now.Sub(c.lastUsed)
--- a/internal/relay/upstreamhttp/identity_test.go
+++ b/internal/relay/upstreamhttp/identity_test.go
@@ -181,6 +181,9 @@
 				response, err := client.Send(t.Context(), r)
 				c.Assert(err, qt.IsNil)
 				body, err := readAll(response, 1<<10)
+				if err == nil && response.Status == http.StatusOK {
+					response.Accept()
+				}
 				response.Close()
 				<-s.handled // all bytes have arrived
 				if response.Status == http.StatusOK && err == nil {
@@ -191,23 +194,68 @@
 	}
 }
 
-// Guards against a new connection for each call whose response always has the same body.
-func TestEqualResponses(t *testing.T) {
+// Guards against a late copy of a response, other than the latest one, that is taken for
+// the response to a call without an id.
+func TestLateCopyWithoutID(t *testing.T) {
 	c := qt.New(t)
+	result := func(n int64) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nresult %d", n)
+	}
+	var calls atomic.Int64
 	s := serve(t, func(conn *net.TCPConn, _ *http.Request, _ string) bool {
-		return write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+		n := calls.Add(1)
+		if n == 4 && !write(conn, result(1)) {
+			return false
+		}
+		return write(conn, result(n))
 	})
 	client := newClient(t)
-	for range 3 {
+	for call := 1; call <= 6; call++ {
 		r := request(s.address)
 		r.ID = ""
+		r.Distinct = true
 		response, err := client.Send(t.Context(), r)
 		c.Assert(err, qt.IsNil)
-		_, err = readAll(response, 1<<10)
-		c.Check(err, qt.IsNil)
+		body, err := readAll(response, 1<<10)
+		if err == nil {
+			response.Accept()
+			c.Check(string(body), qt.Equals, fmt.Sprintf("result %d", calls.Load()))
+		}
 		response.Close()
+		<-s.handled
+	}
+	c.Check(s.connections.Load(), qt.Equals, int64(2))
+}
+
+// Guards against a new connection for each call whose response always has the same body,
+// and against the reuse of one whose response the caller has not accepted.
+func TestEqualResponses(t *testing.T) {
+	for _, accepted := range []bool{true, false} {
+		t.Run(fmt.Sprint("accepted: ", accepted), func(t *testing.T) {
+			c := qt.New(t)
+			s := serve(t, func(conn *net.TCPConn, _ *http.Request, _ string) bool {
+				return write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			})
+			client := newClient(t)
+			for range 3 {
+				r := request(s.address)
+				r.ID = ""
+				response, err := client.Send(t.Context(), r)
+				c.Assert(err, qt.IsNil)
+				_, err = readAll(response, 1<<10)
+				c.Check(err, qt.IsNil)
+				if accepted {
+					response.Accept()
+				}
+				response.Close()
+			}
+			want := int64(3)
+			if accepted {
+				want = 1
+			}
+			c.Check(s.connections.Load(), qt.Equals, want)
+		})
 	}
-	c.Check(s.connections.Load(), qt.Equals, int64(1))
 }
 
 // Guards against reusing a connection on which bytes have arrived that belong to no
--- a/internal/relay/upstreamhttp/response.go
+++ b/internal/relay/upstreamhttp/response.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"github.com/nutmegshift/nutmegshift/internal/relay/memory"
@@ -29,9 +28,10 @@
 
 // receivedHeader is the header of the response to a request.
 type receivedHeader struct {
-	header   *http.Response
-	reply    wire.Reply
-	reusable bool // the connection may be used for another request
+	header     *http.Response
+	reply      wire.Reply
+	expected   bool // no response to another request came before it
+	identified bool // it has the id of the request
 }
 
 // readResponse reads the header of the response to the request. It skips
@@ -58,9 +58,10 @@
 		switch owner := ownerOf(reply, request, conn.used || skipped > 0); {
 		case owner == thisRequest:
 			return receivedHeader{
-				header:   response,
-				reply:    reply,
-				reusable: skipped == 0 && isIdentified(response, reply, request),
+				header:     response,
+				reply:      reply,
+				expected:   skipped == 0,
+				identified: request.ID != "" && reply.Request == request.ID,
 			}, nil
 		case owner == unknownRequest && request.Repeatable:
 			return receivedHeader{}, errUnidentified
@@ -86,10 +87,11 @@
 
 // ownerOf returns the owner of a response. Without an id it is this request only if the
 // connection has carried no other one: a faulty upstream may write the response to an
-// earlier request once more.
+// earlier request once more. Responses to requests without an id cannot be told apart
+// here; see Response.Accept.
 func ownerOf(reply wire.Reply, request Request, reused bool) owner {
 	switch {
-	case request.ID == "" || reply.Request == request.ID:
+	case reply.Request == request.ID:
 		return thisRequest
 	case reply.Request != "" || reply.Sealed:
 		return otherRequest
@@ -99,15 +101,6 @@
 	return thisRequest
 }
 
-// isIdentified reports whether a copy of the response could be told from the response to
-// another request: by its id or, for calls without an id, by its body.
-func isIdentified(response *http.Response, reply wire.Reply, request Request) bool {
-	if request.ID == "" {
-		return response.StatusCode/100 == 2
-	}
-	return reply.Request == request.ID
-}
-
 // skipBody reads the body of a response to another request.
 func skipBody(response *http.Response) error {
 	n, err := io.CopyN(io.Discard, response.Body, maxSkippedBytes+1)
@@ -134,7 +127,8 @@
 	body     io.ReadCloser
 	stop     func() bool // detaches the context from the connection
 	sending  *requestWrite
-	reusable bool
+	reusable bool // the connection may be used again once the response is accepted
+	accepted bool
 	complete bool
 	distinct bool // see Request
 }
@@ -158,26 +152,23 @@
 		return nil, errors.WithType(errors.Annotatef(ErrLost, "body exceeds %d bytes", limit), ErrOversized)
 	case err != nil:
 		return nil, errors.Annotatef(ErrLost, "read body: %v", err)
-	case r.distinct && r.repeats(body):
+	case r.distinct && r.conn.hasHad(body):
 		r.reusable = false
-		return nil, errors.Annotate(ErrLost, "response repeats the one before it")
+		return nil, errors.Annotate(ErrLost, "response repeats an earlier one")
 	}
 	return body, nil
 }
 
-// repeats reports whether the body is that of the previous distinct response on the
-// connection, and remembers it.
-func (r *Response) repeats(body []byte) bool {
-	previous := r.conn.lastBody
-	r.conn.lastBody = xxhash.Sum64(body)
-	return r.conn.lastBody == previous
-}
+// Accept records that the response is the one to its request, as the caller can tell by
+// its content. The connection of a response that neither has the id of the request nor is
+// accepted is not used again, since the response that belongs there may still arrive.
+func (r *Response) Accept() { r.accepted = true }
 
 // Close ends the exchange. If the exchange is incomplete, Close also closes the
 // connection, which tells the upstream that nobody waits for the response.
 func (r *Response) Close() {
 	detached := r.stop()
-	if detached && r.complete && r.reusable && r.conn.reader.Buffered() == 0 && r.sent() {
+	if detached && r.complete && r.reusable && r.accepted && r.conn.reader.Buffered() == 0 && r.sent() {
 		r.client.putIdle(r.conn)
 		return
 	}
