Check messages of callers before they are parsed

Cause: the check for two lengths searched a copy of the last bytes of the connection with rules of its own. It ended the header at a line of spaces, which net/http takes for a continuation, and looked only at requests that net/http reads in chunks, which it never does for HTTP/1.0.

Evidence: two cases of TestRequestSmuggling failed, the hidden request ran.

A reader stands before net/http now and follows each message to its end. It accepts one length of digits or one encoding in chunks, proper line breaks, and fields without control characters; folded lines are unfolded. Anything else is replaced by a placeholder that is answered with 400, or 431 if the header is too long, and nothing after it is read; a malformed chunk ends the connection. It serves relays and entry hosts.

In TestAmbiguousMessages (before: TestAmbiguous) a message with one reading that is followed by the same one with two is served now, and the second one rejected; the search could not tell them apart and rejected both.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -12,7 +12,6 @@
 
 	"github.com/nutmegshift/nutmegshift/document"
 	"github.com/nutmegshift/nutmegshift/ident"
-	"github.com/nutmegshift/nutmegshift/internal/transport/callerhttp"
 	"github.com/nutmegshift/nutmegshift/outcome"
 )
 
@@ -85,13 +84,6 @@
 func (h *handler) readRequest(c echo.Context, id ident.RequestID) (Request, *rejection) {
 	arrived := h.cfg.Now()
 	in := c.Request()
-	if callerhttp.Ambiguous(in) {
-		c.Response().Header().Set("Connection", "close")
-		return Request{}, &rejection{
-			status:  http.StatusBadRequest,
-			message: "message states both a length and an encoding in chunks",
-		}
-	}
 	service, route, rejected := findRoute(h.cfg.Services(), in.Method, in.URL.Path)
 	if rejected != nil {
 		return Request{}, rejected
--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -21,7 +21,6 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
-	"github.com/nutmegshift/nutmegshift/internal/transport/callerhttp"
 	"github.com/nutmegshift/nutmegshift/kv"
 )
 
@@ -161,11 +160,6 @@
 		e.reject(http.StatusBadRequest, err.Error())
 		return false
 	}
-	if callerhttp.Ambiguous(e.request) {
-		e.writer.Header().Set("Connection", "close")
-		e.reject(http.StatusBadRequest, "message states both a length and an encoding in chunks")
-		return false
-	}
 	e.head = head
 	e.config.Codec.Echo(e.writer.Header(), head.Request)
 	if head.Request == "" {
--- a/internal/transport/callerhttp/doc.go
+++ b/internal/transport/callerhttp/doc.go
@@ -1,8 +1,12 @@
 // Package callerhttp serves the port for callers.
 //
-// It detects a kind of request smuggling that net/http hides from handlers: a
-// request that has both a Content-Length and a chunked body. A proxy in front may
-// have used the other length, so that a further request may be hidden in the body.
+// It checks each message before net/http reads it, against request smuggling: a proxy in
+// front may end a message at another place, so that a further request is hidden in the
+// body. A message is accepted only if it has one reading: a single length or a single
+// encoding in chunks, and header lines without control characters and with proper line
+// breaks. Anything else is rejected, and the connection is closed. Lines that are folded
+// are unfolded first, as RFC 9112 (section 5.2) has it.
 //
-// Locking: a mutex of each connection guards the bytes that were last read from it.
+// A framingReader follows the messages on a connection, so that it knows where each header
+// begins. It reads ahead no further than into a small buffer.
 package callerhttp
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -19,11 +19,15 @@
 	Log            zerolog.Logger
 }
 
-// New returns a server whose requests can be passed to Ambiguous, if its listener comes
-// from Listen. The server logs the errors of its connections and handlers.
+// New returns a server that rejects messages which could be read in two ways, if its
+// listener comes from Listen. The server logs these, and the errors of its connections and
+// handlers.
 func New(config Config) *http.Server {
 	return &http.Server{
-		Handler:           config.Handler,
+		Handler: rejecter{
+			handler: config.Handler,
+			log:     config.Log,
+		},
 		ReadHeaderTimeout: config.HeaderTimeout,
 		ReadTimeout:       config.ReceiveTimeout,
 		IdleTimeout:       config.IdleTimeout,
@@ -35,7 +39,7 @@
 	}
 }
 
-// Listen wraps a listener so that Ambiguous works for requests on its connections.
+// Listen wraps a listener so that the messages on its connections are checked.
 func Listen(inner net.Listener) net.Listener {
 	return listener{
 		Listener: inner,
