Repeat responses and revoke all keys in the soak

Upstreams can write a response once more when the next request arrives on its connection, handles of results name their request, and runs are checked for results of others. All keys can be revoked for a time; the check of routing tables knows which keys a table accepts.

--- a/internal/system/soak_cluster_test.go
+++ b/internal/system/soak_cluster_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -26,8 +25,9 @@
 )
 
 const (
-	soakHosts  = 4
-	soakEvents = 8 // number of events of a stream
+	soakHosts     = 4
+	soakUpstreams = 6
+	soakEvents    = 8 // number of events of a stream
 	// soakGrace is the grace period of a host that is stopped.
 	soakGrace = 6 * time.Second
 	// soakApply is the time limit for the hosts to apply a change of the store.
@@ -37,16 +37,11 @@
 	// faultEffectTime is the time after the end of a fault during which failures of
 	// requests are still attributed to it.
 	faultEffectTime = 3 * time.Second
+	// repeatDelay is the additional latency of an upstream that repeats responses: the
+	// response that is due arrives after others have been sent for.
+	repeatDelay = 600 * time.Millisecond
 )
 
-// tableVersion is a published routing table.
-type tableVersion struct {
-	writeStart time.Time // just before the table was written to the store
-	acked      time.Time // when the store had acknowledged the write; zero before
-	extra      bool      // has the extra route
-	second     bool      // has the second organisation and its API key
-}
-
 // relayHost is a host with its process and the forwarders of its connections.
 type relayHost struct {
 	number  int
@@ -155,7 +150,7 @@
 		{Service: "pool", Kind: standin.Engine, Latency: 20 * time.Millisecond, EventInterval: 20 * time.Millisecond, Events: soakEvents},
 		{Service: "board", Kind: standin.Stages, Latency: 50 * time.Millisecond},
 	}
-	for i := range 6 {
+	for i := range soakUpstreams {
 		config := configs[i%len(configs)]
 		config.Slots = 50
 		config.Domain = ident.FailureDomain(fmt.Sprint("d", i/len(configs)))
@@ -329,7 +324,9 @@
 func (c *soakCluster) startUpstream(slot *upstreamSlot) {
 	slot.upstream = standin.NewUpstream(slot.config)
 	slot.upstream.CrashOn(soakDeadlyPart, func() { c.crashByPrompt(slot) })
-	slot.server = httptest.NewServer(slot.upstream.Handler())
+	slot.server = httptest.NewUnstartedServer(slot.upstream.Handler())
+	slot.server.Listener = slot.upstream.Listener(slot.server.Listener)
+	slot.server.Start()
 	c.t.Cleanup(slot.server.Close)
 	slot.forwarder.mu.Lock()
 	slot.forwarder.target = ident.Address(slot.server.Listener.Addr().String())
@@ -424,73 +421,6 @@
 	}
 }
 
-// publishTable publishes a copy of the latest routing table that is changed by edit.
-func (c *soakCluster) publishTable(edit func(v *tableVersion)) {
-	c.publishMu.Lock()
-	defer c.publishMu.Unlock()
-	next := tableVersion{}
-	c.mu.Lock()
-	number := len(c.versions)
-	if number > 0 {
-		next = c.versions[number-1]
-	}
-	edit(&next)
-	next.writeStart, next.acked = time.Now(), time.Time{}
-	c.versions = append(c.versions, next)
-	c.mu.Unlock()
-	value, err := json.Marshal(routingTable(1+3*number, next.extra, next.second))
-	if err != nil {
-		c.fail("encode routing table: %v", err)
-		return
-	}
-	c.put(platform.Keys.Table, value)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.versions[number].acked = time.Now()
-}
-
-type jsonObject = map[string]any
-
-// routingTable returns the stored form of a routing table.
-func routingTable(number int, extra, second bool) jsonObject {
-	route := func(name, kind string, overrides jsonObject) jsonObject {
-		r := jsonObject{
-			"name": name, "hostname": "a.example", "prefix": "/" + name + "/", "route_kind": kind,
-			"timeout_ms": 4000, "slo_ms": 1500, "service": "entries", "max_attempts": 2,
-		}
-		for key, value := range overrides {
-			r[key] = value
-		}
-		return r
-	}
-	routes := []jsonObject{
-		route("submit", "unsafe", jsonObject{"max_attempts": 1}),
-		route("lookup", "safe", nil),
-		route("chat", "streaming", jsonObject{
-			"service": "pool", "sticky": true, "resumable": true, "itl_target_ms": 600,
-			"stages": []jsonObject{{"service": "board", "after": []int{}, "bytes": 1000}},
-		}),
-	}
-	if extra {
-		routes = append(routes, route("extra", "safe", nil))
-	}
-	tenants := []jsonObject{{"name": "lakeshore", "api_keys": []string{"first"}}}
-	if second {
-		tenants = append(tenants, jsonObject{"name": "rindworks", "api_keys": []string{"second"}})
-	}
-	return jsonObject{
-		"version": number,
-		"routes":  routes,
-		"services": []jsonObject{
-			{"name": "entries", "max_conns": 100},
-			{"name": "pool", "max_conns": 100, "engine": jsonObject{"slots": 50}},
-			{"name": "board", "max_conns": 100, "segments": jsonObject{"slots": 4, "queue": 4, "batch": 8, "call_ms": 50, "item_ms": 1, "headroom_mb": 10, "handle_ttl_s": 4}},
-		},
-		"limits":  jsonObject{"max_header_bytes": 16384, "max_body_bytes": 100000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": tenants,
-	}
-}
-
 // execute executes a step and returns after its end.
 func (c *soakCluster) execute(s step) {
 	h := c.hosts[s.Target%len(c.hosts)]
@@ -518,6 +448,10 @@
 		c.publishTable(func(v *tableVersion) { v.extra = !v.extra })
 	case revoke:
 		c.publishTable(func(v *tableVersion) { v.second = !v.second })
+	case revokeAll:
+		c.publishTable(func(v *tableVersion) { v.revoked = true })
+		time.Sleep(s.For)
+		c.publishTable(func(v *tableVersion) { v.revoked = false })
 	case replace, withdraw:
 		c.replaceUpstream(slot, s.Action == replace)
 	case stop:
@@ -560,6 +494,11 @@
 		faultUpstream(standin.Faults{Disconnect: s.Share})
 	case rejectRequests:
 		faultUpstream(standin.Faults{Reject: s.Share})
+	case repeatResponses:
+		faultUpstream(standin.Faults{
+			Repeat: s.Share,
+			Delay:  repeatDelay,
+		})
 	case truncateStreams:
 		faultUpstream(standin.Faults{Truncate: s.Share})
 	case crashUpstream:
--- a/internal/system/soak_plan_test.go
+++ b/internal/system/soak_plan_test.go
@@ -19,6 +19,7 @@
 const (
 	publish             action = "publish"       // publishes a routing table with or without the extra route
 	revoke              action = "revoke"        // revokes or restores an API key
+	revokeAll           action = "revoke all"    // revokes all API keys, later restores them
 	replace             action = "replace"       // replaces an upstream with a new one and drains it
 	withdraw            action = "withdraw"      // replaces an upstream with a new one and removes its registration without draining it
 	stop                action = "stop"          // stops a host with SIGTERM and restarts it
@@ -42,21 +43,22 @@
 	cutUpstream         action = "cut"           // an upstream cannot be reached
 	muteUpstream        action = "mute"          // open connections to an upstream carry no data any more; new ones work
 	resetUpstream       action = "reset"         // resets the open connections to an upstream
+	repeatResponses     action = "repeating"     // a slow upstream writes responses once more when the next request arrives
 	deadlyPart          action = "deadly part"   // callers send prompts with a part that crashes engines
 )
 
 var actions = []action{
-	publish, revoke, replace, withdraw, stop, reload, kill, killAll, pause,
+	publish, revoke, revokeAll, replace, withdraw, stop, reload, kill, killAll, pause,
 	storeDown, storeSlow, storeDropsResponses, storeCompacts,
 	cutStore, cutPeers, slowPeers, resetPeers,
-	failRequests, dropResponses, rejectRequests, truncateStreams, crashUpstream, cutUpstream, muteUpstream, resetUpstream, deadlyPart,
+	failRequests, dropResponses, rejectRequests, truncateStreams, crashUpstream, cutUpstream, muteUpstream, resetUpstream, repeatResponses, deadlyPart,
 }
 
 // planned reports whether the action is planned work, which must not make any
 // request fail.
 func (a action) planned() bool {
 	switch a {
-	case publish, revoke, replace, withdraw, stop, reload:
+	case publish, revoke, revokeAll, replace, withdraw, stop, reload:
 		return true
 	default:
 		return false
--- a/internal/system/soak_regression_test.go
+++ b/internal/system/soak_regression_test.go
@@ -37,6 +37,17 @@
 	// The hosts that had read the removal of an upstream were killed. The others took
 	// later changes from a host that had just started, which did not know of it.
 	"hosts are killed while an upstream leaves": killsAroundRemovals(),
+	// A batch took the copy of a response to a release, and its connection was used again
+	// while its own response was due: the next batch got it.
+	"upstreams of stages repeat responses": repeatedResponses(),
+	// With the last key revoked, all requests were served, whatever their key.
+	"all keys are revoked": {
+		{
+			At:     time.Second,
+			Action: revokeAll,
+			For:    4 * time.Second,
+		},
+	},
 	// In 1 of 13 runs, a host deadlocked when hosts registered again after a pause: the
 	// locks of the replica and of the member list were taken in both orders.
 	"hosts pause repeatedly": overlappingPauses(4, 400*time.Millisecond),
@@ -81,6 +92,22 @@
 	return p
 }
 
+// repeatedResponses returns a plan in which the upstreams of stages, which are every third
+// one, repeat half of their responses.
+func repeatedResponses() plan {
+	var p plan
+	for target := 2; target < soakUpstreams; target += 3 {
+		p = append(p, step{
+			At:     0,
+			Action: repeatResponses,
+			Target: target,
+			For:    soakTime,
+			Share:  0.5,
+		})
+	}
+	return p
+}
+
 // killsAroundRemovals returns a plan that removes the registration of an upstream while
 // all hosts but one start again, for each host in turn.
 func killsAroundRemovals() plan {
--- a/internal/system/soak_test.go
+++ b/internal/system/soak_test.go
@@ -239,6 +239,11 @@
 			case run.Tenant != organisations[r.key]:
 				c.cluster.fail("request ran for organisation %q: %s", run.Tenant, r)
 			}
+			for _, handle := range run.Inputs {
+				if owner := standin.ResultOwner(handle); owner != id {
+					c.cluster.fail("request ran with a result of %s: %s", owner, r)
+				}
+			}
 		}
 	}
 }
@@ -251,12 +256,12 @@
 	case r.route == "extra" && r.status == http.StatusNotFound:
 		explains = func(v tableVersion) bool { return !v.extra }
 	case r.route == "extra" && r.status == http.StatusOK:
-		explains = func(v tableVersion) bool { return v.extra }
-	case r.key == "second" && r.status == http.StatusUnauthorized:
-		explains = func(v tableVersion) bool { return !v.second }
-	case r.key == "second" && r.status == http.StatusOK:
-		explains = func(v tableVersion) bool { return v.second }
-	case r.status == http.StatusNotFound || r.status == http.StatusUnauthorized:
+		explains = func(v tableVersion) bool { return v.extra && v.accepts(r.key) }
+	case r.status == http.StatusUnauthorized:
+		explains = func(v tableVersion) bool { return !v.accepts(r.key) }
+	case r.status == http.StatusOK:
+		explains = func(v tableVersion) bool { return v.accepts(r.key) }
+	case r.status == http.StatusNotFound:
 		explains = func(tableVersion) bool { return false }
 	default:
 		return nil, false
