--- a/internal/relay/poison/table.go
+++ b/internal/relay/poison/table.go
@@ -272,7 +272,7 @@
 	if len(t.crashes) == 0 {
 		return true
 	}
-	for f := range t.verdict.repeated {
+	for f := range t.verdict.suspected {
 		if request.has(f) {
 			return false
 		}
--- a/internal/relay/poison/verdict.go
+++ b/internal/relay/poison/verdict.go
@@ -32,8 +32,8 @@
 
 // verdict is what a Table has concluded from the reports.
 type verdict struct {
-	blocked  []Pattern
-	repeated map[Fingerprint]bool // with at least retryMoments of unexplained crashes
+	blocked   []Pattern
+	suspected map[Fingerprint]bool // with at least retryMoments of crashes that no pattern explains
 }
 
 // tally counts the crashes that a fingerprint may have caused.
@@ -67,7 +67,7 @@
 		unexplained[process] = c
 	}
 	v := verdict{
-		repeated: make(map[Fingerprint]bool),
+		suspected: make(map[Fingerprint]bool),
 	}
 	for {
 		tallies := tallyOf(unexplained)
@@ -75,7 +75,7 @@
 		if !ok {
 			for f, t := range tallies {
 				if t.moments >= retryMoments {
-					v.repeated[f] = true
+					v.suspected[f] = true
 				}
 			}
 			return v
