Drop what has not been delivered of a request that is given up

Cause: closing a connection leaves what was written to the kernel, which goes on delivering it, also after the end of the process.

Connections to upstreams drop it now when they are closed (SO_LINGER 0); idle ones are closed as before. TestAbandonedRequestIsNotDelivered failed before: the upstream received the rest of the request and a proper end.

--- a/internal/relay/upstreamhttp/client_test.go
+++ b/internal/relay/upstreamhttp/client_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -516,3 +517,33 @@
 		c.Check(<-got <= int64(len(r.Body)), qt.IsTrue)
 	}
 }
+
+// Guards against a request that reaches an upstream after it has been given up, because
+// its bytes were waiting in the connection.
+func TestAbandonedRequestIsNotDelivered(t *testing.T) {
+	c := qt.New(t)
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = listener.Close() }()
+	abandoned := make(chan struct{})
+	received := make(chan error, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			received <- err
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		<-abandoned
+		_, err = io.Copy(io.Discard, conn)
+		received <- err
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	r := request(ident.Address(listener.Addr().String()))
+	r.Body = make([]byte, 16<<20) // more than the buffers of the connection hold
+	_, err = newClient(t).Send(ctx, r)
+	c.Assert(err, qt.ErrorIs, upstreamhttp.ErrLost)
+	close(abandoned)
+	c.Check(<-received, qt.ErrorIs, syscall.ECONNRESET)
+}
--- a/internal/relay/upstreamhttp/connection.go
+++ b/internal/relay/upstreamhttp/connection.go
@@ -83,7 +83,8 @@
 }
 
 // Dial opens a TCP connection that fails when the peer stops acknowledging data or
-// keep-alive probes.
+// keep-alive probes. Data that has not been delivered when the connection is closed, also
+// by the end of the process, is dropped: it belongs to a request that has been given up.
 func Dial(ctx context.Context, address ident.Address) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout: dialTimeout,
@@ -97,6 +98,11 @@
 			var failed error
 			err := raw.Control(func(fd uintptr) {
 				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+				if failed == nil {
+					failed = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{
+						Onoff: 1,
+					})
+				}
 			})
 			if err != nil {
 				return err
@@ -255,7 +261,7 @@
 	c.open[address]++
 	c.mu.Unlock()
 	if oldest != nil {
-		_ = oldest.Close() // it is idle, so no request is lost
+		oldest.closeIdle()
 	}
 	return true
 }
@@ -270,12 +276,28 @@
 	}
 }
 
-// discard closes a connection that is not on an idle list.
+// closeIdle closes a connection whose exchanges are complete.
+func (c *connection) closeIdle() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(-1) // otherwise the upstream sees a reset
+	}
+	_ = c.Close() // no request is lost
+}
+
+// discard closes a connection that is not on an idle list, and drops what has not been
+// delivered on it.
 func (c *Client) discard(conn *connection) {
 	_ = conn.Close() // fails only if it is closed already
 	c.release(conn.address)
 }
 
+// discardIdle closes a connection that is not on an idle list and whose exchanges are
+// complete.
+func (c *Client) discardIdle(conn *connection) {
+	conn.closeIdle()
+	c.release(conn.address)
+}
+
 // putIdle adds a connection whose exchange is complete to the idle list.
 func (c *Client) putIdle(conn *connection) {
 	conn.lastUsed = c.config.Now()
@@ -288,7 +310,7 @@
 	list := c.idle[conn.address]
 	if c.closed || conn.limit.exceededIdle(len(list)+1) {
 		c.mu.Unlock()
-		c.discard(conn)
+		c.discardIdle(conn)
 		return
 	}
 	c.idle[conn.address] = append(list, conn)
@@ -302,7 +324,7 @@
 	delete(c.idle, address)
 	c.mu.Unlock()
 	for _, conn := range list {
-		c.discard(conn)
+		c.discardIdle(conn)
 	}
 }
 
@@ -328,7 +350,7 @@
 	}
 	c.mu.Unlock()
 	for _, conn := range expired {
-		c.discard(conn)
+		c.discardIdle(conn)
 	}
 }
 
@@ -344,6 +366,6 @@
 	clear(c.idle)
 	c.mu.Unlock()
 	for _, conn := range all {
-		c.discard(conn)
+		c.discardIdle(conn)
 	}
 }
--- a/internal/relay/upstreamhttp/response.go
+++ b/internal/relay/upstreamhttp/response.go
@@ -168,9 +168,14 @@
 // connection, which tells the upstream that nobody waits for the response.
 func (r *Response) Close() {
 	detached := r.stop()
-	if detached && r.complete && r.reusable && r.accepted && r.conn.reader.Buffered() == 0 && r.sent() {
+	finished := detached && r.complete && r.sent()
+	switch {
+	case finished && r.reusable && r.accepted && r.conn.reader.Buffered() == 0:
 		r.client.putIdle(r.conn)
 		return
+	case finished:
+		r.client.discardIdle(r.conn)
+		return
 	}
 	r.client.discard(r.conn) // makes writeRequest return
 	<-r.sending.done
