Limit the time in which callers read, and log a lack of memory

A caller that does not read its response kept its memory, and the upstream of a stream, for as long as its connection lived: three seconds after the deadline of its request the connection ends now. TestCallerDoesNotRead failed before: the connection stayed open and was served further.

TestMemoryIsBounded has 100 callers, and three more cases: bodies in chunks, responses of the largest size that nobody reads, and streams on a route without stages.

--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -31,6 +31,9 @@
 	// fullRetryAfter is the Retry-After time if all upstreams were full. Requests take a
 	// fraction of this time, so some will have ended by then.
 	fullRetryAfter = 500 * time.Millisecond
+	// writeGrace is the time after the deadline of a request in which its caller may still
+	// read the response.
+	writeGrace = 3 * time.Second
 	// stoppingRetryAfter is the Retry-After time if the host stops. A caller that tries
 	// again reaches another host.
 	stoppingRetryAfter = 50 * time.Millisecond
@@ -137,6 +140,7 @@
 	defer h.config.Poison.Watch(e.identity, func() { end(errBlocked) })()
 	defer cancelAt(h.shutdown.running, end)()
 	e.ctx = ctx
+	defer e.limitWriting()()
 	if after := e.allPaused(); after > 0 {
 		e.refuse(reasonPaused, after)
 		return
@@ -148,6 +152,17 @@
 	e.plain()
 }
 
+// limitWriting limits the time in which the caller has to read its response, so that one
+// that does not read keeps no memory and no upstream. It returns a function that lifts the
+// limit.
+func (e *exchange) limitWriting() (lift func()) {
+	connection := http.NewResponseController(e.writer)
+	if err := connection.SetWriteDeadline(e.deadline.Add(writeGrace)); err != nil {
+		e.log.Debug().Err(err).Msg("forward: writing the response has no time limit")
+	}
+	return func() { _ = connection.SetWriteDeadline(time.Time{}) } // fails only if it could not be set
+}
+
 // accept validates and reads a request. It returns false after sending an error
 // response if the request cannot be forwarded.
 func (e *exchange) accept() bool {
@@ -235,7 +250,6 @@
 	case errors.As(err, &large), errors.Is(err, memory.ErrTooLarge):
 		e.reject(http.StatusRequestEntityTooLarge, "body is too large")
 	case errors.Is(err, memory.ErrExhausted):
-		e.config.Meter.OutOfMemory()
 		e.refuse("no memory is left for the body", fullRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		e.reject(http.StatusRequestTimeout, "body was not received by the deadline")
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -201,6 +201,7 @@
 	h.meter.Gauge("relay_upstreams", func() float64 { return float64(len(h.fleet.Snapshot().All())) })
 	h.meter.Gauge("relay_upstreams_draining", func() float64 { return float64(h.fleet.MarkedDraining()) })
 	h.meter.Gauge("relay_upstreams_paused", func() float64 { return float64(h.pauses.Count()) })
+	h.meter.Gauge("relay_messages_rejected", func() float64 { return float64(h.memory.Rejected()) })
 	h.meter.Gauge("relay_message_bytes", func() float64 { return float64(h.memory.Used()) })
 	h.meter.Gauge("relay_requests_blocked", func() float64 { return float64(h.poison.BlockedPatterns()) })
 	h.meter.Gauge("relay_replica_age_seconds", func() float64 { return h.replica.Age().Seconds() })
@@ -423,16 +424,21 @@
 	})
 }
 
-// tick completes unconfirmed removals of upstreams and closes idle connections at
-// regular intervals.
+// tick completes unconfirmed removals of upstreams, closes idle connections and logs a
+// lack of memory at regular intervals.
 func (h *Host) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	rejected := uint64(0) // messages, as of the last tick
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
+			if total := h.memory.Rejected(); total != rejected {
+				h.log.Warn().Uint64("messages", total-rejected).Int64("bytes", h.memory.Used()).Msg("memory: no room for requests or responses")
+				rejected = total
+			}
 			h.fleet.Tick(now)
 			h.poison.Sweep()
 			h.clients.each((*upstreamhttp.Client).Sweep)
--- a/internal/relay/memory/budget.go
+++ b/internal/relay/memory/budget.go
@@ -40,10 +40,11 @@
 type Budget struct {
 	limit int64 // in bytes
 
-	mu      sync.Mutex
-	used    int64
-	large   map[Holder]int64 // bytes of the messages of more than SmallBytes
-	waiting []*waiter        // the longest wait first
+	mu       sync.Mutex
+	used     int64
+	rejected uint64           // messages for which there was no room
+	large    map[Holder]int64 // bytes of the messages of more than SmallBytes
+	waiting  []*waiter        // the longest wait first
 }
 
 // waiter is a message that waits for its length.
@@ -68,6 +69,13 @@
 	return b.used
 }
 
+// Rejected returns the number of messages for which there was no room.
+func (b *Budget) Rejected() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rejected
+}
+
 // Lease returns a lease of no bytes for a message of a holder.
 func (b *Budget) Lease(holder Holder) *Lease {
 	return &Lease{
@@ -95,6 +103,7 @@
 		return nil
 	}
 	if size <= SmallBytes || size > b.holderLimit() || len(b.waiting) >= maxWaiting {
+		b.rejected++
 		b.mu.Unlock()
 		return ErrExhausted
 	}
@@ -179,6 +188,7 @@
 	default:
 	}
 	b.waiting = slices.DeleteFunc(b.waiting, func(other *waiter) bool { return other == w })
+	b.rejected++
 	return ErrExhausted
 }
 
--- a/internal/relay/meter/meter.go
+++ b/internal/relay/meter/meter.go
@@ -65,11 +65,6 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`relay_upstream_oversized_total{service=%q}`, service)).Inc()
 }
 
-// OutOfMemory counts a request that was refused because there was no memory for its body.
-func (m *Meter) OutOfMemory() {
-	m.set.GetOrCreateCounter(`relay_requests_out_of_memory_total`).Inc()
-}
-
 // Paused counts a response of an upstream that asks for no requests.
 func (m *Meter) Paused(service ident.ServiceName) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`relay_upstream_pauses_total{service=%q}`, service)).Inc()
