Probe verdicts that block requests which may be sound

Prompts that crash engines had come from the first second on, to two engines.

Trace: three crashes were reported with the part that all prompts share. At the third one (pool-d0-1, incarnation) only host-3 had requests in flight that it reported, without the part at fault; no log names the request that had it, and host-0 was stopping at that moment. So the shared part was blamed. Every prompt has it: none ran any more, nothing showed that the part was sound, and no further crash could give the part at fault the higher number, as the verdict counts on.

Cause: a verdict stops the requests by whose fate it would be corrected.

One host, the first reader of the store, lets a blocked request through now if it has none of the other parts that were in flight at several of the crashes, 3 s after the verdict and then every 3 s, until an upstream crashes. It is sent once. If its upstream goes on, the part is sound and the other hosts are told. And a block no longer ends requests to which their upstreams are responding: they would show the same.

Results: TestWrongVerdictEnds, TestProbesEndWithACrash and TestBlockSparesRunningRequests.

--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -347,6 +347,7 @@
 			OnReport:  func(report peer.CrashReported) { f.suspects.Add(int64(len(report.Suspects))) },
 			OnSound:   func(poison.Fingerprint) {},
 			OnVerdict: func([]poison.Pattern) {},
+			MayProbe:  func() bool { return false },
 		}),
 		Memory: memory.New(64 << 20),
 		Meter:  meter.New(),
--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -271,8 +271,11 @@
 func (e *exchange) checkPoison() bool {
 	e.identity = poison.NewRequest(e.organisationID(), e.target, e.body, e.head.Prompt.Shared())
 	after, blocked := e.config.Poison.Blocked(e.identity)
-	if blocked {
+	switch {
+	case blocked:
 		e.refuse(reasonBlocked, after)
+	case e.identity.Probes():
+		e.logParts(e.log.Info()).Msg("forward: sent although requests like it are blocked, to find out whether they crash upstreams")
 	}
 	return !blocked
 }
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -122,6 +122,7 @@
 		OnReport:  h.publishCrash,
 		OnSound:   h.publishSound,
 		OnVerdict: h.logVerdict,
+		MayProbe:  h.writesMembers,
 	})
 	h.store = httpkv.New(httpkv.Config{
 		Address:  s.Store,
--- a/internal/relay/poison/attempt.go
+++ b/internal/relay/poison/attempt.go
@@ -48,6 +48,7 @@
 	defer t.mu.Unlock()
 	a.repeated = request.suspected
 	request.attempted = true
+	request.responding = false
 	t.sweepAttempts(now)
 	list := t.attempts[process]
 	if len(list) >= maxAttempts {
@@ -87,6 +88,7 @@
 		a.respondedAt = now
 	}
 	a.settled = now.Sub(a.respondedAt) >= settleTime
+	a.request.responding = true
 	sound := a.table.seenRunning(now, a.process)
 	a.table.mu.Unlock()
 	a.table.publishSound(sound)
--- a/internal/relay/poison/request.go
+++ b/internal/relay/poison/request.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"slices"
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
@@ -42,8 +43,14 @@
 	content    Fingerprint        // zero until it is needed, since hashing a body takes time
 	attempted  bool               // has been sent to an upstream
 	suspected  bool               // has been in flight at a crash
+	responding bool               // its present upstream has begun to respond
+	probes     bool               // is sent although it is blocked, see Table.Blocked
 }
 
+// Probes reports whether the request is sent although requests like it are blocked. It is
+// valid once Table.Blocked has returned.
+func (r *Request) Probes() bool { return r.probes }
+
 // NewRequest returns the fingerprints of a request. The parts are those of its prompt
 // that other requests may share.
 func NewRequest(organisation ident.OrganisationID, target string, body []byte, parts []wire.Part) *Request {
@@ -80,6 +87,11 @@
 	return r.contentFingerprint() == f
 }
 
+// hasAny reports whether the request has one of the fingerprints.
+func (r *Request) hasAny(fingerprints []Fingerprint) bool {
+	return slices.ContainsFunc(fingerprints, r.has)
+}
+
 // hasAll reports whether the request has all of the fingerprints.
 func (r *Request) hasAll(fingerprints []Fingerprint) bool {
 	for _, f := range fingerprints {
--- a/internal/relay/poison/table.go
+++ b/internal/relay/poison/table.go
@@ -32,6 +32,9 @@
 	OnSound func(f Fingerprint)
 	// OnVerdict is called with the blocked patterns when they have changed.
 	OnVerdict func(blocked []Pattern)
+	// MayProbe reports whether this host is the one that finds out whether a verdict is
+	// wrong, see Table.Blocked.
+	MayProbe func() bool
 }
 
 // Table collects reports of crashes and decides which requests are blocked. It is safe
@@ -46,6 +49,7 @@
 	crashes  map[Process]*crash
 	cleared  map[Fingerprint]time.Time // when any host last stated that a reported fingerprint is sound
 	verdict  verdict
+	probes   map[string]probe // by the fingerprints of the pattern
 	watchers map[*watcher]bool
 }
 
@@ -62,6 +66,7 @@
 		attempts: make(map[Process][]*Attempt),
 		crashes:  make(map[Process]*crash),
 		cleared:  make(map[Fingerprint]time.Time),
+		probes:   make(map[string]probe),
 		watchers: make(map[*watcher]bool),
 	}
 }
@@ -246,15 +251,23 @@
 }
 
 // Blocked reports whether a request is blocked, and after what time its caller may try
-// again.
+// again. A request that is blocked may be let through to find out whether the verdict is
+// wrong.
 func (t *Table) Blocked(request *Request) (retryAfter time.Duration, blocked bool) {
+	t.mu.Lock()
+	_, blocked = t.verdict.blocks(request)
+	t.mu.Unlock()
+	if !blocked {
+		return 0, false
+	}
+	now, mayProbe := t.config.Now(), t.config.MayProbe()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	pattern, blocked := t.verdict.blocks(request)
-	if !blocked {
+	if !blocked || mayProbe && t.probe(now, pattern, request) {
 		return 0, false
 	}
-	return pattern.retryAfter(t.config.Now()), true
+	return pattern.retryAfter(now), true
 }
 
 // BlockedPatterns returns the number of patterns of which requests are blocked.
@@ -269,6 +282,9 @@
 func (t *Table) MayRetry(request *Request) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if request.probes {
+		return false
+	}
 	if len(t.crashes) == 0 {
 		return true
 	}
@@ -304,12 +320,16 @@
 	t.verdict.keepSince(t.config.Now(), before)
 	var blocked []func()
 	for w := range t.watchers {
+		if w.request.responding {
+			continue // if it were the cause, its upstream would be gone
+		}
 		if _, ok := t.verdict.blocks(w.request); ok {
 			blocked = append(blocked, w.blocked)
 			delete(t.watchers, w)
 		}
 	}
 	patterns := t.verdict.blocked
+	t.dropProbes()
 	changed := !slices.EqualFunc(before.blocked, patterns, Pattern.equal)
 	return func() {
 		if changed {
--- a/internal/relay/poison/table_test.go
+++ b/internal/relay/poison/table_test.go
@@ -50,6 +50,7 @@
 				}
 			},
 			OnVerdict: func([]poison.Pattern) {},
+			MayProbe:  func() bool { return i == 0 },
 		})
 		hosts = append(hosts, h)
 	}
@@ -118,6 +119,78 @@
 	}
 }
 
+// Guards against a block of sound requests that lasts: it is in all requests that the
+// cause of the crashes is in, so nothing shows that it is wrong.
+func TestWrongVerdictEnds(t *testing.T) {
+	c := qt.New(t)
+	hosts := newHosts(c, 3)
+	// The request with the cause that was in flight at the second crash is not reported.
+	hosts[0].crash(process(0), prompt("system", "cause"))
+	hosts[1].crash(process(1), prompt("system"))
+	hosts[2].crash(process(2), prompt("system", "cause"))
+	for _, h := range hosts {
+		c.Assert(h.blocks(prompt("system")), qt.IsTrue)
+	}
+	*hosts[0].now = hosts[0].now.Add(4 * time.Second)
+	c.Check(hosts[1].blocks(prompt("system")), qt.IsTrue, qt.Commentf("only one host probes"))
+	c.Check(hosts[0].blocks(prompt("system", "cause")), qt.IsTrue, qt.Commentf("the probe may be the cause"))
+	probing := prompt("system")
+	c.Assert(hosts[0].blocks(probing), qt.IsFalse)
+	c.Check(probing.Probes(), qt.IsTrue)
+	c.Check(hosts[0].MayRetry(probing), qt.IsFalse)
+	c.Check(hosts[0].blocks(prompt("system")), qt.IsTrue, qt.Commentf("one probe at a time"))
+	hosts[0].serve(process(3), probing)
+	for _, h := range hosts {
+		c.Check(h.blocks(prompt("system")), qt.IsFalse)
+		c.Check(h.blocks(prompt("system", "cause")), qt.IsFalse, qt.Commentf("two crashes are too few"))
+	}
+	hosts[1].crash(process(4), prompt("system", "cause"))
+	for _, h := range hosts {
+		c.Check(h.blocks(prompt("system")), qt.IsFalse)
+		c.Check(h.blocks(prompt("system", "cause")), qt.IsTrue)
+	}
+}
+
+// Guards against probes that crash upstream after upstream although the verdict is right.
+func TestProbesEndWithACrash(t *testing.T) {
+	c := qt.New(t)
+	h := newHosts(c, 1)[0]
+	h.crash(process(0), prompt("cause", "bystander"))
+	h.crash(process(1), prompt("cause", "bystander"))
+	h.crash(process(2), prompt("cause"))
+	probes := 0
+	for i := range 100 {
+		*h.now = h.now.Add(time.Second)
+		if probing := prompt("cause"); !h.blocks(probing) {
+			probes++
+			h.crash(process(10+i), probing)
+		}
+	}
+	c.Check(probes, qt.Equals, 1)
+}
+
+// Guards against ending requests that show that a verdict is wrong, since their upstreams
+// have begun to respond to them and go on.
+func TestBlockSparesRunningRequests(t *testing.T) {
+	c := qt.New(t)
+	h := newHosts(c, 1)[0]
+	ended := make(map[string]bool)
+	start := func(name string) *poison.Attempt {
+		request := prompt("system")
+		h.Watch(request, func() { ended[name] = true })
+		return h.Begin(process(9), request)
+	}
+	running := start("running")
+	start("waiting")
+	running.Responding()
+	for i := range 3 {
+		h.crash(process(i), prompt("system"))
+	}
+	c.Check(ended, qt.DeepEquals, map[string]bool{"waiting": true})
+	running.Responding()
+	c.Check(h.blocks(prompt("system")), qt.IsFalse)
+}
+
 // Guards against a body that stays in memory after its request has ended, because the
 // request is tracked in case its upstream crashes, and against losing the request's
 // content with it.
--- a/internal/relay/poison/verdict.go
+++ b/internal/relay/poison/verdict.go
@@ -25,9 +25,10 @@
 // are several if no reported request had one without the others.
 type Pattern struct {
 	Fingerprints []Fingerprint
-	Crashes      []Process // that the pattern explains, the latest first
-	since        time.Time // when this host first blocked it
-	until        time.Time // when too few of the crashes are left
+	Crashes      []Process     // that the pattern explains, the latest first
+	rivals       []Fingerprint // others that may have caused several of the crashes
+	since        time.Time     // when this host first blocked it
+	until        time.Time     // when too few of the crashes are left
 }
 
 // verdict is what a Table has concluded from the reports.
@@ -157,6 +158,11 @@
 	slices.SortFunc(pattern.Crashes, func(a, b Process) int {
 		return cmp.Or(unexplained[b].at.Compare(unexplained[a].at), cmp.Compare(a.Upstream, b.Upstream))
 	})
+	for f, t := range tallies {
+		if t.moments >= retryMoments && !slices.Contains(pattern.Fingerprints, f) {
+			pattern.rivals = append(pattern.rivals, f)
+		}
+	}
 	pattern.until = unexplained[pattern.Crashes[blockMoments-1]].at.Add(reportRetention)
 	for _, process := range pattern.Crashes {
 		delete(unexplained, process)
@@ -167,6 +173,9 @@
 
 // blocks returns the pattern that blocks a request, if there is one.
 func (v verdict) blocks(request *Request) (Pattern, bool) {
+	if request.probes {
+		return Pattern{}, false
+	}
 	for _, pattern := range v.blocked {
 		if request.hasAll(pattern.Fingerprints) {
 			return pattern, true
--- a/internal/system/soak_regression_test.go
+++ b/internal/system/soak_regression_test.go
@@ -48,6 +48,32 @@
 			For:    4 * time.Second,
 		},
 	},
+	// All prompts were refused for good: the part that they share was taken for the cause
+	// of crashes, and as nothing ran any more, nothing showed that it was sound.
+	"prompts crash engines before others are served": {
+		{
+			At:     0,
+			Action: deadlyPart,
+			For:    1100 * time.Millisecond,
+			Share:  1,
+		},
+		{
+			At:     0,
+			Action: stop,
+			Target: 0,
+		},
+		{
+			At:     3 * time.Second,
+			Action: replace,
+			Target: 5,
+		},
+		{
+			At:     4400 * time.Millisecond,
+			Action: deadlyPart,
+			For:    500 * time.Millisecond,
+			Share:  0.6,
+		},
+	},
 	// In 1 of 13 runs, a host deadlocked when hosts registered again after a pause: the
 	// locks of the replica and of the member list were taken in both orders.
 	"hosts pause repeatedly": overlappingPauses(4, 400*time.Millisecond),
