Find the host behind a forwarded connection without the table of all sockets

Cause: for each connection, the forwarder of the test read /proc/net/tcp to find the process that had opened it. Beside other tests, which leave thousands of closed connections in this table, that took longer than the 500 ms in which an entry host gives up a connection (grpcpeer.ExchangeTimeout), so that none was ever usable. The product is not at fault: the delay was added by the test.

The forwarder now asks the kernel for the one socket (inet_diag, through github.com/vishvananda/netlink), whatever the number of others. The check and its limit of 20 s stay as they were.

--- a/internal/system/links.go
+++ b/internal/system/links.go
@@ -1,8 +1,8 @@
 package system
 
 import (
-	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -12,6 +12,8 @@
 	"sync"
 	"testing"
 
+	"github.com/vishvananda/netlink"
+
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/standin"
 )
@@ -235,49 +237,30 @@
 
 // callingHost returns the entry host whose process opened a connection, 0 if no
 // process has it open any more. The source address does not identify the host,
-// since all processes connect from 127.0.0.1.
+// since all processes connect from 127.0.0.1. The kernel is asked for this one
+// socket: its whole table takes longer to read than a host waits for a connection.
 func (l *links) callingHost(conn net.Conn) int {
-	table, err := os.ReadFile("/proc/net/tcp")
+	socket, err := netlink.SocketGet(conn.RemoteAddr(), conn.LocalAddr())
 	if err != nil {
-		l.t.Errorf("read connections: %v", err)
-		return 0
-	}
-	const localField, remoteField, inodeField = 1, 2, 9
-	local, remote := kernelAddress(conn.RemoteAddr()), kernelAddress(conn.LocalAddr())
-	inode := ""
-	for at := bytes.Index(table, []byte(local)); at >= 0; {
-		line, rest, _ := bytes.Cut(table[bytes.LastIndexByte(table[:at], '\n')+1:], []byte("\n"))
-		table = rest
-		at = bytes.Index(table, []byte(local))
-		fields := strings.Fields(string(line))
-		if len(fields) > inodeField && fields[localField] == local && fields[remoteField] == remote && fields[inodeField] != "0" {
-			inode = fields[inodeField]
+		if !errors.Is(err, os.ErrNotExist) {
+			l.t.Errorf("find the socket of %s: %v", conn.RemoteAddr(), err)
 		}
+		return 0
 	}
 	l.mu.Lock()
 	pids := l.pids
 	l.mu.Unlock()
-	for i := 1; i <= entryHosts && inode != ""; i++ {
+	for i := 1; i <= entryHosts; i++ {
 		directory := filepath.Join("/proc", strconv.Itoa(pids[i]), "fd")
 		files, err := os.ReadDir(directory)
 		if err != nil {
 			continue // the process ended or has not started
 		}
 		for _, file := range files {
-			if to, err := os.Readlink(filepath.Join(directory, file.Name())); err == nil && to == "socket:["+inode+"]" {
+			if to, err := os.Readlink(filepath.Join(directory, file.Name())); err == nil && to == fmt.Sprintf("socket:[%d]", socket.INode) {
 				return i
 			}
 		}
 	}
 	return 0
 }
-
-// kernelAddress formats an IPv4 address as /proc/net/tcp does.
-func kernelAddress(a net.Addr) string {
-	tcp, ok := a.(*net.TCPAddr)
-	if !ok || tcp.IP.To4() == nil {
-		return ""
-	}
-	ip := tcp.IP.To4()
-	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], tcp.Port)
-}
