--- a/internal/relay/discovery/replica_test.go
+++ b/internal/relay/discovery/replica_test.go
@@ -344,6 +344,20 @@
 	}
 }
 
+// removal returns the removal of an entry at a version, which is also its cursor.
+func removal(key kv.Key, version kv.Version) kv.Changes {
+	return kv.Changes{
+		Cursor: kv.Cursor(version),
+		Changes: []kv.Change{{
+			Entry: kv.Entry{
+				Key:     key,
+				Version: version,
+			},
+			Deleted: true,
+		}},
+	}
+}
+
 // newReplica returns an empty replica whose clock stands still.
 func newReplica() *discovery.Replica {
 	return discovery.NewReplica(newRecorder(), renewal, func() time.Time { return start }, anySize)
@@ -382,16 +396,7 @@
 				replica.RecordResponse()
 			}
 			now = start.Add(test.removed)
-			replica.ApplyWatch(1, kv.Changes{
-				Cursor: 2,
-				Changes: []kv.Change{{
-					Entry: kv.Entry{
-						Key:     "servers/a",
-						Version: 2,
-					},
-					Deleted: true,
-				}},
-			})
+			replica.ApplyWatch(1, removal("servers/a", 2))
 			until, removed := v.removals["servers/a"]
 			c.Assert(removed, qt.IsTrue)
 			if test.unconfirmed == 0 {
@@ -478,16 +483,7 @@
 			test.prepare(replica, func(by time.Duration) { now = now.Add(by) })
 			replica.ApplyListing(entries, 1)
 			c.Check(replica.Delta(1).UnconfirmedFor > 0, qt.Equals, test.unconfirmed)
-			replica.ApplyWatch(1, kv.Changes{
-				Cursor: 2,
-				Changes: []kv.Change{{
-					Entry: kv.Entry{
-						Key:     "servers/a",
-						Version: 2,
-					},
-					Deleted: true,
-				}},
-			})
+			replica.ApplyWatch(1, removal("servers/a", 2))
 			until, removed := v.removals["servers/a"]
 			c.Assert(removed, qt.IsTrue)
 			c.Check(until.IsZero(), qt.Equals, !test.unconfirmed)
