--- a/internal/relay/coordinator/coordinator_test.go
+++ b/internal/relay/coordinator/coordinator_test.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -29,6 +28,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
+	"github.com/nutmegshift/nutmegshift/internal/standin/tcp"
 	"github.com/nutmegshift/nutmegshift/kv"
 )
 
@@ -110,30 +110,9 @@
 	received    chan ident.RequestID // receives the request of each batch
 }
 
-func (u *repeatingUpstream) serve(c *qt.C) ident.Address {
-	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	var connections sync.WaitGroup
-	c.Cleanup(func() {
-		_ = listener.Close()
-		connections.Wait()
-	})
-	connections.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			u.connections.Add(1)
-			connections.Go(func() { u.handle(conn) })
-		}
-	})
-	return ident.Address(listener.Addr().String())
-}
-
-func (u *repeatingUpstream) handle(conn net.Conn) {
+func (u *repeatingUpstream) handle(conn *net.TCPConn) {
 	const released = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-	defer func() { _ = conn.Close() }()
+	u.connections.Add(1)
 	reader := bufio.NewReader(conn)
 	repeats := false
 	for {
@@ -181,7 +160,7 @@
 	directory := fleet.New()
 	(&stageUpstream{
 		id:      "a",
-		address: u.serve(c),
+		address: tcp.Serve(t, u.handle).Address(),
 	}).register(directory, fleet.Ready, 1)
 	started := start(c, directory)
 	submit := func(request ident.RequestID, objective time.Duration) *coordinatorTicket {
--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -31,6 +31,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
+	"github.com/nutmegshift/nutmegshift/internal/standin/tcp"
 	"github.com/nutmegshift/nutmegshift/kv"
 	"github.com/nutmegshift/nutmegshift/peer"
 )
@@ -160,11 +161,11 @@
 	received  []string // requests as they arrived at an upstream
 	targets   []string // upstreams to which the requests were sent
 
-	listener net.Listener
+	server *tcp.Server
 }
 
 // close makes the upstreams refuse new connections.
-func (u *upstreams) close() { _ = u.listener.Close() }
+func (u *upstreams) close() { u.server.Refuse() }
 
 func (u *upstreams) nextResponse(r *http.Request, body string) (scriptedResponse, bool) {
 	u.mu.Lock()
@@ -184,27 +185,8 @@
 }
 
 func (u *upstreams) serve(t *testing.T) ident.Address {
-	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	u.listener = listener
-	var running sync.WaitGroup
-	running.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			running.Go(func() {
-				defer func() { _ = conn.Close() }()
-				u.handle(conn.(*net.TCPConn))
-			})
-		}
-	})
-	t.Cleanup(func() {
-		_ = listener.Close()
-		running.Wait()
-	})
-	return ident.Address(listener.Addr().String())
+	u.server = tcp.Serve(t, u.handle)
+	return u.server.Address()
 }
 
 func (u *upstreams) handle(conn *net.TCPConn) {
--- a/internal/relay/upstreamhttp/client_test.go
+++ b/internal/relay/upstreamhttp/client_test.go
@@ -22,6 +22,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/memory"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
+	"github.com/nutmegshift/nutmegshift/internal/standin/tcp"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -60,36 +61,13 @@
 }
 
 func serve(t *testing.T, respond script) *server {
-	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
 	s := &server{
-		address: ident.Address(listener.Addr().String()),
 		handled: make(chan struct{}, 1000),
 	}
-	var running sync.WaitGroup
-	var open sync.Map
-	running.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			s.connections.Add(1)
-			open.Store(conn, true)
-			running.Go(func() {
-				defer func() { _ = conn.Close() }()
-				s.handle(conn.(*net.TCPConn), respond)
-			})
-		}
-	})
-	t.Cleanup(func() {
-		_ = listener.Close()
-		open.Range(func(conn, _ any) bool {
-			_ = conn.(net.Conn).Close()
-			return true
-		})
-		running.Wait()
-	})
+	s.address = tcp.Serve(t, func(conn *net.TCPConn) {
+		s.connections.Add(1)
+		s.handle(conn, respond)
+	}).Address()
 	return s
 }
 
--- a/internal/stagehttp/fixture_test.go
+++ b/internal/stagehttp/fixture_test.go
@@ -7,13 +7,11 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 
-	qt "github.com/frankban/quicktest"
-
 	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/standin/tcp"
 	"github.com/nutmegshift/nutmegshift/pipeline"
 )
 
@@ -29,49 +27,25 @@
 }
 
 func startServer(t *testing.T, respond script) *rawServer {
-	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	s := &rawServer{
-		address: ident.Address(listener.Addr().String()),
-	}
-	var running sync.WaitGroup
-	var open sync.Map
-	running.Go(func() {
+	s := &rawServer{}
+	s.address = tcp.Serve(t, func(conn *net.TCPConn) {
+		s.connections.Add(1)
+		reader := bufio.NewReader(conn)
 		for {
-			conn, err := listener.Accept()
+			request, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			s.connections.Add(1)
-			open.Store(conn, true)
-			running.Go(func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				for {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, err = io.Copy(io.Discard, request.Body)
-					if err != nil {
-						return
-					}
-					s.requests.Add(1)
-					if !respond(conn.(*net.TCPConn), request) {
-						return
-					}
-				}
-			})
+			_, err = io.Copy(io.Discard, request.Body)
+			if err != nil {
+				return
+			}
+			s.requests.Add(1)
+			if !respond(conn, request) {
+				return
+			}
 		}
-	})
-	t.Cleanup(func() {
-		_ = listener.Close()
-		open.Range(func(conn, _ any) bool {
-			_ = conn.(net.Conn).Close()
-			return true
-		})
-		running.Wait()
-	})
+	}).Address()
 	return s
 }
 
