Avoid an upstream whose address another one has

Trace: the plan replaces one upstream twice at once, which leaves a registration whose address another upstream has. Requests to it get 421. Hosts took that for an upstream that is full, and avoided it for 50 ms; as nothing was in flight there, it was then chosen again. Each time the request was sent once more, until the retries that the service allows were used up.

Cause: a lasting condition was taken for a passing one.

A 421 on a new connection is an ending of its own now, placement.Misdirected: the upstream is avoided as after a failure, for 0.3 s and then up to 4 s. Nothing else changes: the request did not run, and may run elsewhere.

--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -268,6 +268,7 @@
 	server    *httptest.Server
 	holder    *routes.Holder
 	suspects  atomic.Int64 // in reports of crashes
+	elapsed   atomic.Int64 // time that the chooser of upstreams takes for past, beyond the real one, in nanoseconds
 }
 
 // start starts a fixture with four upstreams, so that requests can be retried.
@@ -321,7 +322,7 @@
 		Fleet:      directory,
 		Pauses:     pauses,
 		Client:     client,
-		Chooser:    placement.New(time.Now, rand.Float64),
+		Chooser:    placement.New(func() time.Time { return time.Now().Add(time.Duration(f.elapsed.Load())) }, rand.Float64),
 		Popularity: placement.NewPopularity(),
 		Poison: poison.NewTable(poison.Config{
 			Host:      "here",
--- a/internal/relay/forward/handler_test.go
+++ b/internal/relay/forward/handler_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -137,6 +138,36 @@
 	}
 }
 
+// Guards against an upstream whose address another one has, and which is tried again and
+// again as if it were full for a moment, until no retries are left.
+func TestMisdirectedUpstream(t *testing.T) {
+	whole := scriptedResponse{
+		text: stream + events(1) + endOfChunks,
+	}
+	tests := map[string]struct {
+		path     string
+		response scriptedResponse
+	}{
+		"safe":   {path: "/safe/x", response: ok("a")},
+		"unsafe": {path: "/unsafe/x", response: ok("a")},
+		"stream": {path: "/stream/x", response: whole},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := startN(t, 2, status(421, "Not-Run: 1\r\n"), test.response, test.response, test.response, test.response, test.response)
+			c.Assert(f.post(c, test.path, nil).status, qt.Equals, 200)
+			const otherBackoff = 60 * time.Millisecond // ends the backoff of an upstream that is full
+			f.elapsed.Store(int64(otherBackoff))
+			for range 4 {
+				c.Check(f.post(c, test.path, nil).status, qt.Equals, 200)
+			}
+			targets := f.upstreams.targets
+			c.Check(slices.Index(targets[1:], targets[0]), qt.Equals, -1, qt.Commentf("%v", targets))
+		})
+	}
+}
+
 // Guards against a refusal that a faulty upstream writes once more on a kept connection:
 // the caller would be told that the next request did not run although it runs, or the
 // request would run at a second upstream as well.
--- a/internal/relay/forward/plain.go
+++ b/internal/relay/forward/plain.go
@@ -125,7 +125,7 @@
 	ending, pace := placement.Served, time.Duration(0)
 	switch {
 	case response.Reply.NotRun:
-		ending = placement.Full
+		ending = notRunEnding(response)
 		e.log.Info().Str("upstream", string(placed.ID)).Int("status", response.Status).Dur("age", e.age()).Msg("forward: upstream refused")
 	case !buffered.isFinal():
 		e.log.Info().Str("upstream", string(placed.ID)).Int("status", response.Status).Bool("sealed", response.Reply.Sealed).Dur("age", e.age()).Msg("forward: upstream failed")
--- a/internal/relay/forward/send.go
+++ b/internal/relay/forward/send.go
@@ -163,14 +163,15 @@
 // in all requests to its service; 0 if unknown.
 func (e *exchange) recordCall(placed *placement.Placed, ending placement.Ending, latency, pace time.Duration) {
 	results := map[placement.Ending]meter.Result{
-		placement.Served:    meter.Served,
-		placement.Full:      meter.Refused,
-		placement.Failed:    meter.Failed,
-		placement.Abandoned: meter.Abandoned,
+		placement.Served:      meter.Served,
+		placement.Full:        meter.Refused,
+		placement.Failed:      meter.Failed,
+		placement.Abandoned:   meter.Abandoned,
+		placement.Misdirected: meter.Refused,
 	}
 	e.config.Chooser.Done(placed, ending, pace)
 	switch ending {
-	case placement.Full:
+	case placement.Full, placement.Misdirected:
 		e.latest.Refused()
 	case placement.Served, placement.Failed, placement.Abandoned:
 		e.latest.End(ending == placement.Served)
@@ -181,6 +182,14 @@
 	e.config.Meter.Call(e.service.Name, results[ending], latency)
 }
 
+// notRunEnding returns the ending of a call whose response states that it did not run.
+func notRunEnding(response *upstreamhttp.Response) placement.Ending {
+	if response.Status == http.StatusMisdirectedRequest {
+		return placement.Misdirected
+	}
+	return placement.Full
+}
+
 // recordFailure logs and records a call without a complete response.
 func (e *exchange) recordFailure(placed *placement.Placed, err error, latency time.Duration) {
 	ending := placement.Failed
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -301,7 +301,7 @@
 		e.recordCall(placed, placement.Served, 0, 0)
 		return streamNoInputs
 	case response.Reply.NotRun:
-		e.recordCall(placed, placement.Full, 0, 0)
+		e.recordCall(placed, notRunEnding(response), 0, 0)
 		return streamNotRun
 	}
 	e.recordCall(placed, placement.Failed, 0, 0)
--- a/internal/relay/grpcrelay/codec.go
+++ b/internal/relay/grpcrelay/codec.go
@@ -171,7 +171,7 @@
 	for _, report := range encoded.GetReports() {
 		job.Reports = append(job.Reports, coordinator.Report{
 			Request: ident.RequestID(report.GetRequest()),
-			Ending:  placement.Ending(min(report.GetEnding(), uint32(placement.Abandoned))),
+			Ending:  placement.Ending(min(report.GetEnding(), uint32(placement.Misdirected))),
 			Pace:    max(0, time.Duration(report.GetPace())*time.Microsecond),
 			Pause:   time.Duration(min(max(0, report.GetPause()), maxPause.Milliseconds())) * time.Millisecond,
 		})
--- a/internal/relay/placement/chooser.go
+++ b/internal/relay/placement/chooser.go
@@ -13,8 +13,8 @@
 
 const (
 	// fullBackoff is the time without new requests after an upstream was full,
-	// minFailureBackoff after it failed; the latter doubles with each further
-	// failure, up to maxFailureBackoff.
+	// minFailureBackoff after it failed or was not found at its address; the latter
+	// doubles with each further failure, up to maxFailureBackoff.
 	fullBackoff       = 50 * time.Millisecond
 	minFailureBackoff = 300 * time.Millisecond
 	maxFailureBackoff = 4 * time.Second
@@ -53,10 +53,11 @@
 
 // The outcomes of a request.
 const (
-	Served    Ending = iota + 1
-	Full             // the upstream refused the request, which did not run
-	Failed           // the upstream failed or did not respond
-	Abandoned        // the caller closed the connection, or the deadline passed
+	Served      Ending = iota + 1
+	Full               // the upstream refused the request, which did not run
+	Failed             // the upstream failed or did not respond
+	Abandoned          // the caller closed the connection, or the deadline passed
+	Misdirected        // another upstream has the address; the request did not run
 )
 
 // upstreamState is what this host knows about an upstream.
@@ -258,7 +259,7 @@
 		s.backoffUntil = time.Time{}
 	case Full:
 		s.backoffUntil = now.Add(fullBackoff)
-	case Failed:
+	case Failed, Misdirected:
 		s.backoff = min(max(2*s.backoff, minFailureBackoff), maxFailureBackoff)
 		s.backoffUntil = now.Add(s.backoff)
 	case Abandoned:
--- a/internal/relay/placement/chooser_test.go
+++ b/internal/relay/placement/chooser_test.go
@@ -47,6 +47,7 @@
 		"full, just now":              {ending: placement.Full, avoid: true},
 		"full, a while ago":           {ending: placement.Full, after: 100 * time.Millisecond},
 		"failed, just now":            {ending: placement.Failed, after: 200 * time.Millisecond, avoid: true},
+		"misdirected, just now":       {ending: placement.Misdirected, after: 200 * time.Millisecond, avoid: true},
 		"failed, after several times": {ending: placement.Failed, after: 5 * time.Second},
 	}
 	for name, test := range tests {
--- a/internal/system/soak_regression_test.go
+++ b/internal/system/soak_regression_test.go
@@ -74,6 +74,21 @@
 			Share:  0.6,
 		},
 	},
+	// Two replacements of an upstream at once left a registration whose address another
+	// upstream had. Hosts took its 421 for a moment without room, sent it every second
+	// request, and had no retries left.
+	"an upstream is replaced twice at once": {
+		{
+			At:     0,
+			Action: withdraw,
+			Target: 1,
+		},
+		{
+			At:     time.Second,
+			Action: replace,
+			Target: 1,
+		},
+	},
 	// In 1 of 13 runs, a host deadlocked when hosts registered again after a pause: the
 	// locks of the replica and of the member list were taken in both orders.
 	"hosts pause repeatedly": overlappingPauses(4, 400*time.Millisecond),
