--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -268,7 +268,7 @@
 	server    *httptest.Server
 	holder    *routes.Holder
 	suspects  atomic.Int64 // in reports of crashes
-	elapsed   atomic.Int64 // time that the chooser of upstreams takes for past, beyond the real one, in nanoseconds
+	elapsed   atomic.Int64 // added to the clock of the chooser of upstreams, in nanoseconds
 }
 
 // start starts a fixture with four upstreams, so that requests can be retried.
--- a/internal/system/soak_crash_test.go
+++ b/internal/system/soak_crash_test.go
@@ -22,9 +22,9 @@
 	crashDowntime = 600 * time.Millisecond
 )
 
-// prompt returns the parts of the request's prompt. The first is that of all prompts, the
+// parts returns the parts of the prompt. The first is that of all prompts, the
 // last one its own.
-func (r sentRequest) prompt() string {
+func (r sentRequest) parts() string {
 	deadly := ""
 	if r.deadly {
 		deadly = soakDeadlyPart + ":10,"
--- a/internal/system/soak_load_test.go
+++ b/internal/system/soak_load_test.go
@@ -35,7 +35,7 @@
 	ended     time.Time
 	status    int // 0 if there was no response
 	gotBody   string
-	sealed    bool   // the response has the expected Server-Seal header
+	sealed    bool   // the response has the seal of the upstream
 	truncated bool   // the response body ended early
 	reason    string // error of the client, or body of an error response
 }
@@ -140,15 +140,20 @@
 		return false
 	}
 	request.Host = "a.example"
-	request.Header.Set("Attempt-Id", string(r.id))
-	request.Header.Set("Deadline-Ms", fmt.Sprint(callDeadline.Milliseconds()))
-	request.Header.Set("Authorization", "Bearer "+r.key)
+	stated := standin.Request{
+		ID:      r.id,
+		Key:     r.key,
+		Timeout: callDeadline,
+	}
 	if r.route == "chat" {
-		request.Header.Set("Chunks", "2")
-		request.Header.Set("Chunk-Key", string(r.id))
-		request.Header.Set("Token-Counts", "100,20")
-		request.Header.Set("Prefix-Hash", r.prompt())
+		stated.Prompt = &standin.Prompt{
+			Pieces: 2,
+			Input:  100,
+			Output: 20,
+			Parts:  r.parts(),
+		}
 	}
+	stated.SetHeader(request.Header)
 	response, err := client.Do(request)
 	if err != nil {
 		r.reason = err.Error()
@@ -159,7 +164,7 @@
 	body, err := io.ReadAll(response.Body)
 	r.status = response.StatusCode
 	r.gotBody = string(body)
-	r.sealed = response.Header.Get("Server-Seal") == "seal-"+string(r.id)
+	r.sealed = standin.IsSealed(response.Header, r.id)
 	r.truncated = err != nil
 	if r.status != http.StatusOK {
 		r.reason = strings.TrimSpace(r.gotBody)
--- a/internal/system/soak_regression_test.go
+++ b/internal/system/soak_regression_test.go
@@ -75,8 +75,8 @@
 		},
 	},
 	// Two replacements of an upstream at once left a registration whose address another
-	// upstream had. Hosts took its 421 for a moment without room, sent it every second
-	// request, and had no retries left.
+	// upstream had. Hosts took its 421 for a moment without room, sent it requests again
+	// and again, and had no retries left.
 	"an upstream is replaced twice at once": {
 		{
 			At:     0,
