Simplify what the reading of the whole change showed

- memory: the bound of a message that ends is checked where it ends.
- links of the tests: the name of the socket is formatted once, not for each descriptor; errors come from the package that the others use.
- upstreamhttp tests: the last two with a listener of their own use internal/standin/tcp.

No behaviour, bound or assertion changes.

--- a/internal/relay/forward/handler_test.go
+++ b/internal/relay/forward/handler_test.go
@@ -157,8 +157,8 @@
 			c := qt.New(t)
 			f := startN(t, 2, status(421, "Not-Run: 1\r\n"), test.response, test.response, test.response, test.response, test.response)
 			c.Assert(f.post(c, test.path, nil).status, qt.Equals, 200)
-			const otherBackoff = 60 * time.Millisecond // ends the backoff of an upstream that is full
-			f.elapsed.Store(int64(otherBackoff))
+			const longerThanFull = 60 * time.Millisecond // an upstream that is full would be tried again
+			f.elapsed.Store(int64(longerThanFull))
 			for range 4 {
 				c.Check(f.post(c, test.path, nil).status, qt.Equals, 200)
 			}
--- a/internal/relay/memory/read.go
+++ b/internal/relay/memory/read.go
@@ -30,10 +30,12 @@
 		for len(message) < cap(message) {
 			n, err := r.Read(message[len(message):cap(message)])
 			message = message[:len(message)+n]
-			if err == io.EOF {
-				return message, l.checkLength(message, limit)
-			}
-			if err != nil {
+			switch {
+			case err == io.EOF && int64(len(message)) > limit:
+				return nil, ErrTooLarge
+			case err == io.EOF:
+				return message, nil
+			case err != nil:
 				return nil, err
 			}
 		}
@@ -41,13 +43,6 @@
 	return nil, ErrTooLarge
 }
 
-func (l *Lease) checkLength(message []byte, limit int64) error {
-	if int64(len(message)) > limit {
-		return ErrTooLarge
-	}
-	return nil
-}
-
 // bufferSizes returns the sizes of the buffers into which a message is read, one after the
 // other, until it fits. A message that states a small length needs only one.
 func bufferSizes(length, largest int64) []int64 {
--- a/internal/relay/poison/probe.go
+++ b/internal/relay/poison/probe.go
@@ -17,12 +17,12 @@
 	crashes int // that the pattern explained at the time
 }
 
-// probe reports whether a request that a pattern blocks is sent nevertheless. A wrong
-// pattern would last otherwise: it is in all requests that the cause of the crashes is in,
-// so none of them runs, and nothing shows that the pattern is sound. A request probes the
-// pattern if it has none of the fingerprints that may have caused the crashes instead. A
-// crash since the last probe ends the probes, since it confirms the pattern. The caller
-// holds the mutex.
+// probe reports whether a request that a pattern blocks is sent nevertheless. Without
+// probes a wrong pattern would last: no request with it is sent, so nothing shows that it
+// is sound, and the requests with the real cause of the crashes, which have it too, crash
+// no further upstream. A request probes the pattern if it has none of the fingerprints that
+// may have caused the crashes instead. A crash since the last probe ends the probes, since
+// it confirms the pattern. The caller holds the mutex.
 func (t *Table) probe(now time.Time, pattern Pattern, request *Request) bool {
 	if len(pattern.rivals) == 0 || now.Sub(pattern.since) < probeInterval || request.hasAny(pattern.rivals) {
 		return false
--- a/internal/relay/poison/table_test.go
+++ b/internal/relay/poison/table_test.go
@@ -119,8 +119,8 @@
 	}
 }
 
-// Guards against a block of sound requests that lasts: it is in all requests that the
-// cause of the crashes is in, so nothing shows that it is wrong.
+// Guards against a block of sound requests that lasts: it also blocks the requests with the
+// cause of the crashes, so nothing shows that it is wrong.
 func TestWrongVerdictEnds(t *testing.T) {
 	c := qt.New(t)
 	hosts := newHosts(c, 3)
--- a/internal/relay/upstreamhttp/client_test.go
+++ b/internal/relay/upstreamhttp/client_test.go
@@ -459,32 +459,19 @@
 // upstream responds before it has read the whole body.
 func TestEarlyResponse(t *testing.T) {
 	c := qt.New(t)
-	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
 	got := make(chan int64, 2)
-	var handling sync.WaitGroup
-	handling.Go(func() {
-		for range 2 {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			reader := bufio.NewReader(conn)
-			r, err := http.ReadRequest(reader)
-			if err != nil {
-				return
-			}
-			write(conn, "HTTP/1.1 200 OK\r\nSeal: s\r\nId: a\r\nContent-Length: 0\r\n\r\n")
-			time.Sleep(100 * time.Millisecond)
-			n, _ := io.Copy(io.Discard, r.Body)
-			got <- n
-			_ = conn.Close()
+	server := tcp.Serve(t, func(conn *net.TCPConn) {
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
 		}
+		write(conn, "HTTP/1.1 200 OK\r\nSeal: s\r\nId: a\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(100 * time.Millisecond)
+		n, _ := io.Copy(io.Discard, r.Body)
+		got <- n
 	})
-	defer handling.Wait()
-	defer func() { _ = listener.Close() }()
 	client := newClient(t)
-	r := request(ident.Address(listener.Addr().String()))
+	r := request(server.Address())
 	r.Body = make([]byte, 8<<20)
 	for range 2 {
 		response, err := client.Send(t.Context(), r)
@@ -500,27 +487,21 @@
 // its bytes were waiting in the connection.
 func TestAbandonedRequestIsNotDelivered(t *testing.T) {
 	c := qt.New(t)
-	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer func() { _ = listener.Close() }()
 	abandoned := make(chan struct{})
 	received := make(chan error, 1)
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			received <- err
-			return
+	server := tcp.Serve(t, func(conn *net.TCPConn) {
+		select {
+		case <-abandoned:
+		case <-t.Context().Done(): // the test has failed
 		}
-		defer func() { _ = conn.Close() }()
-		<-abandoned
-		_, err = io.Copy(io.Discard, conn)
+		_, err := io.Copy(io.Discard, conn)
 		received <- err
-	}()
+	})
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 	defer cancel()
-	r := request(ident.Address(listener.Addr().String()))
+	r := request(server.Address())
 	r.Body = make([]byte, 16<<20) // more than the buffers of the connection hold
-	_, err = newClient(t).Send(ctx, r)
+	_, err := newClient(t).Send(ctx, r)
 	c.Assert(err, qt.ErrorIs, upstreamhttp.ErrLost)
 	close(abandoned)
 	c.Check(<-received, qt.ErrorIs, syscall.ECONNRESET)
--- a/internal/system/links.go
+++ b/internal/system/links.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -12,6 +11,7 @@
 	"sync"
 	"testing"
 
+	"github.com/juju/errors"
 	"github.com/vishvananda/netlink"
 
 	"github.com/nutmegshift/nutmegshift/ident"
@@ -250,14 +250,15 @@
 	l.mu.Lock()
 	pids := l.pids
 	l.mu.Unlock()
+	file := fmt.Sprintf("socket:[%d]", socket.INode)
 	for i := 1; i <= entryHosts; i++ {
 		directory := filepath.Join("/proc", strconv.Itoa(pids[i]), "fd")
-		files, err := os.ReadDir(directory)
+		descriptors, err := os.ReadDir(directory)
 		if err != nil {
 			continue // the process ended or has not started
 		}
-		for _, file := range files {
-			if to, err := os.Readlink(filepath.Join(directory, file.Name())); err == nil && to == fmt.Sprintf("socket:[%d]", socket.INode) {
+		for _, descriptor := range descriptors {
+			if to, err := os.Readlink(filepath.Join(directory, descriptor.Name())); err == nil && to == file {
 				return i
 			}
 		}
