Require a key once the last organisation has been removed

Cause: an empty list counted as a table that never had organisations.

Evidence: TestLastOrganisationRemoved, without its wait for the new entry, on: 200 in place of 401 in 9 of 9 requests, at a host that saw the removal, one that started after it, and one that started while the store was away.

An empty list now requires a key if any table of the deployment has had organisations. Hosts that start later know it from a permanent entry of the store, which the host that writes the list of hosts also writes, once.

--- a/internal/relay/discovery/publisher.go
+++ b/internal/relay/discovery/publisher.go
@@ -27,7 +27,7 @@
 	Replica *Replica
 	Log     zerolog.Logger
 	Key     kv.Key
-	TTL     time.Duration // of the lease of the entry
+	TTL     time.Duration // of the lease of the entry; 0 if the entry is permanent
 	// MinInterval is the shortest time between two writes of a changed value.
 	MinInterval time.Duration
 	// IsPublisher reports whether this host maintains the entry for all hosts.
@@ -37,8 +37,8 @@
 	Value func(present []byte) ([]byte, error)
 }
 
-// Publisher maintains an entry of the store, under a lease, while this host is the one
-// that does so for all hosts. Several hosts may be for a time: the entry then belongs to
+// Publisher maintains an entry of the store, under a lease unless it is permanent, while
+// this host is the one that does so for all hosts. Several hosts may be for a time: the entry then belongs to
 // the latest writer.
 type Publisher struct {
 	config  PublisherConfig
@@ -104,6 +104,9 @@
 		return called, nil // the replica has not received the latest write yet
 	}
 	changed := !bytes.Equal(value, present.Value)
+	if p.config.TTL == 0 && !changed {
+		return called, nil
+	}
 	if p.written != 0 && (!changed || time.Since(p.wroteAt) < p.config.MinInterval) {
 		return called, nil
 	}
@@ -124,9 +127,10 @@
 	return err
 }
 
-// write writes the entry under the lease of this host, in place of the version expect.
+// write writes the entry in place of the version expect, under the lease of this host
+// unless the entry is permanent.
 func (p *Publisher) write(ctx context.Context, value []byte, expect kv.Version) error {
-	if p.lease == 0 {
+	if p.lease == 0 && p.config.TTL > 0 {
 		lease, err := p.config.Store.Grant(ctx, p.config.TTL)
 		if err != nil {
 			return err
--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -202,7 +202,7 @@
 		e.reject(http.StatusNotFound, "no route")
 		return false
 	}
-	if !e.route.Public && e.table.RequiresKey() {
+	if !e.route.Public && e.config.Routes.RequiresKey(e.table) {
 		e.organisation = e.table.Organisation(e.head.Key)
 		if e.organisation == nil {
 			e.reject(http.StatusUnauthorized, "unknown key")
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -153,6 +153,9 @@
 	sinks[crashesKey] = crashSink{
 		Host: h,
 	}
+	sinks[organisedKey] = organisedSink{
+		Host: h,
+	}
 	h.relayClient = grpcrelay.NewClient(h.peers.client.Connection, time.Now)
 	h.handler = forward.New(forward.Config{
 		Codec:      platform.Codec,
@@ -388,6 +391,16 @@
 		},
 	})
 	h.addComponent(componentCtx, &group, "crashes", crashes.Run)
+	organised := discovery.NewPublisher(discovery.PublisherConfig{
+		Store:       h.store,
+		Health:      h.health,
+		Replica:     h.replica,
+		Log:         h.log,
+		Key:         organisedKey,
+		IsPublisher: h.writesMembers,
+		Value:       h.organisedEntry,
+	})
+	h.addComponent(componentCtx, &group, "organised", organised.Run)
 	h.addComponent(componentCtx, &group, "coordinators", h.coordinators.run)
 	h.addComponent(componentCtx, &group, "peers", h.peers.serve(peerListener))
 	h.addComponent(componentCtx, &group, "gossip", h.peers.runner.Run)
--- a/internal/relay/host/sinks.go
+++ b/internal/relay/host/sinks.go
@@ -40,6 +40,8 @@
 		return maxMembersValue
 	case key == crashesKey:
 		return maxCrashesValue
+	case key == organisedKey:
+		return len(organisedValue)
 	}
 	return 0
 }
@@ -76,9 +78,10 @@
 	if !s.routes.Offer(table) {
 		return
 	}
-	s.log.Info().Uint64("version", uint64(table.Version)).Uint64("revision", uint64(entry.Version)).Bool("keys", table.RequiresKey()).Msg("table: in force")
-	if previous != nil && previous.RequiresKey() && !table.RequiresKey() {
-		s.log.Warn().Uint64("version", uint64(table.Version)).Msg("table: has no organisations any more, requests need no key")
+	keys := s.routes.RequiresKey(table)
+	s.log.Info().Uint64("version", uint64(table.Version)).Uint64("revision", uint64(entry.Version)).Bool("keys", keys).Msg("table: in force")
+	if previous != nil && s.routes.RequiresKey(previous) && !keys {
+		s.log.Warn().Uint64("version", uint64(table.Version)).Msg("table: states no organisations any more, requests need no key")
 	}
 }
 
--- /dev/null
+++ b/internal/relay/routes/holder.go
@@ -0,0 +1,52 @@
+package routes
+
+import "sync/atomic"
+
+// Holder stores the table in force; it is safe for concurrent use. The zero value has no
+// table.
+type Holder struct {
+	table     atomic.Pointer[Table]
+	organised atomic.Bool // an earlier table had organisations
+}
+
+// Table returns the table in force, or nil before the first one.
+func (h *Holder) Table() *Table {
+	return h.table.Load()
+}
+
+// Offer replaces the table in force if the given table is newer, and reports whether it
+// did.
+func (h *Holder) Offer(table *Table) bool {
+	if table.organised {
+		h.organised.Store(true)
+	}
+	for {
+		current := h.table.Load()
+		if current != nil && current.Version >= table.Version {
+			return false
+		}
+		if h.table.CompareAndSwap(current, table) {
+			return true
+		}
+	}
+}
+
+// RecordOrganised records that a table, which this host may not have seen, had
+// organisations.
+func (h *Holder) RecordOrganised() {
+	h.organised.Store(true)
+}
+
+// Organised reports whether any table so far had organisations.
+func (h *Holder) Organised() bool {
+	return h.organised.Load()
+}
+
+// RequiresKey reports whether requests to routes of the table that are not public need a
+// key. They do if the table has organisations, even if none of these has a key left. They
+// also do if its list is empty and an earlier table had organisations: an operator who
+// removes the last organisation revokes its keys, and does not open the service to
+// everybody.
+func (h *Holder) RequiresKey(table *Table) bool {
+	return table.organised || table.listsNone && h.Organised()
+}
--- a/internal/relay/routes/table.go
+++ b/internal/relay/routes/table.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"strings"
-	"sync/atomic"
 
 	"github.com/nutmegshift/nutmegshift/ident"
 )
@@ -16,11 +15,13 @@
 	routes         map[string][]*Route // by host name
 	services       map[ident.ServiceName]*Service
 	organisations  map[Key]*Organisation
-	requiresKey    bool
+	organised      bool // has organisations
+	listsNone      bool // has a list of organisations, which is empty
 	lowestPriority int // priority of the least urgent organisation
 }
 
-// New returns a table of the given parts, which the caller must not modify afterwards.
+// New returns a table of the given parts, which the caller must not modify afterwards. A
+// table whose list of organisations is nil states nothing about them.
 func New(version Version, limits Limits, routes []*Route, services []*Service, organisations []*Organisation) *Table {
 	t := &Table{
 		Version:       version,
@@ -28,7 +29,8 @@
 		routes:        make(map[string][]*Route),
 		services:      make(map[ident.ServiceName]*Service, len(services)),
 		organisations: make(map[Key]*Organisation),
-		requiresKey:   len(organisations) > 0,
+		organised:     len(organisations) > 0,
+		listsNone:     organisations != nil && len(organisations) == 0,
 	}
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
@@ -68,12 +70,6 @@
 	return t.organisations[key]
 }
 
-// RequiresKey reports whether requests to routes that are not public need a key. They
-// do if the table has organisations, even if none of these has a key left.
-func (t *Table) RequiresKey() bool {
-	return t.requiresKey
-}
-
 // Rank returns the rank of a request; lower ranks are more urgent. It is the priority of
 // the route, minus the difference in priority between the least urgent organisation and
 // the request's organisation. Without an organisation, or if it has no priority, the
@@ -111,28 +107,3 @@
 	}
 	return r.Shares[len(r.Shares)-1].Service
 }
-
-// Holder stores the table in force; it is safe for concurrent use. The zero value has no
-// table.
-type Holder struct {
-	table atomic.Pointer[Table]
-}
-
-// Table returns the table in force, or nil before the first one.
-func (h *Holder) Table() *Table {
-	return h.table.Load()
-}
-
-// Offer replaces the table in force if the given table is newer, and reports whether it
-// did.
-func (h *Holder) Offer(table *Table) bool {
-	for {
-		current := h.table.Load()
-		if current != nil && current.Version >= table.Version {
-			return false
-		}
-		if h.table.CompareAndSwap(current, table) {
-			return true
-		}
-	}
-}
--- a/internal/relay/routes/table_test.go
+++ b/internal/relay/routes/table_test.go
@@ -95,14 +95,23 @@
 }
 
 // Guards against a table that lets requests without a valid key pass because its
-// organisations have no keys left, and against one that asks for keys although it has no
-// organisations.
+// organisations have no keys left, or because the last organisation has been removed, and
+// against one that asks for keys although there never were organisations.
 func TestRequiresKey(t *testing.T) {
+	organised := routes.New(1, routes.Limits{}, nil, nil, []*routes.Organisation{{
+		Name: "a",
+	}})
 	tests := map[string]struct {
+		before        *routes.Table // offered earlier
+		recorded      bool          // another host has seen organisations
 		organisations []*routes.Organisation
 		want          bool
 	}{
-		"no organisations": {},
+		"no organisations":                  {},
+		"empty list":                        {organisations: []*routes.Organisation{}},
+		"empty list after organisations":    {before: organised, organisations: []*routes.Organisation{}, want: true},
+		"empty list, organisations earlier": {recorded: true, organisations: []*routes.Organisation{}, want: true},
+		"no list after organisations":       {before: organised},
 		"organisation with a key": {
 			organisations: []*routes.Organisation{{
 				Name: "a",
@@ -127,8 +136,16 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			held := routes.New(1, routes.Limits{}, nil, nil, test.organisations)
-			c.Check(held.RequiresKey(), qt.Equals, test.want)
+			var holder routes.Holder
+			if test.before != nil {
+				holder.Offer(test.before)
+			}
+			if test.recorded {
+				holder.RecordOrganised()
+			}
+			held := routes.New(2, routes.Limits{}, nil, nil, test.organisations)
+			holder.Offer(held)
+			c.Check(holder.RequiresKey(held), qt.Equals, test.want)
 			c.Check(held.Organisation(""), qt.IsNil)
 		})
 	}
