Bound what callers hold: connections, headers and bodies together

Callers saw, with clients that do not keep to the limits: a host whose descriptors were all taken by idle or half-sent connections served nobody else, nor reached upstreams or the store, until they left; headers of many short fields took memory that no bound counted; an entry host bounded each body, and not their sum; a body behind a rejected request, and a response that nobody read after a rejection, were waited for without end.

Cause: only the bodies of relays were counted; connections had no limit.

The listener of callers now has a limit of connections, by memory and descriptors; a new connection replaces the one that has waited longest for its caller. Headers take a lease of the same memory budget as bodies, before they are parsed; without room the answer is 503, which is true, since nothing has run. The last sixteenth of the budget is for messages up to 8 KiB. Responses and bodies that nobody reads have time limits. The same limits hold for the ports of readiness, metrics and operators, and the bodies of an entry host come out of one budget. The package memory moves to internal/transport, since both daemons use it.

TestUnfinishedBodies covers the entry host in one process; a crowd against its real process is open.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -12,6 +11,7 @@
 
 	"github.com/nutmegshift/nutmegshift/document"
 	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/transport/memory"
 	"github.com/nutmegshift/nutmegshift/outcome"
 )
 
@@ -24,7 +24,8 @@
 	Services func() *document.Set // returns the current service documents
 	NewID    func() ident.RequestID
 	Now      func() time.Time
-	MaxBody  int64 // maximum size of a request body in bytes; a route may set a lower one
+	MaxBody  int64          // maximum size of a request body in bytes; a route may set a lower one
+	Memory   *memory.Budget // of the bodies of all requests
 	Log      zerolog.Logger
 }
 
@@ -60,11 +61,13 @@
 func (h *handler) serve(c echo.Context) error {
 	id := h.cfg.NewID()
 	c.Response().Header().Set("X-Request-Id", string(id))
-	request, rejected := h.readRequest(c, id)
+	lease := h.cfg.Memory.Lease(memory.Callers)
+	defer lease.Release()
+	request, rejected := h.readRequest(c, id, lease)
 	if rejected != nil {
 		reason := outcome.Invalid
 		if rejected.status == http.StatusServiceUnavailable {
-			reason = outcome.Unready
+			reason = rejected.reason
 			c.Response().Header().Set("Retry-After", retryAfterSeconds)
 		}
 		return c.JSON(rejected.status, newErrorBody(id, reason, rejected.message, false))
@@ -81,7 +84,7 @@
 }
 
 // readRequest reads and checks the whole request, including its body.
-func (h *handler) readRequest(c echo.Context, id ident.RequestID) (Request, *rejection) {
+func (h *handler) readRequest(c echo.Context, id ident.RequestID, lease *memory.Lease) (Request, *rejection) {
 	arrived := h.cfg.Now()
 	in := c.Request()
 	service, route, rejected := findRoute(h.cfg.Services(), in.Method, in.URL.Path)
@@ -92,10 +95,19 @@
 	if route.MaxBody > 0 && route.MaxBody < limit {
 		limit = route.MaxBody
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), in.Body, limit))
+	body, err := lease.ReadAll(in.Context(), http.MaxBytesReader(c.Response(), in.Body, limit), in.ContentLength, limit)
+	if err != nil {
+		c.Response().Header().Set("Connection", "close")
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, memory.ErrExhausted):
+		return Request{}, &rejection{
+			status:  http.StatusServiceUnavailable,
+			reason:  outcome.Overload,
+			message: "no memory is left for the body",
+		}
+	case errors.As(err, &tooLarge), errors.Is(err, memory.ErrTooLarge):
 		return Request{}, &rejection{
 			status:  http.StatusRequestEntityTooLarge,
 			message: fmt.Sprintf("body is larger than %d bytes", limit),
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -1,8 +1,10 @@
 package caller_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -18,6 +20,7 @@
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/caller"
 	"github.com/nutmegshift/nutmegshift/internal/transport/callerhttp"
+	"github.com/nutmegshift/nutmegshift/internal/transport/memory"
 	"github.com/nutmegshift/nutmegshift/outcome"
 )
 
@@ -87,15 +90,21 @@
 }
 
 func serve(t *testing.T, server caller.Server) *httptest.Server {
+	return serveWith(t, server, 1024, memory.New(1<<20))
+}
+
+// serveWith is like serve with a largest body in bytes and a budget of memory.
+func serveWith(t *testing.T, server caller.Server, maxBody int64, budget *memory.Budget) *httptest.Server {
 	started := httptest.NewUnstartedServer(nil)
-	started.Listener = callerhttp.Listen(started.Listener)
+	started.Listener = callerhttp.Listen(started.Listener, callerhttp.Limits{})
 	started.Config = callerhttp.New(callerhttp.Config{
 		Handler: caller.New(caller.Config{
 			Server:   server,
 			Services: services,
 			NewID:    func() ident.RequestID { return "r1" },
 			Now:      time.Now,
-			MaxBody:  1024,
+			MaxBody:  maxBody,
+			Memory:   budget,
 			Log:      zerolog.Nop(),
 		}),
 		HeaderTimeout: time.Minute,
@@ -300,3 +309,40 @@
 	c.Assert(err, qt.IsNil)
 	return response.StatusCode, string(received)
 }
+
+// A crowd whose bodies are legal each, and stop just short of their end, must not hold more
+// memory than the budget, and must leave some for an ordinary request.
+func TestUnfinishedBodies(t *testing.T) {
+	c := qt.New(t)
+	const clients, length = 30, 400_000
+	budget := memory.New(1 << 20)
+	server := serveWith(t, &fakeServer{outcome: outcome.Answered{Status: http.StatusOK}}, 1<<19, budget)
+	refused := make(chan bool, clients)
+	for range clients {
+		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp4", server.Listener.Addr().String())
+		c.Assert(err, qt.IsNil)
+		t.Cleanup(func() { _ = conn.Close() })
+		go func(context.Context) {
+			_, _ = fmt.Fprintf(conn, "POST /entries-api/entries HTTP/1.1\r\nHost: a\r\nX-Organisation: rindworks\r\nContent-Length: %d\r\n\r\n", length)
+			_, _ = io.WriteString(conn, strings.Repeat("x", length-1))
+			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				refused <- false
+				return
+			}
+			_ = response.Body.Close()
+			refused <- response.StatusCode == http.StatusServiceUnavailable
+		}(t.Context())
+	}
+	for held := clients; held > 3; {
+		c.Check(budget.Used() <= 1<<20, qt.IsTrue)
+		if !<-refused {
+			break
+		}
+		held--
+	}
+	status, _ := send(t, server.URL+"/entries-api/entries", http.MethodPost, "rindworks", `{}`)
+	c.Check(status, qt.Equals, http.StatusOK)
+	c.Check(budget.Rejected() > 0, qt.IsTrue)
+}
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -48,6 +48,7 @@
 // rejection is the HTTP status and message of the response to an invalid request.
 type rejection struct {
 	status  int
+	reason  outcome.Reason // of a status that promises that the request may be sent again
 	message string
 }
 
@@ -81,6 +82,7 @@
 	if len(services.Names()) == 0 {
 		return nil, nil, &rejection{
 			status:  http.StatusServiceUnavailable,
+			reason:  outcome.Unready,
 			message: "no service document is in force yet",
 		}
 	}
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -45,6 +45,7 @@
 		return errors.Annotate(err, "parse log level")
 	}
 	log := zerolog.New(command.Root().ErrWriter).Level(level).With().Timestamp().Str("host", string(parsed.Host)).Logger()
+	limitHeap(parsed.Memory)
 	stopping, force, release := stopSignals(ctx)
 	defer release()
 	return entry.New(parsed, log).Run(stopping, force)
--- a/internal/command/relay.go
+++ b/internal/command/relay.go
@@ -17,10 +17,17 @@
 	"github.com/nutmegshift/nutmegshift/platform"
 )
 
+const megabyte = 1 << 20
+
 // heapShare is the part of the memory of a host up to which the runtime lets garbage
 // accumulate; the rest is left for what it does not count.
 const heapShare = 0.6
 
+// limitHeap bounds the garbage of a process with the given megabytes of memory.
+func limitHeap(memory float64) {
+	debug.SetMemoryLimit(int64(heapShare * memory * megabyte))
+}
+
 func relayCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "relay",
@@ -59,7 +66,7 @@
 	if err != nil {
 		return errors.Annotate(err, "parse log level")
 	}
-	debug.SetMemoryLimit(int64(heapShare * parsed.Memory * (1 << 20)))
+	limitHeap(parsed.Memory)
 	log := logging.New(command.Root().Writer, level, parsed.LogRate)
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	settingsReloader := newReloader(name, content, hangups, log)
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -99,6 +99,7 @@
 		b.Run(fmt.Sprintf("%d upstreams, %d entry hosts", size.upstreams, size.entries), func(b *testing.B) {
 			list := newHostList(size.upstreams, size.entries)
 			h := New(&settings.Settings{
+				Memory: 256,
 				Host:   "host-000",
 				Domain: "domain-0",
 				Region: "region-0",
--- a/internal/entry/gauges.go
+++ b/internal/entry/gauges.go
@@ -13,6 +13,10 @@
 		h.metrics.NewGauge(name, func() float64 { return float64(value()) })
 	}
 	gauge("nutmegshift_requests_active", func() int { return len(h.server.active.list()) })
+	gauge("nutmegshift_messages_rejected", func() int { return int(h.memory.Rejected()) })
+	gauge("nutmegshift_message_bytes", func() int { return int(h.memory.Used()) })
+	gauge("nutmegshift_connections_evicted", func() int { return int(h.connections.Evicted.Load()) })
+	gauge("nutmegshift_connections_refused", func() int { return int(h.connections.Refused.Load()) })
 	gauge("nutmegshift_documents", func() int { return len(h.registry.Snapshot().Names()) })
 	gauge("nutmegshift_documents_broken", func() int { return len(h.syncer.Broken()) })
 	gauge("nutmegshift_rumours_dropped", h.peers.gossip.Dropped)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -22,6 +22,8 @@
 	"github.com/nutmegshift/nutmegshift/internal/reporthttp"
 	"github.com/nutmegshift/nutmegshift/internal/settings"
 	"github.com/nutmegshift/nutmegshift/internal/stagehttp"
+	"github.com/nutmegshift/nutmegshift/internal/transport/callerhttp"
+	"github.com/nutmegshift/nutmegshift/internal/transport/memory"
 	"github.com/nutmegshift/nutmegshift/kv"
 	"github.com/nutmegshift/nutmegshift/kv/httpkv"
 	"github.com/nutmegshift/nutmegshift/peer"
@@ -47,6 +49,8 @@
 type Host struct {
 	settings    *settings.Settings
 	log         zerolog.Logger
+	memory      *memory.Budget // of the headers and bodies of requests
+	connections callerhttp.Counts
 	incarnation ident.Incarnation
 	counter     atomic.Uint64
 	clock       *timeline.Clock
@@ -71,6 +75,7 @@
 	h := &Host{
 		settings:    s,
 		log:         log,
+		memory:      memory.New(int64(messageShare * s.Memory * megabyte)),
 		incarnation: ident.Incarnation(time.Now().UnixMilli()),
 		clock:       timeline.NewClock(time.Now),
 		metrics:     metrics.NewSet(),
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -20,11 +20,12 @@
 		NewID:    h.newRequestID,
 		Now:      time.Now,
 		MaxBody:  h.settings.MaxBody,
+		Memory:   h.memory,
 		Log:      h.log,
 	}), h.settings, h.log)
 	serveDone := make(chan error, 1)
 	go func(context.Context) {
-		serveDone <- server.Serve(callerhttp.Listen(listener))
+		serveDone <- server.Serve(callerhttp.Listen(listener, h.callerLimits()))
 	}(ctx)
 	select {
 	case err := <-serveDone:
--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -12,12 +12,12 @@
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
-	"github.com/nutmegshift/nutmegshift/internal/relay/memory"
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
+	"github.com/nutmegshift/nutmegshift/internal/transport/memory"
 )
 
 const (
--- a/internal/relay/coordinator/coordinator_test.go
+++ b/internal/relay/coordinator/coordinator_test.go
@@ -22,13 +22,13 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/cell"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
-	"github.com/nutmegshift/nutmegshift/internal/relay/memory"
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 	"github.com/nutmegshift/nutmegshift/internal/standin/tcp"
+	"github.com/nutmegshift/nutmegshift/internal/transport/memory"
 	"github.com/nutmegshift/nutmegshift/kv"
 )
 
--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -24,7 +24,6 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/forward"
-	"github.com/nutmegshift/nutmegshift/internal/relay/memory"
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
@@ -32,6 +31,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 	"github.com/nutmegshift/nutmegshift/internal/standin/tcp"
+	"github.com/nutmegshift/nutmegshift/internal/transport/memory"
 	"github.com/nutmegshift/nutmegshift/kv"
 	"github.com/nutmegshift/nutmegshift/peer"
 )
--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -14,13 +14,13 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/budget"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
-	"github.com/nutmegshift/nutmegshift/internal/relay/memory"
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
+	"github.com/nutmegshift/nutmegshift/internal/transport/memory"
 	"github.com/nutmegshift/nutmegshift/kv"
 )
 
@@ -140,7 +140,7 @@
 	defer h.config.Poison.Watch(e.identity, func() { end(errBlocked) })()
 	defer cancelAt(h.shutdown.running, end)()
 	e.ctx = ctx
-	defer e.limitWriting()()
+	e.limitWriting()
 	if after := e.allPaused(); after > 0 {
 		e.refuse(reasonPaused, after)
 		return
@@ -153,14 +153,12 @@
 }
 
 // limitWriting limits the time in which the caller has to read its response, so that one
-// that does not read keeps no memory and no upstream. It returns a function that lifts the
-// limit.
-func (e *exchange) limitWriting() (lift func()) {
-	connection := http.NewResponseController(e.writer)
-	if err := connection.SetWriteDeadline(e.deadline.Add(writeGrace)); err != nil {
+// that does not read keeps no memory and no upstream. The server sets another limit for the
+// next request on the connection.
+func (e *exchange) limitWriting() {
+	if err := http.NewResponseController(e.writer).SetWriteDeadline(e.deadline.Add(writeGrace)); err != nil {
 		e.log.Debug().Err(err).Msg("forward: writing the response has no time limit")
 	}
-	return func() { _ = connection.SetWriteDeadline(time.Time{}) } // fails only if it could not be set
 }
 
 // accept validates and reads a request. It returns false after sending an error
--- a/internal/relay/forward/plain.go
+++ b/internal/relay/forward/plain.go
@@ -6,10 +6,10 @@
 
 	"github.com/juju/errors"
 
-	"github.com/nutmegshift/nutmegshift/internal/relay/memory"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
+	"github.com/nutmegshift/nutmegshift/internal/transport/memory"
 )
 
 // bufferedResponse is an upstream's response with its body.
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
+	"golang.org/x/net/netutil"
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/budget"
@@ -22,7 +23,6 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/forward"
 	"github.com/nutmegshift/nutmegshift/internal/relay/grpcrelay"
 	"github.com/nutmegshift/nutmegshift/internal/relay/logging"
-	"github.com/nutmegshift/nutmegshift/internal/relay/memory"
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
@@ -30,6 +30,8 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 	"github.com/nutmegshift/nutmegshift/internal/settings"
+	"github.com/nutmegshift/nutmegshift/internal/transport/callerhttp"
+	"github.com/nutmegshift/nutmegshift/internal/transport/memory"
 	"github.com/nutmegshift/nutmegshift/kv"
 	"github.com/nutmegshift/nutmegshift/kv/httpkv"
 	"github.com/nutmegshift/nutmegshift/peer"
@@ -81,7 +83,8 @@
 	log          zerolog.Logger
 	meter        *meter.Meter
 	poison       *poison.Table
-	memory       *memory.Budget // of the bodies of requests and responses
+	memory       *memory.Budget // of the headers and bodies of requests and responses
+	connections  callerhttp.Counts
 	health       *discovery.Health
 	store        *httpkv.Store
 	routes       *routes.Holder
@@ -207,6 +210,9 @@
 	h.meter.Gauge("relay_upstreams_paused", func() float64 { return float64(h.pauses.Count()) })
 	h.meter.Gauge("relay_messages_rejected", func() float64 { return float64(h.memory.Rejected()) })
 	h.meter.Gauge("relay_message_bytes", func() float64 { return float64(h.memory.Used()) })
+	h.meter.Gauge("relay_headers_rejected", func() float64 { return float64(h.connections.Headers.Load()) })
+	h.meter.Gauge("relay_connections_evicted", func() float64 { return float64(h.connections.Evicted.Load()) })
+	h.meter.Gauge("relay_connections_refused", func() float64 { return float64(h.connections.Refused.Load()) })
 	h.meter.Gauge("relay_requests_blocked", func() float64 { return float64(h.poison.BlockedPatterns()) })
 	h.meter.Gauge("relay_replica_age_seconds", func() float64 { return h.replica.Age().Seconds() })
 	h.meter.Gauge("relay_replica_cursor", func() float64 { return float64(h.replica.Cursor()) })
@@ -347,6 +353,7 @@
 	if err != nil {
 		return err
 	}
+	peerListener = netutil.LimitListener(peerListener, peerConnections(h.settings))
 	componentCtx, stopComponents := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopComponents()
 	var group run.Group
@@ -438,21 +445,18 @@
 	})
 }
 
-// tick completes unconfirmed removals of upstreams, closes idle connections and logs a
-// lack of memory at regular intervals.
+// tick completes unconfirmed removals of upstreams, closes idle connections and logs that
+// limits have been met at regular intervals.
 func (h *Host) tick(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	rejected := uint64(0) // messages, as of the last tick
+	var limits limitLog
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			if total := h.memory.Rejected(); total != rejected {
-				h.log.Warn().Uint64("messages", total-rejected).Int64("bytes", h.memory.Used()).Msg("memory: no room for requests or responses")
-				rejected = total
-			}
+			limits.write(h, h.log)
 			h.fleet.Tick(now)
 			h.poison.Sweep()
 			h.clients.each((*upstreamhttp.Client).Sweep)
--- a/internal/relay/host/serve.go
+++ b/internal/relay/host/serve.go
@@ -16,6 +16,9 @@
 	// caller never sends a request on a connection that is about to be closed.
 	idleTimeout   = 2 * time.Minute
 	headerTimeout = 10 * time.Second
+	// writeTimeout is the time in which a caller has to read a response that the host
+	// writes without an upstream. Other responses have the deadline of their request.
+	writeTimeout = 5 * time.Second
 	// drainDelay is how long a host that is stopping still accepts new connections: the
 	// load balancer checks readiness once a second, and stops sending requests after two
 	// failed checks.
@@ -36,6 +39,7 @@
 	return callerhttp.New(callerhttp.Config{
 		Handler:       handler,
 		HeaderTimeout: headerTimeout,
+		WriteTimeout:  writeTimeout,
 		IdleTimeout:   idleTimeout,
 		Log:           h.log,
 	})
@@ -45,7 +49,8 @@
 func (h *Host) serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	server := h.newServer(handler)
 	serveErr := make(chan error, 1)
-	go func(context.Context) { serveErr <- server.Serve(listener) }(ctx)
+	limited := callerhttp.Listen(listener, h.connectionLimits(internalConnections))
+	go func(context.Context) { serveErr <- server.Serve(limited) }(ctx)
 	select {
 	case err := <-serveErr:
 		return err
@@ -63,7 +68,8 @@
 func (h *Host) serveCallers(ctx context.Context, listener net.Listener) error {
 	server := h.newServer(h.handler)
 	serveErr := make(chan error, 1)
-	go func(context.Context) { serveErr <- server.Serve(callerhttp.Listen(listener)) }(ctx)
+	limited := callerhttp.Listen(listener, h.connectionLimits(callerConnections(h.settings)))
+	go func(context.Context) { serveErr <- server.Serve(limited) }(ctx)
 	select {
 	case err := <-serveErr:
 		return err
--- a/internal/relay/routes/table.go
+++ b/internal/relay/routes/table.go
@@ -17,7 +17,7 @@
 	organisations  map[Key]*Organisation
 	organised      bool // has organisations
 	listsNone      bool // has a list of organisations, which is empty
-	lowestPriority int // priority of the least urgent organisation
+	lowestPriority int  // priority of the least urgent organisation
 }
 
 // New returns a table of the given parts, which the caller must not modify afterwards. A
--- a/internal/relay/upstreamhttp/client_test.go
+++ b/internal/relay/upstreamhttp/client_test.go
@@ -19,10 +19,10 @@
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
-	"github.com/nutmegshift/nutmegshift/internal/relay/memory"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 	"github.com/nutmegshift/nutmegshift/internal/standin/tcp"
+	"github.com/nutmegshift/nutmegshift/internal/transport/memory"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/relay/upstreamhttp/events.go
+++ b/internal/relay/upstreamhttp/events.go
@@ -10,8 +10,8 @@
 
 	"github.com/juju/errors"
 
-	"github.com/nutmegshift/nutmegshift/internal/relay/memory"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
+	"github.com/nutmegshift/nutmegshift/internal/transport/memory"
 )
 
 // maxEvent is the maximum size of an event in bytes.
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -21,6 +21,7 @@
 	Metrics      ident.Address
 	Processor    float64       // cores of this host; 0.5 is half a core
 	Memory       float64       // memory of this host, in megabytes
+	Descriptors  int64         // file descriptors that this host has
 	Store        ident.Address // key-value service
 	StoreTimeout time.Duration // of a single call to the store
 	Lease        time.Duration // time after which the list of hosts in the store expires without renewal
@@ -114,9 +115,17 @@
 		key:          "memory",
 		unit:         "megabytes",
 		defaultValue: "256",
-		help:         "memory that this host has; a quarter of it is for bodies of requests and responses",
+		help:         "memory that this host has; a quarter of it is for requests and responses, an eighth for callers' connections",
 		set:          func(s *Relay, v string) error { return setFloat(&s.Memory, v) },
 	},
+	{
+		section:      "host",
+		key:          "files",
+		unit:         "count",
+		defaultValue: "4096",
+		help:         "file descriptors that this host has; half of them are for callers' connections",
+		set:          func(s *Relay, v string) error { return setInt(&s.Descriptors, v) },
+	},
 	{
 		section: "store",
 		key:     "address",
--- a/internal/settings/relay_test.go
+++ b/internal/settings/relay_test.go
@@ -84,6 +84,7 @@
 		"{{seeds}}":                     "",
 		"{{limits.cpu_share}}":          "0.4",
 		"{{limits.memory_mb}}":          "284",
+		"{{limits.max_fds}}":            "4100",
 		"{{platform.address}}":          "10.200.1.7:8624",
 		"{{heartbeat_ms}}":              "1200",
 		"{{bounds.config_apply_ms}}":    "2000",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,6 +34,8 @@
 	StoreTimeout    time.Duration // of a single call to the store
 	LoadRate        float64       // model loads per second that the weight store admits
 	MaxBody         int64         // largest request body, in bytes
+	Memory          float64       // memory of this host, in megabytes
+	Descriptors     int64         // file descriptors of this host
 	HeaderTimeout   time.Duration // longest time to receive the header of a request
 	ReceiveTimeout  time.Duration // longest time to receive a whole request
 	ShutdownTimeout time.Duration // of the graceful shutdown
@@ -142,6 +144,22 @@
 		help:         "largest body of a request",
 		set:          func(s *Settings, v string) error { return setInt(&s.MaxBody, v) },
 	},
+	{
+		section:      "limits",
+		key:          "memory",
+		unit:         "megabytes",
+		defaultValue: "256",
+		help:         "memory that this host has; a quarter of it is for requests, an eighth for callers' connections",
+		set:          func(s *Settings, v string) error { return setFloat(&s.Memory, v) },
+	},
+	{
+		section:      "limits",
+		key:          "files",
+		unit:         "count",
+		defaultValue: "4096",
+		help:         "file descriptors that this host has; half of them are for callers' connections",
+		set:          func(s *Settings, v string) error { return setInt(&s.Descriptors, v) },
+	},
 	{
 		section:      "limits",
 		key:          "header",
--- a/internal/transport/callerhttp/connection.go
+++ b/internal/transport/callerhttp/connection.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -12,40 +13,84 @@
 // connectionKey is the context key of the connection that a request arrived on.
 type connectionKey struct{}
 
-// connection checks the messages that are read from it.
+// connection checks the messages that are read from it, and bounds their headers.
 type connection struct {
 	net.Conn
+	listener *listener
 	reader   *framingReader
+	header   headerLease
 	rejected atomic.Pointer[rejection] // of the last message
+
+	// Unix nanoseconds since when the connection waits for its caller; 0 while it does not.
+	unused  atomic.Int64 // for the rest of a header
+	reading atomic.Int64 // for more of a body
+	writing atomic.Int64 // to read its response
 }
 
 // Read implements io.Reader.
 func (c *connection) Read(p []byte) (int, error) {
+	if c.reader.inBody() {
+		c.reading.Store(time.Now().UnixNano())
+		defer c.reading.Store(0)
+	}
 	return c.reader.Read(p)
 }
 
-// listener wraps the connections that it accepts in connection.
-type listener struct {
-	net.Listener
+// Write implements io.Writer.
+func (c *connection) Write(p []byte) (int, error) {
+	c.writing.Store(time.Now().UnixNano())
+	defer c.writing.Store(0)
+	return c.Conn.Write(p)
 }
 
-// Accept implements net.Listener.
-func (l listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// Close implements io.Closer.
+func (c *connection) Close() error {
+	c.listener.remove(c)
+	return c.Conn.Close()
+}
+
+// setState follows the state of the connection in its server.
+func (c *connection) setState(state http.ConnState) {
+	switch state {
+	case http.StateNew:
+	case http.StateActive:
+		c.unused.Store(0)
+		c.header.start()
+	case http.StateIdle:
+		c.unused.Store(time.Now().UnixNano())
+		c.header.end()
+	case http.StateClosed, http.StateHijacked:
+		c.listener.remove(c)
+		c.header.close()
 	}
-	c := &connection{
-		Conn: accepted,
+}
+
+// waitsSince returns since when the connection waits for its caller, in Unix nanoseconds;
+// 0 if it does not, or has not for stallTime in the middle of a request.
+func (c *connection) waitsSince(now time.Time) int64 {
+	if unused := c.unused.Load(); unused != 0 {
+		return unused
+	}
+	since := c.reading.Load()
+	if writing := c.writing.Load(); since == 0 || writing != 0 && writing < since {
+		since = writing
 	}
-	c.reader = newFramingReader(accepted, c.rejected.Store)
-	return c, nil
+	if since > now.Add(-stallTime).UnixNano() {
+		return 0
+	}
+	return since
 }
 
 func withConnection(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, connectionKey{}, conn)
 }
 
+func trackState(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*connection); ok {
+		c.setState(state)
+	}
+}
+
 // rejecter responds to the placeholders of rejected messages, and passes other requests to
 // a handler.
 type rejecter struct {
@@ -53,15 +98,28 @@
 	log     zerolog.Logger
 }
 
-// ServeHTTP implements http.Handler.
+// ServeHTTP implements http.Handler. If the handler has left the rest of a body, the server
+// reads it for discardTimeout at most, so that the caller receives the response.
 func (h rejecter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn, ok := r.Context().Value(connectionKey{}).(*connection)
-	if !ok || r.Method != placeholderMethod || conn.rejected.Load() == nil {
-		h.handler.ServeHTTP(w, r)
+	if ok && r.Method == placeholderMethod && conn.rejected.Load() != nil {
+		h.reject(w, r, conn.rejected.Load())
+		return
+	}
+	h.handler.ServeHTTP(w, r)
+	if r.ContentLength == 0 {
 		return
 	}
-	rejected := conn.rejected.Load()
+	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
+		h.log.Debug().Err(err).Msg("caller: reading the rest of a body has no time limit")
+	}
+}
+
+func (h rejecter) reject(w http.ResponseWriter, r *http.Request, rejected *rejection) {
 	h.log.Info().Str("from", r.RemoteAddr).Int("status", rejected.status).Str("reason", rejected.reason).Msg("caller: message rejected")
 	w.Header().Set("Connection", "close")
+	if rejected.status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfterSeconds)
+	}
 	http.Error(w, rejected.reason, rejected.status)
 }
--- a/internal/transport/callerhttp/framing.go
+++ b/internal/transport/callerhttp/framing.go
@@ -31,6 +31,12 @@
 	reason string
 }
 
+// noMemory rejects a message whose header finds no memory. It has not run.
+var noMemory = &rejection{
+	status: http.StatusServiceUnavailable,
+	reason: "no memory is left for the header",
+}
+
 func malformed(reason string) *rejection {
 	return &rejection{
 		status: http.StatusBadRequest,
@@ -61,11 +67,14 @@
 type framingReader struct {
 	source   io.Reader
 	onReject func(r *rejection)
-	buffer   []byte // holds pending
-	pending  []byte // read from the source, not passed on yet
-	ready    []byte // checked, to be passed on next
-	next     position
-	left     int64 // bytes of the body or of the chunk, if inside one; bytes of trailer fields so far
+	// reserve takes the memory for a header of a number of bytes and fields. It returns
+	// false if there is none.
+	reserve func(bytes, fields int) bool
+	buffer  []byte // holds pending
+	pending []byte // read from the source, not passed on yet
+	ready   []byte // checked, to be passed on next
+	next    position
+	left    int64 // bytes of the body or of the chunk, if inside one; bytes of trailer fields so far
 }
 
 // placeholderMethod and placeholder replace a request that is rejected.
@@ -74,14 +83,20 @@
 	placeholder       = placeholderMethod + " / HTTP/1.1\r\nHost: rejected\r\nConnection: close\r\n\r\n"
 )
 
-func newFramingReader(source io.Reader, onReject func(r *rejection)) *framingReader {
+func newFramingReader(source io.Reader, onReject func(r *rejection), reserve func(bytes, fields int) bool) *framingReader {
 	return &framingReader{
 		source:   source,
 		onReject: onReject,
+		reserve:  reserve,
 		next:     atHeader,
 	}
 }
 
+// inBody reports whether the next bytes belong to a body.
+func (f *framingReader) inBody() bool {
+	return f.next != atHeader && f.next != atRejection && (f.next != inBody || f.left > 0)
+}
+
 // Read implements io.Reader.
 func (f *framingReader) Read(p []byte) (int, error) {
 	if len(p) == 0 {
@@ -160,6 +175,10 @@
 			})
 			return nil
 		}
+		if len(f.pending) >= bufferBytes && !f.reserve(min(2*len(f.pending), MaxHeader), 0) {
+			f.reject(noMemory)
+			return nil
+		}
 		if err := f.fill(MaxHeader); err != nil {
 			return err
 		}
@@ -189,6 +208,9 @@
 
 func (f *framingReader) acceptHeader(header []byte) {
 	framing, rejected := checkHeader(header)
+	if rejected == nil && !f.reserve(len(header), bytes.Count(header, []byte("\r\n"))) {
+		rejected = noMemory
+	}
 	if rejected != nil {
 		f.reject(rejected)
 		return
--- a/internal/transport/callerhttp/framing_test.go
+++ b/internal/transport/callerhttp/framing_test.go
@@ -37,7 +37,7 @@
 		Log:           zerolog.Nop(),
 	})
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(callerhttp.Listen(inner)) }()
+	go func() { served <- server.Serve(callerhttp.Listen(inner, callerhttp.Limits{})) }()
 	conn, err := new(net.Dialer).DialContext(t.Context(), "tcp4", inner.Addr().String())
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() {
--- a/internal/transport/callerhttp/fuzz_test.go
+++ b/internal/transport/callerhttp/fuzz_test.go
@@ -42,7 +42,7 @@
 // passes on but for the placeholder.
 func readFramed(source io.Reader) (messages []message, passed []byte) {
 	rejected := false
-	f := newFramingReader(source, func(*rejection) { rejected = true })
+	f := newFramingReader(source, func(*rejection) { rejected = true }, func(int, int) bool { return true })
 	for {
 		if (f.next == inBody || f.next == inChunk) && f.left > 0 {
 			var content [100]byte
@@ -113,7 +113,7 @@
 			source := &repeatReader{
 				text: text,
 			}
-			f := newFramingReader(source, func(*rejection) { b.Fatal("rejected") })
+			f := newFramingReader(source, func(*rejection) { b.Fatal("rejected") }, func(int, int) bool { return true })
 			buffer := make([]byte, 4<<10)
 			b.SetBytes(int64(len(text)))
 			b.ReportAllocs()
--- /dev/null
+++ b/internal/transport/callerhttp/listener.go
@@ -0,0 +1,144 @@
+package callerhttp
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/nutmegshift/nutmegshift/internal/transport/memory"
+)
+
+// stallTime is how long a caller may send nothing of a body, or read nothing of its
+// response, before its connection may be closed in favour of a new one.
+const stallTime = time.Second
+
+const (
+	// connectionBytes is the memory of a connection without its messages: the stack of
+	// its goroutine, and the buffers for reading and writing.
+	connectionBytes = 32 << 10
+	// connectionShare is the part of the memory of a host that callers' connections may
+	// take, and descriptorShare the part of its descriptors. The rest of the descriptors is
+	// for upstreams, other hosts and the store.
+	connectionShare = 1.0 / 8
+	descriptorShare = 1.0 / 2
+)
+
+// MaxConnections returns the number of connections that callers may have open at a host
+// with the given bytes of memory and number of descriptors.
+func MaxConnections(memory, descriptors float64) int {
+	return max(1, int(min(connectionShare*memory/connectionBytes, descriptorShare*descriptors)))
+}
+
+// Limits bound what the connections of a listener take. The zero value has no limits.
+type Limits struct {
+	Connections int            // open at the same time; 0 means no limit
+	Memory      *memory.Budget // of headers; nil means no limit
+	Counts      *Counts        // may be nil
+}
+
+// Counts counts the connections and messages that have met a limit.
+type Counts struct {
+	Evicted atomic.Uint64 // connections closed in favour of new ones
+	Refused atomic.Uint64 // connections closed when they were accepted
+	Headers atomic.Uint64 // messages rejected because there was no memory for their header
+}
+
+// Listen wraps a listener so that the messages on its connections are checked, and its
+// connections limited. At the limit, a new connection replaces the one that has waited for
+// its caller for the longest time; if all of them work on requests, it is closed.
+func Listen(inner net.Listener, limits Limits) net.Listener {
+	if limits.Counts == nil {
+		limits.Counts = new(Counts)
+	}
+	return &listener{
+		Listener: inner,
+		limits:   limits,
+		open:     make(map[*connection]bool),
+	}
+}
+
+// listener wraps the connections that it accepts in connection.
+type listener struct {
+	net.Listener
+	limits Limits
+
+	mu   sync.Mutex
+	open map[*connection]bool
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := l.newConnection(accepted)
+		evicted, ok := l.add(c)
+		if evicted != nil {
+			l.limits.Counts.Evicted.Add(1)
+			_ = evicted.Close() // fails only if it is closed already
+		}
+		if ok {
+			return c, nil
+		}
+		l.limits.Counts.Refused.Add(1)
+		_ = accepted.Close()
+	}
+}
+
+func (l *listener) newConnection(accepted net.Conn) *connection {
+	c := &connection{
+		Conn:     accepted,
+		listener: l,
+	}
+	c.unused.Store(time.Now().UnixNano())
+	if l.limits.Memory != nil {
+		c.header.lease = l.limits.Memory.Lease(memory.Callers)
+	}
+	c.reader = newFramingReader(accepted, c.rejected.Store, func(bytes, fields int) bool {
+		if c.header.reserve(bytes, fields) {
+			return true
+		}
+		l.limits.Counts.Headers.Add(1)
+		return false
+	})
+	return c
+}
+
+// add adds a connection. At the limit, it removes and returns the one that has waited for
+// its caller for the longest time; if there is none, it returns false.
+func (l *listener) add(c *connection) (evicted *connection, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.limits.Connections > 0 && len(l.open) >= l.limits.Connections {
+		evicted = l.longestWaiting()
+		if evicted == nil {
+			return nil, false
+		}
+		delete(l.open, evicted)
+	}
+	l.open[c] = true
+	return evicted, true
+}
+
+func (l *listener) remove(c *connection) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+}
+
+// longestWaiting returns the connection that has waited for its caller for the longest
+// time, or nil. The caller holds the mutex.
+func (l *listener) longestWaiting() *connection {
+	now := time.Now()
+	var longest *connection
+	earliest := int64(0)
+	for c := range l.open {
+		if since := c.waitsSince(now); since != 0 && (longest == nil || since < earliest) {
+			longest, earliest = c, since
+		}
+	}
+	return longest
+}
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"log"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -15,10 +14,19 @@
 	Handler        http.Handler
 	HeaderTimeout  time.Duration // longest time to receive the header of a request
 	ReceiveTimeout time.Duration // longest time to receive a whole request; 0 means no limit
+	WriteTimeout   time.Duration // longest time to write a response, unless the handler sets another; 0 means no limit
 	IdleTimeout    time.Duration // longest time between two requests on a connection
 	Log            zerolog.Logger
 }
 
+const (
+	// discardTimeout limits the time in which the rest of a body is read that the handler
+	// has left.
+	discardTimeout = 500 * time.Millisecond
+	// retryAfterSeconds is the Retry-After field of messages for which there is no memory.
+	retryAfterSeconds = "1"
+)
+
 // New returns a server that rejects messages which could be read in two ways, if its
 // listener comes from Listen. The server logs these, and the errors of its connections and
 // handlers.
@@ -30,22 +38,17 @@
 		},
 		ReadHeaderTimeout: config.HeaderTimeout,
 		ReadTimeout:       config.ReceiveTimeout,
+		WriteTimeout:      config.WriteTimeout,
 		IdleTimeout:       config.IdleTimeout,
 		MaxHeaderBytes:    MaxHeader,
 		ConnContext:       withConnection,
+		ConnState:         trackState,
 		ErrorLog: log.New(errorLog{
 			log: config.Log,
 		}, "", 0),
 	}
 }
 
-// Listen wraps a listener so that the messages on its connections are checked.
-func Listen(inner net.Listener) net.Listener {
-	return listener{
-		Listener: inner,
-	}
-}
-
 // errorLog writes the error messages of net/http to the log.
 type errorLog struct {
 	log zerolog.Logger
--- a/internal/relay/memory/budget.go
+++ b/internal/transport/memory/budget.go
@@ -16,12 +16,19 @@
 	ErrTooLarge = errors.ConstError("message exceeds its bound")
 )
 
-// SmallBytes is the size in bytes up to which a message never waits.
-const SmallBytes = 64 << 10
+// SmallBytes is the size in bytes up to which a message never waits, and TinyBytes that up
+// to which it may use the last part of the budget: most requests are no larger, and pass
+// while larger ones of callers that do not finish them hold the rest.
+const (
+	SmallBytes = 64 << 10
+	TinyBytes  = 8 << 10
+)
 
 const (
-	// largeShare is the part of the budget that messages of more than SmallBytes may take,
-	// and holderShare the part of it that those of one holder may take.
+	// untinyShare is the part of the budget that messages of more than TinyBytes may take,
+	// largeShare the part that those of more than SmallBytes may take, and holderShare the
+	// part of the latter for one holder.
+	untinyShare = 15.0 / 16
 	largeShare  = 7.0 / 8
 	holderShare = 1.0 / 2
 	// maxWait is the longest time that a message waits for its length, and maxWaiting the
@@ -149,8 +156,10 @@
 	switch {
 	case size <= l.size:
 		return true
-	case size <= SmallBytes:
+	case size <= TinyBytes:
 		return b.used+size-l.size <= b.limit
+	case size <= SmallBytes:
+		return b.used+size-l.size <= int64(untinyShare*float64(b.limit))
 	}
 	return b.used+size-l.size <= b.largeLimit() && b.large[l.holder]+size-largeSize(l.size) <= b.holderLimit()
 }
--- a/internal/relay/memory/budget_test.go
+++ b/internal/transport/memory/budget_test.go
@@ -16,7 +16,7 @@
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
-	"github.com/nutmegshift/nutmegshift/internal/relay/memory"
+	"github.com/nutmegshift/nutmegshift/internal/transport/memory"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
