Send nothing to a failure domain that operators have evacuated

Change: entries under the evacuation prefix of the store are part of the replica like registrations, so they reach each host in the same time, also one that starts, by a transfer or without the store. Upstreams of such a failure domain have the state Evacuated: requests, stages and proposals of coordinators go elsewhere, and results there are left to expire in place of being released. Restoring takes effect at once.

--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -391,7 +391,8 @@
 }
 
 // release drops results at the upstream that holds them. If the upstream wants no
-// requests, it first waits for the end of that time.
+// requests, it first waits for the end of that time. Results in a failure domain that is
+// evacuated are left to expire, since nothing may be sent there.
 func (c *Coordinator) release(ctx context.Context, release batch.Release) {
 	if pause := c.config.Pauses.Remaining(release.Upstream); pause > 0 {
 		select {
@@ -400,6 +401,9 @@
 			return
 		}
 	}
+	if current, ok := c.config.Fleet().Upstream(release.Upstream.ID); ok && current.State == fleet.Evacuated {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	message, err := c.config.Codec.Release(release.Handles)
--- a/internal/relay/fleet/directory.go
+++ b/internal/relay/fleet/directory.go
@@ -17,6 +17,7 @@
 const (
 	Ready State = iota + 1
 	Draining
+	Evacuated // its failure domain is; it gets no calls of any kind
 )
 
 // Upstream describes a registered upstream.
@@ -87,20 +88,46 @@
 
 // Directory holds the registered upstreams. It is safe for concurrent use.
 type Directory struct {
-	mu       sync.Mutex
-	entries  map[ident.UpstreamID]*entry
-	draining map[ident.UpstreamID]drainMark
-	snapshot *Snapshot // nil after a change
+	mu        sync.Mutex
+	entries   map[ident.UpstreamID]*entry
+	draining  map[ident.UpstreamID]drainMark
+	evacuated map[ident.FailureDomain]bool
+	snapshot  *Snapshot // nil after a change
 }
 
 // New returns an empty directory.
 func New() *Directory {
 	return &Directory{
-		entries:  make(map[ident.UpstreamID]*entry),
-		draining: make(map[ident.UpstreamID]drainMark),
+		entries:   make(map[ident.UpstreamID]*entry),
+		draining:  make(map[ident.UpstreamID]drainMark),
+		evacuated: make(map[ident.FailureDomain]bool),
 	}
 }
 
+// SetEvacuated records whether operators have evacuated a failure domain: its upstreams
+// accept no new work until it is restored. It reports whether that has changed.
+func (d *Directory) SetEvacuated(domain ident.FailureDomain, evacuated bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.evacuated[domain] == evacuated {
+		return false
+	}
+	if evacuated {
+		d.evacuated[domain] = true
+	} else {
+		delete(d.evacuated, domain)
+	}
+	d.snapshot = nil
+	return true
+}
+
+// Evacuated returns the number of failure domains that are evacuated.
+func (d *Directory) Evacuated() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.evacuated)
+}
+
 // MarkDraining records that an incarnation of an upstream drains. The mark holds until
 // the upstream registers with a later one. It reports false if this was known, or a later
 // incarnation is.
@@ -233,7 +260,10 @@
 	}
 	for id, current := range d.entries {
 		upstream := current.Upstream
-		if d.isMarked(upstream) {
+		switch {
+		case d.evacuated[upstream.Domain]:
+			upstream.State = Evacuated
+		case d.isMarked(upstream):
 			upstream.State = Draining
 		}
 		snapshot.all[id] = upstream
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -148,6 +148,9 @@
 			Host: h,
 		},
 	}
+	sinks[platform.Keys.Evacuated] = evacuationSink{
+		Host: h,
+	}
 	h.replica = discovery.NewReplica(sinks, s.Renewal, time.Now, h.maxValue)
 	leaders := duty.New(func(name duty.Name) bool { return !slices.Contains(readerDuties, name) })
 	h.leaders = leaders
@@ -207,6 +210,7 @@
 	h.meter.Gauge("relay_hosts", func() float64 { return float64(h.liveHosts()) })
 	h.meter.Gauge("relay_upstreams", func() float64 { return float64(len(h.fleet.Snapshot().All())) })
 	h.meter.Gauge("relay_upstreams_draining", func() float64 { return float64(h.fleet.MarkedDraining()) })
+	h.meter.Gauge("relay_domains_evacuated", func() float64 { return float64(h.fleet.Evacuated()) })
 	h.meter.Gauge("relay_upstreams_paused", func() float64 { return float64(h.pauses.Count()) })
 	h.meter.Gauge("relay_messages_rejected", func() float64 { return float64(h.memory.Rejected()) })
 	h.meter.Gauge("relay_message_bytes", func() float64 { return float64(h.memory.Used()) })
--- a/internal/relay/host/sinks.go
+++ b/internal/relay/host/sinks.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/kv"
@@ -22,8 +23,14 @@
 	*Host
 }
 
+// evacuationSink follows which failure domains operators have evacuated.
+type evacuationSink struct {
+	*Host
+}
+
 var (
 	_ discovery.Sink = sinks{}
+	_ discovery.Sink = evacuationSink{}
 	_ discovery.Sink = tableSink{}
 	_ discovery.Sink = fleetSink{}
 )
@@ -115,3 +122,21 @@
 	s.fleet.Remove(id, version, until)
 	s.log.Info().Str("upstream", string(id)).Uint64("revision", uint64(version)).Bool("doubtful", !until.IsZero()).Msg("fleet: removed")
 }
+
+// Put implements discovery.Sink.
+func (s evacuationSink) Put(entry kv.Entry) {
+	s.set(entry.Key, entry.Version, true)
+}
+
+// Removed implements discovery.Sink. An evacuation has no owner that could have missed a
+// renewal, so its removal takes effect at once.
+func (s evacuationSink) Removed(key kv.Key, version kv.Version, _ time.Time) {
+	s.set(key, version, false)
+}
+
+func (s evacuationSink) set(key kv.Key, version kv.Version, evacuated bool) {
+	domain := ident.FailureDomain(strings.TrimPrefix(string(key), string(s.platform.Keys.Evacuated)))
+	if s.fleet.SetEvacuated(domain, evacuated) {
+		s.log.Warn().Str("domain", string(domain)).Uint64("revision", uint64(version)).Bool("evacuated", evacuated).Msg("fleet: evacuation of a failure domain changed")
+	}
+}
--- a/internal/relay/wire/wire.go
+++ b/internal/relay/wire/wire.go
@@ -156,6 +156,7 @@
 type Keys struct {
 	Table     kv.Key // the routing table
 	Upstreams kv.Key // prefix of the registrations
+	Evacuated kv.Key // prefix of the failure domains that operators have evacuated; their name follows
 	// MaxRegistration is the size in bytes up to which a registration can be valid.
 	MaxRegistration int
 }
