Limit the requests to upstreams that are cold

Operators state for each service how many requests a second a cold upstream bears (cold_per_s); nothing read it. After an evacuation or an outage of a failure domain all its upstreams are cold and idle at once, so placement chose them first.

Change: the chooser spaces the requests to a cold upstream.

--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -225,6 +225,7 @@
 	c.placements.report(job.Reports)
 	job.ID = batch.JobID(c.lastJob.Add(1))
 	if job.Target.Service != "" {
+		job.Target.Cold = c.coldRate(job.Target.Service)
 		job.Domain = c.config.Chooser.Domain(job.Target, c.config.Fleet())
 	}
 	ticket := &Ticket{
@@ -255,6 +256,19 @@
 	}
 }
 
+// coldRate returns the limit of requests to cold upstreams of a service.
+func (c *Coordinator) coldRate(name ident.ServiceName) placement.ColdRate {
+	table := c.config.Table()
+	if table == nil {
+		return 0
+	}
+	service := table.Service(name)
+	if service == nil {
+		return 0
+	}
+	return placement.CoordinatorColdRate(service.ColdRate)
+}
+
 // Wait waits for the results of the job, and cancels the job when the context is done.
 // It returns an error of package batch, ErrStopped or the error of the context.
 func (t *Ticket) Wait(ctx context.Context) (Prepared, error) {
--- a/internal/relay/fleet/directory.go
+++ b/internal/relay/fleet/directory.go
@@ -29,8 +29,10 @@
 	Release  string // version of its software
 	Slots    int    // number of requests that it runs concurrently
 	State    State
-	ColdLeft time.Duration     // remaining cold-start time, in which it is slow, as of the registration
-	Started  ident.Incarnation // start time of its process in Unix milliseconds
+	ColdLeft time.Duration // remaining cold-start time, in which it is slow, as of the registration
+	// ColdUntil is when the upstream stops being cold; zero if it is not cold.
+	ColdUntil time.Time
+	Started   ident.Incarnation // start time of its process in Unix milliseconds
 }
 
 // Registration is an upstream with the store version of its entry.
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -221,6 +221,7 @@
 		Prompt:  e.head.Prompt,
 		Shared:  e.affinity(),
 		Exclude: make(map[ident.UpstreamID]bool, len(e.tried)),
+		Cold:    placement.HostColdRate(e.service.ColdRate, e.config.Hosts()),
 	}
 	for _, id := range e.tried {
 		query.Exclude[id] = true
--- a/internal/relay/host/sinks.go
+++ b/internal/relay/host/sinks.go
@@ -108,6 +108,9 @@
 		s.log.Info().Err(err).Msg("fleet: registration not valid, the upstream is not used")
 		return
 	}
+	if upstream.ColdLeft > 0 {
+		upstream.ColdUntil = time.Now().Add(upstream.ColdLeft)
+	}
 	if s.fleet.Put(fleet.Registration{
 		Upstream: upstream,
 		Version:  entry.Version,
--- a/internal/relay/placement/chooser.go
+++ b/internal/relay/placement/chooser.go
@@ -31,6 +31,7 @@
 	Prompt  wire.Prompt         // zero value if the request has none
 	Shared  SharedPrefix
 	Exclude map[ident.UpstreamID]bool // upstreams that must not be chosen
+	Cold    ColdRate                  // limit of requests to cold upstreams
 }
 
 // SharedPrefix is the prefix of a prompt that other requests share.
@@ -69,6 +70,7 @@
 	measuredAt   time.Time     // time of the latest pace
 	backoff      time.Duration // length of the last failure backoff; 0 after a success
 	backoffUntil time.Time     // end of the current backoff
+	nextCold     time.Time     // when the upstream may get the next request while it is cold; zero before the first
 }
 
 // Chooser chooses upstreams; it is safe for concurrent use.
@@ -117,6 +119,7 @@
 	if !ok {
 		return nil, false
 	}
+	c.recordCold(now, query.Cold, best.ColdUntil, c.state(best.Upstream))
 	placed := c.assign(now, best.Upstream, prompt, best.fresh)
 	if best.fetched > 0 {
 		placed.Cache = source
@@ -191,7 +194,7 @@
 	}
 	lowest := 0.0
 	for i, upstream := range p.upstreams {
-		if query.Exclude[upstream.ID] {
+		if query.Exclude[upstream.ID] || c.coldFull(now, query.Cold, upstream.ColdUntil, p.states[i]) {
 			continue
 		}
 		current := candidate{
--- a/internal/relay/routes/routes.go
+++ b/internal/relay/routes/routes.go
@@ -101,6 +101,7 @@
 	Name        ident.ServiceName
 	HealthPath  string
 	Connections int     // maximum number of connections from all hosts to one upstream; 0 means no limit
+	ColdRate    float64 // requests per second from all hosts that a cold upstream bears; 0 means no limit
 	Engine      *Engine // nil unless the upstreams are model engines
 	Batch       *Batch  // nil unless the upstreams run stages
 }
