Hedge idempotent requests whose upstream takes unusually long

Callers saw: a lookup waited for a slow upstream, or for a response that had been lost, until its time-out, although another upstream was idle.

Change: a request that may run more than once is sent to a second upstream once it has taken longer than 95% of the recent responses of its service; the first final response is delivered and the other attempt is cancelled.

--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -24,6 +24,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/forward"
+	"github.com/nutmegshift/nutmegshift/internal/relay/hedge"
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
@@ -278,6 +279,11 @@
 
 // startN starts a fixture with a number of upstreams.
 func startN(t *testing.T, count int, responses ...scriptedResponse) *fixture {
+	return startWith(t, count, 0, responses...)
+}
+
+// startWith starts a fixture with a number of upstreams and a share of hedges.
+func startWith(t *testing.T, count int, hedges float64, responses ...scriptedResponse) *fixture {
 	f := &fixture{
 		upstreams: &upstreams{
 			responses: responses,
@@ -324,6 +330,10 @@
 		Client:     client,
 		Chooser:    placement.New(func() time.Time { return time.Now().Add(time.Duration(f.elapsed.Load())) }, rand.Float64),
 		Popularity: placement.NewPopularity(),
+		Hedges: hedge.New(hedge.Config{
+			Share: hedges,
+			Now:   time.Now,
+		}),
 		Poison: poison.NewTable(poison.Config{
 			Host:      "here",
 			Now:       time.Now,
--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -14,6 +14,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/budget"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/hedge"
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
@@ -64,6 +65,7 @@
 	Chooser    *placement.Chooser
 	Popularity *placement.Popularity
 	Budget     *budget.Budget
+	Hedges     *hedge.Policy
 	Poison     *poison.Table
 	Memory     *memory.Budget // of the bodies of requests and responses
 	Stager     Stager
--- a/internal/relay/forward/plain.go
+++ b/internal/relay/forward/plain.go
@@ -41,20 +41,21 @@
 		if !ok {
 			break
 		}
-		buffered, err := e.attempt(placed)
-		switch {
-		case err == nil && buffered.response.Reply.NotRun:
-			buffered.release()
-		case err == nil:
-			e.ran++
-			last.release()
-			last = buffered
-			if buffered.isFinal() {
-				e.deliver(buffered)
+		for _, result := range e.attemptHedged(placed) {
+			switch {
+			case result.err == nil && result.buffered.response.Reply.NotRun:
+				result.buffered.release()
+			case result.err == nil:
+				e.ran++
+				last.release()
+				last = result.buffered
+			case errors.Is(result.err, upstreamhttp.ErrLost):
+				e.ran++
+			}
+			if result.isFinal() {
+				e.deliver(result.buffered)
 				return
 			}
-		case errors.Is(err, upstreamhttp.ErrLost):
-			e.ran++
 		}
 	}
 	e.conclude(last)
@@ -132,6 +133,9 @@
 	default:
 		pace = latency
 	}
+	if ending == placement.Served && e.route.Idempotent() {
+		e.config.Hedges.Observe(e.service.Name, e.config.Now().Sub(started))
+	}
 	e.recordCall(placed, ending, latency, pace)
 	return buffered, nil
 }
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -22,6 +22,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/forward"
 	"github.com/nutmegshift/nutmegshift/internal/relay/grpcrelay"
+	"github.com/nutmegshift/nutmegshift/internal/relay/hedge"
 	"github.com/nutmegshift/nutmegshift/internal/relay/logging"
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
@@ -177,6 +178,10 @@
 			Window:    s.Window,
 			Hosts:     h.liveHosts,
 		}),
+		Hedges: hedge.New(hedge.Config{
+			Share: s.HedgeShare,
+			Now:   time.Now,
+		}),
 		Poison: h.poison,
 		Memory: h.memory,
 		Meter:  h.meter,
--- a/internal/relay/meter/meter.go
+++ b/internal/relay/meter/meter.go
@@ -75,6 +75,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`relay_repeats_total{service=%q,allowed="%t"}`, service, allowed)).Inc()
 }
 
+// Hedge counts a request that was sent to a second upstream because the first one took
+// unusually long, and whether the second one responded first.
+func (m *Meter) Hedge(service ident.ServiceName, won bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`relay_hedges_total{service=%q,won="%t"}`, service, won)).Inc()
+}
+
 // Batch counts a call with items of a stage, and records its size and duration.
 func (m *Meter) Batch(service ident.ServiceName, result Result, items int, took time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`relay_batches_total{service=%q,result=%q}`, service, result)).Inc()
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -1,9 +1,12 @@
 package settings
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/nutmegshift/nutmegshift/ident"
 )
 
@@ -30,6 +33,7 @@
 	RetryShare   float64       // calls to upstreams that are retries, as a share of the requests to a service
 	Allowance    float64       // retries per Window that all hosts together may make on top of RetryShare
 	Window       time.Duration // over which retries are counted
+	HedgeShare   float64       // requests sent to a second upstream because the first one is slow, as a share of the requests; 0 means none
 	Pause        time.Duration // longest time for which an upstream may ask this host for no requests
 	Grace        time.Duration // longest graceful shutdown
 	Level        string        // lowest level that is logged
@@ -189,6 +193,14 @@
 		help:         "time over which repeats are counted",
 		set:          func(s *Relay, v string) error { return setDuration(&s.Window, v) },
 	},
+	{
+		section:      "repeats",
+		key:          "hedges",
+		unit:         "ratio",
+		defaultValue: "0",
+		help:         "requests that are sent to a second upstream because the first one is slow, as a share of the requests",
+		set:          func(s *Relay, v string) error { return setRatio(&s.HedgeShare, v) },
+	},
 	{
 		section:      "upstreams",
 		key:          "pause",
@@ -268,3 +280,13 @@
 	}
 	return nil
 }
+
+// setRatio parses a number from 0 to 1.
+func setRatio(to *float64, value string) error {
+	parsed, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(parsed >= 0 && parsed <= 1) {
+		return errors.New("expected a number from 0 to 1")
+	}
+	*to = parsed
+	return nil
+}
