Check a routing table before it is published

Operators could not see before publishing a table that a route never matches, that it refers to a service which does not exist, that limits contradict each other, or what differs from the table in force: hosts accept such tables, and requests fail later.

nutmegshift table check prints these as errors, warnings and changes, and exits with 1 if there is an error. It compares with a file or with the table in the store. Keys are counted and never printed.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -20,6 +20,7 @@
 			entryCommand(),
 			relayCommand(),
 			configCommand(),
+			tableCommand(),
 			orderCommand(),
 			statusCommand(),
 			timelineCommand(),
--- a/internal/relay/routes/table.go
+++ b/internal/relay/routes/table.go
@@ -12,12 +12,14 @@
 type Table struct {
 	Version        Version
 	Limits         Limits
+	list           []*Route            // in the order of the table
 	routes         map[string][]*Route // by host name
 	services       map[ident.ServiceName]*Service
 	organisations  map[Key]*Organisation
-	organised      bool // has organisations
-	listsNone      bool // has a list of organisations, which is empty
-	lowestPriority int  // priority of the least urgent organisation
+	parties        []*Organisation // in the order of the table
+	organised      bool            // has organisations
+	listsNone      bool            // has a list of organisations, which is empty
+	lowestPriority int             // priority of the least urgent organisation
 }
 
 // New returns a table of the given parts, which the caller must not modify afterwards. A
@@ -26,9 +28,11 @@
 	t := &Table{
 		Version:       version,
 		Limits:        limits,
+		list:          routes,
 		routes:        make(map[string][]*Route),
 		services:      make(map[ident.ServiceName]*Service, len(services)),
 		organisations: make(map[Key]*Organisation),
+		parties:       organisations,
 		organised:     len(organisations) > 0,
 		listsNone:     organisations != nil && len(organisations) == 0,
 	}
@@ -65,6 +69,17 @@
 	return best
 }
 
+// Routes returns the routes in the order of the table; the caller must not modify the slice.
+func (t *Table) Routes() []*Route {
+	return t.list
+}
+
+// Organisations returns the organisations in the order of the table; the caller must not
+// modify the slice.
+func (t *Table) Organisations() []*Organisation {
+	return t.parties
+}
+
 // Organisation returns the organisation that a key belongs to, or nil.
 func (t *Table) Organisation(key Key) *Organisation {
 	return t.organisations[key]
