Let requests wait for the first routing table of a host

A request now waits up to 0.3 s for the first table, and is refused as before if none is known by then.

--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -29,6 +29,10 @@
 	// defaultRetryAfter is the Retry-After time if the host lacks a resource, such as a
 	// routing table or an upstream.
 	defaultRetryAfter = time.Second
+	// tableWait is how long a request waits for the first routing table. A host that has
+	// just started obtains it within this time unless the store and the other hosts are
+	// unavailable; a caller that is refused comes back after defaultRetryAfter only.
+	tableWait = 300 * time.Millisecond
 	// fullRetryAfter is the Retry-After time if all upstreams were full. Requests take a
 	// fraction of this time, so some will have ended by then.
 	fullRetryAfter = 500 * time.Millisecond
@@ -181,7 +185,7 @@
 		e.reject(http.StatusBadRequest, "request has no id")
 		return false
 	}
-	e.table = e.config.Routes.Table()
+	e.table = e.config.Routes.Await(e.ctx, tableWait)
 	if e.table == nil {
 		e.refuse("no routing table is known", defaultRetryAfter)
 		return false
--- a/internal/relay/routes/holder.go
+++ b/internal/relay/routes/holder.go
@@ -1,12 +1,20 @@
 package routes
 
-import "sync/atomic"
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+)
 
 // Holder stores the table in force; it is safe for concurrent use. The zero value has no
 // table.
 type Holder struct {
 	table     atomic.Pointer[Table]
 	organised atomic.Bool // an earlier table had organisations
+
+	mu    sync.Mutex
+	first chan struct{} // closed once there is a table; nil until somebody waits for it
 }
 
 // Table returns the table in force, or nil before the first one.
@@ -14,6 +22,54 @@
 	return h.table.Load()
 }
 
+// Await returns the table in force. Before the first one it waits for it, up to the given
+// time or until ctx ends, and returns nil if there is none by then.
+func (h *Holder) Await(ctx context.Context, limit time.Duration) *Table {
+	if table := h.Table(); table != nil {
+		return table
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-h.firstTable():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return h.Table()
+}
+
+// firstTable returns a channel that is closed once there is a table.
+func (h *Holder) firstTable() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.first == nil {
+		h.first = make(chan struct{})
+		h.closeFirst()
+	}
+	return h.first
+}
+
+// announceFirst wakes those that wait for the first table.
+func (h *Holder) announceFirst() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.first != nil {
+		h.closeFirst()
+	}
+}
+
+// closeFirst closes the channel if there is a table and it is still open. The caller holds
+// the mutex.
+func (h *Holder) closeFirst() {
+	select {
+	case <-h.first:
+	default:
+		if h.Table() != nil {
+			close(h.first)
+		}
+	}
+}
+
 // Offer replaces the table in force if the given table is newer, and reports whether it
 // did.
 func (h *Holder) Offer(table *Table) bool {
@@ -25,9 +81,13 @@
 		if current != nil && current.Version >= table.Version {
 			return false
 		}
-		if h.table.CompareAndSwap(current, table) {
-			return true
+		if !h.table.CompareAndSwap(current, table) {
+			continue
+		}
+		if current == nil {
+			h.announceFirst()
 		}
+		return true
 	}
 }
 
