Keep requests in the regions of their route and organisation

The table of the shifted deployments can bind routes and organisations to regions; the decoder dropped that, so a request could run anywhere. No deployment of the users states it yet.

Change: placement excludes upstreams whose region is not among those of the route and, if both state some, of the organisation; a coordinator's proposal outside of them is not used. The settings name the region of each failure domain. Stage calls are not bound, since they carry no body and the rule speaks of requests.

--- a/internal/relay/fleet/directory.go
+++ b/internal/relay/fleet/directory.go
@@ -26,8 +26,9 @@
 	Service  ident.ServiceName
 	Address  ident.Address
 	Domain   ident.FailureDomain
-	Release  string // version of its software
-	Slots    int    // number of requests that it runs concurrently
+	Region   ident.Region // empty if not known
+	Release  string       // version of its software
+	Slots    int          // number of requests that it runs concurrently
 	State    State
 	ColdLeft time.Duration // remaining cold-start time, in which it is slow, as of the registration
 	// ColdUntil is when the upstream stops being cold; zero if it is not cold.
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -223,6 +223,12 @@
 		Exclude: make(map[ident.UpstreamID]bool, len(e.tried)),
 		Cold:    placement.HostColdRate(e.service.ColdRate, e.config.Hosts()),
 	}
+	if len(e.route.Homes) > 0 {
+		query.Homes = append(query.Homes, e.route.Homes)
+	}
+	if e.organisation != nil && len(e.organisation.Homes) > 0 {
+		query.Homes = append(query.Homes, e.organisation.Homes)
+	}
 	for _, id := range e.tried {
 		query.Exclude[id] = true
 	}
--- a/internal/relay/host/sinks.go
+++ b/internal/relay/host/sinks.go
@@ -108,6 +108,7 @@
 		s.log.Info().Err(err).Msg("fleet: registration not valid, the upstream is not used")
 		return
 	}
+	upstream.Region = s.settings.Regions[upstream.Domain]
 	if upstream.ColdLeft > 0 {
 		upstream.ColdUntil = time.Now().Add(upstream.ColdLeft)
 	}
--- a/internal/relay/placement/chooser.go
+++ b/internal/relay/placement/chooser.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,21 @@
 	Shared  SharedPrefix
 	Exclude map[ident.UpstreamID]bool // upstreams that must not be chosen
 	Cold    ColdRate                  // limit of requests to cold upstreams
+	Homes   [][]ident.Region          // lists of regions, each of which must have the upstream's
+}
+
+// allows reports whether an upstream may be chosen. If there are homes, one whose region is
+// not known may not.
+func (q Query) allows(upstream fleet.Upstream) bool {
+	if q.Exclude[upstream.ID] {
+		return false
+	}
+	for _, homes := range q.Homes {
+		if !slices.Contains(homes, upstream.Region) {
+			return false
+		}
+	}
+	return true
 }
 
 // SharedPrefix is the prefix of a prompt that other requests share.
@@ -130,13 +146,13 @@
 // PlaceAt is like Choose for an upstream that a chooser which knows the requests of
 // all hosts has chosen. The upstream fetches prompt tokens from cache, which may be
 // empty. PlaceAt returns false if this host finds the upstream unusable: it is not
-// registered, excluded, or in backoff.
+// registered, not allowed, or in backoff.
 func (c *Chooser) PlaceAt(query Query, id, cache ident.UpstreamID, snapshot *fleet.Snapshot) (*Placed, bool) {
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	upstream, ok := snapshot.Upstream(id)
-	if !ok || !snapshot.Accepts(upstream) || query.Exclude[id] || now.Before(c.state(upstream).backoffUntil) {
+	if !ok || !snapshot.Accepts(upstream) || !query.allows(upstream) || now.Before(c.state(upstream).backoffUntil) {
 		return nil, false
 	}
 	prompt := promptPrefixes(query.Prompt)
@@ -194,7 +210,7 @@
 	}
 	lowest := 0.0
 	for i, upstream := range p.upstreams {
-		if query.Exclude[upstream.ID] || c.coldFull(now, query.Cold, upstream.ColdUntil, p.states[i]) {
+		if !query.allows(upstream) || c.coldFull(now, query.Cold, upstream.ColdUntil, p.states[i]) {
 			continue
 		}
 		current := candidate{
--- a/internal/relay/routes/routes.go
+++ b/internal/relay/routes/routes.go
@@ -62,14 +62,15 @@
 	Kind      Kind
 	Shares    []Share
 	Stages    []Stage
-	Timeout   time.Duration // maximum duration of a request
-	Objective time.Duration // target for the time to the response or, in a stream, to its first event
-	MaxPause  time.Duration // target for the time between events of a stream
-	Attempts  int           // maximum number of upstreams that may run one request
-	Priority  int           // 0 is the most urgent
-	Public    bool          // requests need no key
-	Resumable bool          // a stream may be resumed at another upstream
-	Generates bool          // requests describe a prompt for a model
+	Timeout   time.Duration  // maximum duration of a request
+	Objective time.Duration  // target for the time to the response or, in a stream, to its first event
+	MaxPause  time.Duration  // target for the time between events of a stream
+	Attempts  int            // maximum number of upstreams that may run one request
+	Priority  int            // 0 is the most urgent
+	Public    bool           // requests need no key
+	Resumable bool           // a stream may be resumed at another upstream
+	Homes     []ident.Region // regions in which requests may run; empty means all
+	Generates bool           // requests describe a prompt for a model
 }
 
 // Idempotent reports whether a request of the route may run more than once.
@@ -110,8 +111,9 @@
 type Organisation struct {
 	Name        ident.OrganisationID
 	Keys        []Key
-	Priority    int  // 0 is the most urgent
-	HasPriority bool // if false, Priority is ignored
+	Priority    int            // 0 is the most urgent
+	HasPriority bool           // if false, Priority is ignored
+	Homes       []ident.Region // regions in which its requests may run; empty means all
 }
 
 // Limits are the limits on callers' connections and requests.
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -16,11 +16,12 @@
 	Host         ident.HostID
 	Domain       ident.FailureDomain
 	Region       ident.Region
-	Callers      ident.Address   // port for callers
-	Ready        ident.Address   // port at which the load balancer checks readiness
-	Peers        ident.Address   // port for other hosts
-	Advertise    ident.Address   // address at which other hosts reach the port for peers
-	Seeds        []ident.Address // addresses of other hosts' peer ports; may be out of date
+	Regions      map[ident.FailureDomain]ident.Region // of all failure domains; may be empty
+	Callers      ident.Address                        // port for callers
+	Ready        ident.Address                        // port at which the load balancer checks readiness
+	Peers        ident.Address                        // port for other hosts
+	Advertise    ident.Address                        // address at which other hosts reach the port for peers
+	Seeds        []ident.Address                      // addresses of other hosts' peer ports; may be out of date
 	Metrics      ident.Address
 	Processor    float64       // cores of this host; 0.5 is half a core
 	Memory       float64       // memory of this host, in megabytes
@@ -62,6 +63,14 @@
 		help:    "region of this host",
 		set:     func(s *Relay, v string) error { return setName(&s.Region, v) },
 	},
+	{
+		section:      "host",
+		key:          "regions",
+		unit:         "domain:region,...",
+		defaultValue: "none",
+		help:         "region of each failure domain, for routes and organisations that are bound to regions",
+		set:          func(s *Relay, v string) error { return setRegions(&s.Regions, v) },
+	},
 	{
 		section: "host",
 		key:     "callers",
@@ -290,3 +299,29 @@
 	*to = parsed
 	return nil
 }
+
+// setRegions parses a comma-separated list of failure domains with their regions; "none" is
+// the empty list, and empty parts are ignored.
+func setRegions(to *map[ident.FailureDomain]ident.Region, value string) error {
+	*to = make(map[ident.FailureDomain]ident.Region)
+	if value == "none" {
+		return nil
+	}
+	for field := range strings.SplitSeq(value, ",") {
+		field = strings.TrimSpace(field)
+		if field == "" {
+			continue
+		}
+		name, text, _ := strings.Cut(field, ":")
+		var domain ident.FailureDomain
+		if err := setName(&domain, name); err != nil {
+			return err
+		}
+		var region ident.Region
+		if err := setName(&region, text); err != nil {
+			return err
+		}
+		(*to)[domain] = region
+	}
+	return nil
+}
