Evacuate failure domains in the soak

The soak did not know evacuations. A new step evacuates one of the two failure domains until all hosts must know of it, and longer; nothing may run there meanwhile, unless another fault happened around the hosts.

--- a/internal/system/soak_cluster_test.go
+++ b/internal/system/soak_cluster_test.go
@@ -86,6 +86,8 @@
 
 	publishMu sync.Mutex // held while a routing table is written, so that versions are stored in order
 
+	evacuations evacuations
+
 	deadlyShare atomic.Int64 // share of the prompts that have the deadly part, in percent
 
 	mu           sync.Mutex
@@ -452,6 +454,8 @@
 		c.publishTable(func(v *tableVersion) { v.revoked = true })
 		time.Sleep(s.For)
 		c.publishTable(func(v *tableVersion) { v.revoked = false })
+	case evacuate:
+		c.evacuate(s)
 	case replace, withdraw:
 		c.replaceUpstream(slot, s.Action == replace)
 	case stop:
--- a/internal/system/soak_plan_test.go
+++ b/internal/system/soak_plan_test.go
@@ -44,6 +44,7 @@
 	muteUpstream        action = "mute"          // open connections to an upstream carry no data any more; new ones work
 	resetUpstream       action = "reset"         // resets the open connections to an upstream
 	repeatResponses     action = "repeating"     // a slow upstream writes responses once more when the next request arrives
+	evacuate            action = "evacuate"      // an operator evacuates a failure domain, later restores it
 	deadlyPart          action = "deadly part"   // callers send prompts with a part that crashes engines
 )
 
@@ -51,7 +52,7 @@
 	publish, revoke, revokeAll, replace, withdraw, stop, reload, kill, killAll, pause,
 	storeDown, storeSlow, storeDropsResponses, storeCompacts,
 	cutStore, cutPeers, slowPeers, resetPeers,
-	failRequests, dropResponses, rejectRequests, truncateStreams, crashUpstream, cutUpstream, muteUpstream, resetUpstream, repeatResponses, deadlyPart,
+	failRequests, dropResponses, rejectRequests, truncateStreams, crashUpstream, cutUpstream, muteUpstream, resetUpstream, repeatResponses, deadlyPart, evacuate,
 }
 
 // planned reports whether the action is planned work, which must not make any
--- a/internal/system/soak_test.go
+++ b/internal/system/soak_test.go
@@ -152,8 +152,13 @@
 // faultFree reports whether no step other than planned work was in progress between
 // the two times or within faultEffectTime before them.
 func (c *checker) faultFree(from, to time.Time) bool {
+	return c.undisturbed(from, to, "")
+}
+
+// undisturbed is like faultFree, but ignores steps with one action.
+func (c *checker) undisturbed(from, to time.Time, ignored action) bool {
 	for _, s := range c.steps {
-		if !s.Action.planned() && s.start.Before(to) && s.end.Add(faultEffectTime).After(from) {
+		if !s.Action.planned() && s.Action != ignored && s.start.Before(to) && s.end.Add(faultEffectTime).After(from) {
 			return false
 		}
 	}
@@ -180,6 +185,7 @@
 	c.checkRuns(byID)
 	c.checkVersions()
 	c.checkDrains()
+	c.checkEvacuations()
 	c.checkDeadlyPart()
 	c.checkRecovery(recovered, loadEnd)
 }
