Log the registrations of a first listing in one line

The line of the listing says the same. Such lines are at level debug now; later registrations are logged as before.

--- a/internal/relay/host/sinks.go
+++ b/internal/relay/host/sinks.go
@@ -4,6 +4,8 @@
 	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
@@ -116,8 +118,18 @@
 		Upstream: upstream,
 		Version:  entry.Version,
 	}) {
-		s.log.Info().Str("upstream", string(upstream.ID)).Str("service", string(upstream.Service)).Str("address", string(upstream.Address)).Uint8("state", uint8(upstream.State)).Uint64("revision", uint64(entry.Version)).Msg("fleet: registered")
+		s.registrationLine().Str("upstream", string(upstream.ID)).Str("service", string(upstream.Service)).Str("address", string(upstream.Address)).Uint8("state", uint8(upstream.State)).Uint64("revision", uint64(entry.Version)).Msg("fleet: registered")
+	}
+}
+
+// registrationLine begins the log line of a registration. While the first listing or transfer
+// is applied, it is one of hundreds that the line of that listing stands for: writing them
+// takes a small host longer than all else between its start and its first request.
+func (s fleetSink) registrationLine() *zerolog.Event {
+	if s.replica.Cursor() == 0 {
+		return s.log.Debug()
 	}
+	return s.log.Info()
 }
 
 // Removed implements discovery.Sink.
