Keep one coordinator when all hosts restart or it is suspected

Callers saw: after a power failure, hosts whose first two candidates refused connections scheduled stages themselves, beside each other. A coordinator that the membership merely suspected lost all its jobs and was replaced with a higher term.

Change: cell.situation decides without input or output where a job goes: to the first of four candidates that is not lost, the leader first. A host that has just started waits for the first candidate within the slack of the job, and refuses the job afterwards (ErrNoCoordinator). It schedules alone only if it knows no other live host, or if no candidate has responded for 2 s, and logs that once. duty.Responses records the messages of other hosts. A suspected leader with a message within 0.6 s keeps its duty and its jobs; one that has been quiet is asked by the next job first. The term is 0 until a follower has a message of the leader, and a leader that was never heard is replaced without a higher term. grpcrelay.Client connects again before the backoff of a failed connection ends.

Tests: TestSkipsUnresponsiveHosts expected two attempts and then local scheduling; it now expects four attempts, since a job with stages must no longer run locally beside live hosts (TestPrepareWithoutCoordinator).

Not measured on a deployment.

--- a/internal/relay/cell/cell_test.go
+++ b/internal/relay/cell/cell_test.go
@@ -30,11 +30,11 @@
 	table *peer.Table
 }
 
-func newMembers(self ident.HostID, others ...peer.Row) *members {
+func newMembers(others ...peer.Row) *members {
 	m := &members{
 		table: peer.NewTable(peer.Row{
-			Host:     self,
-			Address:  ident.Address(self),
+			Host:     "self",
+			Address:  "self",
 			Capacity: 0.4,
 		}),
 	}
@@ -127,6 +127,14 @@
 	reports []coordinator.Report // of the last job
 }
 
+// work returns a job with a stage that has an objective.
+func work(objective time.Duration) coordinator.Job {
+	w := job()
+	w.Objective = time.Now().Add(objective)
+	w.Stages = []batch.Stage{{Service: "stage", Pieces: 1}}
+	return w
+}
+
 // job returns a job without stages and with a deadline that is far ahead.
 func job() coordinator.Job {
 	return coordinator.Job{
@@ -141,7 +149,7 @@
 	cancel chan struct{}
 }
 
-func (r *remote) Submit(_ context.Context, to ident.Address, _ cell.ID, job coordinator.Job) (cell.Ticket, error) {
+func (r *remote) Submit(_ context.Context, to ident.Address, _ cell.ID, job coordinator.Job, _ time.Duration) (cell.Ticket, error) {
 	r.asked = append(r.asked, to)
 	r.reports = job.Reports
 	if err := r.submit[to]; err != nil {
@@ -186,6 +194,7 @@
 		wait   []func() (coordinator.Prepared, error) // results of Wait, in the order of the hosts
 		leaves bool                                   // the first host leaves while it has the job
 		dies   bool                                   // the first host stops responding while it has the job
+		busy   bool                                   // the first host is suspected, but still responds
 		asked  int                                    // hosts that get the job
 		err    error
 		local  bool // this host coordinates the job
@@ -195,6 +204,8 @@
 		"first loses it":        {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){lost, done}, asked: 2},
 		"first leaves":          {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){slow, done}, leaves: true, asked: 1},
 		"first dies":            {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){nil, done}, dies: true, asked: 2},
+		"first is only busy":    {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){slow, done}, dies: true, busy: true, asked: 1},
+		"first is silent":       {submit: []error{cell.ErrSilent, nil}, wait: []func() (coordinator.Prepared, error){nil, done}, asked: 2},
 		"first refuses":         {submit: []error{batch.ErrOverload, nil}, wait: []func() (coordinator.Prepared, error){nil, done}, asked: 1, err: batch.ErrOverload},
 		"first fails":           {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){fails, done}, asked: 1, err: batch.ErrFailed},
 		"none answers":          {submit: []error{cell.ErrUnreachable, cell.ErrUnreachable}, wait: []func() (coordinator.Prepared, error){nil, nil}, asked: 2, local: true},
@@ -203,8 +214,9 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
-			m := newMembers("self", row("a"), row("b"))
-			leaders := duty.New(func(duty.Name) bool { return true })
+			m := newMembers(row("a"), row("b"))
+			responses := duty.NewResponses(time.Now)
+			leaders := duty.New(func(duty.Name) bool { return true }, responses)
 			order := names(leaders.Candidates(cell.ID("").Duty(), m.table.Snapshot()))
 			r := &remote{
 				submit: make(map[ident.Address]error),
@@ -214,10 +226,28 @@
 				r.submit[ident.Address(order[i])] = err
 				r.wait[ident.Address(order[i])] = test.wait[i]
 			}
-			stager := newStager(c, m, leaders, r, time.Now)
+			stager := newStager(c, m, leaders, responses, r, time.Now)
 			if test.leaves {
 				time.AfterFunc(50*time.Millisecond, func() { m.leave(order[0]) })
 			}
+			if test.busy {
+				heard := time.NewTicker(50 * time.Millisecond)
+				defer heard.Stop()
+				ended := make(chan struct{})
+				defer func() { <-ended }()
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go func(ctx context.Context) {
+					defer close(ended)
+					for ctx.Err() == nil {
+						select {
+						case <-heard.C:
+							responses.Heard(order[0])
+						case <-ctx.Done():
+						}
+					}
+				}(ctx)
+			}
 			if test.dies {
 				time.AfterFunc(50*time.Millisecond, func() { m.suspect(order[0]) })
 			}
@@ -234,7 +264,7 @@
 }
 
 // newStager returns the stager of a host with a coordinator for the cell of all upstreams.
-func newStager(c *qt.C, m *members, leaders *duty.Leaders, remote cell.Remote, now func() time.Time) *cell.Stager {
+func newStager(c *qt.C, m *members, leaders *duty.Leaders, responses *duty.Responses, remote cell.Remote, now func() time.Time) *cell.Stager {
 	local := coordinator.New(coordinator.Config{
 		Table:    func() *routes.Table { return routes.New(1, routes.Limits{}, nil, nil, nil) },
 		Fleet:    fleet.New().Snapshot,
@@ -251,15 +281,18 @@
 		c.Check(<-ended, qt.IsNil)
 	})
 	return cell.New(cell.Config{
-		Self:    "self",
-		Hosts:   m.table.Snapshot,
-		Leaders: leaders,
-		Table:   func() *routes.Table { return routes.New(1, routes.Limits{}, nil, nil, nil) },
-		Fleet:   fleet.New().Snapshot,
-		Local:   func(cell.ID) *coordinator.Coordinator { return local },
-		Remote:  remote,
-		Now:     now,
-		Log:     zerolog.Nop(),
+		Self:      "self",
+		Started:   now().Add(-time.Minute),
+		Hosts:     m.table.Snapshot,
+		Leaders:   leaders,
+		Responses: responses,
+		Table:     func() *routes.Table { return routes.New(1, routes.Limits{}, nil, nil, nil) },
+		Fleet:     fleet.New().Snapshot,
+		Local:     func(cell.ID) *coordinator.Coordinator { return local },
+		Remote:    remote,
+		Now:       now,
+		Random:    func() float64 { return 0 },
+		Log:       zerolog.Nop(),
 	})
 }
 
@@ -268,8 +301,9 @@
 func TestSkipsUnresponsiveHosts(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(0, 0)
-	m := newMembers("self", row("a"), row("b"), row("c"), row("d"))
-	leaders := duty.New(func(duty.Name) bool { return true })
+	m := newMembers(row("a"), row("b"), row("c"), row("d"))
+	responses := duty.NewResponses(func() time.Time { return now })
+	leaders := duty.New(func(duty.Name) bool { return true }, responses)
 	var order []ident.Address
 	for _, host := range names(leaders.Candidates(cell.ID("").Duty(), m.table.Snapshot())) {
 		order = append(order, ident.Address(host))
@@ -282,21 +316,20 @@
 		r.submit[address] = cell.ErrUnreachable
 		r.wait[address] = func() (coordinator.Prepared, error) { return coordinator.Prepared{}, nil }
 	}
-	stager := newStager(c, m, leaders, r, func() time.Time { return now })
+	stager := newStager(c, m, leaders, responses, r, func() time.Time { return now })
 	asked := func() []ident.Address {
 		r.asked = nil
 		_, err := stager.Prepare(t.Context(), job())
 		c.Assert(err, qt.IsNil)
 		return r.asked
 	}
-	c.Check(asked(), qt.DeepEquals, order[:2])
-	c.Check(asked(), qt.DeepEquals, order[2:4], qt.Commentf("the first two have not responded"))
+	c.Check(asked(), qt.DeepEquals, order[:4])
 	c.Check(asked(), qt.HasLen, 0, qt.Commentf("no host responds"))
 	now = now.Add(2 * time.Second)
 	for _, address := range order[1:] {
 		r.submit[address] = nil
 	}
-	c.Check(asked(), qt.DeepEquals, order[:2], qt.Commentf("tried again after the avoid period"))
+	c.Check(asked(), qt.DeepEquals, order[:2], qt.Commentf("tried again after the loss period"))
 	c.Check(asked(), qt.DeepEquals, order[1:2])
 	r.submit[order[0]] = nil
 	now = now.Add(2 * time.Second)
@@ -304,12 +337,38 @@
 	c.Check(asked(), qt.DeepEquals, order[:1], qt.Commentf("the first host has responded"))
 }
 
+// Guards against a host that schedules beside other live hosts because its first
+// candidates do not respond, and against requests that wait although they are late.
+func TestPrepareWithoutCoordinator(t *testing.T) {
+	c := qt.New(t)
+	m := newMembers(row("a"), row("b"), row("c"), row("d"), row("e"))
+	responses := duty.NewResponses(time.Now)
+	leaders := duty.New(func(duty.Name) bool { return true }, responses)
+	r := &remote{
+		submit: make(map[ident.Address]error),
+	}
+	for _, address := range []ident.Address{"a", "b", "c", "d", "e"} {
+		r.submit[address] = cell.ErrUnreachable
+	}
+	stager := newStager(c, m, leaders, responses, r, time.Now)
+	for _, slack := range []time.Duration{240 * time.Millisecond, 0} {
+		started := time.Now()
+		_, err := stager.Prepare(t.Context(), work(slack))
+		c.Check(err, qt.ErrorIs, cell.ErrNoCoordinator)
+		c.Check(time.Since(started) >= slack, qt.IsTrue)
+		c.Check(time.Since(started) < slack+200*time.Millisecond, qt.IsTrue)
+	}
+	_, err := newStager(c, newMembers(), leaders, responses, r, time.Now).Prepare(t.Context(), work(0))
+	c.Check(err, qt.ErrorIs, batch.ErrNoUpstream, qt.Commentf("this host knows no other and schedules itself"))
+}
+
 // Guards against a coordinator that is not told how the requests that it has placed
 // ended, and against reports that accumulate or go to another coordinator.
 func TestReports(t *testing.T) {
 	c := qt.New(t)
-	m := newMembers("self", row("a"), row("b"))
-	leaders := duty.New(func(duty.Name) bool { return true })
+	m := newMembers(row("a"), row("b"))
+	responses := duty.NewResponses(time.Now)
+	leaders := duty.New(func(duty.Name) bool { return true }, responses)
 	order := names(leaders.Candidates(cell.ID("").Duty(), m.table.Snapshot()))
 	r := &remote{
 		submit: make(map[ident.Address]error),
@@ -318,7 +377,7 @@
 	for _, host := range order {
 		r.wait[ident.Address(host)] = func() (coordinator.Prepared, error) { return coordinator.Prepared{}, nil }
 	}
-	stager := newStager(c, m, leaders, r, time.Now)
+	stager := newStager(c, m, leaders, responses, r, time.Now)
 	prepare := func() []coordinator.Report {
 		r.reports = nil
 		_, err := stager.Prepare(t.Context(), job())
--- a/internal/relay/cell/stager.go
+++ b/internal/relay/cell/stager.go
@@ -16,24 +16,22 @@
 	"github.com/nutmegshift/nutmegshift/peer"
 )
 
-// ErrUnreachable means that a call to another host failed: the host did not accept a
-// job, was lost while it had the job, or did not send its entries.
-const ErrUnreachable = errors.ConstError("host did not respond")
+const (
+	// ErrUnreachable means that a call to another host failed: the host refused or closed
+	// the connection, was lost while it had the job, or did not send its entries.
+	ErrUnreachable = errors.ConstError("host did not respond")
+	// ErrSilent means that another host has not accepted a job in time.
+	ErrSilent = errors.ConstError("host did not respond in time")
+	// ErrNoCoordinator means that no host has accepted a job in time. The job has not run.
+	ErrNoCoordinator = errors.ConstError("no coordinator has accepted the stages in time")
+)
 
 const (
-	// maxRemoteAttempts is the number of other hosts that are tried before this host
-	// coordinates the job itself.
-	maxRemoteAttempts = 2
-	// maxAvoided is the number of unresponsive hosts that are skipped.
-	maxAvoided = 3
-	// avoidPeriod is how long a host that has not responded is skipped: about as long
-	// as the membership takes to suspect it.
-	avoidPeriod = time.Second
 	// maxReports limits the reports that are buffered for a coordinator until the next
 	// job is sent to it.
 	maxReports = 256
 	// checkInterval is how often a waiting host checks whether the coordinator is alive.
-	checkInterval = 400 * time.Millisecond
+	checkInterval = 100 * time.Millisecond
 )
 
 // Ticket represents a job that a coordinator has accepted.
@@ -47,23 +45,27 @@
 
 // Remote submits jobs to the coordinators of other hosts.
 type Remote interface {
-	// Submit sends a job to the coordinator of a cell. Errors are those of package
-	// batch and ErrUnreachable. The job is cancelled when the context is done.
-	Submit(ctx context.Context, to ident.Address, id ID, job coordinator.Job) (Ticket, error)
+	// Submit sends a job to the coordinator of a cell, which has to accept it within a
+	// time. Errors are those of package batch, ErrUnreachable and ErrSilent. The job is
+	// cancelled when the context is done.
+	Submit(ctx context.Context, to ident.Address, id ID, job coordinator.Job, within time.Duration) (Ticket, error)
 }
 
 // Config holds the dependencies of a Stager.
 type Config struct {
-	Self    ident.HostID
-	Domain  ident.FailureDomain
-	Hosts   func() *peer.View
-	Leaders *duty.Leaders
-	Table   func() *routes.Table
-	Fleet   func() *fleet.Snapshot
-	Local   func(id ID) *coordinator.Coordinator
-	Remote  Remote
-	Now     func() time.Time
-	Log     zerolog.Logger
+	Self      ident.HostID
+	Domain    ident.FailureDomain
+	Started   time.Time // when this host started
+	Hosts     func() *peer.View
+	Leaders   *duty.Leaders
+	Responses *duty.Responses
+	Table     func() *routes.Table
+	Fleet     func() *fleet.Snapshot
+	Local     func(id ID) *coordinator.Coordinator
+	Remote    Remote
+	Now       func() time.Time
+	Random    func() float64 // returns numbers from 0 to 1
+	Log       zerolog.Logger
 }
 
 // Stager runs the stages of requests at the coordinators of their cells. It is safe
@@ -72,7 +74,8 @@
 	config Config
 
 	mu      sync.Mutex
-	avoid   map[ident.HostID]time.Time            // time until which a host is skipped
+	silence silence
+	alone   localReason                           // why this host coordinates beside the others; empty if it does not
 	reports map[ident.HostID][]coordinator.Report // reports not yet sent, by coordinator
 }
 
@@ -80,7 +83,6 @@
 func New(config Config) *Stager {
 	return &Stager{
 		config:  config,
-		avoid:   make(map[ident.HostID]time.Time),
 		reports: make(map[ident.HostID][]coordinator.Report),
 	}
 }
@@ -106,29 +108,86 @@
 }
 
 // Prepare runs the stages of a job. It returns errors of package batch,
-// coordinator.ErrStopped, or the error of the context.
+// coordinator.ErrStopped, ErrNoCoordinator, or the error of the context.
 func (s *Stager) Prepare(ctx context.Context, job coordinator.Job) (coordinator.Prepared, error) {
-	id := Of(s.config.Domain, s.config.Table(), s.config.Fleet())
-	attempts, avoided := 0, 0
-	for _, row := range s.config.Leaders.Candidates(id.Duty(), s.config.Hosts()) {
-		if row.Host == s.config.Self || attempts == maxRemoteAttempts || avoided == maxAvoided {
-			break
-		}
-		if s.avoids(row.Host) {
-			avoided++
-			continue
-		}
-		attempts++
-		prepared, err := s.prepareRemote(ctx, row, id, job)
-		if !errors.Is(err, ErrUnreachable) {
-			prepared.Coordinator = row.Host
-			return prepared, err
-		}
-		if ctx.Err() != nil {
-			return coordinator.Prepared{}, ctx.Err()
+	table := s.config.Table()
+	id := Of(s.config.Domain, table, s.config.Fleet())
+	waiting := pending{
+		latest:   latestStart(table, job),
+		deadline: job.Deadline,
+		hasWork:  job.HasWork(),
+		losses:   make(map[ident.HostID]int),
+	}
+	for {
+		switch next := s.situation(id, waiting).decide().(type) {
+		case submission:
+			prepared, err := s.prepareRemote(ctx, next, id, job)
+			if !errors.Is(err, ErrUnreachable) && !errors.Is(err, ErrSilent) {
+				s.setAlone(id, "")
+				prepared.Coordinator = next.to.Host
+				return prepared, err
+			}
+			if ctx.Err() != nil {
+				return coordinator.Prepared{}, ctx.Err()
+			}
+			waiting.losses[next.to.Host]++
+			s.config.Log.Info().Err(err).Str("request", string(job.Request)).Str("coordinator", string(next.to.Host)).Dur("within", next.within).Msg("cell: coordinator did not respond")
+		case pause:
+			select {
+			case <-time.After(next.length):
+			case <-ctx.Done():
+				return coordinator.Prepared{}, ctx.Err()
+			}
+		case local:
+			s.setAlone(id, next.reason)
+			return s.prepareLocal(ctx, id, job)
+		case refusal:
+			return coordinator.Prepared{}, ErrNoCoordinator
 		}
-		s.config.Log.Info().Err(err).Str("request", string(job.Request)).Str("coordinator", string(row.Host)).Msg("cell: coordinator did not respond")
 	}
+}
+
+// situation returns what this host knows that matters for a job.
+func (s *Stager) situation(id ID, job pending) *situation {
+	candidates := s.config.Leaders.Candidates(id.Duty(), s.config.Hosts())
+	now := s.config.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &situation{
+		now:        now,
+		started:    s.config.Started,
+		self:       s.config.Self,
+		candidates: candidates,
+		confirmed:  s.config.Leaders.Confirmed(id.Duty()),
+		joined:     s.config.Responses.Any(),
+		evidence:   s.config.Responses.Evidence,
+		silence:    s.silence.length(now),
+		jitter:     s.config.Random(),
+		job:        job,
+	}
+}
+
+// setAlone records why this host coordinates a job itself, and logs when it begins or
+// ceases to do so beside other hosts.
+func (s *Stager) setAlone(id ID, reason localReason) {
+	if reason != reasonAlone && reason != reasonPartitioned {
+		reason = ""
+	}
+	s.mu.Lock()
+	before := s.alone
+	s.alone = reason
+	s.mu.Unlock()
+	switch reason {
+	case before:
+	case "":
+		s.config.Log.Info().Str("cell", string(id)).Msg("cell: this host no longer schedules alone")
+	default:
+		s.config.Log.Warn().Str("cell", string(id)).Str("reason", string(reason)).Msg("cell: this host schedules alone")
+	}
+}
+
+// prepareLocal runs a job at the coordinator of this host.
+func (s *Stager) prepareLocal(ctx context.Context, id ID, job coordinator.Job) (coordinator.Prepared, error) {
 	job.Reports = s.takeReports(s.config.Self)
 	ticket, err := s.config.Local(id).Submit(job)
 	if err != nil {
@@ -139,27 +198,24 @@
 	return prepared, err
 }
 
-// avoids reports whether a host is skipped because it recently did not respond.
-func (s *Stager) avoids(host ident.HostID) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	until, ok := s.avoid[host]
-	if ok && !s.config.Now().Before(until) {
-		delete(s.avoid, host)
-		ok = false
-	}
-	return ok
-}
-
-// recordAttempt records whether a host has responded.
-func (s *Stager) recordAttempt(host ident.HostID, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if ok {
-		delete(s.avoid, host)
+// recordResult records whether a host has responded to a job.
+func (s *Stager) recordResult(host ident.HostID, err error) {
+	now := s.config.Now()
+	unreachable := errors.Is(err, ErrUnreachable)
+	if !unreachable && !errors.Is(err, ErrSilent) {
+		s.config.Responses.Answered(host)
+		s.mu.Lock()
+		s.silence.end()
+		s.mu.Unlock()
 		return
 	}
-	s.avoid[host] = s.config.Now().Add(avoidPeriod)
+	if !unreachable && s.config.Responses.Standing(host) == duty.Recent {
+		return // it responds to other jobs
+	}
+	s.config.Responses.Lost(host)
+	s.mu.Lock()
+	s.silence.extend(now)
+	s.mu.Unlock()
 }
 
 // result is the outcome of a job.
@@ -168,13 +224,14 @@
 	err      error
 }
 
-// prepareRemote runs a job at another host. It returns ErrUnreachable if the host does
-// not accept the job, loses it, or is no longer alive.
-func (s *Stager) prepareRemote(ctx context.Context, row peer.Row, id ID, job coordinator.Job) (coordinator.Prepared, error) {
-	job.Reports = s.takeReports(row.Host)
-	ticket, err := s.config.Remote.Submit(ctx, row.Address, id, job)
+// prepareRemote runs a job at another host. It returns ErrUnreachable or ErrSilent if the
+// host does not accept the job, loses it, or is no longer alive.
+func (s *Stager) prepareRemote(ctx context.Context, to submission, id ID, job coordinator.Job) (coordinator.Prepared, error) {
+	host := to.to.Host
+	job.Reports = s.takeReports(host)
+	ticket, err := s.config.Remote.Submit(ctx, to.to.Address, id, job, to.within)
 	if ctx.Err() == nil {
-		s.recordAttempt(row.Host, !errors.Is(err, ErrUnreachable))
+		s.recordResult(host, err)
 	}
 	if err != nil {
 		return coordinator.Prepared{}, err
@@ -192,19 +249,43 @@
 	for {
 		select {
 		case r := <-done:
+			if ctx.Err() == nil {
+				s.recordResult(host, r.err)
+			}
 			return r.prepared, r.err
 		case <-ctx.Done():
 			ticket.Cancel()
 			<-done
 			return coordinator.Prepared{}, ctx.Err()
 		case <-check.C:
-			// A host that is leaving still finishes the jobs that it has accepted.
-			if current, ok := s.config.Hosts().Row(row.Host); ok && (current.State == peer.Alive || current.State == peer.Leaving) {
+			if s.keepsJob(host) {
 				continue
 			}
 			ticket.Cancel()
 			<-done
-			return coordinator.Prepared{}, errors.Annotatef(ErrUnreachable, "%s is no longer alive", row.Host)
+			err := errors.Annotatef(ErrUnreachable, "%s is no longer alive", host)
+			s.recordResult(host, err)
+			return coordinator.Prepared{}, err
 		}
 	}
 }
+
+// keepsJob reports whether a host still runs the jobs that it has accepted, as far as is
+// known. A host that is leaving finishes them, and one that is suspected although it has
+// responded recently is only busy.
+func (s *Stager) keepsJob(host ident.HostID) bool {
+	row, ok := s.config.Hosts().Row(host)
+	if !ok {
+		return false
+	}
+	switch row.State {
+	case peer.Alive, peer.Leaving:
+		return true
+	case peer.Suspect:
+		return s.config.Responses.Standing(host) == duty.Recent
+	case peer.Down:
+		return false
+	default:
+		return false
+	}
+}
--- a/internal/relay/duty/leaders_test.go
+++ b/internal/relay/duty/leaders_test.go
@@ -16,6 +16,9 @@
 // heavy reports every duty but "light" as a heavy one.
 func heavy(name duty.Name) bool { return name != "light" }
 
+// newLeaders returns the leaders of a host without messages of other hosts.
+func newLeaders() *duty.Leaders { return duty.New(heavy, duty.NewResponses(time.Now)) }
+
 // members is the membership as known to one host.
 type members struct {
 	table *peer.Table
@@ -66,7 +69,7 @@
 	all := []peer.Row{row("a", 0.4), row("b", 0.4), row("c", 0.4), row("big", 0.8)}
 	var first []ident.HostID
 	for _, self := range []ident.HostID{"a", "b", "c"} {
-		leaders := duty.New(heavy)
+		leaders := newLeaders()
 		order := names(leaders.Candidates("", newMembers(self, all...).table.Snapshot()))
 		c.Check(order[0], qt.Equals, ident.HostID("big"))
 		c.Check(order, qt.HasLen, 4)
@@ -81,7 +84,7 @@
 // change when it leaves.
 func TestLeaderStays(t *testing.T) {
 	c := qt.New(t)
-	leaders := duty.New(heavy)
+	leaders := newLeaders()
 	all := []peer.Row{row("a", 0.4), row("b", 0.4), row("c", 0.4)}
 	m := newMembers("small", all...)
 	order := leaders.Candidates("", m.table.Snapshot())
@@ -95,7 +98,7 @@
 // Guards against hosts that adopt an outdated coordinator from a host that has just
 // started or was suspended, and against a coordinator that is not alive.
 func TestMerge(t *testing.T) {
-	order := names(duty.New(heavy).Candidates("", newMembers("self", row("a", 0.4), row("b", 0.4), row("c", 0.4)).table.Snapshot()))
+	order := names(newLeaders().Candidates("", newMembers("self", row("a", 0.4), row("b", 0.4), row("c", 0.4)).table.Snapshot()))
 	tests := map[string]struct {
 		own      peer.Leader
 		received peer.Leader
@@ -114,7 +117,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			leaders := duty.New(heavy)
+			leaders := newLeaders()
 			m := newMembers("self", row("a", 0.4), row("b", 0.4), row("c", 0.4))
 			leaders.Merge([]peer.Leader{test.own}, m.table.Snapshot())
 			if test.leave {
@@ -141,7 +144,7 @@
 		}
 		view := newMembers(rows[0].Host, rows[1:]...).table.Snapshot()
 		for i := range hosts {
-			hosts[i] = duty.New(heavy)
+			hosts[i] = newLeaders()
 			if rapid.Bool().Draw(t, "knows a leader") {
 				hosts[i].Merge([]peer.Leader{{
 					Host: rows[rapid.IntRange(0, len(rows)-1).Draw(t, "leader")].Host,
@@ -194,12 +197,12 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			m := newMembers("self", test.others...)
-			leaders := duty.New(heavy)
+			leaders := newLeaders()
 			for _, host := range test.left {
 				m.leave(host)
 			}
 			order := names(leaders.Candidates(test.duty, m.table.Snapshot()))
-			follower := duty.New(heavy)
+			follower := newLeaders()
 			follower.Candidates(test.duty, m.table.Snapshot())
 			current := order[0]
 			for range test.handovers {
@@ -234,8 +237,8 @@
 			t.Run(fmt.Sprintf("%s, leader known before: %v", name, known), func(t *testing.T) {
 				c := qt.New(t)
 				view := newMembers("self", test.others...).table.Snapshot()
-				order := names(duty.New(heavy).Candidates("light", view))
-				leaders := duty.New(heavy)
+				order := names(newLeaders().Candidates("light", view))
+				leaders := newLeaders()
 				if known {
 					leaders.Candidates("light", view)
 				}
--- a/internal/relay/duty/rank.go
+++ b/internal/relay/duty/rank.go
@@ -12,8 +12,8 @@
 // preferred for heavy duties.
 const minCapacityShare = 0.9
 
-// rank returns the hosts that may perform a duty, the best first: alive hosts come
-// before suspects, and for heavy duties those with much capacity before others.
+// rank returns the hosts that may perform a duty, the best first: hosts that are alive or
+// have responded recently come before other suspects, and for heavy duties those with much capacity before others.
 // Among equals a hash of duty and host decides. It stays the same when a host is
 // restarted, so that hosts agree at once after many restarts.
 func (l *Leaders) rank(name Name, view *peer.View) []peer.Row {
@@ -28,7 +28,7 @@
 		row, ok := view.Row(host)
 		switch {
 		case !ok:
-		case row.State != peer.Alive:
+		case !l.present(row):
 			classes[2] = append(classes[2], row)
 		case row.Capacity < minCapacity:
 			classes[1] = append(classes[1], row)
--- a/internal/relay/grpcrelay/client.go
+++ b/internal/relay/grpcrelay/client.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/cell"
@@ -13,10 +14,9 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
 
-// acceptTimeout is how long a host may take to accept a job. It allows for several round
-// trips between failure domains, and is short compared with the latency objectives of
-// requests.
-const acceptTimeout = 400 * time.Millisecond
+// reconnectTimeout is how long a call waits for a connection that has failed before. It
+// allows for the handshake with a host that has just started.
+const reconnectTimeout = 30 * time.Millisecond
 
 // Client calls the Relay service of other hosts. It is safe for concurrent use if connect
 // and now are.
@@ -34,17 +34,24 @@
 }
 
 // Submit implements cell.Remote.
-func (c *Client) Submit(ctx context.Context, to ident.Address, id cell.ID, job coordinator.Job) (cell.Ticket, error) {
+func (c *Client) Submit(ctx context.Context, to ident.Address, id cell.ID, job coordinator.Job, within time.Duration) (cell.Ticket, error) {
 	connection, err := c.connect(to)
 	if err != nil {
 		return nil, errors.Annotatef(cell.ErrUnreachable, "%v", err)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(acceptTimeout, cancel)
-	ticket, err := c.submit(ctx, NewRelayClient(connection), id, job)
-	if err != nil || !timer.Stop() {
+	if r, ok := connection.(reconnecter); ok {
+		reconnect(ctx, r, within)
+	}
+	submitCtx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(within, cancel)
+	ticket, err := c.submit(submitCtx, NewRelayClient(connection), id, job)
+	expired := !timer.Stop()
+	if err != nil || expired {
 		cancel()
 	}
+	if expired && ctx.Err() == nil {
+		return nil, errors.Annotatef(cell.ErrSilent, "accept job within %s", within)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -52,6 +59,29 @@
 	return ticket, nil
 }
 
+// reconnecter is a connection that can be established before its backoff ends.
+type reconnecter interface {
+	GetState() connectivity.State
+	ResetConnectBackoff()
+	WaitForStateChange(ctx context.Context, from connectivity.State) bool
+}
+
+// reconnect establishes a connection that has failed, if the host accepts it now. Calls
+// would otherwise fail with the error of an earlier attempt until the backoff ends, which
+// is up to a second after a host that was down has started.
+func reconnect(ctx context.Context, connection reconnecter, within time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, min(reconnectTimeout, within))
+	defer cancel()
+	state := connection.GetState()
+	if state == connectivity.TransientFailure {
+		connection.ResetConnectBackoff()
+	}
+	for ctx.Err() == nil && (state == connectivity.TransientFailure || state == connectivity.Connecting) {
+		connection.WaitForStateChange(ctx, state)
+		state = connection.GetState()
+	}
+}
+
 func (c *Client) submit(ctx context.Context, stub RelayClient, id cell.ID, job coordinator.Job) (*ticket, error) {
 	stream, err := stub.Prepare(ctx)
 	if err != nil {
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -96,6 +96,7 @@
 	peers        *peers
 	relayClient  *grpcrelay.Client
 	leaders      *duty.Leaders
+	responses    *duty.Responses
 	coordinators *coordinators
 	handler      *forward.Handler
 	syncSources  chan ident.HostID // hosts whose replicas are ahead of this one's
@@ -153,7 +154,8 @@
 		Host: h,
 	}
 	h.replica = discovery.NewReplica(sinks, s.Renewal, time.Now, h.maxValue)
-	leaders := duty.New(func(name duty.Name) bool { return !slices.Contains(readerDuties, name) })
+	h.responses = duty.NewResponses(time.Now)
+	leaders := duty.New(func(name duty.Name) bool { return !slices.Contains(readerDuties, name) }, h.responses)
 	h.leaders = leaders
 	h.peers = newPeers(s, h.replica, leaders, h.observe, h.poison, h.observeDraining, grpcrelay.NewServer(h.coordinators.get, h.replica, time.Now), log)
 	sinks[membersKey] = h.peers
@@ -186,16 +188,19 @@
 		Memory: h.memory,
 		Meter:  h.meter,
 		Stager: cell.New(cell.Config{
-			Self:    s.Host,
-			Domain:  s.Domain,
-			Hosts:   h.peers.table.Snapshot,
-			Leaders: leaders,
-			Table:   h.routes.Table,
-			Fleet:   h.fleet.Snapshot,
-			Local:   h.coordinators.get,
-			Remote:  h.relayClient,
-			Now:     time.Now,
-			Log:     log,
+			Self:      s.Host,
+			Domain:    s.Domain,
+			Started:   h.started,
+			Hosts:     h.peers.table.Snapshot,
+			Leaders:   leaders,
+			Responses: h.responses,
+			Table:     h.routes.Table,
+			Fleet:     h.fleet.Snapshot,
+			Local:     h.coordinators.get,
+			Remote:    h.relayClient,
+			Now:       time.Now,
+			Random:    rand.Float64,
+			Log:       log,
 		}),
 		Domain:   s.Domain,
 		Hosts:    h.liveHosts,
@@ -257,9 +262,10 @@
 	})
 }
 
-// observe merges the leaders that another host reports, and schedules a transfer from
-// it if its replica is ahead.
+// observe records that another host responds, merges the leaders that it reports, and
+// schedules a transfer from it if its replica is ahead.
 func (h *Host) observe(message peer.Message) {
+	h.responses.Heard(message.From.Host)
 	h.leaders.Merge(message.Leaders, h.peers.table.Snapshot())
 	if !h.replica.Confirm(kv.Cursor(message.Documents), message.Age) {
 		return
