--- a/internal/relay/wire/wire.go
+++ b/internal/relay/wire/wire.go
@@ -58,12 +58,17 @@
 	Cache        ident.Address // upstream that may have cached parts of the prompt; empty if none
 }
 
+// Pace is how long work takes at an upstream, as a multiple of the normal duration: 1 is
+// normal, 2 means that work takes twice as long, and 0 that the upstream states no pace.
+type Pace float64
+
 // Load is the load that an upstream reports: requests that run, requests that wait,
-// and the maximum number of running requests.
+// the maximum number of running requests, and the pace of its work.
 type Load struct {
 	Running int
 	Waiting int
 	Slots   int
+	Pace    Pace
 }
 
 // Reply is the content of the header of an upstream's response.
