Derive from load reports when a full upstream is free

Cause: after a refused call an upstream got no calls for 40 ms, doubling up to 320 ms, although its response states how many calls run and wait there. A full upstream (one call of about 300 ms running, two waiting) refused several times in a row, and a free one stayed unused.

Change: package loadreport keeps the counts of other hosts' calls per incarnation of an upstream. A report is typed by its response: one in the response to a call may or may not count that call, so a single running request counts for nothing until the upstream has been seen to exclude it. Reports on other incarnations and older ones are dropped. The coordinator passes on the reports of batches and releases, and counts them in relay_load_reports_total.

--- /dev/null
+++ b/internal/relay/batch/report.go
@@ -0,0 +1,44 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/nutmegshift/nutmegshift/internal/relay/loadreport"
+)
+
+// foreignFill is the part of a full call that the calls of other hosts are expected to
+// carry: reports count calls, not items.
+const foreignFill = 0.5
+
+// Observe records a load report of an upstream. The report in the response to a call has to
+// be recorded before the outcome of the call. It returns the verdict on the report, and how
+// long the upstream is expected to be busy with calls of other hosts.
+func (s *Scheduler) Observe(now time.Time, report loadreport.Report) (loadreport.Verdict, time.Duration) {
+	w, ok := s.workers[report.Upstream.ID]
+	if !ok || w.upstream.Started != report.Upstream.Started || w.upstream.Address != report.Upstream.Address {
+		return loadreport.Outdated, 0
+	}
+	usage := loadreport.Usage{
+		Own:      len(w.calls),
+		CallTime: w.foreignCallTime(),
+	}
+	if report.Source == loadreport.Completed || report.Source == loadreport.Refused {
+		usage.Own = max(0, usage.Own-1)
+	}
+	verdict := w.reports.Observe(report, usage, loadreport.Limits{
+		Slots: w.pool.limits.Slots,
+		Queue: w.pool.limits.Queue,
+	})
+	free := w.reports.FreeAt()
+	if report.Source != loadreport.Refused && free.After(w.backoffUntil) {
+		w.backoffUntil = free
+	}
+	return verdict, max(0, free.Sub(now))
+}
+
+// foreignCallTime returns the expected duration of a call of another host.
+func (w *worker) foreignCallTime() time.Duration {
+	limits := w.pool.limits
+	work := time.Duration(foreignFill * float64(limits.Items) * float64(limits.ItemTime))
+	return time.Duration(float64(limits.CallTime+work) * w.slowdown)
+}
--- a/internal/relay/batch/scheduler.go
+++ b/internal/relay/batch/scheduler.go
@@ -9,6 +9,7 @@
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/loadreport"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
@@ -105,6 +106,7 @@
 		w = &worker{
 			pool:     p,
 			slowdown: 1,
+			reports:  loadreport.New(),
 		}
 		s.workers[upstream.ID] = w
 	}
--- a/internal/relay/batch/worker.go
+++ b/internal/relay/batch/worker.go
@@ -5,6 +5,7 @@
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/loadreport"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 )
 
@@ -20,8 +21,8 @@
 	// maxSlowdown is the highest slowdown that is learned. An upstream that is slower
 	// is not used while others are free.
 	maxSlowdown = 8.0
-	// After a refused call an upstream gets no calls for minRefusalBackoff, after a lost
-	// call for minLossBackoff. Both double with each further failure, up to
+	// After a refused call whose response does not tell when the upstream is free, it gets no
+	// calls for minRefusalBackoff, after a lost call for minLossBackoff. Both double with each further failure, up to
 	// maxRefusalBackoff and maxLossBackoff, until a call succeeds.
 	minRefusalBackoff = 40 * time.Millisecond
 	maxRefusalBackoff = 320 * time.Millisecond
@@ -40,7 +41,8 @@
 	refusalBackoff time.Duration // latest backoff after a refused call; 0 after a success
 	lossBackoff    time.Duration // latest backoff after a lost call; 0 after a success
 	foreign        foreign       // estimate of the results that heldBytes does not include
-	gone           bool          // no longer registered, or draining
+	reports        *loadreport.Record
+	gone           bool // no longer registered, or draining
 }
 
 // call is a Call in progress with its state.
@@ -157,10 +159,19 @@
 		w.pool.updateItemTimes(c, time.Duration(float64(took)/w.slowdown))
 		w.slowdown = min(w.slowdown+slowdownWeight*(float64(took)/float64(expected)-w.slowdown), maxSlowdown)
 	case Refused:
-		w.refusalBackoff = min(max(2*w.refusalBackoff, minRefusalBackoff), maxRefusalBackoff)
-		w.backoffUntil = now.Add(max(w.refusalBackoff, o.Pause))
+		w.backoffUntil = now.Add(max(w.refusalWait(now), o.Pause))
 	case Lost:
 		w.lossBackoff = min(max(2*w.lossBackoff, minLossBackoff), maxLossBackoff)
 		w.backoffUntil = now.Add(w.lossBackoff)
 	}
 }
+
+// refusalWait returns how long the upstream gets no calls after a refused one: until its
+// load report says that it is free or, without such a report, for the refusal backoff.
+func (w *worker) refusalWait(now time.Time) time.Duration {
+	if wait := w.reports.FreeAt().Sub(now); wait > 0 {
+		return max(wait, minRefusalBackoff)
+	}
+	w.refusalBackoff = min(max(2*w.refusalBackoff, minRefusalBackoff), maxRefusalBackoff)
+	return w.refusalBackoff
+}
--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -12,6 +12,7 @@
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/loadreport"
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
@@ -86,8 +87,9 @@
 
 // callEnd is the outcome of a call to an upstream.
 type callEnd struct {
-	id      batch.CallID // 0 for a release
+	id      batch.CallID // 0 unless the call has items
 	outcome batch.Outcome
+	report  *loadreport.Report // nil if the response has none
 }
 
 // Coordinator runs the stages of requests; it is safe for concurrent use.
@@ -136,9 +138,7 @@
 			cmd(c.config.Now())
 		case end := <-c.ends:
 			c.activeCalls--
-			if end.id != 0 {
-				c.scheduler.FinishCall(c.config.Now(), end.id, end.outcome)
-			}
+			c.endCall(end)
 		case <-timer.C:
 		}
 		timer.Reset(c.runPlan(ctx))
@@ -187,19 +187,17 @@
 	for _, call := range actions.Calls {
 		c.activeCalls++
 		go func(ctx context.Context) {
-			outcome, result := c.call(ctx, call)
+			end, result := c.call(ctx, call)
 			c.config.Meter.Batch(call.Upstream.Service, result, len(call.Items), c.config.Now().Sub(now))
-			c.ends <- callEnd{
-				id:      call.ID,
-				outcome: outcome,
-			}
+			c.ends <- end
 		}(ctx)
 	}
 	for _, release := range actions.Releases {
 		c.activeCalls++
 		go func(ctx context.Context) {
-			c.release(ctx, release)
-			c.ends <- callEnd{}
+			c.ends <- callEnd{
+				report: c.release(ctx, release),
+			}
 		}(ctx)
 	}
 	next := time.Hour
@@ -336,14 +334,18 @@
 }
 
 // call sends one batch to an upstream and waits for its results.
-func (c *Coordinator) call(ctx context.Context, call batch.Call) (batch.Outcome, meter.Result) {
+func (c *Coordinator) call(ctx context.Context, call batch.Call) (callEnd, meter.Result) {
+	end := callEnd{
+		id:      call.ID,
+		outcome: batch.Lost{},
+	}
 	timeout := max(minBatchTimeout, batchTimeoutFactor*call.Expected)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	message, err := c.config.Codec.Batch(call.Items)
 	if err != nil {
 		c.config.Log.Error().Err(err).Msg("stage: encoding the batch failed")
-		return batch.Lost{}, meter.Failed
+		return end, meter.Failed
 	}
 	response, err := c.config.Batches.Send(ctx, newRequest(c.config.Codec, call.Upstream, message))
 	if err != nil {
@@ -352,17 +354,20 @@
 			c.config.Meter.Oversized(call.Upstream.Service)
 		}
 		if errors.Is(err, upstreamhttp.ErrBusy) || errors.Is(err, upstreamhttp.ErrPaused) {
-			return c.refused(call), meter.Refused
+			end.outcome = c.refused(call)
+			return end, meter.Refused
 		}
-		return batch.Lost{}, meter.Failed
+		return end, meter.Failed
 	}
 	defer response.Close()
+	end.report = newReport(call.Upstream, response, loadreport.Completed, c.config.Now())
 	lease := c.config.Memory.Lease(memory.Holder(call.Upstream.ID))
 	defer lease.Release()
 	body, err := response.ReadAll(ctx, lease, maxResponseBytes)
 	if response.Reply.NotRun {
 		c.logCall(call).Int("status", response.Status).Dur("pause", response.Reply.Pause).Msg("stage: upstream refused")
-		return c.refused(call), meter.Refused
+		end.outcome = c.refused(call)
+		return end, meter.Refused
 	}
 	var results []wire.ItemResult
 	if err == nil {
@@ -373,12 +378,13 @@
 	}
 	if err != nil || response.Status/100 != 2 || len(results) != len(call.Items) {
 		c.logCall(call).Err(err).Int("status", response.Status).Msg("stage: batch failed")
-		return batch.Lost{}, meter.Failed
+		return end, meter.Failed
 	}
 	response.Accept()
-	return batch.Completed{
+	end.outcome = batch.Completed{
 		Results: results,
-	}, meter.Served
+	}
+	return end, meter.Served
 }
 
 // refused returns the outcome of a call that did not run, with the time for which its
@@ -404,31 +410,35 @@
 		Strs("requests", requests)
 }
 
-// release drops results at the upstream that holds them. If the upstream wants no
-// requests, it first waits for the end of that time. Results in a failure domain that is
-// evacuated are left to expire, since nothing may be sent there.
-func (c *Coordinator) release(ctx context.Context, release batch.Release) {
+// release drops results at the upstream that holds them, and returns the load report of the
+// response. If the upstream wants no requests, it first waits for the end of that time.
+// Results in a failure domain that is evacuated are left to expire, since nothing may be
+// sent there.
+func (c *Coordinator) release(ctx context.Context, release batch.Release) *loadreport.Report {
 	if pause := c.config.Pauses.Remaining(release.Upstream); pause > 0 {
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
-			return
+			return nil
 		}
 	}
 	if current, ok := c.config.Fleet().Upstream(release.Upstream.ID); ok && current.State == fleet.Evacuated {
-		return
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	message, err := c.config.Codec.Release(release.Handles)
 	if err != nil {
 		c.config.Log.Error().Err(err).Msg("stage: encoding the release failed")
-		return
+		return nil
 	}
 	request := newRequest(c.config.Codec, release.Upstream, message)
 	request.Distinct = false
+	sent := c.config.Now()
 	response, err := c.config.Releases.Send(ctx, request)
+	var report *loadreport.Report
 	if err == nil {
+		report = newReport(release.Upstream, response, loadreport.Release, sent)
 		lease := c.config.Memory.Lease(memory.Holder(release.Upstream.ID))
 		_, err = response.ReadAll(ctx, lease, maxResponseBytes)
 		lease.Release()
@@ -440,6 +450,7 @@
 	if err != nil {
 		c.config.Log.Debug().Err(err).Str("upstream", string(release.Upstream.ID)).Int("results", len(release.Handles)).Msg("stage: release failed, results are left to expire")
 	}
+	return report
 }
 
 // newRequest returns the request of a call. Responses to batches are distinct, since
--- /dev/null
+++ b/internal/relay/coordinator/reports.go
@@ -0,0 +1,59 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/loadreport"
+	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
+)
+
+// newReport returns the load report of a response, or nil if it has none or comes from
+// another upstream. The source is that of a response to a request that has run.
+func newReport(from fleet.Upstream, response *upstreamhttp.Response, source loadreport.Source, at time.Time) *loadreport.Report {
+	reply := response.Reply
+	if reply.Load == nil || reply.Upstream != "" && reply.Upstream != from.ID {
+		return nil
+	}
+	if source == loadreport.Completed && reply.NotRun {
+		source = loadreport.Refused
+	}
+	return &loadreport.Report{
+		Upstream: from,
+		Load:     *reply.Load,
+		Source:   source,
+		At:       at,
+	}
+}
+
+// endCall passes the outcome of a call and its load report to the scheduler.
+func (c *Coordinator) endCall(end callEnd) {
+	now := c.config.Now()
+	if end.report != nil {
+		c.observe(now, *end.report)
+	}
+	if end.id != 0 {
+		c.scheduler.FinishCall(now, end.id, end.outcome)
+	}
+}
+
+// observe passes a load report to the scheduler.
+func (c *Coordinator) observe(now time.Time, report loadreport.Report) {
+	verdict, busy := c.scheduler.Observe(now, report)
+	c.config.Meter.LoadReport(report.Upstream.Service, string(verdict))
+	line := c.config.Log.Debug()
+	if busy > 0 {
+		line = c.config.Log.Info()
+	}
+	line.
+		Str("upstream", string(report.Upstream.ID)).
+		Stringer("source", report.Source).
+		Str("verdict", string(verdict)).
+		Int("running", report.Load.Running).
+		Int("waiting", report.Load.Waiting).
+		Int("slots", report.Load.Slots).
+		Float64("pace", float64(report.Load.Pace)).
+		Dur("age", now.Sub(report.At)).
+		Dur("busy", busy).
+		Msg("stage: load report")
+}
--- a/internal/relay/meter/meter.go
+++ b/internal/relay/meter/meter.go
@@ -88,6 +88,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`relay_batch_seconds{service=%q}`, service)).Update(took.Seconds())
 }
 
+// LoadReport counts a load report of an upstream by what has become of it.
+func (m *Meter) LoadReport(service ident.ServiceName, verdict string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`relay_load_reports_total{service=%q,verdict=%q}`, service, verdict)).Inc()
+}
+
 // Connected counts a new connection to an upstream.
 func (m *Meter) Connected() {
 	m.set.GetOrCreateCounter(`relay_upstream_connections_total`).Inc()
