Derive the expected duration of calls from reported paces

Cause: the expected duration of a call followed only the durations of earlier calls at the upstream, although upstreams state several times a second how long work takes there.

Change: loadreport.Record takes over the moving average of durations and adds the deviation of the latest report from the usual one of the upstream, weighted by its age (half in 400 ms) and by how well earlier reports have foretold durations. A report changes the learned pace by at most a factor of 2. Without a reported pace the estimate is the moving average as before. The forecast of a call is in its log lines; relay_batch_forecast_ratio has the actual durations as multiples of the expected ones. With several slots, the durations of calls are now compared with the estimate at their start.

--- a/internal/relay/batch/job.go
+++ b/internal/relay/batch/job.go
@@ -9,6 +9,7 @@
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/loadreport"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
 
@@ -98,6 +99,7 @@
 	Upstream fleet.Upstream
 	Items    []wire.Item
 	Expected time.Duration // expected duration
+	Forecast loadreport.Forecast
 }
 
 // Outcome is the sealed set of outcomes of a call.
--- a/internal/relay/batch/plan.go
+++ b/internal/relay/batch/plan.go
@@ -41,6 +41,7 @@
 // action is returned once.
 func (s *Scheduler) Plan(now time.Time) Actions {
 	var actions Actions
+	s.refresh(now)
 	s.releaseReadInputs(now)
 	actions.Evicted = s.evictUnread(now)
 	s.restartExpired(now)
@@ -287,6 +288,7 @@
 			ID:       s.lastCall,
 			Upstream: w.upstream,
 			Expected: time.Duration(float64(w.pool.limits.CallTime+planned.work) * w.slowdown),
+			Forecast: w.forecast,
 		},
 		worker:     w,
 		parts:      planned.parts,
--- a/internal/relay/batch/report.go
+++ b/internal/relay/batch/report.go
@@ -36,6 +36,13 @@
 	return verdict, max(0, free.Sub(now))
 }
 
+// refresh updates the expected slowdown of all workers.
+func (s *Scheduler) refresh(now time.Time) {
+	for _, w := range s.workers {
+		w.refresh(now)
+	}
+}
+
 // foreignCallTime returns the expected duration of a call of another host.
 func (w *worker) foreignCallTime() time.Duration {
 	limits := w.pool.limits
--- a/internal/relay/batch/report_test.go
+++ b/internal/relay/batch/report_test.go
@@ -84,3 +84,46 @@
 	h.plan()
 	c.Check(h.calls, qt.HasLen, 2)
 }
+
+// Guards against calls that are expected to take as long as at a normal pace although the
+// upstream has just reported another one, against reports without a pace or of two seconds
+// ago that change the expected duration, and against a false one that decides alone.
+func TestReportedPace(t *testing.T) {
+	tests := map[string]struct {
+		paces    []wire.Pace // reported at the end of each call, all of which take the normal time
+		age      time.Duration
+		expected [2]time.Duration // of the next call; the normal one is 360 ms
+	}{
+		"not stated":      {paces: []wire.Pace{0}, expected: [2]time.Duration{ms(360), ms(360)}},
+		"normal":          {paces: []wire.Pace{1}, expected: [2]time.Duration{ms(360), ms(360)}},
+		"slow":            {paces: []wire.Pace{1.5}, expected: [2]time.Duration{ms(390), ms(450)}},
+		"fast":            {paces: []wire.Pace{0.5}, expected: [2]time.Duration{ms(260), ms(300)}},
+		"implausible":     {paces: []wire.Pace{100}, expected: [2]time.Duration{ms(360), ms(520)}},
+		"two seconds ago": {paces: []wire.Pace{1.5}, age: 2 * time.Second, expected: [2]time.Duration{ms(360), ms(363)}},
+		"always false":    {paces: []wire.Pace{4, 4, 4, 4, 4, 4, 4, 4, 4}, expected: [2]time.Duration{ms(360), ms(375)}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(map[ident.ServiceName]int{"a": 1}, 1e6)
+			next := func() batch.Call {
+				j := job("a", 8, 0)
+				j.Objective, j.Deadline = h.now.Add(10*time.Second), h.now.Add(10*time.Second)
+				_, err := h.submit(j)
+				c.Assert(err, qt.IsNil)
+				h.plan()
+				c.Assert(h.calls, qt.HasLen, 1)
+				return h.calls[0]
+			}
+			for _, pace := range test.paces {
+				call := next()
+				h.now = h.now.Add(ms(360))
+				h.report(call.Upstream, loadreport.Completed, wire.Load{Running: 1, Slots: 1, Pace: pace})
+				h.complete(0)
+			}
+			h.now = h.now.Add(test.age)
+			call := next()
+			c.Check(call.Expected >= test.expected[0] && call.Expected <= test.expected[1], qt.IsTrue, qt.Commentf("expected %s", call.Expected))
+		})
+	}
+}
--- a/internal/relay/batch/scheduler.go
+++ b/internal/relay/batch/scheduler.go
@@ -104,10 +104,10 @@
 	w, ok := s.workers[upstream.ID]
 	if !ok || w.upstream.Started != upstream.Started || w.upstream.Address != upstream.Address || w.pool != p {
 		w = &worker{
-			pool:     p,
-			slowdown: 1,
-			reports:  loadreport.New(),
+			pool:    p,
+			reports: loadreport.New(),
 		}
+		w.refresh(time.Time{})
 		s.workers[upstream.ID] = w
 	}
 	w.upstream = upstream
@@ -133,6 +133,7 @@
 			pool:  p,
 		})
 	}
+	s.refresh(now)
 	if err := s.admit(now, j); err != nil {
 		return err
 	}
--- a/internal/relay/batch/worker.go
+++ b/internal/relay/batch/worker.go
@@ -10,17 +10,12 @@
 )
 
 const (
-	// slowdownWeight is the weight of a call in the moving average of a worker's slowdown.
-	slowdownWeight = 0.4
 	// itemWeight is the weight of a call in the moving average of item times.
 	itemWeight = 0.2
 	// The learned item times are between minItemFactor and maxItemFactor times the item
 	// time in the settings of the service.
 	minItemFactor = 0.1
 	maxItemFactor = 1.5
-	// maxSlowdown is the highest slowdown that is learned. An upstream that is slower
-	// is not used while others are free.
-	maxSlowdown = 8.0
 	// After a refused call whose response does not tell when the upstream is free, it gets no
 	// calls for minRefusalBackoff, after a lost call for minLossBackoff. Both double with each further failure, up to
 	// maxRefusalBackoff and maxLossBackoff, until a call succeeds.
@@ -36,13 +31,14 @@
 	pool           *pool
 	calls          []*call       // in progress
 	backoffUntil   time.Time     // no call starts before
-	slowdown       float64       // moving average of the duration of calls divided by the expected duration
+	slowdown       float64       // expected duration of a call divided by the normal one, as of the latest refresh
 	heldBytes      int64         // results held, with the bytes reserved by calls in progress
 	refusalBackoff time.Duration // latest backoff after a refused call; 0 after a success
 	lossBackoff    time.Duration // latest backoff after a lost call; 0 after a success
 	foreign        foreign       // estimate of the results that heldBytes does not include
 	reports        *loadreport.Record
-	gone           bool // no longer registered, or draining
+	forecast       loadreport.Forecast // that slowdown is from
+	gone           bool                // no longer registered, or draining
 }
 
 // call is a Call in progress with its state.
@@ -155,9 +151,10 @@
 			return // items that are not done take no time and would distort the averages
 		}
 		took := now.Sub(c.started)
-		expected := time.Duration(float64(c.Expected) / w.slowdown)
-		w.pool.updateItemTimes(c, time.Duration(float64(took)/w.slowdown))
-		w.slowdown = min(w.slowdown+slowdownWeight*(float64(took)/float64(expected)-w.slowdown), maxSlowdown)
+		w.pool.updateItemTimes(c, time.Duration(float64(took)/c.Forecast.Factor))
+		normal := float64(c.Expected) / c.Forecast.Factor
+		w.reports.Learn(float64(took)/normal, c.Forecast)
+		w.refresh(now)
 	case Refused:
 		w.backoffUntil = now.Add(max(w.refusalWait(now), o.Pause))
 	case Lost:
@@ -166,6 +163,12 @@
 	}
 }
 
+// refresh updates the expected slowdown, since reports lose weight with age.
+func (w *worker) refresh(now time.Time) {
+	w.forecast = w.reports.Forecast(now)
+	w.slowdown = w.forecast.Factor
+}
+
 // refusalWait returns how long the upstream gets no calls after a refused one: until its
 // load report says that it is free or, without such a report, for the refusal backoff.
 func (w *worker) refusalWait(now time.Time) time.Duration {
--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -188,7 +188,12 @@
 		c.activeCalls++
 		go func(ctx context.Context) {
 			end, result := c.call(ctx, call)
-			c.config.Meter.Batch(call.Upstream.Service, result, len(call.Items), c.config.Now().Sub(now))
+			took := c.config.Now().Sub(now)
+			c.config.Meter.Batch(call.Upstream.Service, result, len(call.Items), took)
+			if result == meter.Served {
+				c.config.Meter.Forecast(call.Upstream.Service, call.Forecast.Reported != 0, call.Expected, took)
+				c.logForecast(c.config.Log.Debug(), call).Int("items", len(call.Items)).Dur("took", took).Msg("stage: batch has run")
+			}
 			c.ends <- end
 		}(ctx)
 	}
@@ -403,10 +408,8 @@
 			requests = append(requests, id)
 		}
 	}
-	return c.config.Log.Info().
-		Str("upstream", string(call.Upstream.ID)).
+	return c.logForecast(c.config.Log.Info(), call).
 		Int("items", len(call.Items)).
-		Dur("expected", call.Expected).
 		Strs("requests", requests)
 }
 
--- a/internal/relay/coordinator/reports.go
+++ b/internal/relay/coordinator/reports.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/loadreport"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
@@ -57,3 +60,19 @@
 		Dur("busy", busy).
 		Msg("stage: load report")
 }
+
+// logForecast adds the upstream of a call, and what its expected duration is based on, to a
+// log line.
+func (c *Coordinator) logForecast(line *zerolog.Event, call batch.Call) *zerolog.Event {
+	line = line.
+		Str("upstream", string(call.Upstream.ID)).
+		Dur("expected", call.Expected).
+		Float64("learned", call.Forecast.Learned)
+	if call.Forecast.Reported == 0 {
+		return line
+	}
+	return line.
+		Float64("pace", float64(call.Forecast.Reported)).
+		Dur("pace_age", call.Forecast.Age).
+		Float64("pace_weight", call.Forecast.Weight)
+}
--- a/internal/relay/loadreport/record.go
+++ b/internal/relay/loadreport/record.go
@@ -7,11 +7,18 @@
 type Record struct {
 	latest    time.Time // time of the latest report
 	occupancy occupancy
+	pace      pace
 }
 
-// New returns a record without reports.
+// New returns a record without reports, of an upstream with the normal pace.
 func New() *Record {
-	return &Record{}
+	return &Record{
+		pace: pace{
+			learned: 1,
+			usual:   1,
+			gain:    initialGain,
+		},
+	}
 }
 
 // Usage describes the use of an upstream by this host when a report arrives.
@@ -34,9 +41,25 @@
 	if counts && verdict != Contradictory {
 		r.occupancy.observe(report, usage.Own, limits, usage.CallTime)
 	}
+	if load.Pace != 0 {
+		r.pace.observe(load.Pace, report.At)
+	}
 	return verdict
 }
 
+// Forecast returns the expected duration of a call that starts now. Without a reported pace
+// it depends only on the durations of earlier calls.
+func (r *Record) Forecast(now time.Time) Forecast {
+	return r.pace.forecast(now)
+}
+
+// Learn corrects the estimates by the duration of a call, as a multiple of the normal one.
+// The forecast is the one at the start of the call. The report in the response is observed
+// before, since it describes the end of the call.
+func (r *Record) Learn(took float64, forecast Forecast) {
+	r.pace.learn(took, forecast)
+}
+
 // FreeAt returns when the calls of other hosts that the latest report has counted are
 // expected to leave a slot free; it is zero if no report has counted any.
 func (r *Record) FreeAt() time.Time {
--- a/internal/relay/meter/meter.go
+++ b/internal/relay/meter/meter.go
@@ -88,6 +88,14 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`relay_batch_seconds{service=%q}`, service)).Update(took.Seconds())
 }
 
+// Forecast records the duration of a call with items of a stage as a multiple of the expected
+// one, and whether the upstream had reported its pace.
+func (m *Meter) Forecast(service ident.ServiceName, reported bool, expected, took time.Duration) {
+	if expected > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf(`relay_batch_forecast_ratio{service=%q,reported="%t"}`, service, reported)).Update(took.Seconds() / expected.Seconds())
+	}
+}
+
 // LoadReport counts a load report of an upstream by what has become of it.
 func (m *Meter) LoadReport(service ident.ServiceName, verdict string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`relay_load_reports_total{service=%q,verdict=%q}`, service, verdict)).Inc()
