Check the load of upstreams when a coordinator begins

Cause: a coordinator that has just begun knows nothing of the calls of its predecessor and sends calls to upstreams that are full.

Change: when it begins, it sends one health check to each upstream of its stages and passes the load reports of the responses to the scheduler.

--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -104,6 +104,7 @@
 	table       *routes.Table
 	snapshot    *fleet.Snapshot
 	activeCalls int
+	checked     bool // the upstreams of stages have been checked
 	placements  *placements
 }
 
@@ -173,6 +174,7 @@
 // returns the time until the next plan.
 func (c *Coordinator) runPlan(ctx context.Context) time.Duration {
 	c.configure()
+	c.checkHealth(ctx)
 	now := c.config.Now()
 	actions := c.scheduler.Plan(now)
 	for _, done := range actions.Done {
--- a/internal/relay/coordinator/coordinator_test.go
+++ b/internal/relay/coordinator/coordinator_test.go
@@ -37,8 +37,17 @@
 	wire.Codec
 }
 
-func (codec) CallHeader(ident.UpstreamID) http.Header       { return http.Header{} }
-func (codec) Reply(status int, _ http.Header) wire.Reply    { return wire.Reply{NotRun: status == 503} }
+func (codec) CallHeader(ident.UpstreamID) http.Header { return http.Header{} }
+
+func (codec) Reply(status int, header http.Header) wire.Reply {
+	reply := wire.Reply{NotRun: status == 503}
+	if text := header.Get("Load"); text != "" {
+		reply.Load = &wire.Load{}
+		_, _ = fmt.Sscan(text, &reply.Load.Running, &reply.Load.Waiting, &reply.Load.Slots)
+	}
+	return reply
+}
+
 func (codec) Batch(items []wire.Item) (wire.Message, error) { return message("/run", items) }
 func (codec) Release(handles []wire.Handle) (wire.Message, error) {
 	return message("/release", handles)
@@ -218,10 +227,17 @@
 	}
 }
 
-// start starts a coordinator of the upstreams in a directory.
+// start starts a coordinator of the upstreams in a directory, which have no health path.
 func start(c *qt.C, directory *fleet.Directory) *coordinator.Coordinator {
+	return startChecking(c, directory, "", meter.New())
+}
+
+// startChecking starts a coordinator of the upstreams in a directory, which have a health
+// path.
+func startChecking(c *qt.C, directory *fleet.Directory, healthPath string, counts *meter.Meter) *coordinator.Coordinator {
 	service := &routes.Service{
-		Name: "stage",
+		Name:       "stage",
+		HealthPath: healthPath,
 		Batch: &routes.Batch{
 			Slots:     1,
 			Queue:     2,
@@ -254,7 +270,7 @@
 		Chooser:  placement.New(time.Now, rand.Float64),
 		Pauses:   pauses,
 		Memory:   memory.New(1 << 20),
-		Meter:    meter.New(),
+		Meter:    counts,
 		Now:      time.Now,
 		Log:      zerolog.Nop(),
 	})
