--- a/internal/relay/batch/report.go
+++ b/internal/relay/batch/report.go
@@ -25,6 +25,10 @@
 	if report.Source == loadreport.Completed || report.Source == loadreport.Refused {
 		usage.Own = max(0, usage.Own-1)
 	}
+	if report.Source == loadreport.Health && report.Load.Running+report.Load.Waiting > usage.Own {
+		w.markDelayed()
+	}
+	s.paced = s.paced || report.Load.Pace != 0
 	verdict := w.reports.Observe(report, usage, loadreport.Limits{
 		Slots: w.pool.limits.Slots,
 		Queue: w.pool.limits.Queue,
@@ -36,10 +40,24 @@
 	return verdict, max(0, free.Sub(now))
 }
 
-// refresh updates the expected slowdown of all workers.
+// markDelayed records that the calls in progress may wait at the upstream for calls of other
+// hosts, so that their durations do not tell how long work takes there.
+func (w *worker) markDelayed() {
+	for _, c := range w.calls {
+		c.delayed = true
+	}
+}
+
+// refresh updates the expected slowdown of all workers. Without reported paces it changes
+// only with the durations of calls.
 func (s *Scheduler) refresh(now time.Time) {
-	for _, w := range s.workers {
-		w.refresh(now)
+	if !s.paced {
+		return
+	}
+	for _, p := range s.order {
+		for _, w := range p.workers {
+			w.refresh(now)
+		}
 	}
 }
 
--- a/internal/relay/batch/report_test.go
+++ b/internal/relay/batch/report_test.go
@@ -60,29 +60,33 @@
 }
 
 // Guards against a coordinator that has just begun and sends calls to upstreams that are
-// busy with those of its predecessor, or that applies the report of an earlier incarnation.
+// busy with those of its predecessor, learns the time that a call has waited for them as the
+// duration of its work, or applies the report of an earlier incarnation.
 func TestBusyWithOtherCalls(t *testing.T) {
 	c := qt.New(t)
 	h := newHarness(map[ident.ServiceName]int{"a": 2}, 1e6)
-	busy := fleet.Upstream{
-		ID:      "a0",
-		Address: "a0",
-	}
+	busy := fleet.Upstream{ID: "a0", Address: "a0"}
 	full := wire.Load{Running: 1, Waiting: 1, Slots: 1}
 	earlier := busy
 	earlier.Started = 1
 	c.Check(h.report(earlier, loadreport.Health, full), qt.Equals, loadreport.Outdated)
 	c.Check(h.report(busy, loadreport.Health, full), qt.Equals, loadreport.Used)
-	for range 2 {
+	for range 3 {
 		_, err := h.submit(job("a", 8, 5*time.Second))
 		c.Assert(err, qt.IsNil)
 	}
 	h.plan()
 	c.Assert(h.calls, qt.HasLen, 1)
 	c.Check(h.calls[0].Upstream.ID, qt.Equals, ident.UpstreamID("a1"))
+	h.report(h.calls[0].Upstream, loadreport.Health, full)
 	h.now = h.now.Add(ms(420))
 	h.plan()
 	c.Check(h.calls, qt.HasLen, 2)
+	h.now = h.now.Add(ms(300))
+	h.complete(0)
+	h.plan()
+	c.Assert(h.calls, qt.HasLen, 2)
+	c.Check(h.calls[1].Expected, qt.Equals, ms(360))
 }
 
 // Guards against calls that are expected to take as long as at a normal pace although the
--- a/internal/relay/batch/scheduler.go
+++ b/internal/relay/batch/scheduler.go
@@ -42,6 +42,7 @@
 	calls       map[CallID]*call
 	lastCall    CallID
 	urgentSlack time.Duration // moving average of the slack of the most urgent jobs
+	paced       bool          // an upstream has reported its pace
 	done        []Done
 	releases    map[fleet.Upstream][]wire.Handle
 }
--- a/internal/relay/batch/worker.go
+++ b/internal/relay/batch/worker.go
@@ -49,6 +49,7 @@
 	started    time.Time
 	reserved   int64 // bytes reserved for results
 	heldBefore int64 // heldBytes of the worker before the call
+	delayed    bool  // it may have waited for calls of other hosts
 }
 
 // part is one item of a call.
@@ -147,7 +148,7 @@
 	switch o := outcome.(type) {
 	case Completed:
 		w.lossBackoff, w.refusalBackoff = 0, 0
-		if !o.whole() {
+		if c.delayed || !o.whole() {
 			return // items that are not done take no time and would distort the averages
 		}
 		took := now.Sub(c.started)
--- a/internal/relay/coordinator/reports.go
+++ b/internal/relay/coordinator/reports.go
@@ -45,7 +45,7 @@
 	verdict, busy := c.scheduler.Observe(now, report)
 	c.config.Meter.LoadReport(report.Upstream.Service, string(verdict))
 	line := c.config.Log.Debug()
-	if busy > 0 {
+	if busy > 0 && report.Source != loadreport.Completed {
 		line = c.config.Log.Info()
 	}
 	line.
--- a/internal/relay/loadreport/pace.go
+++ b/internal/relay/loadreport/pace.go
@@ -15,6 +15,8 @@
 	// halfLife is the time in which a reported pace loses half of its weight. The pace
 	// changes many times a second; a report that is two seconds old has a weight of 3%.
 	halfLife = 400 * time.Millisecond
+	// maxAge is the age from which a reported pace is not used.
+	maxAge = 4 * time.Second
 	// maxShift bounds the factor by which a report changes the learned pace: a false report
 	// neither draws all calls to an upstream nor keeps them away from it.
 	maxShift = 2.0
@@ -65,7 +67,7 @@
 		Factor:  p.learned,
 		Learned: p.learned,
 	}
-	if p.reported == 0 {
+	if p.reported == 0 || now.Sub(p.at) > maxAge {
 		return f
 	}
 	f.Reported = p.reported
