--- a/internal/relay/batch/scheduler.go
+++ b/internal/relay/batch/scheduler.go
@@ -9,6 +9,7 @@
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/loadreport"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
@@ -41,6 +42,7 @@
 	calls       map[CallID]*call
 	lastCall    CallID
 	urgentSlack time.Duration // moving average of the slack of the most urgent jobs
+	paced       bool          // an upstream has reported its pace
 	done        []Done
 	releases    map[fleet.Upstream][]wire.Handle
 }
@@ -103,9 +105,10 @@
 	w, ok := s.workers[upstream.ID]
 	if !ok || w.upstream.Started != upstream.Started || w.upstream.Address != upstream.Address || w.pool != p {
 		w = &worker{
-			pool:     p,
-			slowdown: 1,
+			pool:    p,
+			reports: loadreport.New(),
 		}
+		w.refresh(time.Time{})
 		s.workers[upstream.ID] = w
 	}
 	w.upstream = upstream
@@ -131,6 +134,7 @@
 			pool:  p,
 		})
 	}
+	s.refresh(now)
 	if err := s.admit(now, j); err != nil {
 		return err
 	}
--- a/internal/relay/batch/worker.go
+++ b/internal/relay/batch/worker.go
@@ -5,23 +5,19 @@
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/loadreport"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 )
 
 const (
-	// slowdownWeight is the weight of a call in the moving average of a worker's slowdown.
-	slowdownWeight = 0.4
 	// itemWeight is the weight of a call in the moving average of item times.
 	itemWeight = 0.2
 	// The learned item times are between minItemFactor and maxItemFactor times the item
 	// time in the settings of the service.
 	minItemFactor = 0.1
 	maxItemFactor = 1.5
-	// maxSlowdown is the highest slowdown that is learned. An upstream that is slower
-	// is not used while others are free.
-	maxSlowdown = 8.0
-	// After a refused call an upstream gets no calls for minRefusalBackoff, after a lost
-	// call for minLossBackoff. Both double with each further failure, up to
+	// After a refused call whose response does not tell when the upstream is free, it gets no
+	// calls for minRefusalBackoff, after a lost call for minLossBackoff. Both double with each further failure, up to
 	// maxRefusalBackoff and maxLossBackoff, until a call succeeds.
 	minRefusalBackoff = 40 * time.Millisecond
 	maxRefusalBackoff = 320 * time.Millisecond
@@ -35,12 +31,14 @@
 	pool           *pool
 	calls          []*call       // in progress
 	backoffUntil   time.Time     // no call starts before
-	slowdown       float64       // moving average of the duration of calls divided by the expected duration
+	slowdown       float64       // expected duration of a call divided by the normal one, as of the latest refresh
 	heldBytes      int64         // results held, with the bytes reserved by calls in progress
 	refusalBackoff time.Duration // latest backoff after a refused call; 0 after a success
 	lossBackoff    time.Duration // latest backoff after a lost call; 0 after a success
 	foreign        foreign       // estimate of the results that heldBytes does not include
-	gone           bool          // no longer registered, or draining
+	reports        *loadreport.Record
+	forecast       loadreport.Forecast // that slowdown is from
+	gone           bool                // no longer registered, or draining
 }
 
 // call is a Call in progress with its state.
@@ -51,6 +49,7 @@
 	started    time.Time
 	reserved   int64 // bytes reserved for results
 	heldBefore int64 // heldBytes of the worker before the call
+	delayed    bool  // it may have waited for calls of other hosts
 }
 
 // part is one item of a call.
@@ -149,18 +148,34 @@
 	switch o := outcome.(type) {
 	case Completed:
 		w.lossBackoff, w.refusalBackoff = 0, 0
-		if !o.whole() {
+		if c.delayed || !o.whole() {
 			return // items that are not done take no time and would distort the averages
 		}
 		took := now.Sub(c.started)
-		expected := time.Duration(float64(c.Expected) / w.slowdown)
-		w.pool.updateItemTimes(c, time.Duration(float64(took)/w.slowdown))
-		w.slowdown = min(w.slowdown+slowdownWeight*(float64(took)/float64(expected)-w.slowdown), maxSlowdown)
+		w.pool.updateItemTimes(c, time.Duration(float64(took)/c.Forecast.Factor))
+		normal := float64(c.Expected) / c.Forecast.Factor
+		w.reports.Learn(float64(took)/normal, c.Forecast)
+		w.refresh(now)
 	case Refused:
-		w.refusalBackoff = min(max(2*w.refusalBackoff, minRefusalBackoff), maxRefusalBackoff)
-		w.backoffUntil = now.Add(max(w.refusalBackoff, o.Pause))
+		w.backoffUntil = now.Add(max(w.refusalWait(now), o.Pause))
 	case Lost:
 		w.lossBackoff = min(max(2*w.lossBackoff, minLossBackoff), maxLossBackoff)
 		w.backoffUntil = now.Add(w.lossBackoff)
 	}
 }
+
+// refresh updates the expected slowdown, since reports lose weight with age.
+func (w *worker) refresh(now time.Time) {
+	w.forecast = w.reports.Forecast(now)
+	w.slowdown = w.forecast.Factor
+}
+
+// refusalWait returns how long the upstream gets no calls after a refused one: until its
+// load report says that it is free or, without such a report, for the refusal backoff.
+func (w *worker) refusalWait(now time.Time) time.Duration {
+	if wait := w.reports.FreeAt().Sub(now); wait > 0 {
+		return max(wait, minRefusalBackoff)
+	}
+	w.refusalBackoff = min(max(2*w.refusalBackoff, minRefusalBackoff), maxRefusalBackoff)
+	return w.refusalBackoff
+}
