Use load reports only where upstreams state their pace

Deployments whose upstreams report three figures would have been scheduled in another way, and each coordinator that begins would have sent health checks there, which wait for a slot and cost. Only upstreams that share their machines state a pace; what is new is for these.

Reports without a pace are not passed on. Health checks are sent once, when the first call is refused, which shows that calls of another coordinator are in progress; until then there is nothing to learn from them.

--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -104,6 +104,7 @@
 	table       *routes.Table
 	snapshot    *fleet.Snapshot
 	activeCalls int
+	sawRefusal  bool // an upstream with a load report has refused a call
 	checked     bool // the upstreams of stages have been checked
 	placements  *placements
 }
--- a/internal/relay/coordinator/doc.go
+++ b/internal/relay/coordinator/doc.go
@@ -4,9 +4,9 @@
 // the upstreams and releases results that are no longer needed. Only the goroutine of
 // Run accesses the scheduler; other goroutines send commands to it.
 //
-// Load reports in the responses of upstreams go to the scheduler. When a Coordinator begins,
-// it checks each upstream of its stages once, since they may be busy with the calls of its
-// predecessor; it runs stages without waiting for the answers.
+// Load reports in the responses of upstreams go to the scheduler. When the first call is
+// refused, it checks each upstream of its stages once, since they may be busy with the calls
+// of its predecessor; it runs stages without waiting for the answers.
 //
 // A Coordinator also chooses the upstream that runs a request after its stages, since
 // it knows the requests of all hosts. Hosts send reports on the outcome of these
--- a/internal/relay/coordinator/health.go
+++ b/internal/relay/coordinator/health.go
@@ -11,73 +11,31 @@
 	"github.com/nutmegshift/nutmegshift/internal/transport/memory"
 )
 
-const (
-	// healthTimeout limits a health check. The response is immediate, and a later one says
-	// little about the load.
-	healthTimeout = 500 * time.Millisecond
-	// firstChecks is the number of upstreams of a service that are checked first. The
-	// others are checked only if one of these reports its load.
-	firstChecks = 4
-)
+// healthTimeout limits a health check. The response is immediate, and a later one says
+// little about the load.
+const healthTimeout = 500 * time.Millisecond
 
-// checkHealth starts one health check of each upstream that runs stages when the coordinator
-// begins, since they may be busy with the calls of its predecessor. Later calls do nothing.
+// checkHealth starts one health check of each upstream that runs stages once a call has been
+// refused: after the loss of a coordinator they are busy with its calls. Later calls do
+// nothing.
 func (c *Coordinator) checkHealth(ctx context.Context) {
-	if c.checked || c.table == nil {
+	if c.checked || !c.sawRefusal || c.table == nil {
 		return
 	}
+	c.checked = true
 	for name, service := range c.table.Services() {
-		upstreams := c.upstreams(c.snapshot, name)
-		if service.Batch == nil || service.HealthPath == "" || len(upstreams) == 0 {
+		if service.Batch == nil || service.HealthPath == "" {
 			continue
 		}
-		c.checked = true
-		c.activeCalls += len(upstreams)
-		go func(ctx context.Context) {
-			c.checkUpstreams(ctx, service.HealthPath, upstreams)
-		}(ctx)
-	}
-}
-
-// checkUpstreams checks upstreams of a service, and sends an element to c.ends for each of
-// them.
-func (c *Coordinator) checkUpstreams(ctx context.Context, path string, upstreams []fleet.Upstream) {
-	var first, others []fleet.Upstream
-	stride := max(1, len(upstreams)/firstChecks)
-	for i, upstream := range upstreams {
-		if i%stride == 0 {
-			first = append(first, upstream)
-		} else {
-			others = append(others, upstream)
-		}
-	}
-	if c.checkConcurrently(ctx, path, first) {
-		c.checkConcurrently(ctx, path, others)
-		return
-	}
-	for range others {
-		c.ends <- callEnd{}
-	}
-}
-
-// checkConcurrently checks upstreams, sends an element to c.ends for each of them, and
-// reports whether any has a load report.
-func (c *Coordinator) checkConcurrently(ctx context.Context, path string, upstreams []fleet.Upstream) bool {
-	reports := make(chan *loadreport.Report)
-	for _, upstream := range upstreams {
-		go func(ctx context.Context) {
-			reports <- c.check(ctx, path, upstream)
-		}(ctx)
-	}
-	reported := false
-	for range upstreams {
-		report := <-reports
-		reported = reported || report != nil
-		c.ends <- callEnd{
-			report: report,
+		for _, upstream := range c.upstreams(c.snapshot, name) {
+			c.activeCalls++
+			go func(ctx context.Context) {
+				c.ends <- callEnd{
+					report: c.check(ctx, service.HealthPath, upstream),
+				}
+			}(ctx)
 		}
 	}
-	return reported
 }
 
 // check sends a health check and returns the load report of its response, or nil if there is
--- a/internal/relay/coordinator/reports.go
+++ b/internal/relay/coordinator/reports.go
@@ -11,11 +11,13 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 )
 
-// newReport returns the load report of a response, or nil if it has none or comes from
-// another upstream. The source is that of a response to a request that has run.
+// newReport returns the load report of a response, or nil if it has none, comes from another
+// upstream, or states no pace: only upstreams that share their machines with others state
+// one, and the reports of others are as good as what is learned from their calls. The source
+// is that of a response to a request that has run.
 func newReport(from fleet.Upstream, response *upstreamhttp.Response, source loadreport.Source, at time.Time) *loadreport.Report {
 	reply := response.Reply
-	if reply.Load == nil || reply.Upstream != "" && reply.Upstream != from.ID {
+	if reply.Load == nil || reply.Load.Pace == 0 || reply.Upstream != "" && reply.Upstream != from.ID {
 		return nil
 	}
 	if source == loadreport.Completed && reply.NotRun {
@@ -34,6 +36,7 @@
 	now := c.config.Now()
 	if end.report != nil {
 		c.observe(now, *end.report)
+		c.sawRefusal = c.sawRefusal || end.report.Source == loadreport.Refused
 	}
 	if end.id != 0 {
 		c.scheduler.FinishCall(now, end.id, end.outcome)
