Probe a suspected coordinator before its jobs are given up

A host with few requests has no message of its coordinator for longer than 0.6 s quite often. A rumour of a suspicion then made it cancel its jobs and record a loss, and its next job replaced the coordinator with a higher term, for all hosts.

Change: while such a host waits for a job, it sends the suspected coordinator a gossip message; only a missing reply within 0.3 s is a loss. A coordinator that does not accept a job in time counts as busy only if it has replied to another job recently, since in a one-way partition its gossip still arrives. The host counts the jobs that no host has accepted (relay_jobs_unassigned) and whether it schedules alone (relay_schedules_alone).

Not measured on a deployment.

--- a/internal/relay/cell/cell_test.go
+++ b/internal/relay/cell/cell_test.go
@@ -122,6 +122,7 @@
 type remote struct {
 	submit map[ident.Address]error
 	wait   map[ident.Address]func() (coordinator.Prepared, error)
+	probe  error
 	asked  []ident.Address
 
 	reports []coordinator.Report // of the last job
@@ -194,7 +195,7 @@
 		wait   []func() (coordinator.Prepared, error) // results of Wait, in the order of the hosts
 		leaves bool                                   // the first host leaves while it has the job
 		dies   bool                                   // the first host stops responding while it has the job
-		busy   bool                                   // the first host is suspected, but still responds
+		probe  error                                  // of the first host
 		asked  int                                    // hosts that get the job
 		err    error
 		local  bool // this host coordinates the job
@@ -203,8 +204,8 @@
 		"first does not answer": {submit: []error{cell.ErrUnreachable, nil}, wait: []func() (coordinator.Prepared, error){nil, done}, asked: 2},
 		"first loses it":        {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){lost, done}, asked: 2},
 		"first leaves":          {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){slow, done}, leaves: true, asked: 1},
-		"first dies":            {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){nil, done}, dies: true, asked: 2},
-		"first is only busy":    {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){slow, done}, dies: true, busy: true, asked: 1},
+		"first dies":            {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){nil, done}, dies: true, probe: cell.ErrUnreachable, asked: 2},
+		"first is only busy":    {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){slow, done}, dies: true, asked: 1},
 		"first is silent":       {submit: []error{cell.ErrSilent, nil}, wait: []func() (coordinator.Prepared, error){nil, done}, asked: 2},
 		"first refuses":         {submit: []error{batch.ErrOverload, nil}, wait: []func() (coordinator.Prepared, error){nil, done}, asked: 1, err: batch.ErrOverload},
 		"first fails":           {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){fails, done}, asked: 1, err: batch.ErrFailed},
@@ -227,27 +228,10 @@
 				r.wait[ident.Address(order[i])] = test.wait[i]
 			}
 			stager := newStager(c, m, leaders, responses, r, time.Now)
+			r.probe = test.probe
 			if test.leaves {
 				time.AfterFunc(50*time.Millisecond, func() { m.leave(order[0]) })
 			}
-			if test.busy {
-				heard := time.NewTicker(50 * time.Millisecond)
-				defer heard.Stop()
-				ended := make(chan struct{})
-				defer func() { <-ended }()
-				ctx, cancel := context.WithCancel(t.Context())
-				defer cancel()
-				go func(ctx context.Context) {
-					defer close(ended)
-					for ctx.Err() == nil {
-						select {
-						case <-heard.C:
-							responses.Heard(order[0])
-						case <-ctx.Done():
-						}
-					}
-				}(ctx)
-			}
 			if test.dies {
 				time.AfterFunc(50*time.Millisecond, func() { m.suspect(order[0]) })
 			}
@@ -264,7 +248,7 @@
 }
 
 // newStager returns the stager of a host with a coordinator for the cell of all upstreams.
-func newStager(c *qt.C, m *members, leaders *duty.Leaders, responses *duty.Responses, remote cell.Remote, now func() time.Time) *cell.Stager {
+func newStager(c *qt.C, m *members, leaders *duty.Leaders, responses *duty.Responses, remote *remote, now func() time.Time) *cell.Stager {
 	local := coordinator.New(coordinator.Config{
 		Table:    func() *routes.Table { return routes.New(1, routes.Limits{}, nil, nil, nil) },
 		Fleet:    fleet.New().Snapshot,
@@ -290,6 +274,7 @@
 		Fleet:     fleet.New().Snapshot,
 		Local:     func(cell.ID) *coordinator.Coordinator { return local },
 		Remote:    remote,
+		Probe:     func(context.Context, peer.Row) error { return remote.probe },
 		Now:       now,
 		Random:    func() float64 { return 0 },
 		Log:       zerolog.Nop(),
--- a/internal/relay/cell/choice.go
+++ b/internal/relay/cell/choice.go
@@ -16,9 +16,12 @@
 	// acceptTimeout is how long a host may take to accept a job. It allows for several
 	// round trips between failure domains and for a short pause of the host.
 	acceptTimeout = 400 * time.Millisecond
-	// probeTimeout is how long a host may take to accept a job that is probably lost: it is
-	// suspected, or this host is partitioned from it.
-	probeTimeout = 150 * time.Millisecond
+	// suspectTimeout is how long a suspected host may take to accept a job or to reply to a
+	// probe.
+	suspectTimeout = 300 * time.Millisecond
+	// minTimeout is how long a host may take to accept a job that has less slack, or if
+	// this host is partitioned from it. It allows for a handshake and two round trips.
+	minTimeout = 150 * time.Millisecond
 	// startPeriod is how long after its own start a host waits for the first candidate.
 	// Hosts that lose power together start within half a second of each other.
 	startPeriod = 800 * time.Millisecond
@@ -180,10 +183,12 @@
 	switch {
 	case standing == duty.Recent:
 		limit = max(limit, duty.RecentPeriod-s.now.Sub(s.evidence(row.Host).Heard))
-	case s.silence >= partitionPeriod || row.State == peer.Suspect:
-		limit = probeTimeout
+	case s.silence >= partitionPeriod:
+		limit = minTimeout
+	case row.State == peer.Suspect:
+		limit = suspectTimeout
 	case starting:
-		limit = min(limit, max(probeTimeout, s.job.latest.Sub(s.now)))
+		limit = min(limit, max(minTimeout, s.job.latest.Sub(s.now)))
 	}
 	return min(limit, s.job.deadline.Sub(s.now))
 }
@@ -231,3 +236,22 @@
 		length: min(length, s.job.latest.Sub(s.now)),
 	}
 }
+
+// keepsJob reports whether a host still runs the jobs that it has accepted, as far as is
+// known. A host that is leaving finishes them, and one that is suspected is only busy until
+// a message to it gets no reply.
+func keepsJob(row peer.Row, known bool, standing duty.Standing) bool {
+	if !known {
+		return false
+	}
+	switch row.State {
+	case peer.Alive, peer.Leaving:
+		return true
+	case peer.Suspect:
+		return standing == duty.Recent || standing == duty.Quiet
+	case peer.Down:
+		return false
+	default:
+		return false
+	}
+}
--- a/internal/relay/cell/choice_test.go
+++ b/internal/relay/cell/choice_test.go
@@ -76,7 +76,7 @@
 		"no candidate responds, late":       {evidence: allLost, silence: time.Second, want: refusal{}},
 		"no candidate responds, no work":    {evidence: allLost, silence: time.Second, noWork: true, want: local{reason: reasonNoWork}},
 		"partitioned":                       {evidence: allLost, silence: partitionPeriod, slack: 240 * time.Millisecond, want: local{reason: reasonPartitioned}},
-		"partitioned, one is due for a job": {evidence: map[ident.HostID]duty.Evidence{"a": lost(20), "b": lost(1000)}, silence: partitionPeriod, want: to("b", probeTimeout)},
+		"partitioned, one is due for a job": {evidence: map[ident.HostID]duty.Evidence{"a": lost(20), "b": lost(1000)}, silence: partitionPeriod, want: to("b", minTimeout)},
 		"no other host":                     {hosts: []ident.HostID{"self"}, want: local{reason: reasonAlone}},
 	}
 	for name, test := range tests {
--- a/internal/relay/cell/stager.go
+++ b/internal/relay/cell/stager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -63,6 +64,7 @@
 	Fleet     func() *fleet.Snapshot
 	Local     func(id ID) *coordinator.Coordinator
 	Remote    Remote
+	Probe     func(ctx context.Context, to peer.Row) error // sends a message to another host and waits for the reply
 	Now       func() time.Time
 	Random    func() float64 // returns numbers from 0 to 1
 	Log       zerolog.Logger
@@ -71,7 +73,8 @@
 // Stager runs the stages of requests at the coordinators of their cells. It is safe
 // for concurrent use.
 type Stager struct {
-	config Config
+	config  Config
+	refused atomic.Uint64
 
 	mu      sync.Mutex
 	silence silence
@@ -142,11 +145,25 @@
 			s.setAlone(id, next.reason)
 			return s.prepareLocal(ctx, id, job)
 		case refusal:
+			s.refused.Add(1)
 			return coordinator.Prepared{}, ErrNoCoordinator
 		}
 	}
 }
 
+// Refused returns the number of jobs that have been refused because no host has accepted
+// them.
+func (s *Stager) Refused() uint64 {
+	return s.refused.Load()
+}
+
+// Alone reports whether this host schedules its jobs alone.
+func (s *Stager) Alone() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.alone != ""
+}
+
 // situation returns what this host knows that matters for a job.
 func (s *Stager) situation(id ID, job pending) *situation {
 	candidates := s.config.Leaders.Candidates(id.Duty(), s.config.Hosts())
@@ -209,7 +226,7 @@
 		s.mu.Unlock()
 		return
 	}
-	if !unreachable && s.config.Responses.Standing(host) == duty.Recent {
+	if !unreachable && now.Sub(s.config.Responses.Evidence(host).Answered) < duty.RecentPeriod {
 		return // it responds to other jobs
 	}
 	s.config.Responses.Lost(host)
@@ -236,6 +253,16 @@
 	if err != nil {
 		return coordinator.Prepared{}, err
 	}
+	prepared, err := s.await(ctx, to.to, ticket)
+	if ctx.Err() == nil {
+		s.recordResult(host, err)
+	}
+	return prepared, err
+}
+
+// await waits for the result of a job that another host has accepted. It returns
+// ErrUnreachable if the host loses the job or is no longer alive.
+func (s *Stager) await(ctx context.Context, row peer.Row, ticket Ticket) (coordinator.Prepared, error) {
 	done := make(chan result, 1)
 	go func(context.Context) {
 		prepared, err := ticket.Wait()
@@ -244,48 +271,57 @@
 			err:      err,
 		}
 	}(ctx)
+	var probed chan error // nil if no probe is in progress
+	probeCtx, stopProbe := context.WithCancel(ctx)
+	defer func() {
+		stopProbe()
+		if probed != nil {
+			s.recordProbe(probeCtx, row.Host, <-probed)
+		}
+	}()
 	check := time.NewTicker(checkInterval)
 	defer check.Stop()
 	for {
 		select {
 		case r := <-done:
-			if ctx.Err() == nil {
-				s.recordResult(host, r.err)
-			}
 			return r.prepared, r.err
 		case <-ctx.Done():
 			ticket.Cancel()
 			<-done
 			return coordinator.Prepared{}, ctx.Err()
+		case err := <-probed:
+			probed = nil
+			s.recordProbe(probeCtx, row.Host, err)
 		case <-check.C:
-			if s.keepsJob(host) {
-				continue
+			current, known := s.config.Hosts().Row(row.Host)
+			standing := s.config.Responses.Standing(row.Host)
+			if !keepsJob(current, known, standing) {
+				ticket.Cancel()
+				<-done
+				return coordinator.Prepared{}, errors.Annotatef(ErrUnreachable, "%s is no longer alive", row.Host)
+			}
+			if probed == nil && current.State == peer.Suspect && standing == duty.Quiet {
+				probed = make(chan error, 1)
+				go func(ctx context.Context) { probed <- s.probe(ctx, current) }(probeCtx)
 			}
-			ticket.Cancel()
-			<-done
-			err := errors.Annotatef(ErrUnreachable, "%s is no longer alive", host)
-			s.recordResult(host, err)
-			return coordinator.Prepared{}, err
 		}
 	}
 }
 
-// keepsJob reports whether a host still runs the jobs that it has accepted, as far as is
-// known. A host that is leaving finishes them, and one that is suspected although it has
-// responded recently is only busy.
-func (s *Stager) keepsJob(host ident.HostID) bool {
-	row, ok := s.config.Hosts().Row(host)
-	if !ok {
-		return false
-	}
-	switch row.State {
-	case peer.Alive, peer.Leaving:
-		return true
-	case peer.Suspect:
-		return s.config.Responses.Standing(host) == duty.Recent
-	case peer.Down:
-		return false
+// probe returns an error if a host does not reply to a message in time.
+func (s *Stager) probe(ctx context.Context, to peer.Row) error {
+	ctx, cancel := context.WithTimeout(ctx, suspectTimeout)
+	defer cancel()
+	return s.config.Probe(ctx, to)
+}
+
+// recordProbe records whether a host has replied to a probe.
+func (s *Stager) recordProbe(ctx context.Context, host ident.HostID, err error) {
+	switch {
+	case ctx.Err() != nil:
+	case err != nil:
+		s.config.Responses.Lost(host)
 	default:
-		return false
+		s.config.Responses.Heard(host)
 	}
 }
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -98,6 +98,7 @@
 	leaders      *duty.Leaders
 	responses    *duty.Responses
 	coordinators *coordinators
+	stager       *cell.Stager
 	handler      *forward.Handler
 	syncSources  chan ident.HostID // hosts whose replicas are ahead of this one's
 	started      time.Time
@@ -166,6 +167,22 @@
 		Host: h,
 	}
 	h.relayClient = grpcrelay.NewClient(h.peers.client.Connection, time.Now)
+	h.stager = cell.New(cell.Config{
+		Self:      s.Host,
+		Domain:    s.Domain,
+		Started:   h.started,
+		Hosts:     h.peers.table.Snapshot,
+		Leaders:   leaders,
+		Responses: h.responses,
+		Table:     h.routes.Table,
+		Fleet:     h.fleet.Snapshot,
+		Local:     h.coordinators.get,
+		Remote:    h.relayClient,
+		Probe:     h.peers.probe,
+		Now:       time.Now,
+		Random:    rand.Float64,
+		Log:       log,
+	})
 	h.handler = forward.New(forward.Config{
 		Codec:      platform.Codec,
 		Routes:     h.routes,
@@ -184,24 +201,10 @@
 			Share: s.HedgeShare,
 			Now:   time.Now,
 		}),
-		Poison: h.poison,
-		Memory: h.memory,
-		Meter:  h.meter,
-		Stager: cell.New(cell.Config{
-			Self:      s.Host,
-			Domain:    s.Domain,
-			Started:   h.started,
-			Hosts:     h.peers.table.Snapshot,
-			Leaders:   leaders,
-			Responses: h.responses,
-			Table:     h.routes.Table,
-			Fleet:     h.fleet.Snapshot,
-			Local:     h.coordinators.get,
-			Remote:    h.relayClient,
-			Now:       time.Now,
-			Random:    rand.Float64,
-			Log:       log,
-		}),
+		Poison:   h.poison,
+		Memory:   h.memory,
+		Meter:    h.meter,
+		Stager:   h.stager,
 		Domain:   s.Domain,
 		Hosts:    h.liveHosts,
 		Stopping: h.isStopping,
@@ -237,6 +240,13 @@
 		}
 		return 0
 	})
+	h.meter.Gauge("relay_jobs_unassigned", func() float64 { return float64(h.stager.Refused()) })
+	h.meter.Gauge("relay_schedules_alone", func() float64 {
+		if h.stager.Alone() {
+			return 1
+		}
+		return 0
+	})
 	h.meter.Gauge("relay_ready", func() float64 {
 		if h.ready() {
 			return 1
--- a/internal/relay/host/peers.go
+++ b/internal/relay/host/peers.go
@@ -172,12 +172,24 @@
 // announce sends a gossip message to a host at once, in addition to the periodic ones,
 // and applies the reply.
 func (p *peers) announce(ctx context.Context, address ident.Address) {
+	if err := p.exchange(ctx, address); err != nil {
+		p.log.Debug().Err(err).Str("peer", string(address)).Msg("peers: announcement failed")
+	}
+}
+
+// probe sends a gossip message to a host and applies the reply. It returns an error if
+// there is none.
+func (p *peers) probe(ctx context.Context, to peer.Row) error {
+	return p.exchange(ctx, to.Address)
+}
+
+func (p *peers) exchange(ctx context.Context, address ident.Address) error {
 	reply, err := p.client.Exchange(ctx, address, p.gossip.Announcement())
 	if err != nil {
-		p.log.Debug().Err(err).Str("peer", string(address)).Msg("peers: announcement failed")
-		return
+		return err
 	}
 	p.gossip.Announced(time.Now(), reply)
+	return nil
 }
 
 // handleRumours logs membership changes and merges the crashes that other hosts report,
