Learn the coordinator from running hosts before the first job

A host that restarts beside running hosts elected the host that ranks first, and sent its first jobs there or scheduled them itself, until the first periodic gossip message named the coordinator that the others follow. With half of a fleet, that is a second coordinator for some hundred milliseconds.

Change: a host announces itself to two random hosts once it has the list of hosts, and merges the leaders in the replies. Without any message of another host, jobs with stages wait until 0.15 s after the start, or 0.4 s at a host that ranks first, but never longer than their slack.

Not measured on a deployment; package host has no tests of its own.

--- a/internal/relay/cell/cell_test.go
+++ b/internal/relay/cell/cell_test.go
@@ -308,7 +308,8 @@
 		c.Assert(err, qt.IsNil)
 		return r.asked
 	}
-	c.Check(asked(), qt.DeepEquals, order[:4])
+	c.Check(asked(), qt.DeepEquals, order[:2])
+	c.Check(asked(), qt.DeepEquals, order[2:4], qt.Commentf("the first two have not responded"))
 	c.Check(asked(), qt.HasLen, 0, qt.Commentf("no host responds"))
 	now = now.Add(2 * time.Second)
 	for _, address := range order[1:] {
--- a/internal/relay/cell/choice.go
+++ b/internal/relay/cell/choice.go
@@ -27,10 +27,15 @@
 	startPeriod = 800 * time.Millisecond
 	// successorPeriod is the additional time for each further candidate.
 	successorPeriod = 300 * time.Millisecond
-	// joinPeriod is how long after its start a host that ranks first waits for a message of
-	// another host, which names the coordinator that the others follow. It exceeds the
-	// interval of the gossip.
-	joinPeriod = 400 * time.Millisecond
+	// joinPeriod is how long after its start a host waits for a message of another host,
+	// which names the coordinator that the others follow. It allows for one exchange with
+	// hosts that run.
+	joinPeriod = 150 * time.Millisecond
+	// firstJoinPeriod is joinPeriod for a host that ranks first and would schedule itself.
+	// It exceeds the interval of the gossip.
+	firstJoinPeriod = 400 * time.Millisecond
+	// proposalLosses is the number of hosts to which a job without stages is sent.
+	proposalLosses = 2
 	// retryPause is the shortest time between a loss of a candidate and the next job that
 	// is sent to it while this host waits for it; retryJitter is the most that is added,
 	// since all hosts wait for the same one.
@@ -119,10 +124,20 @@
 	if !s.now.Before(s.job.deadline) {
 		return refusal{}
 	}
+	if !s.job.hasWork && len(s.job.losses) >= proposalLosses {
+		return local{
+			reason: reasonNoWork,
+		}
+	}
+	if s.joining() && s.job.hasWork && !s.late() {
+		return s.pause(retryPause)
+	}
 	first := s.candidates[:min(len(s.candidates), maxCandidates)]
 	for i, row := range first {
 		if row.Host == s.self {
-			return s.decideSelf(i)
+			return local{
+				reason: reasonCandidate,
+			}
 		}
 		evidence := s.evidence(row.Host)
 		standing := evidence.Standing(s.now)
@@ -165,15 +180,14 @@
 	return evidence.Answered.IsZero() && s.now.Sub(s.started) < period
 }
 
-// decideSelf returns the decision if this host is the first candidate that is not lost.
-func (s *situation) decideSelf(index int) decision {
-	joining := index == 0 && !s.confirmed && !s.joined && s.now.Sub(s.started) < joinPeriod
-	if joining && s.job.hasWork && !s.late() {
-		return s.pause(retryPause)
-	}
-	return local{
-		reason: reasonCandidate,
+// joining reports whether this host has started so recently that it may not know yet whom
+// the others follow.
+func (s *situation) joining() bool {
+	period := joinPeriod
+	if s.candidates[0].Host == s.self {
+		period = firstJoinPeriod
 	}
+	return !s.confirmed && !s.joined && s.now.Sub(s.started) < period
 }
 
 // limit returns how long a host may take to accept the job. One that has responded
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -272,11 +272,11 @@
 	})
 }
 
-// observe records that another host responds, merges the leaders that it reports, and
+// observe merges the leaders that another host reports, records that it responds, and
 // schedules a transfer from it if its replica is ahead.
 func (h *Host) observe(message peer.Message) {
-	h.responses.Heard(message.From.Host)
 	h.leaders.Merge(message.Leaders, h.peers.table.Snapshot())
+	h.responses.Heard(message.From.Host)
 	if !h.replica.Confirm(kv.Cursor(message.Documents), message.Age) {
 		return
 	}
@@ -436,6 +436,7 @@
 	h.addComponent(componentCtx, &group, "coordinators", h.coordinators.run)
 	h.addComponent(componentCtx, &group, "peers", h.peers.serve(peerListener))
 	h.addComponent(componentCtx, &group, "gossip", h.peers.runner.Run)
+	h.addComponent(componentCtx, &group, "join", h.peers.join)
 	h.addComponent(componentCtx, &group, "rumours", h.peers.handleRumours)
 	h.addComponent(componentCtx, &group, "ticks", h.tick)
 	h.addComponent(componentCtx, &group, "readiness", func(ctx context.Context) error {
--- a/internal/relay/host/peers.go
+++ b/internal/relay/host/peers.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -29,6 +31,10 @@
 	// maxMembersValue is the size in bytes up to which the list is kept. A list of 4,000
 	// hosts takes a third of it.
 	maxMembersValue = 128 << 10
+	// joinMessages is the number of hosts to which a host that has started announces itself
+	// once it has the list of hosts. With half of the hosts down, three of four hosts reach
+	// one.
+	joinMessages = 2
 )
 
 // errNotServed is the response to the calls of the peer protocol that only entry hosts
@@ -38,6 +44,7 @@
 // peers holds the membership and the gossip of this host, and the client and server of
 // its peer port.
 type peers struct {
+	self       ident.HostID
 	log        zerolog.Logger
 	crashes    *poison.Table
 	draining   func(rumour peer.UpstreamLeaving) // called for upstreams that drain, as seen by other hosts
@@ -47,6 +54,8 @@
 	runner     *grpcpeer.Runner
 	server     *grpcpeer.Server
 	listWriter *memberlist.Writer
+	listed     chan struct{} // closed when the list of hosts has been received
+	listedOnce sync.Once
 }
 
 var (
@@ -60,6 +69,7 @@
 func newPeers(s *settings.Relay, replica *discovery.Replica, leaders *duty.Leaders, observe func(message peer.Message), crashes *poison.Table, draining func(rumour peer.UpstreamLeaving), relay *grpcrelay.Server, log zerolog.Logger) *peers {
 	clock := timeline.NewClock(time.Now)
 	p := &peers{
+		self:     s.Host,
 		log:      log,
 		crashes:  crashes,
 		draining: draining,
@@ -73,6 +83,7 @@
 		}),
 		client:     grpcpeer.NewClient(s.Host, clock, time.Now),
 		listWriter: memberlist.NewWriter(time.Now),
+		listed:     make(chan struct{}),
 	}
 	p.gossip = peer.NewGossip(peer.Config{
 		Table:     p.table,
@@ -142,6 +153,7 @@
 		})
 	}
 	p.table.Merge(time.Now(), rows)
+	p.listedOnce.Do(func() { close(p.listed) })
 }
 
 // Removed implements discovery.Sink. The listed hosts may still run; failure detection by
@@ -161,6 +173,33 @@
 	return row.Address, nil
 }
 
+// join announces this host to a few random hosts once it has the list of hosts, so that it
+// learns at once whom the others follow. It returns when ctx ends.
+func (p *peers) join(ctx context.Context) error {
+	select {
+	case <-p.listed:
+	case <-ctx.Done():
+		return nil
+	}
+	others := slices.DeleteFunc(slices.Clone(p.table.Snapshot().Live()), func(row peer.Row) bool {
+		return row.Host == p.self || row.Address == ""
+	})
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(len(others), joinMessages)]
+	announced := make(chan struct{})
+	for _, row := range others {
+		go func(ctx context.Context) {
+			p.announce(ctx, row.Address)
+			announced <- struct{}{}
+		}(ctx)
+	}
+	for range others {
+		<-announced
+	}
+	<-ctx.Done()
+	return nil
+}
+
 // announceToSeed announces this host to a random seed, if there is one.
 func (p *peers) announceToSeed(ctx context.Context, seeds []ident.Address) {
 	if len(seeds) == 0 {
