--- a/internal/relay/cell/choice.go
+++ b/internal/relay/cell/choice.go
@@ -16,18 +16,26 @@
 	// acceptTimeout is how long a host may take to accept a job. It allows for several
 	// round trips between failure domains and for a short pause of the host.
 	acceptTimeout = 400 * time.Millisecond
-	// probeTimeout is how long a host may take to accept a job that is probably lost: it is
-	// suspected, or this host is partitioned from it.
-	probeTimeout = 150 * time.Millisecond
+	// suspectTimeout is how long a suspected host may take to accept a job or to reply to a
+	// probe.
+	suspectTimeout = 300 * time.Millisecond
+	// minTimeout is how long a host may take to accept a job that has less slack, or if
+	// this host is partitioned from it. It allows for a handshake and two round trips.
+	minTimeout = 150 * time.Millisecond
 	// startPeriod is how long after its own start a host waits for the first candidate.
 	// Hosts that lose power together start within half a second of each other.
 	startPeriod = 800 * time.Millisecond
 	// successorPeriod is the additional time for each further candidate.
 	successorPeriod = 300 * time.Millisecond
-	// joinPeriod is how long after its start a host that ranks first waits for a message of
-	// another host, which names the coordinator that the others follow. It exceeds the
-	// interval of the gossip.
-	joinPeriod = 400 * time.Millisecond
+	// joinPeriod is how long after its start a host waits for a message of another host,
+	// which names the coordinator that the others follow. It allows for one exchange with
+	// hosts that run.
+	joinPeriod = 150 * time.Millisecond
+	// firstJoinPeriod is joinPeriod for a host that ranks first and would schedule itself.
+	// It exceeds the interval of the gossip.
+	firstJoinPeriod = 400 * time.Millisecond
+	// proposalLosses is the number of hosts to which a job without stages is sent.
+	proposalLosses = 2
 	// retryPause is the shortest time between a loss of a candidate and the next job that
 	// is sent to it while this host waits for it; retryJitter is the most that is added,
 	// since all hosts wait for the same one.
@@ -116,10 +124,20 @@
 	if !s.now.Before(s.job.deadline) {
 		return refusal{}
 	}
+	if !s.job.hasWork && len(s.job.losses) >= proposalLosses {
+		return local{
+			reason: reasonNoWork,
+		}
+	}
+	if s.joining() && s.job.hasWork && !s.late() {
+		return s.pause(retryPause)
+	}
 	first := s.candidates[:min(len(s.candidates), maxCandidates)]
 	for i, row := range first {
 		if row.Host == s.self {
-			return s.decideSelf(i)
+			return local{
+				reason: reasonCandidate,
+			}
 		}
 		evidence := s.evidence(row.Host)
 		standing := evidence.Standing(s.now)
@@ -162,15 +180,14 @@
 	return evidence.Answered.IsZero() && s.now.Sub(s.started) < period
 }
 
-// decideSelf returns the decision if this host is the first candidate that is not lost.
-func (s *situation) decideSelf(index int) decision {
-	joining := index == 0 && !s.confirmed && !s.joined && s.now.Sub(s.started) < joinPeriod
-	if joining && s.job.hasWork && !s.late() {
-		return s.pause(retryPause)
-	}
-	return local{
-		reason: reasonCandidate,
+// joining reports whether this host has started so recently that it may not know yet whom
+// the others follow.
+func (s *situation) joining() bool {
+	period := joinPeriod
+	if s.candidates[0].Host == s.self {
+		period = firstJoinPeriod
 	}
+	return !s.confirmed && !s.joined && s.now.Sub(s.started) < period
 }
 
 // limit returns how long a host may take to accept the job. One that has responded
@@ -180,10 +197,12 @@
 	switch {
 	case standing == duty.Recent:
 		limit = max(limit, duty.RecentPeriod-s.now.Sub(s.evidence(row.Host).Heard))
-	case s.silence >= partitionPeriod || row.State == peer.Suspect:
-		limit = probeTimeout
+	case s.silence >= partitionPeriod:
+		limit = minTimeout
+	case row.State == peer.Suspect:
+		limit = suspectTimeout
 	case starting:
-		limit = min(limit, max(probeTimeout, s.job.latest.Sub(s.now)))
+		limit = min(limit, max(minTimeout, s.job.latest.Sub(s.now)))
 	}
 	return min(limit, s.job.deadline.Sub(s.now))
 }
@@ -231,3 +250,22 @@
 		length: min(length, s.job.latest.Sub(s.now)),
 	}
 }
+
+// keepsJob reports whether a host still runs the jobs that it has accepted, as far as is
+// known. A host that is leaving finishes them, and one that is suspected is only busy until
+// a message to it gets no reply.
+func keepsJob(row peer.Row, known bool, standing duty.Standing) bool {
+	if !known {
+		return false
+	}
+	switch row.State {
+	case peer.Alive, peer.Leaving:
+		return true
+	case peer.Suspect:
+		return standing == duty.Recent || standing == duty.Quiet
+	case peer.Down:
+		return false
+	default:
+		return false
+	}
+}
--- a/internal/relay/cell/choice_test.go
+++ b/internal/relay/cell/choice_test.go
@@ -60,6 +60,8 @@
 		"coordinator is lost":               {evidence: map[ident.HostID]duty.Evidence{"a": lost(100)}, slack: 240 * time.Millisecond, want: to("b", acceptTimeout)},
 		"late job, coordinator is lost":     {evidence: map[ident.HostID]duty.Evidence{"a": lost(100)}, slack: -time.Second, want: to("b", acceptTimeout)},
 		"job lost, coordinator is busy":     {evidence: map[ident.HostID]duty.Evidence{"a": answered(100)}, losses: map[ident.HostID]int{"a": 1}, slack: -time.Second, want: refusal{}},
+		"start, heard of no other":          {up: 100 * time.Millisecond, slack: 240 * time.Millisecond, want: pause{length: retryPause}},
+		"start, heard of others":            {up: 100 * time.Millisecond, joined: true, slack: 240 * time.Millisecond, want: to("a", 240*time.Millisecond)},
 		"start, first dial":                 {up: 300 * time.Millisecond, slack: 240 * time.Millisecond, want: to("a", 240*time.Millisecond)},
 		"start, refused just now":           {up: 300 * time.Millisecond, evidence: map[ident.HostID]duty.Evidence{"a": lost(10)}, slack: 240 * time.Millisecond, want: pause{length: 20 * time.Millisecond}},
 		"start, refused a while ago":        {up: 300 * time.Millisecond, evidence: map[ident.HostID]duty.Evidence{"a": lost(60)}, slack: 240 * time.Millisecond, want: to("a", 240*time.Millisecond)},
@@ -74,9 +76,10 @@
 		"this host substitutes":             {self: "b", evidence: map[ident.HostID]duty.Evidence{"a": lost(60)}, slack: 240 * time.Millisecond, want: local{reason: reasonCandidate}},
 		"no candidate responds":             {evidence: allLost, silence: time.Second, slack: 240 * time.Millisecond, want: pause{length: 10 * time.Millisecond}},
 		"no candidate responds, late":       {evidence: allLost, silence: time.Second, want: refusal{}},
+		"two do not respond, no work":       {losses: map[ident.HostID]int{"a": 1, "b": 1}, noWork: true, want: local{reason: reasonNoWork}},
 		"no candidate responds, no work":    {evidence: allLost, silence: time.Second, noWork: true, want: local{reason: reasonNoWork}},
 		"partitioned":                       {evidence: allLost, silence: partitionPeriod, slack: 240 * time.Millisecond, want: local{reason: reasonPartitioned}},
-		"partitioned, one is due for a job": {evidence: map[ident.HostID]duty.Evidence{"a": lost(20), "b": lost(1000)}, silence: partitionPeriod, want: to("b", probeTimeout)},
+		"partitioned, one is due for a job": {evidence: map[ident.HostID]duty.Evidence{"a": lost(20), "b": lost(1000)}, silence: partitionPeriod, want: to("b", minTimeout)},
 		"no other host":                     {hosts: []ident.HostID{"self"}, want: local{reason: reasonAlone}},
 	}
 	for name, test := range tests {
