Admit and batch stages by the slack of each job

Cause: one limit on the delay of all jobs, derived from the slack of the most urgent ones, refuses jobs that could wait for seconds; and work that could wait starts small calls, so that calls are far from full.

Change: Scheduler.SetSlackAware enables a second policy. Work with slack waits for a fuller call, joins calls of urgent work, or starts when it has to; a job is admitted by a forecast of the work that is due earlier and of more urgent arrivals. The slack is shared by the stages of a job. The present policy is unchanged and the default.

--- a/internal/relay/batch/admit.go
+++ b/internal/relay/batch/admit.go
@@ -48,6 +48,9 @@
 // more slack: otherwise those would fill the queues up to their own limit, and more
 // urgent jobs would have no chance to be on time.
 func (s *Scheduler) admit(now time.Time, j *job) error {
+	if s.slack.enabled {
+		return s.admitBySlack(now, j)
+	}
 	took, unloaded := s.estimate(now, j)
 	if end := now.Add(took); end.After(j.Deadline) {
 		return &Overload{
--- a/internal/relay/batch/job.go
+++ b/internal/relay/batch/job.go
@@ -173,6 +173,9 @@
 	failures    int       // calls that failed, restarts of the job included
 	queued      bool      // in the queue of the pool
 	finished    bool
+	schedule
+	order   order // position in the queue of the present plan
+	planned int   // waiting pieces that the present plan has assigned
 }
 
 // job is a Job with the state of its stages.
@@ -181,6 +184,7 @@
 	tasks      []*task
 	unfinished int       // number of stages with pieces that are not finished
 	finished   time.Time // when the last stage finished; zero before
+	expected   time.Time // expected end of the stages; zero if not predicted
 	stale      bool      // results were lost; restart when no piece is running
 	ended      bool
 }
--- a/internal/relay/batch/plan.go
+++ b/internal/relay/batch/plan.go
@@ -25,16 +25,18 @@
 	work      time.Duration // time that the items add to the call
 	free      int64         // bytes that the upstream has free for results
 	bytes     int64         // size of the results of the batch
+	limit     time.Time     // when the batch has to end for its work to be on time; zero means no limit
 	parts     []part
 }
 
 // Actions lists what the owner of a Scheduler has to do.
 type Actions struct {
-	Calls    []Call            // to send
-	Done     []Done            // jobs that have ended
-	Evicted  []ident.RequestID // requests of finished jobs whose unread results were dropped to free capacity
-	Releases []Release         // to send
-	Wake     time.Time         // when to call Plan again if no event comes before; zero means never
+	Calls       []Call            // to send
+	Done        []Done            // jobs that have ended
+	Evicted     []ident.RequestID // requests of finished jobs whose unread results were dropped to free capacity
+	Releases    []Release         // to send
+	Predictions []Prediction      // of jobs that have ended
+	Wake        time.Time         // when to call Plan again if no event comes before; zero means never
 }
 
 // Plan starts the calls that are possible now and returns what has to be done. Each
@@ -45,10 +47,14 @@
 	actions.Evicted = s.evictUnread(now)
 	s.restartExpired(now)
 	for _, p := range s.order {
-		s.planPool(now, p, &actions)
+		if s.slack.enabled {
+			s.planHeld(now, p, &actions)
+		} else {
+			s.planPool(now, p, &actions)
+		}
 	}
-	actions.Done = s.done
-	s.done = nil
+	actions.Done, s.done = s.done, nil
+	actions.Predictions, s.slack.predictions = s.slack.predictions, nil
 	for upstream, handles := range s.releases {
 		actions.Releases = append(actions.Releases, Release{
 			Upstream: upstream,
--- a/internal/relay/batch/scheduler.go
+++ b/internal/relay/batch/scheduler.go
@@ -40,6 +40,7 @@
 	unread      map[JobID]*job // finished jobs whose results are held
 	calls       map[CallID]*call
 	lastCall    CallID
+	slack       slackState
 	urgentSlack time.Duration // moving average of the slack of the most urgent jobs
 	done        []Done
 	releases    map[fleet.Upstream][]wire.Handle
@@ -61,6 +62,7 @@
 // Configure sets the services that run stages, their limits, and their upstreams.
 // Calls in progress at upstreams that are no longer listed continue.
 func (s *Scheduler) Configure(services map[ident.ServiceName]*routes.Service, upstreams func(ident.ServiceName) []fleet.Upstream) {
+	s.slack.forecastAt = time.Time{}
 	for _, w := range s.workers {
 		w.gone = true
 	}
@@ -131,10 +133,14 @@
 			pool:  p,
 		})
 	}
+	j.shareSlack(now)
 	if err := s.admit(now, j); err != nil {
 		return err
 	}
 	s.start(now, j)
+	if s.slack.enabled {
+		s.addToForecasts(now, j)
+	}
 	return nil
 }
 
@@ -328,7 +334,8 @@
 	}
 	s.remove(old)
 	fresh := &job{
-		Job: old.Job,
+		Job:      old.Job,
+		expected: old.expected,
 	}
 	for _, t := range old.tasks {
 		fresh.tasks = append(fresh.tasks, &task{
@@ -339,6 +346,7 @@
 			failures: t.failures,
 		})
 	}
+	fresh.shareSlack(now)
 	s.start(now, fresh)
 }
 
@@ -398,6 +406,7 @@
 		}
 	}
 	j.finished = now
+	s.observeEnd(j, !now.After(j.Objective), now.Sub(j.expected))
 	s.unread[j.ID] = j
 	s.done = append(s.done, done)
 }
@@ -405,6 +414,7 @@
 // fail ends a job with an error.
 func (s *Scheduler) fail(j *job, err error) {
 	s.remove(j)
+	s.observeEnd(j, false, 0)
 	s.done = append(s.done, Done{
 		Job: j.ID,
 		Err: err,
--- a/internal/relay/batch/scheduler_test.go
+++ b/internal/relay/batch/scheduler_test.go
@@ -419,10 +419,11 @@
 				h.complete(i)
 			}
 		}
+		h.SetSlackAware(rapid.Bool().Draw(t, "slack-aware"))
 		steps := rapid.IntRange(1, 100).Draw(t, "steps")
 		for range steps {
 			h.now = h.now.Add(ms(rapid.IntRange(0, 400).Draw(t, "pause")))
-			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0, 1:
 				j := job("a", rapid.IntRange(0, 4).Draw(t, "pieces"), 0)
 				j.Objective = h.now.Add(ms(rapid.IntRange(0, 4000).Draw(t, "objective")))
@@ -448,6 +449,8 @@
 				if !ended[id] {
 					delete(open, id)
 				}
+			case 5: // another table is in force
+				h.SetSlackAware(rapid.Bool().Draw(t, "slack-aware"))
 			}
 			observe()
 		}
--- /dev/null
+++ b/internal/relay/batch/slack.go
@@ -0,0 +1,170 @@
+package batch
+
+import (
+	"slices"
+	"time"
+)
+
+// slackState is the state of slack-aware scheduling.
+type slackState struct {
+	enabled      bool
+	forecastAt   time.Time // time of the forecasts of all pools
+	forecastCall CallID    // latest call that they take into account
+	predictions  []Prediction
+}
+
+// poolSlack is the state of slack-aware scheduling for one pool.
+type poolSlack struct {
+	arrivals []*arrivals // recent ones by kind, sorted by kind
+	forecast *forecast
+}
+
+// schedule is when a task has to start and end so that its job meets its objective. Its
+// times are set when the job is accepted or restarted.
+type schedule struct {
+	due      time.Time     // when the task should start; leaves their share of the slack to later stages
+	finishBy time.Time     // when a call should end that starts at due with only this task
+	latest   time.Time     // when the task must start if the stages after it run without delay
+	rest     time.Duration // least time that the task and the stages after it take
+	urgent   bool          // due when the job arrived, or soon after
+}
+
+// late reports whether the job can no longer meet its objective.
+func (t *task) late(now time.Time) bool {
+	return now.After(t.latest)
+}
+
+// shareSlack sets the schedule of each task of a job. The slack of the job, which is the
+// time until its objective minus the time that its stages take without load, is shared
+// equally by the stages that run one after the other: a first stage that used all of it
+// would leave none for the queues of later stages.
+func (j *job) shareSlack(now time.Time) {
+	for _, t := range j.tasks {
+		if t.stage.Pieces == 0 {
+			continue
+		}
+		t.rest = t.remaining()
+		t.latest = j.Objective.Add(-t.rest)
+		t.due = t.latest
+		if slack := t.latest.Sub(now) - t.timeToStart(); slack > 0 {
+			after := t.stagesAfter()
+			t.due = t.due.Add(-slack * time.Duration(after) / time.Duration(t.stagesBefore()+1+after))
+		}
+		t.finishBy = t.due.Add(t.pool.singleCallTime(t.stage))
+		t.urgent = t.due.Sub(now)-t.timeToStart() < t.pool.fullCallTime()
+	}
+}
+
+// stagesBefore returns the number of stages that run one after the other before a task.
+func (t *task) stagesBefore() int {
+	longest := 0
+	for _, dep := range t.stage.After {
+		if b := t.job.tasks[dep]; b.stage.Pieces > 0 {
+			longest = max(longest, b.stagesBefore()+1)
+		}
+	}
+	return longest
+}
+
+// stagesAfter returns the number of stages that run one after the other after a task.
+func (t *task) stagesAfter() int {
+	longest := 0
+	for _, next := range t.job.tasks {
+		if next.stage.Pieces > 0 && slices.Contains(next.stage.After, t.index) {
+			longest = max(longest, next.stagesAfter()+1)
+		}
+	}
+	return longest
+}
+
+// endLimit returns when a call with the task has to end, if the call would end at soloEnd
+// without other tasks. ok is false if the job cannot meet its objective in this call
+// anyway.
+func (t *task) endLimit(soloEnd time.Time) (limit time.Time, ok bool) {
+	if !soloEnd.After(t.finishBy) {
+		return t.finishBy, true
+	}
+	end := t.latest.Add(t.pool.singleCallTime(t.stage))
+	return end, !soloEnd.After(end)
+}
+
+// fullCallTime returns the duration of a call with the maximum number of items.
+func (p *pool) fullCallTime() time.Duration {
+	return p.limits.CallTime + time.Duration(p.limits.Items)*p.limits.ItemTime
+}
+
+// pieceTime returns the time that one piece of a stage takes of an upstream in a full
+// call, with its share of the fixed duration of the call.
+func (p *pool) pieceTime(kind Kind) time.Duration {
+	return p.limits.CallTime/time.Duration(p.limits.Items) + p.itemTime(kind)
+}
+
+// SetSlackAware enables or disables slack-aware admission and batching. Accepted jobs
+// stay accepted.
+func (s *Scheduler) SetSlackAware(enabled bool) {
+	s.slack.enabled = enabled
+}
+
+// order is the position of a task in the queue of a pool.
+type order uint8
+
+const (
+	orderUrgent  order = iota // has to start a call of its own if it fits into no other
+	orderPatient              // may wait for a fuller call
+	orderLate                 // cannot meet its objective
+)
+
+// unplaced returns the number of waiting pieces that the present plan has not assigned.
+func (t *task) unplaced() int {
+	return len(t.waiting) - t.planned
+}
+
+// margin returns the factor for the expected duration of a call to which the task is
+// added.
+func (t *task) margin() float64 {
+	if t.order == orderUrgent {
+		return urgentMargin
+	}
+	return patientMargin
+}
+
+// add assigns the next pieces of a task to the batch.
+func (s *slot) add(t *task, pieces int) {
+	if pieces == 0 {
+		return
+	}
+	for _, piece := range t.waiting[t.planned : t.planned+pieces] {
+		s.parts = append(s.parts, part{
+			task:  t,
+			piece: piece,
+		})
+	}
+	t.planned += pieces
+	s.work += s.worker.pool.work(t, pieces)
+	s.bytes += int64(pieces) * t.stage.Bytes
+	solo := time.Duration(float64(s.worker.pool.limits.CallTime+s.worker.pool.work(t, pieces)) * s.worker.slowdown)
+	if limit, ok := t.endLimit(s.start.Add(solo)); ok && (s.limit.IsZero() || limit.Before(s.limit)) {
+		s.limit = limit
+	}
+}
+
+// roomFor returns how many of the unplaced pieces of a task the batch can take without
+// making other work in it late.
+func (s *slot) roomFor(t *task) int {
+	room := min(t.unplaced(), s.capacity(t))
+	if s.limit.IsZero() || room <= 0 {
+		return max(room, 0)
+	}
+	p := s.worker.pool
+	spare := time.Duration(float64(s.limit.Sub(s.start))/(s.worker.slowdown*t.margin())) - p.limits.CallTime - s.work
+	return max(0, min(room, int(spare/p.itemTime(t.stage.Kind))))
+}
+
+// full reports whether the batch can take no further piece.
+func (s *slot) full() bool {
+	if len(s.parts) >= s.worker.pool.limits.Items {
+		return true
+	}
+	end := s.start.Add(time.Duration(float64(s.worker.pool.limits.CallTime+s.work) * s.worker.slowdown * urgentMargin))
+	return !s.limit.IsZero() && end.After(s.limit)
+}
--- a/internal/relay/batch/worker.go
+++ b/internal/relay/batch/worker.go
@@ -62,6 +62,7 @@
 // pool is the set of workers of one service.
 type pool struct {
 	service ident.ServiceName
+	slack   poolSlack
 	limits  routes.Batch
 	workers []*worker              // sorted by upstream ID
 	queue   []*task                // tasks with waiting pieces
