Enable slack-aware scheduling where objectives differ by a factor of 3

Cause: the coordinator has the table, on which the choice of the policy depends.

Change: the coordinator passes to the scheduler whether the policy is enabled, again with each table, and logs changes. Predictions of accepted jobs are counted by whether they came true.

Result: tests of the packages coordinator, batch and routes pass with the race detector.

--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -28,7 +28,11 @@
 	releaseTimeout = time.Second
 	// maxPlanInterval is the longest time between two plans while jobs wait, since an
 	// upstream may have joined.
-	maxPlanInterval   = 200 * time.Millisecond
+	maxPlanInterval = 200 * time.Millisecond
+	// slackAwareSpread is the factor between objectives from which scheduling is
+	// slack-aware: one limit on the delay for all kinds then refuses those with long
+	// objectives although they could wait.
+	slackAwareSpread  = 3
 	commandQueueSize  = 256
 	maxResponseBytes  = 1 << 20 // maximum size of the response to a call
 	maxLoggedRequests = 16      // maximum number of request ids in a log line
@@ -100,6 +104,7 @@
 	scheduler   *batch.Scheduler
 	waiters     map[batch.JobID]chan batch.Done
 	table       *routes.Table
+	slackAware  bool // by the objectives of table
 	snapshot    *fleet.Snapshot
 	activeCalls int
 	placements  *placements
@@ -152,12 +157,26 @@
 	if table == nil || table == c.table && snapshot == c.snapshot {
 		return
 	}
+	if table != c.table {
+		c.setSlackAware(table)
+	}
 	c.table, c.snapshot = table, snapshot
 	c.scheduler.Configure(table.Services(), func(name ident.ServiceName) []fleet.Upstream {
 		return c.upstreams(snapshot, name)
 	})
 }
 
+// setSlackAware enables slack-aware scheduling if the objectives in a table differ enough.
+func (c *Coordinator) setSlackAware(table *routes.Table) {
+	spread := table.ObjectiveSpread()
+	enabled := spread >= slackAwareSpread
+	if enabled != c.slackAware {
+		c.config.Log.Info().Bool("enabled", enabled).Float64("spread", spread).Msg("stage: slack-aware scheduling changed by the objectives of the table")
+	}
+	c.slackAware = enabled
+	c.scheduler.SetSlackAware(enabled)
+}
+
 // upstreams returns the upstreams of a service that belong to this coordinator.
 func (c *Coordinator) upstreams(snapshot *fleet.Snapshot, name ident.ServiceName) []fleet.Upstream {
 	var list []fleet.Upstream
@@ -184,6 +203,9 @@
 	for _, request := range actions.Evicted {
 		c.config.Log.Info().Str("request", string(request)).Msg("stage: evicted results that stayed unread for too long, to free capacity for other requests")
 	}
+	for _, p := range actions.Predictions {
+		c.config.Meter.Prediction(p.OnTime, p.Met, p.Late)
+	}
 	for _, call := range actions.Calls {
 		c.activeCalls++
 		go func(ctx context.Context) {
--- a/internal/relay/meter/meter.go
+++ b/internal/relay/meter/meter.go
@@ -88,6 +88,14 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`relay_batch_seconds{service=%q}`, service)).Update(took.Seconds())
 }
 
+// Prediction counts a request whose stages have ended by whether they were expected to
+// meet the objective and whether they did, and records by how much they ended later than
+// expected.
+func (m *Meter) Prediction(expected, met bool, late time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`relay_stages_predictions_total{expected="%t",met="%t"}`, expected, met)).Inc()
+	m.set.GetOrCreateHistogram(`relay_stages_overrun_seconds`).Update(max(0, late).Seconds())
+}
+
 // Connected counts a new connection to an upstream.
 func (m *Meter) Connected() {
 	m.set.GetOrCreateCounter(`relay_upstream_connections_total`).Inc()
