--- a/internal/relay/batch/scheduler.go
+++ b/internal/relay/batch/scheduler.go
@@ -41,6 +41,7 @@
 	unread      map[JobID]*job // finished jobs whose results are held
 	calls       map[CallID]*call
 	lastCall    CallID
+	slack       slackState
 	urgentSlack time.Duration // moving average of the slack of the most urgent jobs
 	paced       bool          // an upstream has reported its pace
 	done        []Done
@@ -63,6 +64,7 @@
 // Configure sets the services that run stages, their limits, and their upstreams.
 // Calls in progress at upstreams that are no longer listed continue.
 func (s *Scheduler) Configure(services map[ident.ServiceName]*routes.Service, upstreams func(ident.ServiceName) []fleet.Upstream) {
+	s.slack.forecastAt = time.Time{}
 	for _, w := range s.workers {
 		w.gone = true
 	}
@@ -135,10 +137,14 @@
 		})
 	}
 	s.refresh(now)
+	j.shareSlack(now)
 	if err := s.admit(now, j); err != nil {
 		return err
 	}
 	s.start(now, j)
+	if s.slack.enabled {
+		s.addToForecasts(now, j)
+	}
 	return nil
 }
 
@@ -332,7 +338,8 @@
 	}
 	s.remove(old)
 	fresh := &job{
-		Job: old.Job,
+		Job:      old.Job,
+		expected: old.expected,
 	}
 	for _, t := range old.tasks {
 		fresh.tasks = append(fresh.tasks, &task{
@@ -343,6 +350,7 @@
 			failures: t.failures,
 		})
 	}
+	fresh.shareSlack(now)
 	s.start(now, fresh)
 }
 
@@ -402,6 +410,7 @@
 		}
 	}
 	j.finished = now
+	s.observeEnd(j, !now.After(j.Objective), now.Sub(j.expected))
 	s.unread[j.ID] = j
 	s.done = append(s.done, done)
 }
@@ -409,6 +418,7 @@
 // fail ends a job with an error.
 func (s *Scheduler) fail(j *job, err error) {
 	s.remove(j)
+	s.observeEnd(j, false, 0)
 	s.done = append(s.done, Done{
 		Job: j.ID,
 		Err: err,
