Accept no jobs of other hosts before the upstreams are known

The first coordinator listens up to some hundred milliseconds before the first listing of the store has been applied. Jobs that arrived in between failed with "stage has no upstream", and their requests were refused.

Change: until then the host answers jobs with UNAVAILABLE, which the sender takes for a loss, so it sends the job again within its slack. A host logs at most one line for each host and job that is not accepted. TestPrepareWithoutCoordinator also covers a host that is partitioned.

--- a/internal/relay/cell/cell_test.go
+++ b/internal/relay/cell/cell_test.go
@@ -337,6 +337,7 @@
 		r.submit[address] = cell.ErrUnreachable
 	}
 	stager := newStager(c, m, leaders, responses, r, time.Now)
+	started := time.Now()
 	for _, slack := range []time.Duration{240 * time.Millisecond, 0} {
 		started := time.Now()
 		_, err := stager.Prepare(t.Context(), work(slack))
@@ -344,7 +345,14 @@
 		c.Check(time.Since(started) >= slack, qt.IsTrue)
 		c.Check(time.Since(started) < slack+200*time.Millisecond, qt.IsTrue)
 	}
-	_, err := newStager(c, newMembers(), leaders, responses, r, time.Now).Prepare(t.Context(), work(0))
+	err := error(cell.ErrNoCoordinator)
+	for errors.Is(err, cell.ErrNoCoordinator) {
+		_, err = stager.Prepare(t.Context(), work(240*time.Millisecond))
+	}
+	c.Check(err, qt.ErrorIs, batch.ErrNoUpstream, qt.Commentf("this host is partitioned and schedules itself"))
+	c.Check(time.Since(started) >= 2*time.Second, qt.IsTrue)
+	c.Check(stager.Alone(), qt.IsTrue)
+	_, err = newStager(c, newMembers(), leaders, responses, r, time.Now).Prepare(t.Context(), work(0))
 	c.Check(err, qt.ErrorIs, batch.ErrNoUpstream, qt.Commentf("this host knows no other and schedules itself"))
 }
 
--- a/internal/relay/cell/stager.go
+++ b/internal/relay/cell/stager.go
@@ -134,6 +134,9 @@
 				return coordinator.Prepared{}, ctx.Err()
 			}
 			waiting.losses[next.to.Host]++
+			if waiting.losses[next.to.Host] > 1 {
+				continue // one line for each host and job is enough
+			}
 			s.config.Log.Info().Err(err).Str("request", string(job.Request)).Str("coordinator", string(next.to.Host)).Dur("within", next.within).Msg("cell: coordinator did not respond")
 		case pause:
 			select {
--- a/internal/relay/grpcrelay/server.go
+++ b/internal/relay/grpcrelay/server.go
@@ -23,7 +23,8 @@
 }
 
 // NewServer returns a server that submits jobs to the coordinators of their cells, and
-// sends the entries of a replica to other hosts.
+// sends the entries of a replica to other hosts. The function coordinators returns nil
+// while the host cannot coordinate.
 func NewServer(coordinators func(id cell.ID) *coordinator.Coordinator, replica *discovery.Replica, now func() time.Time) *Server {
 	return &Server{
 		coordinators: coordinators,
@@ -48,7 +49,11 @@
 	if err != nil {
 		return status.Error(codes.InvalidArgument, err.Error())
 	}
-	ticket, err := s.coordinators(id).Submit(job)
+	cellCoordinator := s.coordinators(id)
+	if cellCoordinator == nil {
+		return status.Error(codes.Unavailable, "host does not know the upstreams yet")
+	}
+	ticket, err := cellCoordinator.Submit(job)
 	if errors.Is(err, coordinator.ErrStopped) {
 		return status.Error(codes.Unavailable, err.Error())
 	}
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -158,7 +158,7 @@
 	h.responses = duty.NewResponses(time.Now)
 	leaders := duty.New(func(name duty.Name) bool { return !slices.Contains(readerDuties, name) }, h.responses)
 	h.leaders = leaders
-	h.peers = newPeers(s, h.replica, leaders, h.observe, h.poison, h.observeDraining, grpcrelay.NewServer(h.coordinators.get, h.replica, time.Now), log)
+	h.peers = newPeers(s, h.replica, leaders, h.observe, h.poison, h.observeDraining, grpcrelay.NewServer(h.coordinatorForOthers, h.replica, time.Now), log)
 	sinks[membersKey] = h.peers
 	sinks[crashesKey] = crashSink{
 		Host: h,
@@ -272,6 +272,16 @@
 	})
 }
 
+// coordinatorForOthers returns the coordinator of a cell for the jobs of other hosts. It
+// returns nil until the first listing of the store has been applied: a job would otherwise
+// fail for lack of upstreams.
+func (h *Host) coordinatorForOthers(id cell.ID) *coordinator.Coordinator {
+	if h.replica.Cursor() == 0 || h.routes.Table() == nil {
+		return nil
+	}
+	return h.coordinators.get(id)
+}
+
 // observe merges the leaders that another host reports, records that it responds, and
 // schedules a transfer from it if its replica is ahead.
 func (h *Host) observe(message peer.Message) {
