Derive weights of organisations from their priorities

Cause: shares of a scarce service need a weight for each organisation.

Change: Table.Weight doubles with each level of priority above the least urgent one, up to 16. It is 1 without priorities, and 0 for a table with less than two organisations and for organisations that it does not list.

--- a/internal/relay/routes/table.go
+++ b/internal/relay/routes/table.go
@@ -18,6 +18,7 @@
 	organised      bool // has organisations
 	listsNone      bool // has a list of organisations, which is empty
 	lowestPriority int  // priority of the least urgent organisation
+	weights        map[ident.OrganisationID]float64
 }
 
 // New returns a table of the given parts, which the caller must not modify afterwards. A
@@ -47,6 +48,7 @@
 			}
 		}
 	}
+	t.weights = weights(organisations, t.lowestPriority)
 	return t
 }
 
--- a/internal/relay/routes/table_test.go
+++ b/internal/relay/routes/table_test.go
@@ -184,3 +184,33 @@
 		})
 	}
 }
+
+// Guards against weights that contradict the priorities, and against shares among the
+// organisations of a table that has none or one.
+func TestWeight(t *testing.T) {
+	tests := map[string]struct {
+		priorities []int // of the organisations "a" and "b"; -1 for none
+		a, b       float64
+	}{
+		"no organisations": {},
+		"one organisation": {priorities: []int{1}},
+		"no priorities":    {priorities: []int{-1, -1}, a: 1, b: 1},
+		"one priority":     {priorities: []int{2, -1}, a: 1, b: 1},
+		"different":        {priorities: []int{1, 3}, a: 4, b: 1},
+		"very different":   {priorities: []int{0, 60}, a: 16, b: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var organisations []*routes.Organisation
+			for i, priority := range test.priorities {
+				organisations = append(organisations, &routes.Organisation{
+					Name:        []ident.OrganisationID{"a", "b"}[i],
+					Priority:    priority,
+					HasPriority: priority >= 0,
+				})
+			}
+			held := routes.New(1, routes.Limits{}, nil, nil, organisations)
+			qt.Check(t, []float64{held.Weight("a"), held.Weight("b"), held.Weight("")}, qt.DeepEquals, []float64{test.a, test.b, 0})
+		})
+	}
+}
