Limit organisations to shares of stage services that lack capacity

Change: after the admission policy, a job is refused if its organisation uses too much of a service whose backlog exceeds three quarters of a full call. Jobs carry the organisation and its weight; without a weight they are admitted as before. The refusal states the usage, and its Retry-After is the time in which the usage decays.

--- a/internal/relay/batch/admit.go
+++ b/internal/relay/batch/admit.go
@@ -77,7 +77,7 @@
 			Limit: allowed,
 		}
 	}
-	return nil
+	return s.admitShare(now, j, took-unloaded, max(allowed, 0))
 }
 
 // observeSlack updates the average slack by a job of the most urgent rank.
--- a/internal/relay/batch/doc.go
+++ b/internal/relay/batch/doc.go
@@ -14,6 +14,9 @@
 // requests that cannot; within each group, the stage that has to start earliest
 // comes first. A request whose deadline can no longer be met fails at once.
 //
+// While a service is short of capacity, requests of organisations that use more than
+// their shares of it are refused at a shorter delay than others; see package share.
+//
 // Invariants:
 //   - An item is in at most one call at a time.
 //   - A stage starts only when all results that it needs are available.
--- a/internal/relay/batch/job.go
+++ b/internal/relay/batch/job.go
@@ -9,6 +9,7 @@
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/share"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
 
@@ -26,11 +27,16 @@
 type Overload struct {
 	Delay time.Duration // expected delay beyond the time that the stages take without load
 	Limit time.Duration // highest delay that was allowed
+	Usage share.Ratio   // usage of the organisation relative to its share, if refused because of it; 0 otherwise
 }
 
 // Error implements error.
 func (o *Overload) Error() string {
-	return fmt.Sprintf("stages would be delayed by %s, the limit is %s", o.Delay.Round(time.Millisecond), o.Limit.Round(time.Millisecond))
+	reason := fmt.Sprintf("stages would be delayed by %s, the limit is %s", o.Delay.Round(time.Millisecond), o.Limit.Round(time.Millisecond))
+	if o.Usage.Limited() {
+		reason += fmt.Sprintf(", since the usage of the organisation is %.2f of its share", o.Usage)
+	}
+	return reason
 }
 
 // Unwrap returns ErrOverload.
@@ -40,8 +46,11 @@
 
 // RetryAfter returns how long a caller should wait before a retry. By then the work
 // that is ahead now is done; half as much time again is added for work that arrives
-// meanwhile.
+// meanwhile. An organisation that is limited to its share waits until its usage has decayed.
 func (o *Overload) RetryAfter() time.Duration {
+	if o.Usage.Limited() {
+		return max(minRetryAfter, o.Usage.Wait())
+	}
 	return max(minRetryAfter, (o.Delay-o.Limit)*3/2)
 }
 
@@ -85,6 +94,9 @@
 	Key       string    // identifies the content of the pieces of the stages without inputs
 	Objective time.Time // when the stages must be finished for the response to be on time
 	Deadline  time.Time // when the stages must be finished for any response
+
+	Organisation ident.OrganisationID // on whose behalf the request runs; empty if unknown
+	Weight       share.Weight         // of the organisation when services are short of capacity; 0 if shares do not apply
 }
 
 // HasWork reports whether any stage has pieces.
--- a/internal/relay/batch/scheduler.go
+++ b/internal/relay/batch/scheduler.go
@@ -41,6 +41,7 @@
 	calls       map[CallID]*call
 	lastCall    CallID
 	urgentSlack time.Duration // moving average of the slack of the most urgent jobs
+	shares      shares
 	done        []Done
 	releases    map[fleet.Upstream][]wire.Handle
 }
@@ -54,6 +55,7 @@
 		jobs:     make(map[JobID]*job),
 		unread:   make(map[JobID]*job),
 		calls:    make(map[CallID]*call),
+		shares:   make(shares),
 		releases: make(map[fleet.Upstream][]wire.Handle),
 	}
 }
@@ -131,7 +133,9 @@
 			pool:  p,
 		})
 	}
-	if err := s.admit(now, j); err != nil {
+	err := s.admit(now, j)
+	s.account(now, j, err)
+	if err != nil {
 		return err
 	}
 	s.start(now, j)
