Send the organisation of a job to its coordinator

Cause: the coordinator decides on shares, but does not know whose a job is.

Change: the message Job has the field organisation, and Failed the field usage, so that the host that answers the caller knows the reason. Names over 256 bytes are not sent and are rejected when received. A missing organisation, as from earlier hosts, leaves the job without a share.

--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -104,6 +104,8 @@
 	released int
 	dropped  int // results whose context ended before their release, which drops them
 	reports  []coordinator.Report
+
+	organisation ident.OrganisationID // of the last job
 }
 
 func (s *stager) Report(to ident.HostID, report coordinator.Report) {
@@ -115,9 +117,10 @@
 	}
 }
 
-func (s *stager) Prepare(ctx context.Context, _ coordinator.Job) (coordinator.Prepared, error) {
+func (s *stager) Prepare(ctx context.Context, job coordinator.Job) (coordinator.Prepared, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.organisation = job.Organisation
 	if s.err != nil {
 		return coordinator.Prepared{}, s.err
 	}
--- a/internal/relay/forward/handler_test.go
+++ b/internal/relay/forward/handler_test.go
@@ -415,7 +415,7 @@
 }
 
 // Guards against results of stages that are never released or are used after their
-// release, and against a request that runs without results.
+// release, a request that runs without results, and a job without its organisation.
 func TestStages(t *testing.T) {
 	complete := scriptedResponse{text: stream + events(1) + endOfChunks}
 	tests := map[string]struct {
@@ -454,6 +454,7 @@
 			c.Check(inputs, qt.DeepEquals, test.inputs)
 			f.server.Close() // ends the handler
 			c.Check(f.stager.prepared, qt.Equals, test.prepared)
+			c.Check(f.stager.organisation, qt.Equals, ident.OrganisationID("o"))
 			c.Check(f.stager.released, qt.Equals, test.prepared)
 			c.Check(f.stager.dropped, qt.Equals, 0)
 		})
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -190,6 +190,8 @@
 			Key:       e.head.PieceKey,
 			Objective: e.arrived.Add(e.route.Objective - batch.FirstEventTime),
 			Deadline:  e.deadline.Add(-batch.FirstEventTime),
+
+			Organisation: e.organisationID(),
 		},
 	}
 	if e.service.Engine != nil {
--- a/internal/relay/grpcrelay/codec.go
+++ b/internal/relay/grpcrelay/codec.go
@@ -1,6 +1,7 @@
 package grpcrelay
 
 import (
+	"math"
 	"time"
 
 	"github.com/juju/errors"
@@ -10,6 +11,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/cell"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
+	"github.com/nutmegshift/nutmegshift/internal/relay/share"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
 
@@ -21,6 +23,10 @@
 	maxParts  = 1024
 	maxTokens = 1 << 30
 	maxPause  = 24 * time.Hour
+	// maxOrganisation is the maximum length of the name of an organisation, in bytes.
+	maxOrganisation = 256
+	// maxUsage limits the usage in Failed messages, in percent of a share.
+	maxUsage = 10_000
 )
 
 // causeErrors maps the causes in Failed messages to the errors of a job.
@@ -40,6 +46,9 @@
 		Objective: job.Objective.Sub(now).Milliseconds(),
 		Deadline:  job.Deadline.Sub(now).Milliseconds(),
 	}
+	if len(job.Organisation) <= maxOrganisation { // without it, shares do not apply to the job
+		encoded.Organisation = string(job.Organisation)
+	}
 	for _, stage := range job.Stages {
 		s := &Stage{
 			Service: string(stage.Service),
@@ -138,8 +147,13 @@
 			Key:       encoded.GetKey(),
 			Objective: now.Add(time.Duration(encoded.GetObjective()) * time.Millisecond),
 			Deadline:  now.Add(time.Duration(encoded.GetDeadline()) * time.Millisecond),
+
+			Organisation: ident.OrganisationID(encoded.GetOrganisation()),
 		},
 	}
+	if len(encoded.GetOrganisation()) > maxOrganisation {
+		return "", coordinator.Job{}, errors.NotValidf("organisation of %d bytes", len(encoded.GetOrganisation()))
+	}
 	if len(encoded.GetStages()) > maxStages {
 		return "", coordinator.Job{}, errors.NotValidf("job with %d stages", len(encoded.GetStages()))
 	}
@@ -193,6 +207,7 @@
 	if errors.As(err, &overload) {
 		failed.Delay = overload.Delay.Milliseconds()
 		failed.Limit = overload.Limit.Milliseconds()
+		failed.Usage = uint32(min(max(math.Ceil(float64(overload.Usage)*100), 0), maxUsage))
 	}
 	return &JobReply{
 		Kind: &JobReply_Failed{
@@ -206,6 +221,7 @@
 		return &batch.Overload{
 			Delay: time.Duration(failed.GetDelay()) * time.Millisecond,
 			Limit: time.Duration(failed.GetLimit()) * time.Millisecond,
+			Usage: share.Ratio(min(failed.GetUsage(), maxUsage)) / 100,
 		}
 	}
 	cause, ok := causeErrors[failed.GetCause()]
--- a/internal/relay/grpcrelay/codec_test.go
+++ b/internal/relay/grpcrelay/codec_test.go
@@ -1,6 +1,7 @@
 package grpcrelay
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/cell"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
+	"github.com/nutmegshift/nutmegshift/internal/relay/share"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
 
@@ -29,6 +31,8 @@
 			Key:       "7c1e",
 			Objective: senderNow.Add(1500 * time.Millisecond),
 			Deadline:  senderNow.Add(15 * time.Second),
+
+			Organisation: "donor-centre",
 			Stages: []batch.Stage{
 				{
 					Service: "board",
@@ -90,6 +94,7 @@
 		"stage after a later one": {Stages: []*Stage{{After: []uint32{1}}, {}}},
 		"many pieces":             {Stages: []*Stage{{Pieces: 1 << 30}}},
 		"many stages":             {Stages: make([]*Stage, 1000)},
+		"long organisation":       {Organisation: strings.Repeat("o", 1000)},
 		"negative tokens":         {Target: &Target{Service: "s", Input: -1}},
 		"part of many tokens":     {Target: &Target{Service: "s", Parts: []*Part{{Tokens: 1 << 40}}}},
 		"many parts":              {Target: &Target{Service: "s", Parts: make([]*Part, 5000)}},
@@ -102,6 +107,18 @@
 	}
 }
 
+// Guards against a job that is rejected because its organisation has a long name, or
+// because its host does not state one yet.
+func TestUnstatedOrganisation(t *testing.T) {
+	for _, organisation := range []string{"", strings.Repeat("o", 1000)} {
+		var job coordinator.Job
+		job.Organisation = ident.OrganisationID(organisation)
+		_, got, err := decodeJob(time.Now(), encodeJob(time.Now(), "cell", job))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, got.Organisation, qt.Equals, ident.OrganisationID(""))
+	}
+}
+
 // Guards against an overload that is decoded as a failure, or without the time after which
 // to retry.
 func TestFailed(t *testing.T) {
@@ -109,8 +126,10 @@
 		err        error
 		want       error
 		retryAfter time.Duration
+		limited    bool // because of the share of the organisation
 	}{
 		"overload":        {err: &batch.Overload{Delay: 3 * time.Second, Limit: time.Second}, want: batch.ErrOverload, retryAfter: 3 * time.Second},
+		"over share":      {err: &batch.Overload{Delay: 9 * time.Second, Limit: time.Second, Usage: 1.5}, want: batch.ErrOverload, retryAfter: share.Ratio(1.5).Wait(), limited: true},
 		"missed deadline": {err: errors.Annotate(batch.ErrOverload, "deadline cannot be met"), want: batch.ErrOverload},
 		"failed":          {err: errors.Annotate(batch.ErrFailed, "stage 1"), want: batch.ErrFailed},
 		"no upstream":     {err: batch.ErrNoUpstream, want: batch.ErrNoUpstream},
@@ -126,6 +145,7 @@
 			var overload *batch.Overload
 			if errors.As(got, &overload) {
 				c.Check(overload.RetryAfter(), qt.Equals, test.retryAfter)
+				c.Check(overload.Usage.Limited(), qt.Equals, test.limited)
 			} else {
 				c.Check(test.retryAfter, qt.Equals, time.Duration(0))
 			}
