Report shares of organisations at the coordinator

Cause: operators have to see which organisations use a scarce service, and why requests are refused.

Change: the coordinator takes the weights from its table, counts refusals by reason, and sets gauges of the usage and share of the four largest organisations of each service that is short of capacity. Log lines state the beginning, the course and the end of a shortage.

--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -103,6 +103,7 @@
 	snapshot    *fleet.Snapshot
 	activeCalls int
 	placements  *placements
+	shares      *shareReports
 }
 
 // New returns a coordinator; Run starts it.
@@ -115,6 +116,7 @@
 		scheduler:  batch.New(batch.DefaultPolicy()),
 		waiters:    make(map[batch.JobID]chan batch.Done),
 		placements: newPlacements(config.Chooser),
+		shares:     newShareReports(config.Meter, config.Log),
 	}
 }
 
@@ -209,7 +211,7 @@
 	if !actions.Wake.IsZero() {
 		next = min(next, max(time.Millisecond, actions.Wake.Sub(now)))
 	}
-	return next
+	return min(next, c.shares.report(now, c.scheduler))
 }
 
 // Ticket represents a job that the coordinator has accepted.
@@ -239,9 +241,12 @@
 	}
 	accepted := make(chan error, 1)
 	submit := func(now time.Time) {
+		job.Weight = c.weight(job.Organisation)
 		err := c.scheduler.Submit(now, job.Job)
 		if err == nil {
 			c.waiters[job.ID] = ticket.done
+		} else {
+			c.shares.countRefusal(err)
 		}
 		accepted <- err
 	}
--- a/internal/relay/meter/meter.go
+++ b/internal/relay/meter/meter.go
@@ -23,6 +23,16 @@
 	Abandoned Result = "left"   // the caller closed the connection or, for a call, the deadline passed
 )
 
+// Reason is why the stages of a request were refused.
+type Reason string
+
+// The reasons why stages are refused.
+const (
+	Overload   Reason = "overload"    // the stages cannot be finished in time
+	OverShare  Reason = "share"       // the organisation uses more than its share
+	NoUpstream Reason = "no_upstream" // a stage has no upstream
+)
+
 // Meter holds the metrics of a host; it is safe for concurrent use.
 type Meter struct {
 	set *metrics.Set
@@ -88,6 +98,18 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`relay_batch_seconds{service=%q}`, service)).Update(took.Seconds())
 }
 
+// StagesRefused counts a request that a coordinator refused before its stages, and why.
+func (m *Meter) StagesRefused(reason Reason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`relay_stages_refused_total{reason=%q}`, reason)).Inc()
+}
+
+// Organisation sets the usage and the share of an organisation at a service, in upstream
+// seconds per second. The position is 1 for the organisation that uses most of it.
+func (m *Meter) Organisation(service ident.ServiceName, position int, usage, share float64) {
+	m.set.GetOrCreateGauge(fmt.Sprintf(`relay_organisation_usage{service=%q,position="%d"}`, service, position), nil).Set(usage)
+	m.set.GetOrCreateGauge(fmt.Sprintf(`relay_organisation_share{service=%q,position="%d"}`, service, position), nil).Set(share)
+}
+
 // Connected counts a new connection to an upstream.
 func (m *Meter) Connected() {
 	m.set.GetOrCreateCounter(`relay_upstream_connections_total`).Inc()
