--- a/internal/relay/batch/report.go
+++ b/internal/relay/batch/report.go
@@ -48,6 +48,11 @@
 	}
 }
 
+// Paced reports whether an upstream has reported its pace.
+func (s *Scheduler) Paced() bool {
+	return s.paced
+}
+
 // refresh updates the expected slowdown of all workers. Without reported paces it changes
 // only with the durations of calls.
 func (s *Scheduler) refresh(now time.Time) {
--- a/internal/relay/batch/scheduler.go
+++ b/internal/relay/batch/scheduler.go
@@ -44,6 +44,7 @@
 	slack       slackState
 	urgentSlack time.Duration // moving average of the slack of the most urgent jobs
 	paced       bool          // an upstream has reported its pace
+	shares      shares
 	done        []Done
 	releases    map[fleet.Upstream][]wire.Handle
 }
@@ -57,6 +58,7 @@
 		jobs:     make(map[JobID]*job),
 		unread:   make(map[JobID]*job),
 		calls:    make(map[CallID]*call),
+		shares:   make(shares),
 		releases: make(map[fleet.Upstream][]wire.Handle),
 	}
 }
@@ -138,7 +140,9 @@
 	}
 	s.refresh(now)
 	j.shareSlack(now)
-	if err := s.admit(now, j); err != nil {
+	err := s.admit(now, j)
+	s.account(now, j, err)
+	if err != nil {
 		return err
 	}
 	s.start(now, j)
--- a/internal/relay/batch/slackadmit.go
+++ b/internal/relay/batch/slackadmit.go
@@ -41,6 +41,9 @@
 			Limit: allowed,
 		}
 	}
+	if err := s.admitShare(now, j, delay, allowed); err != nil {
+		return err
+	}
 	j.expected = now.Add(took)
 	return nil
 }
--- a/internal/relay/cell/cell_test.go
+++ b/internal/relay/cell/cell_test.go
@@ -18,6 +18,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/duty"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/peer"
@@ -253,6 +254,7 @@
 		Table:    func() *routes.Table { return routes.New(1, routes.Limits{}, nil, nil, nil) },
 		Fleet:    fleet.New().Snapshot,
 		Includes: cell.ID("").Includes,
+		Meter:    meter.New(),
 		Chooser:  placement.New(time.Now, rand.Float64),
 		Now:      time.Now,
 		Log:      zerolog.Nop(),
