Place jobs without stages locally when no host accepts them

A job without stages only asks for the proposal of an upstream. Shortly before its deadline, or after the coordinator had been silent once, it was refused, although this host can place it.

Change: such a job is never refused for lack of a coordinator, and does not change whether the host reports that it schedules alone.

--- a/internal/relay/cell/choice.go
+++ b/internal/relay/cell/choice.go
@@ -121,13 +121,8 @@
 			reason: reasonAlone,
 		}
 	}
-	if !s.now.Before(s.job.deadline) {
-		return refusal{}
-	}
-	if !s.job.hasWork && len(s.job.losses) >= proposalLosses {
-		return local{
-			reason: reasonNoWork,
-		}
+	if !s.now.Before(s.job.deadline) || !s.job.hasWork && len(s.job.losses) >= proposalLosses {
+		return s.giveUp()
 	}
 	if s.joining() && s.job.hasWork && !s.late() {
 		return s.pause(retryPause)
@@ -148,7 +143,7 @@
 			continue
 		case s.job.losses[row.Host] > 0 && s.late():
 			// The host responds to other jobs, so no other host may take its place.
-			return refusal{}
+			return s.giveUp()
 		}
 		return submission{
 			to:     row,
@@ -163,6 +158,16 @@
 	return s.awaitAny(first)
 }
 
+// giveUp returns the decision for a job that no other host accepts in time.
+func (s *situation) giveUp() decision {
+	if s.job.hasWork {
+		return refusal{}
+	}
+	return local{
+		reason: reasonNoWork,
+	}
+}
+
 // hasOthers reports whether this host knows another live host.
 func (s *situation) hasOthers() bool {
 	return len(s.candidates) > 1 || len(s.candidates) == 1 && s.candidates[0].Host != s.self
@@ -210,13 +215,8 @@
 // await returns the decision while the job waits for one candidate: the job is sent again
 // after a pause.
 func (s *situation) await(row peer.Row, evidence duty.Evidence) decision {
-	switch {
-	case !s.job.hasWork:
-		return local{
-			reason: reasonNoWork,
-		}
-	case s.late():
-		return refusal{}
+	if !s.job.hasWork || s.late() {
+		return s.giveUp()
 	}
 	if rest := s.retryPause() - s.now.Sub(evidence.LostAt); rest > 0 {
 		return s.pause(rest)
--- a/internal/relay/cell/choice_test.go
+++ b/internal/relay/cell/choice_test.go
@@ -57,6 +57,7 @@
 		"late job, coordinator responds":    {evidence: map[ident.HostID]duty.Evidence{"a": answered(100)}, slack: -time.Second, want: to("a", 500*time.Millisecond)},
 		"deadline is near":                  {slack: -time.Second, deadline: 50 * time.Millisecond, want: to("a", 50*time.Millisecond)},
 		"deadline has passed":               {slack: -time.Second, deadline: -time.Millisecond, want: refusal{}},
+		"deadline has passed, no work":      {slack: -time.Second, deadline: -time.Millisecond, noWork: true, want: local{reason: reasonNoWork}},
 		"coordinator is lost":               {evidence: map[ident.HostID]duty.Evidence{"a": lost(100)}, slack: 240 * time.Millisecond, want: to("b", acceptTimeout)},
 		"late job, coordinator is lost":     {evidence: map[ident.HostID]duty.Evidence{"a": lost(100)}, slack: -time.Second, want: to("b", acceptTimeout)},
 		"job lost, coordinator is busy":     {evidence: map[ident.HostID]duty.Evidence{"a": answered(100)}, losses: map[ident.HostID]int{"a": 1}, slack: -time.Second, want: refusal{}},
--- a/internal/relay/cell/stager.go
+++ b/internal/relay/cell/stager.go
@@ -190,8 +190,12 @@
 // setAlone records why this host coordinates a job itself, and logs when it begins or
 // ceases to do so beside other hosts.
 func (s *Stager) setAlone(id ID, reason localReason) {
-	if reason != reasonAlone && reason != reasonPartitioned {
+	switch reason {
+	case reasonNoWork:
+		return // says nothing about the other hosts
+	case reasonCandidate:
 		reason = ""
+	case reasonAlone, reasonPartitioned:
 	}
 	s.mu.Lock()
 	before := s.alone
