Keep calls full under overload, and serve each kind a minimum share

Work that was late could wait until it failed.

Change: urgent work keeps only less urgent ranks and work with slack out of its calls; the expected duration of calls follows the recent number of items; work that is due at the same time counts as ahead. Late work starts before its deadline passes, and late jobs are accepted while their rank and more urgent ones leave capacity.

--- a/internal/relay/batch/fixture_test.go
+++ b/internal/relay/batch/fixture_test.go
@@ -21,6 +21,7 @@
 	calls      []batch.Call               // in progress
 	ends       map[batch.CallID]time.Time // expected ends of calls
 	done       map[batch.JobID]batch.Done
+	failed     int                  // jobs that ended with an error
 	held       map[wire.Handle]bool // results that are not released
 	lastResult int                  // number of the latest result
 }
@@ -106,6 +107,9 @@
 	}
 	for _, done := range actions.Done {
 		h.done[done.Job] = done
+		if done.Err != nil {
+			h.failed++
+		}
 	}
 	for _, release := range actions.Releases {
 		for _, handle := range release.Handles {
--- a/internal/relay/batch/forecast.go
+++ b/internal/relay/batch/forecast.go
@@ -124,12 +124,12 @@
 	return sum
 }
 
-// expected returns the work of ranks up to one that arrives within a time and is due
-// earlier than due, from now.
-func (p *pool) expected(now time.Time, rank Rank, within, due time.Duration) time.Duration {
+// expected returns the work that arrives within a time, and is due earlier than a task
+// although its rank is not less urgent. due is the time from now until the task is due.
+func (t *task) expected(now time.Time, within, due time.Duration) time.Duration {
 	sum := 0.0
-	for _, a := range p.slack.arrivals {
-		if a.rank > rank {
+	for _, a := range t.pool.slack.arrivals {
+		if a.rank > t.job.Rank || a.kind == t.stage.Kind {
 			continue
 		}
 		if span := min(within, due-a.until); span > 0 {
@@ -149,7 +149,7 @@
 	}
 	ahead := f.workUntil(step, t.job.Rank)
 	done := func(within time.Duration) bool {
-		return f.capacity(within) >= ahead+t.pool.expected(now, t.job.Rank, within, due)
+		return f.capacity(within) >= ahead+t.expected(now, within, due)
 	}
 	if done(0) {
 		return f.first
@@ -187,7 +187,7 @@
 		}
 		work += here
 		due := time.Duration(step+1) * forecastStep
-		spare := f.capacity(due) - work - t.pool.expected(now, t.job.Rank, due, due)
+		spare := f.capacity(due) - work - t.expected(now, due, due)
 		if spare >= 0 && spare < own {
 			worst = max(worst, time.Duration(float64(own-spare)/f.speed))
 		}
--- a/internal/relay/batch/hold.go
+++ b/internal/relay/batch/hold.go
@@ -15,11 +15,12 @@
 	// which it starts a call of its own. If all upstreams are busy then, the calls in
 	// progress have a little more than half of their duration left on average.
 	urgentShare = 0.6
-	// patientMargin multiplies the expected duration of a call when work with slack is
-	// added to urgent work, since the pace of an upstream may change by half from one call
-	// to the next. urgentMargin is for urgent work, which has no later call to go to.
-	patientMargin = 1.5
-	urgentMargin  = 1.1
+	// durationMargin multiplies the expected duration of a call when less urgent work is
+	// added to it, since the pace of an upstream may change by half from one call to the
+	// next.
+	durationMargin = 1.5
+	// itemsWeight is the weight of a call in the moving average of the items per call.
+	itemsWeight = 0.1
 )
 
 // heldPlan assigns the queue of a pool to calls while work with slack waits for fuller
@@ -47,14 +48,15 @@
 		slots: p.slots(now),
 	}
 	if plan.idle() > 0 {
-		urgent := plan.sort()
-		for _, t := range p.queue[:urgent] {
-			plan.placeUrgent(t)
+		first := plan.sort()
+		for _, t := range p.queue[:first] {
+			plan.placeFirst(t)
 		}
-		plan.fill(p.queue[urgent:])
-		plan.openForPatient(p.queue[urgent:])
+		plan.fill(p.queue[first:])
+		plan.openForPatient(p.queue[first:])
 		for i := range plan.slots {
 			if slot := &plan.slots[i]; slot.immediate && len(slot.parts) > 0 {
+				p.slack.items += itemsWeight * (float64(len(slot.parts)) - p.slack.items)
 				actions.Calls = append(actions.Calls, s.startCall(now, slot))
 			}
 		}
@@ -71,21 +73,30 @@
 	return t.due.Add(-time.Duration(urgentShare * float64(p.fullCallTime())))
 }
 
-// sort sorts the queue, and returns how many tasks are urgent. These come first, more
-// urgent ranks before others, so that no kind is late because of a less urgent one. The
-// others are sorted by when they are due. Tasks that are late in any case come last.
+// lastCallAt returns when a task that is late has to start a call of its own to meet the
+// deadline.
+func (p *pool) lastCallAt(t *task) time.Time {
+	return t.job.Deadline.Add(-t.rest - p.fullCallTime())
+}
+
+// sort sorts the queue, and returns how many tasks have to start now. Among urgent tasks
+// more urgent ranks come first, so that no kind is late because of a less urgent one. The
+// others are sorted by when they are due.
 func (h *heldPlan) sort() int {
-	urgent := 0
+	first := 0
 	for _, t := range h.pool.queue {
 		t.planned = 0
 		switch {
-		case t.late(h.now):
+		case t.late(h.now) && h.pool.lastCallAt(t).After(h.now):
 			t.order = orderLate
+		case t.late(h.now):
+			t.order = orderPressing
+			first++
 		case h.pool.urgentAt(t).After(h.now):
 			t.order = orderPatient
 		default:
 			t.order = orderUrgent
-			urgent++
+			first++
 		}
 	}
 	slices.SortStableFunc(h.pool.queue, func(a, b *task) int {
@@ -97,7 +108,7 @@
 		}
 		return a.due.Compare(b.due)
 	})
-	return urgent
+	return first
 }
 
 // idle returns the number of upstreams that can start a call and have none planned.
@@ -111,8 +122,9 @@
 	return n
 }
 
-// placeUrgent assigns the pieces of an urgent task to the calls that finish them first.
-func (h *heldPlan) placeUrgent(t *task) {
+// placeFirst assigns the pieces of a task that has to start to the calls that finish them
+// first.
+func (h *heldPlan) placeFirst(t *task) {
 	crossing := t.crossing()
 	for t.unplaced() > 0 {
 		best, fits := h.choose(t, crossing)
@@ -123,7 +135,7 @@
 	}
 }
 
-// choose returns the call for the next pieces of an urgent task, and how many of them it
+// choose returns the call that finishes the next pieces of a task first, and how many of them it
 // can take without making other work late.
 func (h *heldPlan) choose(t *task, crossing crossing) (best *slot, fits int) {
 	var earliest time.Time
@@ -169,9 +181,6 @@
 	}
 	enough := int(math.Ceil(nearlyFull * float64(h.pool.limits.Items)))
 	reserve := h.pool.expectedUrgentCalls(h.now)
-	if h.lastChance(tasks) {
-		reserve = 0
-	}
 	for idle := h.idle(); idle > 0 && pieces > 0; idle-- {
 		if pieces < enough && idle <= reserve {
 			return
@@ -193,15 +202,6 @@
 	}
 }
 
-// lastChance reports whether a task that is late will miss its deadline too if it waits
-// for another call.
-func (h *heldPlan) lastChance(tasks []*task) bool {
-	return slices.ContainsFunc(tasks, func(t *task) bool {
-		start := t.job.Deadline.Add(-t.rest - h.pool.fullCallTime())
-		return t.order == orderLate && t.unplaced() > 0 && !start.After(h.now)
-	})
-}
-
 // firstToFinish returns the idle upstream that finishes a task first. It returns nil if
 // the task would be late there although it could wait for another upstream, or if there
 // is no free capacity for its results.
@@ -236,10 +236,13 @@
 	idle := h.idle() > 0
 	for _, t := range h.pool.queue {
 		consider(t.job.Deadline.Add(-t.rest))
-		if t.order == orderPatient {
+		switch {
+		case t.order == orderPatient:
 			consider(h.pool.urgentAt(t))
-		} else if idle {
-			consider(h.now.Add(capacityInterval))
+		case t.order == orderLate:
+			consider(h.pool.lastCallAt(t))
+		case idle:
+			consider(h.now.Add(capacityInterval)) // no free capacity for results
 		}
 	}
 	for _, w := range h.pool.workers {
--- a/internal/relay/batch/plan.go
+++ b/internal/relay/batch/plan.go
@@ -25,7 +25,7 @@
 	work      time.Duration // time that the items add to the call
 	free      int64         // bytes that the upstream has free for results
 	bytes     int64         // size of the results of the batch
-	limit     time.Time     // when the batch has to end for its work to be on time; zero means no limit
+	limits    []rankLimit   // when the batch has to end for its work to be on time
 	parts     []part
 }
 
--- a/internal/relay/batch/rates.go
+++ b/internal/relay/batch/rates.go
@@ -56,7 +56,9 @@
 			a.until = until
 		}
 		a.rank = j.Rank
-		a.until += time.Duration(untilWeight * float64(until-a.until))
+		if !t.late(now) {
+			a.until += time.Duration(untilWeight * float64(until-a.until))
+		}
 		a.work.observe(now, (time.Duration(t.stage.Pieces) * t.pool.pieceTime(t.stage.Kind)).Seconds())
 		if t.urgent {
 			a.urgent.observe(now, 1)
--- a/internal/relay/batch/scheduler.go
+++ b/internal/relay/batch/scheduler.go
@@ -56,6 +56,9 @@
 		unread:   make(map[JobID]*job),
 		calls:    make(map[CallID]*call),
 		releases: make(map[fleet.Upstream][]wire.Handle),
+		slack: slackState{
+			acceptance: newAcceptance(),
+		},
 	}
 }
 
--- a/internal/relay/batch/slack.go
+++ b/internal/relay/batch/slack.go
@@ -11,12 +11,14 @@
 	forecastAt   time.Time // time of the forecasts of all pools
 	forecastCall CallID    // latest call that they take into account
 	predictions  []Prediction
+	acceptance   acceptance
 }
 
 // poolSlack is the state of slack-aware scheduling for one pool.
 type poolSlack struct {
 	arrivals []*arrivals // recent ones by kind, sorted by kind
 	forecast *forecast
+	items    float64 // moving average of the number of items per call
 }
 
 // schedule is when a task has to start and end so that its job meets its objective. Its
@@ -93,6 +95,13 @@
 	return p.limits.CallTime + time.Duration(p.limits.Items)*p.limits.ItemTime
 }
 
+// sharedCallTime returns the duration of a call that has all pieces of a stage and as many
+// items as recent calls.
+func (p *pool) sharedCallTime(stage Stage) time.Duration {
+	others := max(0, p.slack.items-float64(stage.Pieces))
+	return p.singleCallTime(stage) + time.Duration(others*float64(p.limits.ItemTime))
+}
+
 // pieceTime returns the time that one piece of a stage takes of an upstream in a full
 // call, with its share of the fixed duration of the call.
 func (p *pool) pieceTime(kind Kind) time.Duration {
@@ -109,9 +118,10 @@
 type order uint8
 
 const (
-	orderUrgent  order = iota // has to start a call of its own if it fits into no other
-	orderPatient              // may wait for a fuller call
-	orderLate                 // cannot meet its objective
+	orderUrgent   order = iota // has to start a call of its own if it fits into no other
+	orderPressing              // cannot meet its objective, and has to start to meet its deadline
+	orderPatient               // may wait for a fuller call
+	orderLate                  // cannot meet its objective, and may wait for spare room
 )
 
 // unplaced returns the number of waiting pieces that the present plan has not assigned.
@@ -119,15 +129,6 @@
 	return len(t.waiting) - t.planned
 }
 
-// margin returns the factor for the expected duration of a call to which the task is
-// added.
-func (t *task) margin() float64 {
-	if t.order == orderUrgent {
-		return urgentMargin
-	}
-	return patientMargin
-}
-
 // add assigns the next pieces of a task to the batch.
 func (s *slot) add(t *task, pieces int) {
 	if pieces == 0 {
@@ -143,28 +144,40 @@
 	s.work += s.worker.pool.work(t, pieces)
 	s.bytes += int64(pieces) * t.stage.Bytes
 	solo := time.Duration(float64(s.worker.pool.limits.CallTime+s.worker.pool.work(t, pieces)) * s.worker.slowdown)
-	if limit, ok := t.endLimit(s.start.Add(solo)); ok && (s.limit.IsZero() || limit.Before(s.limit)) {
-		s.limit = limit
+	if limit, ok := t.endLimit(s.start.Add(solo)); ok {
+		s.limits = append(s.limits, rankLimit{
+			rank: t.job.Rank,
+			end:  limit,
+		})
 	}
 }
 
+// rankLimit is when a batch has to end for a job of a rank to be on time.
+type rankLimit struct {
+	rank Rank
+	end  time.Time
+}
+
 // roomFor returns how many of the unplaced pieces of a task the batch can take without
-// making other work in it late.
+// making other work in it late. Urgent work does not keep other urgent work of its rank
+// out: calls with few items would make more of it late.
 func (s *slot) roomFor(t *task) int {
 	room := min(t.unplaced(), s.capacity(t))
-	if s.limit.IsZero() || room <= 0 {
-		return max(room, 0)
+	if room <= 0 {
+		return 0
 	}
 	p := s.worker.pool
-	spare := time.Duration(float64(s.limit.Sub(s.start))/(s.worker.slowdown*t.margin())) - p.limits.CallTime - s.work
-	return max(0, min(room, int(spare/p.itemTime(t.stage.Kind))))
+	for _, limit := range s.limits {
+		if t.order <= orderPressing && limit.rank >= t.job.Rank {
+			continue
+		}
+		spare := time.Duration(float64(limit.end.Sub(s.start))/(s.worker.slowdown*durationMargin)) - p.limits.CallTime - s.work
+		room = max(0, min(room, int(spare/p.itemTime(t.stage.Kind))))
+	}
+	return room
 }
 
 // full reports whether the batch can take no further piece.
 func (s *slot) full() bool {
-	if len(s.parts) >= s.worker.pool.limits.Items {
-		return true
-	}
-	end := s.start.Add(time.Duration(float64(s.worker.pool.limits.CallTime+s.work) * s.worker.slowdown * urgentMargin))
-	return !s.limit.IsZero() && end.After(s.limit)
+	return len(s.parts) >= s.worker.pool.limits.Items
 }
--- a/internal/relay/batch/slack_test.go
+++ b/internal/relay/batch/slack_test.go
@@ -129,3 +129,28 @@
 	_, err = h.submit(late)
 	c.Check(err, qt.ErrorIs, batch.ErrOverload, qt.Commentf("takes capacity from work that can be on time"))
 }
+
+// Guards against a kind that is not served at all while more urgent kinds need more than
+// the capacity.
+func TestFloor(t *testing.T) {
+	c := qt.New(t)
+	h := newSlackHarness(c, 2)
+	submitted, accepted := make(map[batch.Rank]float64), make(map[batch.Rank]float64)
+	for i := range 4000 {
+		j := job("a", 1, h.now.Sub(start)+time.Second)
+		if i%4 == 0 {
+			j = job("a", 1, h.now.Sub(start)+4*time.Second)
+			j.Rank, j.Stages[0].Kind = 2, "patient"
+		}
+		submitted[j.Rank]++
+		if _, err := h.submit(j); err == nil {
+			accepted[j.Rank]++
+		}
+		h.plan()
+		h.advance(h.now.Add(ms(10)))
+	}
+	all := (accepted[0] + accepted[2]) / (submitted[0] + submitted[2])
+	c.Check(all < 0.7, qt.IsTrue, qt.Commentf("overload, %.3f accepted", all))
+	c.Check(h.failed < 40, qt.IsTrue, qt.Commentf("%d accepted jobs failed", h.failed))
+	c.Check(accepted[2]/submitted[2] > all/4, qt.IsTrue, qt.Commentf("%.0f of %.0f accepted", accepted[2], submitted[2]))
+}
--- a/internal/relay/batch/slackadmit.go
+++ b/internal/relay/batch/slackadmit.go
@@ -4,11 +4,11 @@
 
 const (
 	// admitShare is the share of its slack by which a job may be delayed. The rest is for
-	// calls that are fuller than those of the job alone.
-	admitShare = 0.7
-	// spareShare is the share of the capacity of a pool below which jobs are accepted that
-	// are late in any case.
-	spareShare = 0.7
+	// upstreams that are slower than expected.
+	admitShare = 0.9
+	// spareShare is the share of the capacity of a pool that arrivals may need for jobs to be
+	// accepted that may be late.
+	spareShare = 0.8
 )
 
 // admitBySlack returns an Overload error for a job that cannot be on time, given the work
@@ -20,6 +20,17 @@
 func (s *Scheduler) admitBySlack(now time.Time, j *job) error {
 	s.observeArrival(now, j)
 	s.updateForecasts(now)
+	kind := j.kind()
+	if s.slack.acceptance.belowFloor(kind) {
+		j.Rank = floorRank
+	}
+	err := s.checkSlack(now, j)
+	s.slack.acceptance.observe(kind, err == nil)
+	return err
+}
+
+// checkSlack returns the error of admitBySlack for a job, given the forecasts.
+func (s *Scheduler) checkSlack(now time.Time, j *job) error {
 	took, unloaded := s.predict(now, j)
 	delay := took - unloaded
 	if now.Add(took).After(j.Deadline) {
@@ -56,7 +67,7 @@
 		if t.stage.Pieces > 0 {
 			f := t.pool.slack.forecast
 			// Work ahead of a later stage runs while the earlier stages run.
-			call := float64(t.pool.singleCallTime(t.stage)) * f.meanSlowdown()
+			call := float64(t.pool.sharedCallTime(t.stage)) * f.meanSlowdown()
 			ends[i] = max(ends[i], f.wait(now, t)) + time.Duration(call)
 			unloaded = max(unloaded, t.timeToStart()+t.rest)
 		}
@@ -65,9 +76,10 @@
 	return took, unloaded
 }
 
-// hasSpare reports whether a job that is late takes no capacity from jobs that can be on
-// time: the pools of its stages have idle upstreams soon, and recent arrivals leave a
-// part of their capacity unused.
+// hasSpare reports whether a job that may be late takes no capacity from jobs of its rank,
+// or of more urgent ones, that can be on time: their recent arrivals leave a part of the
+// capacity unused. Work that is late runs after work that can be on time, so it has to wait
+// until less urgent work leaves room; it is known to meet its deadline.
 func (s *Scheduler) hasSpare(now time.Time, j *job) bool {
 	for _, t := range j.tasks {
 		if t.stage.Pieces == 0 {
@@ -80,8 +92,7 @@
 				offered += a.work.value(now)
 			}
 		}
-		backlog := f.workUntil(forecastSteps-1, j.Rank)
-		if offered > spareShare*f.speed || backlog > f.capacity(t.pool.fullCallTime()) {
+		if offered > spareShare*f.speed {
 			return false
 		}
 	}
