--- a/internal/relay/batch/scheduler.go
+++ b/internal/relay/batch/scheduler.go
@@ -60,6 +60,9 @@
 		calls:    make(map[CallID]*call),
 		shares:   make(shares),
 		releases: make(map[fleet.Upstream][]wire.Handle),
+		slack: slackState{
+			acceptance: newAcceptance(),
+		},
 	}
 }
 
