Do not refuse the most urgent kind for the share of its organisation

Cause: the share of an organisation is divided equally among its ranks, so its urgent kind was limited like the others.

Slack-aware admission now applies shares to the kinds after the most urgent one.

--- a/internal/relay/batch/slackadmit.go
+++ b/internal/relay/batch/slackadmit.go
@@ -52,8 +52,12 @@
 			Limit: allowed,
 		}
 	}
-	if err := s.admitShare(now, j, delay, allowed); err != nil {
-		return err
+	if j.Rank > urgentRank {
+		// The most urgent kind is not refused for the share: its organisation makes up for
+		// it by kinds that can wait, which would otherwise be served more often.
+		if err := s.admitShare(now, j, delay, allowed); err != nil {
+			return err
+		}
 	}
 	j.expected = now.Add(took)
 	return nil
