--- a/internal/relay/coordinator/coordinator_test.go
+++ b/internal/relay/coordinator/coordinator_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -228,11 +229,12 @@
 
 // start starts a coordinator of the upstreams in a directory, which have no health path.
 func start(c *qt.C, directory *fleet.Directory) *coordinator.Coordinator {
-	return startChecking(c, directory, "", meter.New())
+	return startWith(c, directory, "", meter.New())
 }
 
-// startChecking starts a coordinator of upstreams that have a health path.
-func startChecking(c *qt.C, directory *fleet.Directory, healthPath string, counts *meter.Meter) *coordinator.Coordinator {
+// startWith starts a coordinator of upstreams that may have a health path, with a table of
+// the given routes.
+func startWith(c *qt.C, directory *fleet.Directory, healthPath string, counts *meter.Meter, staged ...*routes.Route) *coordinator.Coordinator {
 	service := &routes.Service{
 		Name:       "stage",
 		HealthPath: healthPath,
@@ -245,7 +247,7 @@
 			Retention: 10 * time.Second,
 		},
 	}
-	table := routes.New(1, routes.Limits{}, nil, []*routes.Service{service}, nil)
+	table := routes.New(1, routes.Limits{}, staged, []*routes.Service{service}, nil)
 	pauses := fleet.NewPauses(time.Now)
 	newClient := func() *upstreamhttp.Client {
 		return upstreamhttp.New(upstreamhttp.Config{
@@ -320,3 +322,49 @@
 	c.Check(draining.batches.Load() <= 3, qt.IsTrue, qt.Commentf("%d batches", draining.batches.Load()))
 	c.Check(joining.batches.Load() > 0, qt.IsTrue)
 }
+
+// Guards against slack-aware scheduling that is not enabled by the objectives of the table,
+// or is enabled where they hardly differ.
+func TestSlackAware(t *testing.T) {
+	tests := map[string]struct {
+		longest time.Duration // the shortest objective is a second
+		want    bool
+	}{
+		"similar":   {longest: 2900 * time.Millisecond},
+		"different": {longest: 3 * time.Second, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			upstream := &stageUpstream{
+				id:      "0",
+				onBatch: func() {},
+			}
+			server := httptest.NewServer(upstream)
+			c.Cleanup(server.Close)
+			upstream.address = ident.Address(server.Listener.Addr().String())
+			directory := fleet.New()
+			upstream.register(directory, fleet.Ready, 1)
+			var staged []*routes.Route
+			for _, objective := range []time.Duration{time.Second, test.longest} {
+				staged = append(staged, &routes.Route{
+					Stages:    make([]routes.Stage, 1),
+					Objective: objective,
+				})
+			}
+			metrics := meter.New()
+			_, err := submitJob(c, startWith(c, directory, "", metrics, staged...), "a", 1, time.Second).Wait(t.Context())
+			c.Assert(err, qt.IsNil)
+			var text strings.Builder
+			for range 100 { // the ticket is served before the prediction is counted
+				text.Reset()
+				metrics.Write(&text)
+				if strings.Contains(text.String(), "relay_stages_predictions_total") {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			c.Check(strings.Contains(text.String(), "relay_stages_predictions_total"), qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/relay/coordinator/health_test.go
+++ b/internal/relay/coordinator/health_test.go
@@ -59,7 +59,7 @@
 				u.register(directory, fleet.Ready, 1)
 			}
 			counts := meter.New()
-			started := startChecking(c, directory, "/health", counts)
+			started := startWith(c, directory, "/health", counts)
 			ticket := submitJob(c, started, "a", 1, 10*time.Second)
 			_, err := ticket.Wait(t.Context())
 			c.Assert(err, qt.IsNil)
