Read responses of the store without five times their size in garbage

Cause: io.ReadAll grows its buffer in small steps; the garbage of a body of 16 MiB, which is the limit, is five times as large.

Change: the buffer doubles up to the limit.

--- a/kv/httpkv/httpkv.go
+++ b/kv/httpkv/httpkv.go
@@ -22,6 +22,9 @@
 // without end. A watch may report several values of kv.MaxValueBytes at a time.
 const maxResponseBytes = 16 << 20
 
+// firstBytes is the size of the first buffer of a response in bytes.
+const firstBytes = 4 << 10
+
 // Config holds the dependencies of a Store.
 type Config struct {
 	Address ident.Address
@@ -218,7 +221,7 @@
 	defer func() {
 		_ = response.Body.Close()
 	}()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	body, err := readAll(response.Body, maxResponseBytes+1)
 	switch {
 	case err != nil:
 		return nil, c.sentError("read answer: " + err.Error())
@@ -280,3 +283,24 @@
 	}
 	return c.sentError(cause)
 }
+
+// readAll reads a body of at most limit bytes, or the first limit bytes of a longer one. Its
+// buffer doubles up to the limit: io.ReadAll grows in smaller steps, and leaves five times as
+// much garbage as the body has bytes.
+func readAll(r io.Reader, limit int) ([]byte, error) {
+	body := make([]byte, 0, firstBytes)
+	for {
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case err == io.EOF || len(body) == limit:
+			return body, nil
+		case err != nil:
+			return nil, err
+		case len(body) == cap(body):
+			larger := make([]byte, len(body), min(2*cap(body), limit))
+			copy(larger, body)
+			body = larger
+		}
+	}
+}
