Keep patient work out of calls whose results would cross failure domains

Operators pay for results that cross failure domains.

Such work now waits for a call in the failure domain of its inputs and of its readers, unless little crosses or it has become urgent.

--- a/internal/relay/batch/hold.go
+++ b/internal/relay/batch/hold.go
@@ -19,6 +19,10 @@
 	// added to it, since the pace of an upstream may change by half from one call to the
 	// next.
 	durationMargin = 1.5
+	// maxPatientCrossing is the number of bytes of results that a task with slack may move
+	// between failure domains more than necessary to join a call. Small results are cheaper
+	// to move than a call that is less full.
+	maxPatientCrossing = 200e3
 	// itemsWeight is the weight of a call in the moving average of the items per call.
 	itemsWeight = 0.1
 )
@@ -166,12 +170,21 @@
 		if len(open) == 0 {
 			return
 		}
+		crossing := t.crossing()
 		for _, slot := range open {
-			slot.add(t, slot.roomFor(t))
+			if !t.avoids(slot, crossing) {
+				slot.add(t, slot.roomFor(t))
+			}
 		}
 	}
 }
 
+// avoids reports whether a task with slack waits for a call in another failure domain,
+// because its results would cross failure domains in this one.
+func (t *task) avoids(s *slot, crossing crossing) bool {
+	return t.order == orderPatient && crossing.bytes(s.worker.upstream.Domain) > crossing.least()+maxPatientCrossing
+}
+
 // openForPatient starts further calls for tasks with slack, while these nearly fill a
 // call or enough upstreams stay idle for the urgent calls that are expected meanwhile.
 func (h *heldPlan) openForPatient(tasks []*task) {
@@ -196,7 +209,9 @@
 			if slot.full() {
 				break
 			}
-			slot.add(t, slot.roomFor(t))
+			if !t.avoids(slot, t.crossing()) {
+				slot.add(t, slot.roomFor(t))
+			}
 		}
 		pieces -= len(slot.parts)
 	}
--- a/internal/relay/batch/plan.go
+++ b/internal/relay/batch/plan.go
@@ -275,6 +275,15 @@
 	})
 }
 
+// least returns the bytes that cross failure domains at least, wherever the task runs.
+func (c crossing) least() float64 {
+	most := 0.0
+	for _, l := range c.local {
+		most = max(most, l.bytes)
+	}
+	return c.total - most
+}
+
 // bytes returns the bytes that cross failure domains if the task runs in domain.
 func (c crossing) bytes(domain ident.FailureDomain) float64 {
 	for _, l := range c.local {
