Find the socket of a forwarded connection by its addresses in system tests

The tests ask the kernel which process opened a forwarded connection with netlink.SocketGet. It requests a list, which the kernel filters by the two ports only, and a process may use one local port for the same port of several addresses: with three such connections the call fails, and with two it returns any of them, so a connection could also be attributed to the wrong host.

The query is now for the one socket with both addresses, which the kernel looks up exactly. TestSocketInode opens three connections with the same pair of ports; with netlink.SocketGet it failed with the same message, and it passes now.

The benchmark of the scheduler also runs with slack-aware scheduling.

--- a/internal/relay/batch/bench_test.go
+++ b/internal/relay/batch/bench_test.go
@@ -19,10 +19,11 @@
 		items   = 8    // in a full call
 		pieces  = 4    // of a stage
 	)
-	for _, upstreams := range []int{33, 120, 480} {
-		b.Run(fmt.Sprintf("%d upstreams", upstreams), func(b *testing.B) {
+	run := func(upstreams int, slackAware bool) func(b *testing.B) {
+		return func(b *testing.B) {
 			each := upstreams / 3
 			h := newHarness(map[ident.ServiceName]int{"a": each, "b": each, "c": each}, 1e9)
+			h.SetSlackAware(slackAware)
 			rate := load * float64(each) * items / perCall / pieces // requests per second
 			interval := time.Duration(float64(time.Second) / rate)
 			next := h.now
@@ -52,7 +53,11 @@
 				h.plan()
 				next = next.Add(interval)
 			}
-		})
+		}
+	}
+	for _, upstreams := range []int{33, 120, 480} {
+		b.Run(fmt.Sprintf("%d upstreams", upstreams), run(upstreams, false))
+		b.Run(fmt.Sprintf("%d upstreams, slack-aware", upstreams), run(upstreams, true))
 	}
 }
 
--- a/internal/system/links.go
+++ b/internal/system/links.go
@@ -12,7 +12,6 @@
 	"testing"
 
 	"github.com/juju/errors"
-	"github.com/vishvananda/netlink"
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/standin"
@@ -237,10 +236,9 @@
 
 // callingHost returns the entry host whose process opened a connection, 0 if no
 // process has it open any more. The source address does not identify the host,
-// since all processes connect from 127.0.0.1. The kernel is asked for this one
-// socket: its whole table takes longer to read than a host waits for a connection.
+// since all processes connect from 127.0.0.1.
 func (l *links) callingHost(conn net.Conn) int {
-	socket, err := netlink.SocketGet(conn.RemoteAddr(), conn.LocalAddr())
+	inode, err := socketInode(conn.RemoteAddr(), conn.LocalAddr())
 	if err != nil {
 		if !errors.Is(err, os.ErrNotExist) {
 			l.t.Errorf("find the socket of %s: %v", conn.RemoteAddr(), err)
@@ -250,7 +248,7 @@
 	l.mu.Lock()
 	pids := l.pids
 	l.mu.Unlock()
-	file := fmt.Sprintf("socket:[%d]", socket.INode)
+	file := fmt.Sprintf("socket:[%d]", inode)
 	for i := 1; i <= entryHosts; i++ {
 		directory := filepath.Join("/proc", strconv.Itoa(pids[i]), "fd")
 		descriptors, err := os.ReadDir(directory)
