--- a/internal/system/socket.go
+++ b/internal/system/socket.go
@@ -59,7 +59,10 @@
 		return 0, errors.NotSupportedf("socket from %s to %s", local, remote)
 	}
 	request := nl.NewNetlinkRequest(nl.SOCK_DIAG_BY_FAMILY, 0)
-	request.AddData(socketQuery{from, to})
+	request.AddData(socketQuery{
+		local:  from,
+		remote: to,
+	})
 	messages, err := request.Execute(unix.NETLINK_INET_DIAG, nl.SOCK_DIAG_BY_FAMILY)
 	if err != nil {
 		return 0, errors.Annotatef(err, "query the socket from %s to %s", local, remote)
