Name the share of small messages after them

The part of the memory that messages of up to 64 KB may take was called untinyShare, beside largeShare for larger ones.

--- a/internal/transport/memory/budget.go
+++ b/internal/transport/memory/budget.go
@@ -25,10 +25,10 @@
 )
 
 const (
-	// untinyShare is the part of the budget that messages of more than TinyBytes may take,
+	// smallShare is the part of the budget that messages of more than TinyBytes may take,
 	// largeShare the part that those of more than SmallBytes may take, and holderShare the
 	// part of the latter for one holder.
-	untinyShare = 15.0 / 16
+	smallShare  = 15.0 / 16
 	largeShare  = 7.0 / 8
 	holderShare = 1.0 / 2
 	// maxWait is the longest time that a message waits for its length, and maxWaiting the
@@ -159,7 +159,7 @@
 	case size <= TinyBytes:
 		return b.used+size-l.size <= b.limit
 	case size <= SmallBytes:
-		return b.used+size-l.size <= int64(untinyShare*float64(b.limit))
+		return b.used+size-l.size <= int64(smallShare*float64(b.limit))
 	}
 	return b.used+size-l.size <= b.largeLimit() && b.large[l.holder]+size-largeSize(l.size) <= b.holderLimit()
 }
