Place and start work in one way for both plans of a pool

The plan that holds work with slack had its own copies of place, choose, the start of planned batches and the search for the next time to plan. A slot now says whether its work is limited in time, place and choose serve both plans, and startPlanned and nextTime are shared.

--- a/internal/relay/batch/hold.go
+++ b/internal/relay/batch/hold.go
@@ -51,23 +51,17 @@
 		pool:  p,
 		slots: p.slots(now),
 	}
+	for i := range plan.slots {
+		plan.slots[i].limited = true
+	}
 	if plan.idle() > 0 {
 		first := plan.sort()
 		for _, t := range p.queue[:first] {
-			plan.placeFirst(t)
+			place(t, plan.slots)
 		}
 		plan.fill(p.queue[first:])
 		plan.openForPatient(p.queue[first:])
-		for i := range plan.slots {
-			if slot := &plan.slots[i]; slot.immediate && len(slot.parts) > 0 {
-				p.slack.items += itemsWeight * (float64(len(slot.parts)) - p.slack.items)
-				actions.Calls = append(actions.Calls, s.startCall(now, slot))
-			}
-		}
-		p.queue = slices.DeleteFunc(p.queue, func(t *task) bool {
-			t.queued = len(t.waiting) > 0
-			return !t.queued
-		})
+		s.startPlanned(now, p, plan.slots, actions)
 	}
 	actions.wake(plan.wakeTime())
 }
@@ -126,37 +120,6 @@
 	return n
 }
 
-// placeFirst assigns the pieces of a task that has to start to the calls that finish them
-// first.
-func (h *heldPlan) placeFirst(t *task) {
-	crossing := t.crossing()
-	for t.unplaced() > 0 {
-		best, fits := h.choose(t, crossing)
-		if best == nil {
-			return
-		}
-		best.add(t, fits)
-	}
-}
-
-// choose returns the call that finishes the next pieces of a task first, and how many of them it
-// can take without making other work late.
-func (h *heldPlan) choose(t *task, crossing crossing) (best *slot, fits int) {
-	var earliest time.Time
-	for i := range h.slots {
-		slot := &h.slots[i]
-		n := slot.roomFor(t)
-		if n == 0 || n < fits {
-			continue
-		}
-		end := slot.finishTime(t, crossing, n)
-		if n > fits || end.Before(earliest) {
-			best, fits, earliest = slot, n, end
-		}
-	}
-	return best, fits
-}
-
 // fill assigns tasks, in order, to the calls that start anyway.
 func (h *heldPlan) fill(tasks []*task) {
 	var open []*slot
@@ -242,26 +205,23 @@
 // wakeTime returns when the queue has to be planned again if no event comes before.
 // Without it, work that is held would be late when no more work arrives.
 func (h *heldPlan) wakeTime() time.Time {
-	var at time.Time
-	consider := func(t time.Time) {
-		if t.After(h.now) && (at.IsZero() || t.Before(at)) {
-			at = t
-		}
+	next := nextTime{
+		now: h.now,
 	}
 	idle := h.idle() > 0
 	for _, t := range h.pool.queue {
-		consider(t.job.Deadline.Add(-t.rest))
+		next.consider(t.job.Deadline.Add(-t.rest))
 		switch {
 		case t.order == orderPatient:
-			consider(h.pool.urgentAt(t))
+			next.consider(h.pool.urgentAt(t))
 		case t.order == orderLate:
-			consider(h.pool.lastCallAt(t))
+			next.consider(h.pool.lastCallAt(t))
 		case idle:
-			consider(h.now.Add(capacityInterval)) // no free capacity for results
+			next.consider(h.now.Add(capacityInterval)) // no free capacity for results
 		}
 	}
 	for _, w := range h.pool.workers {
-		consider(w.backoffUntil)
+		next.consider(w.backoffUntil)
 	}
-	return at
+	return next.at
 }
--- a/internal/relay/batch/plan.go
+++ b/internal/relay/batch/plan.go
@@ -25,7 +25,8 @@
 	work      time.Duration // time that the items add to the call
 	free      int64         // bytes that the upstream has free for results
 	bytes     int64         // size of the results of the batch
-	limits    []rankLimit   // when the batch has to end for its work to be on time
+	limited   bool          // its work must not become late because of more work
+	limits    []rankLimit   // when the batch has to end for its work to be on time, if limited
 	parts     []part
 }
 
@@ -90,18 +91,30 @@
 		return
 	}
 	for _, t := range p.queue {
+		t.planned = 0
 		place(t, slots)
 	}
+	s.startPlanned(now, p, slots, actions)
+	actions.wake(s.wakeTime(now, p))
+}
+
+// startPlanned starts the batches of a pool that can start now, and removes the tasks from
+// the queue that have no waiting pieces left.
+func (s *Scheduler) startPlanned(now time.Time, p *pool, slots []slot, actions *Actions) {
 	for i := range slots {
-		if slots[i].immediate && len(slots[i].parts) > 0 {
-			actions.Calls = append(actions.Calls, s.startCall(now, &slots[i]))
+		slot := &slots[i]
+		if !slot.immediate || len(slot.parts) == 0 {
+			continue
 		}
+		if s.slack.enabled {
+			p.slack.items += itemsWeight * (float64(len(slot.parts)) - p.slack.items)
+		}
+		actions.Calls = append(actions.Calls, s.startCall(now, slot))
 	}
 	p.queue = slices.DeleteFunc(p.queue, func(t *task) bool {
 		t.queued = len(t.waiting) > 0
 		return !t.queued
 	})
-	actions.wake(s.wakeTime(now, p))
 }
 
 // prune removes tasks from the queue whose job has ended or waits for its restart,
@@ -131,22 +144,31 @@
 	if len(p.queue) == 0 {
 		return time.Time{}
 	}
-	var at time.Time
-	consider := func(t time.Time) {
-		if t.After(now) && (at.IsZero() || t.Before(at)) {
-			at = t
-		}
+	next := nextTime{
+		now: now,
 	}
 	for _, w := range p.workers {
-		consider(w.backoffUntil)
+		next.consider(w.backoffUntil)
 		if w.idle(now) {
-			consider(now.Add(capacityInterval)) // no free capacity for results
+			next.consider(now.Add(capacityInterval)) // no free capacity for results
 		}
 	}
 	for _, t := range p.queue {
-		consider(t.job.Deadline.Add(-t.remaining()))
+		next.consider(t.job.Deadline.Add(-t.remaining()))
+	}
+	return next.at
+}
+
+// nextTime finds the earliest of several times after now.
+type nextTime struct {
+	now time.Time
+	at  time.Time // zero if there is none so far
+}
+
+func (n *nextTime) consider(t time.Time) {
+	if t.After(n.now) && (n.at.IsZero() || t.Before(n.at)) {
+		n.at = t
 	}
-	return at
 }
 
 // wake makes Wake no later than at; a zero at is ignored.
@@ -173,35 +195,31 @@
 	return slots
 }
 
-// place assigns the waiting pieces of a task to the batches that finish them first.
+// place assigns the unplaced pieces of a task to the batches that finish them first.
 func place(t *task, slots []slot) {
-	pieces := t.waiting
 	crossing := t.crossing()
-	for len(pieces) > 0 {
-		best, fits := choose(t, crossing, slots, len(pieces))
+	for t.unplaced() > 0 {
+		best, fits := choose(t, crossing, slots)
 		if best == nil {
 			return
 		}
-		for _, piece := range pieces[:fits] {
-			best.parts = append(best.parts, part{
-				task:  t,
-				piece: piece,
-			})
-		}
-		best.work += best.worker.pool.work(t, fits)
-		best.bytes += int64(fits) * t.stage.Bytes
-		pieces = pieces[fits:]
+		best.add(t, fits)
 	}
 }
 
-// choose returns the batch that finishes the pieces first, and how many of them it
-// can take. It prefers batches that can take more of the pieces; best is nil if none
-// can take any.
-func choose(t *task, crossing crossing, slots []slot, pieces int) (best *slot, fits int) {
+// unplaced returns the number of waiting pieces that the present plan has not assigned.
+func (t *task) unplaced() int {
+	return len(t.waiting) - t.planned
+}
+
+// choose returns the batch that finishes the unplaced pieces of a task first, and how many
+// of them it can take. It prefers batches that can take more of the pieces; best is nil if
+// none can take any.
+func choose(t *task, crossing crossing, slots []slot) (best *slot, fits int) {
 	var earliest time.Time
 	for i := range slots {
 		slot := &slots[i]
-		n := min(pieces, slot.capacity(t))
+		n := slot.roomFor(t)
 		if n == 0 || n < fits {
 			continue
 		}
@@ -213,6 +231,56 @@
 	return best, fits
 }
 
+// add assigns the next pieces of a task to the batch.
+func (s *slot) add(t *task, pieces int) {
+	if pieces == 0 {
+		return
+	}
+	for _, piece := range t.waiting[t.planned : t.planned+pieces] {
+		s.parts = append(s.parts, part{
+			task:  t,
+			piece: piece,
+		})
+	}
+	t.planned += pieces
+	s.work += s.worker.pool.work(t, pieces)
+	s.bytes += int64(pieces) * t.stage.Bytes
+	if !s.limited {
+		return
+	}
+	solo := time.Duration(float64(s.worker.pool.limits.CallTime+s.worker.pool.work(t, pieces)) * s.worker.slowdown)
+	if limit, ok := t.endLimit(s.start.Add(solo)); ok {
+		s.limits = append(s.limits, rankLimit{
+			rank: t.job.Rank,
+			end:  limit,
+		})
+	}
+}
+
+// roomFor returns how many of the unplaced pieces of a task the batch can take without
+// making other work in it late. Urgent work does not keep other urgent work of its rank
+// out: calls with few items would make more of it late.
+func (s *slot) roomFor(t *task) int {
+	room := min(t.unplaced(), s.capacity(t))
+	if room <= 0 {
+		return 0
+	}
+	p := s.worker.pool
+	for _, limit := range s.limits {
+		if t.order <= orderPressing && limit.rank >= t.job.Rank {
+			continue
+		}
+		spare := time.Duration(float64(limit.end.Sub(s.start))/(s.worker.slowdown*durationMargin)) - p.limits.CallTime - s.work
+		room = max(0, min(room, int(spare/p.itemTime(t.stage.Kind))))
+	}
+	return room
+}
+
+// full reports whether the batch can take no further piece.
+func (s *slot) full() bool {
+	return len(s.parts) >= s.worker.pool.limits.Items
+}
+
 // capacity returns how many more pieces of a task a batch can take. A batch that
 // starts later is planned as if all results were released by then.
 func (s *slot) capacity(t *task) int {
--- a/internal/relay/batch/slack.go
+++ b/internal/relay/batch/slack.go
@@ -124,60 +124,8 @@
 	orderLate                  // cannot meet its objective, and may wait for spare room
 )
 
-// unplaced returns the number of waiting pieces that the present plan has not assigned.
-func (t *task) unplaced() int {
-	return len(t.waiting) - t.planned
-}
-
-// add assigns the next pieces of a task to the batch.
-func (s *slot) add(t *task, pieces int) {
-	if pieces == 0 {
-		return
-	}
-	for _, piece := range t.waiting[t.planned : t.planned+pieces] {
-		s.parts = append(s.parts, part{
-			task:  t,
-			piece: piece,
-		})
-	}
-	t.planned += pieces
-	s.work += s.worker.pool.work(t, pieces)
-	s.bytes += int64(pieces) * t.stage.Bytes
-	solo := time.Duration(float64(s.worker.pool.limits.CallTime+s.worker.pool.work(t, pieces)) * s.worker.slowdown)
-	if limit, ok := t.endLimit(s.start.Add(solo)); ok {
-		s.limits = append(s.limits, rankLimit{
-			rank: t.job.Rank,
-			end:  limit,
-		})
-	}
-}
-
 // rankLimit is when a batch has to end for a job of a rank to be on time.
 type rankLimit struct {
 	rank Rank
 	end  time.Time
 }
-
-// roomFor returns how many of the unplaced pieces of a task the batch can take without
-// making other work in it late. Urgent work does not keep other urgent work of its rank
-// out: calls with few items would make more of it late.
-func (s *slot) roomFor(t *task) int {
-	room := min(t.unplaced(), s.capacity(t))
-	if room <= 0 {
-		return 0
-	}
-	p := s.worker.pool
-	for _, limit := range s.limits {
-		if t.order <= orderPressing && limit.rank >= t.job.Rank {
-			continue
-		}
-		spare := time.Duration(float64(limit.end.Sub(s.start))/(s.worker.slowdown*durationMargin)) - p.limits.CallTime - s.work
-		room = max(0, min(room, int(spare/p.itemTime(t.stage.Kind))))
-	}
-	return room
-}
-
-// full reports whether the batch can take no further piece.
-func (s *slot) full() bool {
-	return len(s.parts) >= s.worker.pool.limits.Items
-}
