Compute the times of full calls in one place

The duration of a full call, the time of a piece in one and the speed of a pool were each written out two to four times, partly from before. fullCallTime, pieceTime and speed now serve admission, forecasts and shares. admitShare computes each ratio once, and a wrapped comment is reflowed.

--- a/internal/relay/batch/admit.go
+++ b/internal/relay/batch/admit.go
@@ -119,8 +119,7 @@
 	for _, j := range s.jobs {
 		for _, t := range j.tasks {
 			if len(t.waiting) > 0 {
-				share := t.pool.limits.CallTime/time.Duration(t.pool.limits.Items) + t.pool.itemTime(t.stage.Kind)
-				work[t.pool] += time.Duration(len(t.waiting)) * share
+				work[t.pool] += time.Duration(len(t.waiting)) * t.pool.pieceTime(t.stage.Kind)
 			}
 		}
 	}
@@ -134,10 +133,9 @@
 // load returns how long the workers take to run their calls in progress and some work,
 // which they share. Workers in backoff beyond that time take no part.
 func (p *pool) load(now time.Time, work time.Duration) time.Duration {
-	rate, busy := 0.0, float64(work)
+	rate, busy := p.speed(), float64(work)
 	var inBackoff []*worker
 	for _, w := range p.workers {
-		rate += 1 / w.slowdown
 		busy += float64(w.available(now).Sub(now)) / w.slowdown
 		if w.backoffUntil.After(now) {
 			inBackoff = append(inBackoff, w)
--- a/internal/relay/batch/forecast.go
+++ b/internal/relay/batch/forecast.go
@@ -58,6 +58,7 @@
 func newForecast(now time.Time, p *pool) *forecast {
 	f := &forecast{
 		at:      now,
+		speed:   p.speed(),
 		first:   horizon,
 		backlog: make(map[Rank]*[forecastSteps]time.Duration),
 	}
@@ -67,7 +68,6 @@
 			wait:     wait,
 			slowdown: w.slowdown,
 		})
-		f.speed += 1 / w.slowdown
 		f.first = min(f.first, wait)
 	}
 	return f
--- a/internal/relay/batch/shares.go
+++ b/internal/relay/batch/shares.go
@@ -63,22 +63,22 @@
 // organisation uses more than its share of a service that is short of capacity. The
 // policy expects the job to be delayed by delay, and allows allowed within the share.
 func (s *Scheduler) admitShare(now time.Time, j *job, delay, allowed time.Duration) error {
-	var over []*task
-	for _, t := range j.tasks {
-		if t.stage.Pieces > 0 && j.Weight > 0 && s.shares.of(t.pool).Ratio(now, t.shareWork()).Limited() {
-			over = append(over, t)
-		}
-	}
-	if len(over) == 0 {
+	if j.Weight <= 0 {
 		return nil
 	}
-	loads := s.loads(now)
-	for _, t := range over {
-		if !t.short(loads) {
+	var loads map[*pool]time.Duration // computed for the first task that needs them
+	for _, t := range j.tasks {
+		if t.stage.Pieces == 0 {
 			continue
 		}
 		ratio := s.shares.of(t.pool).Ratio(now, t.shareWork())
-		if limit := share.Limit(ratio, allowed); delay > limit {
+		if !ratio.Limited() {
+			continue
+		}
+		if loads == nil {
+			loads = s.loads(now)
+		}
+		if limit := share.Limit(ratio, allowed); delay > limit && t.short(loads) {
 			return &Overload{
 				Delay: delay,
 				Limit: limit,
@@ -114,21 +114,17 @@
 
 // shortDelay returns the backlog above which a service is short of capacity.
 func (p *pool) shortDelay() time.Duration {
-	full := float64(p.limits.CallTime + time.Duration(p.limits.Items)*p.limits.ItemTime)
-	upstreams, rate := float64(len(p.workers)), 0.0
-	for _, w := range p.workers {
-		rate += 1 / w.slowdown
-	}
-	return time.Duration(full * (progressPart*upstreams + max(waitingPart*upstreams, minWaiting)) / rate)
+	upstreams := float64(len(p.workers))
+	calls := progressPart*upstreams + max(waitingPart*upstreams, minWaiting)
+	return time.Duration(float64(p.fullCallTime()) * calls / p.speed())
 }
 
 // shareWork returns the work of a task, with the upstream time that it takes in full calls.
 func (t *task) shareWork() share.Work {
-	each := t.pool.limits.CallTime/time.Duration(t.pool.limits.Items) + t.pool.itemTime(t.stage.Kind)
 	return share.Work{
 		Organisation: t.job.Organisation,
 		Weight:       t.job.Weight,
 		Class:        share.Class(t.job.Rank),
-		Cost:         share.Cost(each.Seconds() * float64(t.stage.Pieces)),
+		Cost:         share.Cost(t.pool.pieceTime(t.stage.Kind).Seconds() * float64(t.stage.Pieces)),
 	}
 }
--- a/internal/relay/batch/slack.go
+++ b/internal/relay/batch/slack.go
@@ -90,11 +90,6 @@
 	return end, !soloEnd.After(end)
 }
 
-// fullCallTime returns the duration of a call with the maximum number of items.
-func (p *pool) fullCallTime() time.Duration {
-	return p.limits.CallTime + time.Duration(p.limits.Items)*p.limits.ItemTime
-}
-
 // sharedCallTime returns the duration of a call that has all pieces of a stage and as many
 // items as recent calls.
 func (p *pool) sharedCallTime(stage Stage) time.Duration {
@@ -102,12 +97,6 @@
 	return p.singleCallTime(stage) + time.Duration(others*float64(p.limits.ItemTime))
 }
 
-// pieceTime returns the time that one piece of a stage takes of an upstream in a full
-// call, with its share of the fixed duration of the call.
-func (p *pool) pieceTime(kind Kind) time.Duration {
-	return p.limits.CallTime/time.Duration(p.limits.Items) + p.itemTime(kind)
-}
-
 // SetSlackAware enables or disables slack-aware admission and batching. Accepted jobs
 // stay accepted.
 func (s *Scheduler) SetSlackAware(enabled bool) {
--- a/internal/relay/batch/worker.go
+++ b/internal/relay/batch/worker.go
@@ -17,8 +17,8 @@
 	minItemFactor = 0.1
 	maxItemFactor = 1.5
 	// After a refused call whose response does not tell when the upstream is free, it gets no
-	// calls for minRefusalBackoff, after a lost call for minLossBackoff. Both double with each further failure, up to
-	// maxRefusalBackoff and maxLossBackoff, until a call succeeds.
+	// calls for minRefusalBackoff, after a lost call for minLossBackoff. Both double with each
+	// further failure, up to maxRefusalBackoff and maxLossBackoff, until a call succeeds.
 	minRefusalBackoff = 40 * time.Millisecond
 	maxRefusalBackoff = 320 * time.Millisecond
 	minLossBackoff    = 400 * time.Millisecond
@@ -87,6 +87,26 @@
 	return p.limits.CallTime + time.Duration(stage.Pieces)*p.itemTime(stage.Kind)
 }
 
+// fullCallTime returns the duration of a call with the maximum number of items.
+func (p *pool) fullCallTime() time.Duration {
+	return p.limits.CallTime + time.Duration(p.limits.Items)*p.limits.ItemTime
+}
+
+// pieceTime returns the time that one piece of a stage takes of an upstream in a full
+// call, with its share of the fixed duration of the call.
+func (p *pool) pieceTime(kind Kind) time.Duration {
+	return p.limits.CallTime/time.Duration(p.limits.Items) + p.itemTime(kind)
+}
+
+// speed returns the upstream time per second of all workers, at the normal pace.
+func (p *pool) speed() float64 {
+	sum := 0.0
+	for _, w := range p.workers {
+		sum += 1 / w.slowdown
+	}
+	return sum
+}
+
 // updateItemTimes corrects the learned item times by the duration of a call. The
 // caller has divided the duration by the slowdown of the worker.
 func (p *pool) updateItemTimes(c *call, took time.Duration) {
