Derive state of tables, workers and coordinators where it can be derived

A worker kept the factor of its forecast a second time, a coordinator whether its scheduler is slack-aware, a table two flags about its list of organisations, and the occupancy of an upstream a time that nobody read. These are gone. The holder of the table closes the channel of its first one when that is stored, which happens once; the code that checked for it is gone too. The objectives of a table are found in its list of routes.

--- a/internal/relay/batch/admit.go
+++ b/internal/relay/batch/admit.go
@@ -136,7 +136,7 @@
 	rate, busy := p.speed(), float64(work)
 	var inBackoff []*worker
 	for _, w := range p.workers {
-		busy += float64(w.available(now).Sub(now)) / w.slowdown
+		busy += float64(w.available(now).Sub(now)) / w.slowdown()
 		if w.backoffUntil.After(now) {
 			inBackoff = append(inBackoff, w)
 		}
@@ -149,8 +149,8 @@
 			break
 		}
 		left--
-		rate -= 1 / w.slowdown
-		busy -= wait / w.slowdown
+		rate -= 1 / w.slowdown()
+		busy -= wait / w.slowdown()
 	}
 	if left == 0 {
 		return 0
--- a/internal/relay/batch/forecast.go
+++ b/internal/relay/batch/forecast.go
@@ -66,7 +66,7 @@
 		wait := w.available(now).Sub(now)
 		f.free = append(f.free, freeTime{
 			wait:     wait,
-			slowdown: w.slowdown,
+			slowdown: w.slowdown(),
 		})
 		f.first = min(f.first, wait)
 	}
--- a/internal/relay/batch/plan.go
+++ b/internal/relay/batch/plan.go
@@ -248,7 +248,7 @@
 	if !s.limited {
 		return
 	}
-	solo := time.Duration(float64(s.worker.pool.limits.CallTime+s.worker.pool.work(t, pieces)) * s.worker.slowdown)
+	solo := time.Duration(float64(s.worker.pool.limits.CallTime+s.worker.pool.work(t, pieces)) * s.worker.slowdown())
 	if limit, ok := t.endLimit(s.start.Add(solo)); ok {
 		s.limits = append(s.limits, rankLimit{
 			rank: t.job.Rank,
@@ -270,7 +270,7 @@
 		if t.order <= orderPressing && limit.rank >= t.job.Rank {
 			continue
 		}
-		spare := time.Duration(float64(limit.end.Sub(s.start))/(s.worker.slowdown*durationMargin)) - p.limits.CallTime - s.work
+		spare := time.Duration(float64(limit.end.Sub(s.start))/(s.worker.slowdown()*durationMargin)) - p.limits.CallTime - s.work
 		room = max(0, min(room, int(spare/p.itemTime(t.stage.Kind))))
 	}
 	return room
@@ -296,7 +296,7 @@
 func (s *slot) finishTime(t *task, crossing crossing, pieces int) time.Time {
 	p := s.worker.pool
 	took := p.limits.CallTime + s.work + p.work(t, pieces)
-	took = time.Duration(float64(took) * s.worker.slowdown)
+	took = time.Duration(float64(took) * s.worker.slowdown())
 	penalty := time.Duration(float64(crossDomainDelay) * crossing.bytes(s.worker.upstream.Domain) / 1e6)
 	return s.start.Add(took + penalty)
 }
@@ -370,7 +370,7 @@
 		Call: Call{
 			ID:       s.lastCall,
 			Upstream: w.upstream,
-			Expected: time.Duration(float64(w.pool.limits.CallTime+planned.work) * w.slowdown),
+			Expected: time.Duration(float64(w.pool.limits.CallTime+planned.work) * w.slowdown()),
 			Forecast: w.forecast,
 		},
 		worker:     w,
--- a/internal/relay/batch/report.go
+++ b/internal/relay/batch/report.go
@@ -53,8 +53,8 @@
 	return s.paced
 }
 
-// refresh updates the expected slowdown of all workers. Without reported paces it changes
-// only with the durations of calls.
+// refresh updates the forecasts of all workers. Without reported paces they change only with
+// the durations of calls.
 func (s *Scheduler) refresh(now time.Time) {
 	if !s.paced {
 		return
@@ -70,5 +70,5 @@
 func (w *worker) foreignCallTime() time.Duration {
 	limits := w.pool.limits
 	work := time.Duration(foreignFill * float64(limits.Items) * float64(limits.ItemTime))
-	return time.Duration(float64(limits.CallTime+work) * w.slowdown)
+	return time.Duration(float64(limits.CallTime+work) * w.slowdown())
 }
--- a/internal/relay/batch/slack.go
+++ b/internal/relay/batch/slack.go
@@ -103,6 +103,11 @@
 	s.slack.enabled = enabled
 }
 
+// SlackAware reports whether admission and batching are slack-aware.
+func (s *Scheduler) SlackAware() bool {
+	return s.slack.enabled
+}
+
 // order is the position of a task in the queue of a pool.
 type order uint8
 
--- a/internal/relay/batch/worker.go
+++ b/internal/relay/batch/worker.go
@@ -31,13 +31,12 @@
 	pool           *pool
 	calls          []*call       // in progress
 	backoffUntil   time.Time     // no call starts before
-	slowdown       float64       // expected duration of a call divided by the normal one, as of the latest refresh
 	heldBytes      int64         // results held, with the bytes reserved by calls in progress
 	refusalBackoff time.Duration // latest backoff after a refused call; 0 after a success
 	lossBackoff    time.Duration // latest backoff after a lost call; 0 after a success
 	foreign        foreign       // estimate of the results that heldBytes does not include
 	reports        *loadreport.Record
-	forecast       loadreport.Forecast // that slowdown is from
+	forecast       loadreport.Forecast // of the duration of calls, as of the latest refresh
 	gone           bool                // no longer registered, or draining
 }
 
@@ -102,7 +101,7 @@
 func (p *pool) speed() float64 {
 	sum := 0.0
 	for _, w := range p.workers {
-		sum += 1 / w.slowdown
+		sum += 1 / w.slowdown()
 	}
 	return sum
 }
@@ -185,10 +184,14 @@
 	}
 }
 
-// refresh updates the expected slowdown, since reports lose weight with age.
+// refresh updates the forecast, since reports lose weight with age.
 func (w *worker) refresh(now time.Time) {
 	w.forecast = w.reports.Forecast(now)
-	w.slowdown = w.forecast.Factor
+}
+
+// slowdown returns the expected duration of a call divided by the normal one.
+func (w *worker) slowdown() float64 {
+	return w.forecast.Factor
 }
 
 // refusalWait returns how long the upstream gets no calls after a refused one: until its
--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -106,7 +106,6 @@
 	scheduler   *batch.Scheduler
 	waiters     map[batch.JobID]chan batch.Done
 	table       *routes.Table
-	slackAware  bool // by the objectives of table
 	snapshot    *fleet.Snapshot
 	activeCalls int
 	sawRefusal  bool // an upstream with a load report has refused a call
@@ -174,10 +173,9 @@
 func (c *Coordinator) setSlackAware(table *routes.Table) {
 	spread := table.ObjectiveSpread()
 	enabled := spread >= slackAwareSpread
-	if enabled != c.slackAware {
+	if enabled != c.scheduler.SlackAware() {
 		c.config.Log.Info().Bool("enabled", enabled).Float64("spread", spread).Msg("stage: slack-aware scheduling changed by the objectives of the table")
 	}
-	c.slackAware = enabled
 	c.scheduler.SetSlackAware(enabled)
 }
 
--- a/internal/relay/coordinator/shares.go
+++ b/internal/relay/coordinator/shares.go
@@ -24,7 +24,7 @@
 // have no effect, in deployments without the load that they are for: upstreams that share
 // their machines with others, or objectives that differ widely.
 func (c *Coordinator) weight(organisation ident.OrganisationID) share.Weight {
-	if c.table == nil || !c.slackAware && !c.scheduler.Paced() {
+	if c.table == nil || !c.scheduler.SlackAware() && !c.scheduler.Paced() {
 		return 0
 	}
 	return share.Weight(c.table.Weight(organisation))
--- a/internal/relay/loadreport/occupancy.go
+++ b/internal/relay/loadreport/occupancy.go
@@ -14,7 +14,6 @@
 
 // occupancy is what is known of the calls of other hosts at an upstream.
 type occupancy struct {
-	at       time.Time // of the latest report with counts; zero if there was none
 	busy     time.Time // when the upstream is expected to be free
 	excludes bool      // reports in responses to calls do not include the call itself
 }
@@ -23,7 +22,6 @@
 // calls of this host in progress, without the one that the response belongs to; callTime
 // is the usual duration of a call.
 func (o *occupancy) observe(report Report, own int, limits Limits, callTime time.Duration) {
-	o.at = report.At
 	others := report.Load.Running + report.Load.Waiting - own
 	if report.Source == Completed {
 		if report.Load.Running == 0 {
--- a/internal/relay/routes/holder.go
+++ b/internal/relay/routes/holder.go
@@ -13,8 +13,8 @@
 	table     atomic.Pointer[Table]
 	organised atomic.Bool // an earlier table had organisations
 
-	mu    sync.Mutex
-	first chan struct{} // closed once there is a table; nil until somebody waits for it
+	firstOnce sync.Once
+	first     chan struct{} // closed once there is a table; made by hasTable
 }
 
 // Table returns the table in force, or nil before the first one.
@@ -31,49 +31,23 @@
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
-	case <-h.firstTable():
+	case <-h.hasTable():
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	return h.Table()
 }
 
-// firstTable returns a channel that is closed once there is a table.
-func (h *Holder) firstTable() <-chan struct{} {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.first == nil {
-		h.first = make(chan struct{})
-		h.closeFirst()
-	}
+// hasTable returns a channel that is closed once there is a table.
+func (h *Holder) hasTable() chan struct{} {
+	h.firstOnce.Do(func() { h.first = make(chan struct{}) })
 	return h.first
 }
 
-// announceFirst wakes those that wait for the first table.
-func (h *Holder) announceFirst() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.first != nil {
-		h.closeFirst()
-	}
-}
-
-// closeFirst closes the channel if there is a table and it is still open. The caller holds
-// the mutex.
-func (h *Holder) closeFirst() {
-	select {
-	case <-h.first:
-	default:
-		if h.Table() != nil {
-			close(h.first)
-		}
-	}
-}
-
 // Offer replaces the table in force if the given table is newer, and reports whether it
 // did.
 func (h *Holder) Offer(table *Table) bool {
-	if table.organised {
+	if len(table.organisations) > 0 {
 		h.organised.Store(true)
 	}
 	for {
@@ -85,7 +59,7 @@
 			continue
 		}
 		if current == nil {
-			h.announceFirst()
+			close(h.hasTable())
 		}
 		return true
 	}
@@ -108,5 +82,5 @@
 // removes the last organisation revokes its keys, and does not open the service to
 // everybody.
 func (h *Holder) RequiresKey(table *Table) bool {
-	return table.organised || table.listsNone && h.Organised()
+	return len(table.organisations) > 0 || table.organisations != nil && h.Organised()
 }
--- a/internal/relay/routes/objectives.go
+++ b/internal/relay/routes/objectives.go
@@ -6,16 +6,14 @@
 // shortest one, or 0 if none has an objective.
 func (t *Table) ObjectiveSpread() float64 {
 	var shortest, longest time.Duration
-	for _, list := range t.routes {
-		for _, route := range list {
-			if len(route.Stages) == 0 || route.Objective <= 0 {
-				continue
-			}
-			if shortest == 0 || route.Objective < shortest {
-				shortest = route.Objective
-			}
-			longest = max(longest, route.Objective)
+	for _, route := range t.routes {
+		if len(route.Stages) == 0 || route.Objective <= 0 {
+			continue
 		}
+		if shortest == 0 || route.Objective < shortest {
+			shortest = route.Objective
+		}
+		longest = max(longest, route.Objective)
 	}
 	if shortest == 0 {
 		return 0
--- a/internal/relay/routes/table.go
+++ b/internal/relay/routes/table.go
@@ -12,14 +12,12 @@
 type Table struct {
 	Version        Version
 	Limits         Limits
-	list           []*Route            // in the order of the table
-	routes         map[string][]*Route // by host name
+	routes         []*Route // in the order of the table
+	byHost         map[string][]*Route
 	services       map[ident.ServiceName]*Service
-	organisations  map[Key]*Organisation
-	parties        []*Organisation // in the order of the table
-	organised      bool            // has organisations
-	listsNone      bool            // has a list of organisations, which is empty
-	lowestPriority int             // priority of the least urgent organisation
+	organisations  []*Organisation // in the order of the table; nil if it states nothing about them
+	byKey          map[Key]*Organisation
+	lowestPriority int // priority of the least urgent organisation
 	weights        map[ident.OrganisationID]float64
 }
 
@@ -29,17 +27,15 @@
 	t := &Table{
 		Version:       version,
 		Limits:        limits,
-		list:          routes,
-		routes:        make(map[string][]*Route),
+		routes:        routes,
+		byHost:        make(map[string][]*Route),
 		services:      make(map[ident.ServiceName]*Service, len(services)),
-		organisations: make(map[Key]*Organisation),
-		parties:       organisations,
-		organised:     len(organisations) > 0,
-		listsNone:     organisations != nil && len(organisations) == 0,
+		organisations: organisations,
+		byKey:         make(map[Key]*Organisation),
 	}
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
-		t.routes[host] = append(t.routes[host], route)
+		t.byHost[host] = append(t.byHost[host], route)
 	}
 	for _, service := range services {
 		t.services[service.Name] = service
@@ -48,7 +44,7 @@
 		t.lowestPriority = max(t.lowestPriority, organisation.Priority)
 		for _, key := range organisation.Keys {
 			if key != "" { // which a request without a key would match
-				t.organisations[key] = organisation
+				t.byKey[key] = organisation
 			}
 		}
 	}
@@ -63,7 +59,7 @@
 		host = name
 	}
 	var best *Route
-	for _, route := range t.routes[strings.ToLower(host)] {
+	for _, route := range t.byHost[strings.ToLower(host)] {
 		if strings.HasPrefix(path, route.Prefix) && (best == nil || len(route.Prefix) > len(best.Prefix)) {
 			best = route
 		}
@@ -73,18 +69,18 @@
 
 // Routes returns the routes in the order of the table; the caller must not modify the slice.
 func (t *Table) Routes() []*Route {
-	return t.list
+	return t.routes
 }
 
 // Organisations returns the organisations in the order of the table; the caller must not
 // modify the slice.
 func (t *Table) Organisations() []*Organisation {
-	return t.parties
+	return t.organisations
 }
 
 // Organisation returns the organisation that a key belongs to, or nil.
 func (t *Table) Organisation(key Key) *Organisation {
-	return t.organisations[key]
+	return t.byKey[key]
 }
 
 // Rank returns the rank of a request; lower ranks are more urgent. It is the priority of
