Compute the time of stages without load in one place

The stager, which decides how long a job may wait for a coordinator, and the check of a table each had a function for the time that stages take without load by the limits of a table. batch.UnloadedTime serves both, and the duration of a call is a method of its limits. The parameter of prepareRemote is named like the value that is passed, so that its host is no longer to.to.Host.

--- a/internal/relay/batch/worker.go
+++ b/internal/relay/batch/worker.go
@@ -88,7 +88,7 @@
 
 // fullCallTime returns the duration of a call with the maximum number of items.
 func (p *pool) fullCallTime() time.Duration {
-	return p.limits.CallTime + time.Duration(p.limits.Items)*p.limits.ItemTime
+	return p.limits.CallDuration(p.limits.Items)
 }
 
 // pieceTime returns the time that one piece of a stage takes of an upstream in a full
--- a/internal/relay/cell/stager.go
+++ b/internal/relay/cell/stager.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/duty"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
@@ -116,7 +117,7 @@
 	table := s.config.Table()
 	id := Of(s.config.Domain, table, s.config.Fleet())
 	waiting := pending{
-		latest:   latestStart(table, job),
+		latest:   job.Objective.Add(-batch.UnloadedTime(table, job.Stages)),
 		deadline: job.Deadline,
 		hasWork:  job.HasWork(),
 		losses:   make(map[ident.HostID]int),
@@ -250,17 +251,17 @@
 
 // prepareRemote runs a job at another host. It returns ErrUnreachable or ErrSilent if the
 // host does not accept the job, loses it, or is no longer alive.
-func (s *Stager) prepareRemote(ctx context.Context, to submission, id ID, job coordinator.Job) (coordinator.Prepared, error) {
-	host := to.to.Host
+func (s *Stager) prepareRemote(ctx context.Context, next submission, id ID, job coordinator.Job) (coordinator.Prepared, error) {
+	host := next.to.Host
 	job.Reports = s.takeReports(host)
-	ticket, err := s.config.Remote.Submit(ctx, to.to.Address, id, job, to.within)
+	ticket, err := s.config.Remote.Submit(ctx, next.to.Address, id, job, next.within)
 	if ctx.Err() == nil {
 		s.recordResult(host, err)
 	}
 	if err != nil {
 		return coordinator.Prepared{}, err
 	}
-	prepared, err := s.await(ctx, to.to, ticket)
+	prepared, err := s.await(ctx, next.to, ticket)
 	if ctx.Err() == nil {
 		s.recordResult(host, err)
 	}
--- a/internal/relay/routes/routes.go
+++ b/internal/relay/routes/routes.go
@@ -97,6 +97,11 @@
 	Retention time.Duration // time after which an unreleased result expires
 }
 
+// CallDuration returns the duration of a call with a number of items.
+func (b *Batch) CallDuration(items int) time.Duration {
+	return b.CallTime + time.Duration(items)*b.ItemTime
+}
+
 // Service describes the upstreams of one service.
 type Service struct {
 	Name        ident.ServiceName
--- a/internal/relay/tablecheck/check.go
+++ b/internal/relay/tablecheck/check.go
@@ -171,18 +171,15 @@
 	if len(route.Stages) == 0 {
 		return 0
 	}
-	ends := make([]time.Duration, len(route.Stages))
-	longest := time.Duration(0)
-	for i, stage := range route.Stages {
-		for _, dep := range stage.After {
-			ends[i] = max(ends[i], ends[dep])
-		}
-		if service := c.table.Service(stage.Service); service != nil && service.Batch != nil {
-			ends[i] += service.Batch.CallTime + service.Batch.ItemTime
-		}
-		longest = max(longest, ends[i])
-	}
-	return longest + batch.FirstEventTime
+	var stages []batch.Stage
+	for _, stage := range route.Stages {
+		stages = append(stages, batch.Stage{
+			Service: stage.Service,
+			After:   stage.After,
+			Pieces:  1,
+		})
+	}
+	return batch.UnloadedTime(c.table, stages) + batch.FirstEventTime
 }
 
 // checkServiceLimits reports limits of services that contradict each other, and services
