Reuse the requests and the reading of the coordinator for health checks

A health check built its request and read its response on its own, as calls and releases do. It now uses newRequest, and discardBody reads both its response and that of a release. The records of Responses are changed in one place.

--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -470,9 +470,7 @@
 	var report *loadreport.Report
 	if err == nil {
 		report = newReport(release.Upstream, response, loadreport.Release, sent)
-		lease := c.config.Memory.Lease(memory.Holder(release.Upstream.ID))
-		_, err = response.ReadAll(ctx, lease, maxResponseBytes)
-		lease.Release()
+		err = c.discardBody(ctx, release.Upstream, response)
 		if response.Status/100 == 2 {
 			response.Accept()
 		}
@@ -484,6 +482,14 @@
 	return report
 }
 
+// discardBody reads a response of which only the header matters to its end.
+func (c *Coordinator) discardBody(ctx context.Context, from fleet.Upstream, response *upstreamhttp.Response) error {
+	lease := c.config.Memory.Lease(memory.Holder(from.ID))
+	defer lease.Release()
+	_, err := response.ReadAll(ctx, lease, maxResponseBytes)
+	return err
+}
+
 // newRequest returns the request of a call. Responses to batches are distinct, since
 // results have handles of their own.
 func newRequest(codec wire.Codec, to fleet.Upstream, message wire.Message) upstreamhttp.Request {
--- a/internal/relay/coordinator/health.go
+++ b/internal/relay/coordinator/health.go
@@ -7,8 +7,7 @@
 
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/loadreport"
-	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
-	"github.com/nutmegshift/nutmegshift/internal/transport/memory"
+	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
 
 // healthTimeout limits a health check. The response is immediate, and a later one says
@@ -43,20 +42,16 @@
 func (c *Coordinator) check(ctx context.Context, path string, upstream fleet.Upstream) *loadreport.Report {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
-	sent := c.config.Now()
-	response, err := c.config.Releases.Send(ctx, upstreamhttp.Request{
-		Upstream: upstream,
-		NewConn:  true,
-		Method:   http.MethodGet,
-		Target:   path,
-		Host:     string(upstream.Address),
-		Header:   c.config.Codec.CallHeader(upstream.ID),
+	request := newRequest(c.config.Codec, upstream, wire.Message{
+		Method: http.MethodGet,
+		Path:   path,
 	})
+	request.Distinct, request.NewConn = false, true
+	sent := c.config.Now()
+	response, err := c.config.Releases.Send(ctx, request)
 	if err == nil {
 		defer response.Close()
-		lease := c.config.Memory.Lease(memory.Holder(upstream.ID))
-		defer lease.Release()
-		_, err = response.ReadAll(ctx, lease, maxResponseBytes)
+		err = c.discardBody(ctx, upstream, response)
 	}
 	if err != nil {
 		c.config.Log.Debug().Err(err).Str("upstream", string(upstream.ID)).Msg("stage: health check failed")
--- a/internal/relay/duty/responses.go
+++ b/internal/relay/duty/responses.go
@@ -74,31 +74,30 @@
 // Heard records a message of any kind. It does not revoke a loss, since messages may pass
 // in one direction only.
 func (r *Responses) Heard(host ident.HostID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	evidence := r.byHost[host]
-	evidence.Heard = r.now()
-	r.byHost[host] = evidence
+	r.update(host, func(e *Evidence, now time.Time) { e.Heard = now })
 }
 
 // Answered records a reply to a job.
 func (r *Responses) Answered(host ident.HostID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.now()
-	r.byHost[host] = Evidence{
-		Heard:    now,
-		Answered: now,
-	}
+	r.update(host, func(e *Evidence, now time.Time) {
+		*e = Evidence{
+			Heard:    now,
+			Answered: now,
+		}
+	})
 }
 
 // Lost records that a host has refused or closed a connection, or has not accepted a job
 // in time.
 func (r *Responses) Lost(host ident.HostID) {
+	r.update(host, func(e *Evidence, now time.Time) { e.LostAt = now })
+}
+
+func (r *Responses) update(host ident.HostID, change func(e *Evidence, now time.Time)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	evidence := r.byHost[host]
-	evidence.LostAt = r.now()
+	change(&evidence, r.now())
 	r.byHost[host] = evidence
 }
 
