Describe the loads of two replays in their own words, and reflow two comments

The replays of overload and of a restart referred to a deployment and to the names of its services, which a reader of the package cannot know. No check or bound is changed.

--- a/internal/relay/batch/replay_test.go
+++ b/internal/relay/batch/replay_test.go
@@ -19,23 +19,23 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
 
-// The load of the first deployment in docs/hard-load.md: its kinds of requests with
-// stages, and its stage services.
+// The services that run stages, and the phases of the load: in the burst, demand exceeds the
+// capacity of two of the services even in full calls.
 const (
-	registry = ident.ServiceName("donor-registry")
-	stock    = ident.ServiceName("centre-stock")
-	notifier = ident.ServiceName("sms-notify")
-	calm     = 3 * time.Second
-	burst    = 2 * time.Second
+	registry  = ident.ServiceName("registry")
+	inventory = ident.ServiceName("inventory")
+	sender    = ident.ServiceName("sender")
+	calm      = 3 * time.Second
+	burst     = 2 * time.Second
 )
 
 var services = map[ident.ServiceName]struct {
 	upstreams, items int
 	itemTime         time.Duration
 }{
-	registry: {upstreams: 18, items: 24, itemTime: 8600 * time.Microsecond},
-	stock:    {upstreams: 15, items: 64, itemTime: 3200 * time.Microsecond},
-	notifier: {upstreams: 18, items: 80, itemTime: 2600 * time.Microsecond},
+	registry:  {upstreams: 18, items: 24, itemTime: 8600 * time.Microsecond},
+	inventory: {upstreams: 15, items: 64, itemTime: 3200 * time.Microsecond},
+	sender:    {upstreams: 18, items: 80, itemTime: 2600 * time.Microsecond},
 }
 
 type kind struct {
@@ -49,7 +49,7 @@
 var kinds = []kind{
 	{name: "summary", rank: 0, rate: 68, burst: 1, objective: ms(800), deadline: 12 * time.Second},
 	{name: "chat", rank: 1, rate: 96, burst: 2.3, objective: 2 * time.Second, deadline: 12 * time.Second},
-	{name: "triage", rank: 2, rate: 152, burst: 2.3, objective: 4 * time.Second, deadline: 6 * time.Second},
+	{name: "report", rank: 2, rate: 152, burst: 2.3, objective: 4 * time.Second, deadline: 6 * time.Second},
 }
 
 func (k kind) stages(random *rand.Rand) []batch.Stage {
@@ -69,8 +69,8 @@
 		}
 		return []batch.Stage{one(registry, 0, 1+extra)}
 	}
-	stages := []batch.Stage{one(registry, 0, 1), one(stock, 1, 4, 0), one(notifier, 2, 6, 1)}
-	if k.name == "triage" && random.Float64() < 0.4 {
+	stages := []batch.Stage{one(registry, 0, 1), one(inventory, 1, 4, 0), one(sender, 2, 6, 1)}
+	if k.name == "report" && random.Float64() < 0.4 {
 		stages = append(stages, one(registry, 3, extra))
 	}
 	return stages
@@ -320,7 +320,7 @@
 				c.Check(is.share(is.onTime) >= was.share(was.onTime)-0.005, qt.IsTrue, qt.Commentf("%s on time", key))
 				c.Check(is.share(is.served) >= was.share(was.served)-0.005, qt.IsTrue, qt.Commentf("%s served", key))
 			}
-			calm, burst := after["triage calm"], after["triage burst"]
+			calm, burst := after["report calm"], after["report burst"]
 			c.Check(calm.share(calm.onTime) > 0.67, qt.IsTrue)
 			c.Check(burst.share(burst.onTime) > 0.5, qt.IsTrue)
 		})
--- a/internal/relay/cell/choice_test.go
+++ b/internal/relay/cell/choice_test.go
@@ -127,10 +127,10 @@
 	ended bool
 }
 
-// Replays the restart of the first deployment: 91 hosts start within 0.46 s of each other,
-// the large ones last, and each gets summaries and chats. Guards against hosts that
-// schedule beside each other then, and against jobs that are refused although a
-// coordinator accepts them within their slack.
+// Replays a loss of power: 91 hosts start within 0.46 s of each other, the large ones last,
+// and each gets jobs with little and with much slack. Guards against hosts that schedule
+// beside each other then, and against jobs that are refused although a coordinator accepts
+// them within their slack.
 func TestRestartOfAllHosts(t *testing.T) {
 	c := qt.New(t)
 	random := rand.New(rand.NewPCG(1, 2))
--- a/internal/relay/discovery/publisher.go
+++ b/internal/relay/discovery/publisher.go
@@ -38,8 +38,8 @@
 }
 
 // Publisher maintains an entry of the store, under a lease unless it is permanent, while
-// this host is the one that does so for all hosts. Several hosts may be for a time: the entry then belongs to
-// the latest writer.
+// this host is the one that does so for all hosts. Several hosts may be for a time: the
+// entry then belongs to the latest writer.
 type Publisher struct {
 	config  PublisherConfig
 	lease   kv.LeaseID // 0 if there is none
--- a/internal/relay/duty/rank.go
+++ b/internal/relay/duty/rank.go
@@ -13,9 +13,9 @@
 const minCapacityShare = 0.9
 
 // rank returns the hosts that may perform a duty, the best first: hosts that are alive or
-// have responded recently come before other suspects, and for heavy duties those with much capacity before others.
-// Among equals a hash of duty and host decides. It stays the same when a host is
-// restarted, so that hosts agree at once after many restarts.
+// have responded recently come before other suspects, and for heavy duties those with much
+// capacity before others. Among equals a hash of duty and host decides. It stays the same
+// when a host is restarted, so that hosts agree at once after many restarts.
 func (l *Leaders) rank(name Name, view *peer.View) []peer.Row {
 	minCapacity := float32(0)
 	if l.heavy(name) {
--- a/internal/relay/grpcrelay/codec_test.go
+++ b/internal/relay/grpcrelay/codec_test.go
@@ -32,7 +32,7 @@
 			Objective: senderNow.Add(1500 * time.Millisecond),
 			Deadline:  senderNow.Add(15 * time.Second),
 
-			Organisation: "donor-centre",
+			Organisation: "organisation",
 			Stages: []batch.Stage{
 				{
 					Service: "board",
