Log the size and duration of transfers between hosts

The logs could not tell whether a slow change waits for the gossip, for the transfer of the table or for its decoding.

The line of a transfer now has its bytes, its duration and the time to apply it, the line of a table its size; two counters sum transfers and their bytes.

--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -40,6 +40,7 @@
 	Age            time.Duration // age of the sender's last confirmation
 	UnconfirmedFor time.Duration // how much longer removals are unconfirmed
 	Changes        []kv.Change
+	Bytes          int // size of the message that carried the delta to this host
 }
 
 // Removals returns the number of changes that are removals.
--- a/internal/relay/grpcrelay/sync.go
+++ b/internal/relay/grpcrelay/sync.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/cell"
@@ -51,6 +52,7 @@
 		Cursor:         kv.Cursor(reply.GetCursor()),
 		Age:            time.Duration(max(0, reply.GetAge())) * time.Millisecond,
 		UnconfirmedFor: time.Duration(max(0, reply.GetDoubt())) * time.Millisecond,
+		Bytes:          proto.Size(reply),
 	}
 	for _, change := range changes {
 		delta.Changes = append(delta.Changes, kv.Change{
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -332,12 +332,15 @@
 // transfer fetches the changes that the replica lacks from another host and applies
 // them.
 func (h *Host) transfer(ctx context.Context, from ident.Address) {
+	start := time.Now()
 	after := h.replica.Cursor()
 	delta, err := h.relayClient.Sync(ctx, from, after)
 	if err != nil {
 		h.log.Debug().Err(err).Str("peer", string(from)).Msg("replica: transfer from another host failed")
 		return
 	}
+	received := time.Now()
+	h.meter.Transfer(delta.Bytes)
 	before := h.replica.Cursor()
 	if !h.replica.Apply(delta) {
 		h.log.Info().Str("peer", string(from)).Uint64("after", uint64(delta.After)).Uint64("cursor", uint64(after)).Msg("replica: transfer ignored, it starts after the cursor of this replica")
@@ -346,7 +349,7 @@
 	if delta.Cursor <= before {
 		return
 	}
-	h.log.Info().Str("peer", string(from)).Uint64("before", uint64(before)).Uint64("after", uint64(delta.After)).Uint64("cursor", uint64(delta.Cursor)).Int("changes", len(delta.Changes)).Int("removals", delta.Removals()).Msg("replica: changes from another host applied")
+	h.log.Info().Str("peer", string(from)).Uint64("before", uint64(before)).Uint64("after", uint64(delta.After)).Uint64("cursor", uint64(delta.Cursor)).Int("changes", len(delta.Changes)).Int("removals", delta.Removals()).Int("bytes", delta.Bytes).Dur("transfer", received.Sub(start)).Dur("applying", time.Since(received)).Msg("replica: changes from another host applied")
 }
 
 // liveHosts returns the number of live hosts. It is at least 1, also while this host is
--- a/internal/relay/host/sinks.go
+++ b/internal/relay/host/sinks.go
@@ -88,7 +88,7 @@
 		return
 	}
 	keys := s.routes.RequiresKey(table)
-	s.log.Info().Uint64("version", uint64(table.Version)).Uint64("revision", uint64(entry.Version)).Bool("keys", keys).Msg("table: in force")
+	s.log.Info().Uint64("version", uint64(table.Version)).Uint64("revision", uint64(entry.Version)).Int("bytes", len(entry.Value)).Bool("keys", keys).Msg("table: in force")
 	if previous != nil && s.routes.RequiresKey(previous) && !keys {
 		s.log.Warn().Uint64("version", uint64(table.Version)).Msg("table: states no organisations any more, requests need no key")
 	}
--- a/internal/relay/meter/meter.go
+++ b/internal/relay/meter/meter.go
@@ -131,6 +131,12 @@
 	m.set.GetOrCreateGauge(fmt.Sprintf(`relay_organisation_share{service=%q,position="%d"}`, service, position), nil).Set(share)
 }
 
+// Transfer counts a transfer of the store's entries from another host and its bytes.
+func (m *Meter) Transfer(bytes int) {
+	m.set.GetOrCreateCounter(`relay_transfers_total`).Inc()
+	m.set.GetOrCreateCounter(`relay_transfer_bytes_total`).Add(bytes)
+}
+
 // Connected counts a new connection to an upstream.
 func (m *Meter) Connected() {
 	m.set.GetOrCreateCounter(`relay_upstream_connections_total`).Inc()
