--- a/internal/relay/discovery/reader_test.go
+++ b/internal/relay/discovery/reader_test.go
@@ -52,6 +52,7 @@
 	kv.Store
 	silent   atomic.Bool
 	pages    atomic.Int64          // number of requested pages
+	bytes    atomic.Int64          // of the values in these pages
 	failPage func(page int64) bool // nil if no page fails
 }
 
@@ -59,7 +60,11 @@
 	if page := s.pages.Add(1); s.failPage != nil && s.failPage(page) {
 		return kv.Page{}, kv.ErrUnavailable
 	}
-	return s.Store.List(ctx, prefix, after, limit)
+	page, err := s.Store.List(ctx, prefix, after, limit)
+	for _, entry := range page.Entries {
+		s.bytes.Add(int64(len(entry.Value)))
+	}
+	return page, err
 }
 
 func (s *faultyStore) Watch(ctx context.Context, prefix kv.Key, after kv.Cursor) (kv.Changes, error) {
@@ -201,6 +206,23 @@
 	eventually(c, "first entry", func() bool { return f.sink.has("op/config", version) })
 }
 
+// Guards against polls that read the whole table: one of 1 MB takes longer than the poll
+// interval on a link of 10 Mbit/s, and delays the watch that brings the next one.
+func TestPollsReadNoValues(t *testing.T) {
+	c := qt.New(t)
+	f := startReader(t, true)
+	_, err := f.backing.Put(t.Context(), kv.Put{
+		Key:   "op/config",
+		Value: make([]byte, 500_000),
+	})
+	c.Assert(err, qt.IsNil)
+	eventually(c, "first listing", func() bool { return f.replica.Cursor() > 0 })
+	time.Sleep(200 * time.Millisecond) // lets polls that follow an empty listing finish
+	pages, bytes := f.store.pages.Load(), f.store.bytes.Load()
+	eventually(c, "three polls", func() bool { return f.store.pages.Load() >= pages+3 })
+	c.Check(f.store.bytes.Load()-bytes, qt.Equals, int64(0))
+}
+
 // Guards against hosts that call the store although other hosts confirm their replicas.
 func TestPassiveHostDoesNotRead(t *testing.T) {
 	c := qt.New(t)
