Send changes of large entries between hosts as patches

The last of 87 hosts had each version up to 5.3 s after the first one.

Hosts send each other what changed by whole entries, and compressed only transfers of 64 entries or more. A change of one route was therefore sent as the whole table, from host to host in seven steps, over links of 10 Mbit/s that several receivers share.

A host now states its version of the table when it asks for changes. The sender keeps the last values of large entries and sends the change as a Zstandard patch of the version that the receiver has, encoded once for all receivers; a whole value is compressed from 8 kB on. A receiver that cannot apply a patch asks again without one.

--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,13 @@
 	// reregisterTime is how long the owner of an expired entry may take to write it
 	// again after an outage of the store.
 	reregisterTime = 2200 * time.Millisecond
+	// minEarlierValue is the size in bytes from which a value is kept after a later version
+	// has replaced it, for hosts that still have it: the later value can be sent to them
+	// as a patch.
+	minEarlierValue = 8 << 10
+	// maxEarlierBytes bounds the values that are kept for this. They are two of the largest,
+	// and more than ten of a table of 500 routes.
+	maxEarlierBytes = 2 * kv.MaxValueBytes
 	// neverConfirmed is the age of a replica that has not been confirmed, and the largest
 	// age of one that has.
 	neverConfirmed = time.Hour
@@ -65,6 +73,8 @@
 
 	mu               sync.Mutex
 	entries          map[kv.Key]kv.Entry
+	earlier          []kv.Entry            // large values that have been replaced, the latest last
+	earlierBytes     int                   // sum of the sizes of earlier
 	tombstones       map[kv.Key]kv.Version // versions of removals
 	historyStart     kv.Cursor             // tombstones has all removals after it
 	unconfirmedUntil time.Time             // removals before it are unconfirmed
@@ -174,6 +184,22 @@
 	return r.entries[key]
 }
 
+// Value returns the value that an entry has, or had until recently, in a version. It
+// reports false if that is not known any more; small values are not kept.
+func (r *Replica) Value(key kv.Key, version kv.Version) (value []byte, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if current, ok := r.entries[key]; ok && current.Version == version {
+		return current.Value, true
+	}
+	for _, entry := range r.earlier {
+		if entry.Key == key && entry.Version == version {
+			return entry.Value, true
+		}
+	}
+	return nil, false
+}
+
 // Age returns the time since the replica was last confirmed, at most one hour; one
 // hour if it never was.
 func (r *Replica) Age() time.Duration {
@@ -374,7 +400,8 @@
 }
 
 func (r *Replica) put(entry kv.Entry) {
-	if current, ok := r.entries[entry.Key]; ok && current.Version >= entry.Version {
+	current, ok := r.entries[entry.Key]
+	if ok && current.Version >= entry.Version {
 		return
 	}
 	if tombstone, ok := r.tombstones[entry.Key]; ok && tombstone >= entry.Version {
@@ -385,9 +412,24 @@
 	}
 	delete(r.tombstones, entry.Key)
 	r.entries[entry.Key] = entry
+	r.keepEarlier(current)
 	r.sink.Put(entry)
 }
 
+// keepEarlier keeps an entry that has been replaced, if it is large, in place of the
+// oldest ones.
+func (r *Replica) keepEarlier(entry kv.Entry) {
+	if len(entry.Value) < minEarlierValue {
+		return
+	}
+	r.earlier = append(r.earlier, entry)
+	r.earlierBytes += len(entry.Value)
+	for r.earlierBytes > maxEarlierBytes {
+		r.earlierBytes -= len(r.earlier[0].Value)
+		r.earlier = slices.Delete(r.earlier, 0, 1)
+	}
+}
+
 func (r *Replica) remove(key kv.Key, version kv.Version) {
 	current, ok := r.entries[key]
 	if ok && current.Version > version {
--- a/internal/relay/grpcrelay/pack.go
+++ b/internal/relay/grpcrelay/pack.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// minPackedChanges is the lowest number of changes that are compressed. Registrations
-	// of upstreams are similar: compression reduces a thousand of them to a sixth
-	// of their size.
-	minPackedChanges = 64
+	// minPackedBytes is the size of changes from which they are compressed. Registrations
+	// of upstreams are similar, and so are the routes of a table: compression reduces a
+	// thousand of them to a sixth of their size.
+	minPackedBytes = 8 << 10
 	// maxUnpackedBytes limits the decompressed size of a damaged message.
 	maxUnpackedBytes = 64 << 20
 )
--- a/internal/relay/grpcrelay/server.go
+++ b/internal/relay/grpcrelay/server.go
@@ -19,6 +19,7 @@
 	coordinators func(id cell.ID) *coordinator.Coordinator
 	replica      *discovery.Replica
 	transfers    *fullTransfers
+	patches      *patches
 	now          func() time.Time
 }
 
@@ -30,6 +31,7 @@
 		coordinators: coordinators,
 		replica:      replica,
 		transfers:    newFullTransfers(),
+		patches:      newPatches(),
 		now:          now,
 	}
 }
--- a/internal/relay/grpcrelay/sync.go
+++ b/internal/relay/grpcrelay/sync.go
@@ -27,8 +27,17 @@
 )
 
 // Sync returns the changes that a replica complete up to the cursor after lacks, from
-// another host. All errors wrap cell.ErrUnreachable.
-func (c *Client) Sync(ctx context.Context, from ident.Address, after kv.Cursor) (discovery.Delta, error) {
+// another host. The base is an entry of that replica whose later value may be sent as a
+// patch; its version is 0 if there is none. All errors wrap cell.ErrUnreachable.
+func (c *Client) Sync(ctx context.Context, from ident.Address, after kv.Cursor, base kv.Entry) (discovery.Delta, error) {
+	delta, err := c.sync(ctx, from, after, base)
+	if errors.Is(err, errPatch) {
+		delta, err = c.sync(ctx, from, after, kv.Entry{})
+	}
+	return delta, err
+}
+
+func (c *Client) sync(ctx context.Context, from ident.Address, after kv.Cursor, base kv.Entry) (discovery.Delta, error) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	connection, err := c.connect(from)
@@ -36,7 +45,9 @@
 		return discovery.Delta{}, errors.Annotatef(cell.ErrUnreachable, "%v", err)
 	}
 	reply, err := NewRelayClient(connection).Sync(ctx, &SyncRequest{
-		After: uint64(after),
+		After:   uint64(after),
+		Key:     string(base.Key),
+		Version: uint64(base.Version),
 	})
 	if err != nil {
 		return discovery.Delta{}, errors.Annotatef(cell.ErrUnreachable, "sync with %s: %v", from, err)
@@ -55,10 +66,14 @@
 		Bytes:          proto.Size(reply),
 	}
 	for _, change := range changes {
+		value, err := changedValue(change, base)
+		if err != nil {
+			return discovery.Delta{}, errors.Annotatef(err, "sync with %s", from)
+		}
 		delta.Changes = append(delta.Changes, kv.Change{
 			Entry: kv.Entry{
 				Key:     kv.Key(change.GetKey()),
-				Value:   change.GetValue(),
+				Value:   value,
 				Version: kv.Version(change.GetVersion()),
 			},
 			Deleted: change.GetDeleted(),
@@ -101,14 +116,20 @@
 	reply := newReply(delta)
 	reply.After = uint64(delta.After)
 	for _, change := range delta.Changes {
-		reply.Changes = append(reply.Changes, &Change{
+		encoded := &Change{
 			Key:     string(change.Entry.Key),
 			Version: uint64(change.Entry.Version),
 			Value:   change.Entry.Value,
 			Deleted: change.Deleted,
-		})
+		}
+		if delta.After != 0 { // a transfer of all entries is cached for hosts with other bases
+			if err := s.patches.encode(encoded, request, s.replica); err != nil {
+				return nil, status.Error(codes.Internal, err.Error())
+			}
+		}
+		reply.Changes = append(reply.Changes, encoded)
 	}
-	if len(reply.Changes) < minPackedChanges {
+	if proto.Size(reply) < minPackedBytes {
 		return reply, nil
 	}
 	packed, err := pack(reply.Changes)
--- a/internal/relay/grpcrelay/sync_test.go
+++ b/internal/relay/grpcrelay/sync_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/nutmegshift/nutmegshift/internal/relay/cell"
 	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
 	"github.com/nutmegshift/nutmegshift/kv"
 )
@@ -124,6 +125,75 @@
 	}
 }
 
+// Guards against a patch that does not restore the value, that is sent to a host without its
+// base, or that is part of the cached transfer of all entries.
+func TestPatchedTransfer(t *testing.T) {
+	c := qt.New(t)
+	replica := discovery.NewReplica(sink{}, time.Second, time.Now, anySize)
+	var values [4][]byte
+	for i := range values {
+		for _, entry := range registrations(1000) {
+			values[i] = append(values[i], entry.Value...)
+		}
+		values[i] = append(values[i], byte(i))
+		replica.ApplyListing([]kv.Entry{{
+			Key:     "table",
+			Value:   values[i],
+			Version: kv.Version(i + 1),
+		}}, 1)
+	}
+	s := NewServer(nil, replica, time.Now)
+	tests := map[string]struct {
+		after   kv.Cursor
+		key     kv.Key
+		version kv.Version
+		patched bool
+	}{
+		"previous version":        {after: 1, key: "table", version: 3, patched: true},
+		"earlier version":         {after: 1, key: "table", version: 1, patched: true},
+		"unknown version":         {after: 1, key: "table", version: 9},
+		"other entry":             {after: 1, key: "other", version: 3},
+		"no entry":                {after: 1},
+		"transfer of all entries": {key: "table", version: 3},
+		"previous version, again": {after: 1, key: "table", version: 3, patched: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			reply, err := s.Sync(t.Context(), &SyncRequest{
+				After:   uint64(test.after),
+				Key:     string(test.key),
+				Version: uint64(test.version),
+			})
+			c.Assert(err, qt.IsNil)
+			changes := reply.GetChanges()
+			if len(reply.GetPacked()) > 0 {
+				changes, err = unpack(reply.GetPacked())
+				c.Assert(err, qt.IsNil)
+			}
+			c.Assert(changes, qt.HasLen, 1)
+			c.Check(len(changes[0].GetPatch()) > 0, qt.Equals, test.patched)
+			base := kv.Entry{
+				Key: test.key,
+			}
+			if test.patched {
+				base.Value = values[test.version-1]
+			}
+			value, err := changedValue(changes[0], base)
+			c.Assert(err, qt.IsNil)
+			c.Check(string(value) == string(values[3]), qt.IsTrue)
+		})
+	}
+	_, err := changedValue(&Change{
+		Key:   "table",
+		Patch: []byte("damaged"),
+	}, kv.Entry{
+		Key: "table",
+	})
+	c.Check(err, qt.ErrorIs, errPatch)
+	c.Check(err, qt.ErrorIs, cell.ErrUnreachable)
+}
+
 // Guards against damaged transfers that crash a host or fill its memory.
 func FuzzUnpack(f *testing.F) {
 	packed, err := pack([]*Change{{
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -334,7 +334,7 @@
 func (h *Host) transfer(ctx context.Context, from ident.Address) {
 	start := time.Now()
 	after := h.replica.Cursor()
-	delta, err := h.relayClient.Sync(ctx, from, after)
+	delta, err := h.relayClient.Sync(ctx, from, after, h.replica.Entry(h.platform.Keys.Table))
 	if err != nil {
 		h.log.Debug().Err(err).Str("peer", string(from)).Msg("replica: transfer from another host failed")
 		return
