Keep to the limit of requests that an upstream states

A host now remembers the limit of each incarnation of an upstream, and sends it requests at intervals that give all hosts together 0.7 of the limit: a share by the number of live hosts needs no call, and the rest covers moments when several hosts send at once. The first request follows after a random part of the interval, since all hosts learn of a limit at about the same time. Calls of stages come from one coordinator, which uses the share of all hosts. The client counts each request before it is sent, so retries, hedges, batches and releases are included; meanwhile the upstream is excluded from the choice, as during a pause that it has asked for. A response without the field ends the limit. One from another upstream at the same address (421) neither states nor ends one, and does not mark the expected upstream as draining any more.

--- a/internal/relay/coordinator/coordinator_test.go
+++ b/internal/relay/coordinator/coordinator_test.go
@@ -248,14 +248,14 @@
 		},
 	}
 	table := routes.New(1, routes.Limits{}, staged, []*routes.Service{service}, nil)
-	pauses := fleet.NewPauses(time.Now)
+	pauses := fleet.NewPauses(time.Now, rand.Float64)
 	newClient := func() *upstreamhttp.Client {
 		return upstreamhttp.New(upstreamhttp.Config{
 			Codec:   codec{},
 			Dial:    upstreamhttp.Dial,
 			Now:     time.Now,
 			Opened:  func() {},
-			Paused:  pauses.Remaining,
+			Admit:   pauses.Remaining,
 			Observe: func(fleet.Upstream, wire.Reply) {},
 		})
 	}
--- a/internal/relay/fleet/pauses.go
+++ b/internal/relay/fleet/pauses.go
@@ -13,20 +13,25 @@
 	until       time.Time
 }
 
-// Pauses records the upstreams that have asked for no requests for some time. It is
-// safe for concurrent use.
+// Pauses records the upstreams that want no requests from this host for some time, because
+// they have asked for none or because they state a limit of requests per second. It is safe
+// for concurrent use.
 type Pauses struct {
-	now func() time.Time
+	now    func() time.Time
+	random func() float64
 
-	mu   sync.Mutex
-	byID map[ident.UpstreamID]pause
+	mu     sync.Mutex
+	byID   map[ident.UpstreamID]pause
+	limits map[ident.UpstreamID]rateLimit
 }
 
-// NewPauses returns an empty Pauses.
-func NewPauses(now func() time.Time) *Pauses {
+// NewPauses returns an empty Pauses; random returns numbers in [0, 1).
+func NewPauses(now func() time.Time, random func() float64) *Pauses {
 	return &Pauses{
-		now:  now,
-		byID: make(map[ident.UpstreamID]pause),
+		now:    now,
+		random: random,
+		byID:   make(map[ident.UpstreamID]pause),
+		limits: make(map[ident.UpstreamID]rateLimit),
 	}
 }
 
@@ -46,13 +51,38 @@
 	}
 }
 
-// Remaining returns how much longer the upstream wants no requests; 0 if it accepts them.
+// Remaining returns how much longer the upstream wants no requests from this host; 0 if it
+// accepts them.
 func (p *Pauses) Remaining(upstream Upstream) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.byID) == 0 {
-		return 0
+	return p.remaining(upstream)
+}
+
+// RetryAfter returns after what time the upstream probably accepts a request, of this host
+// or of another one; 0 if it accepts one of this host now.
+func (p *Pauses) RetryAfter(upstream Upstream) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retryAfter(upstream)
+}
+
+func (p *Pauses) retryAfter(upstream Upstream) time.Duration {
+	paused, limited := p.untilPauseEnds(upstream), p.untilLimit(upstream)
+	if limited > 0 {
+		limited = min(limited, p.limits[upstream.ID].spacing())
 	}
+	return max(paused, limited)
+}
+
+// remaining is Remaining for a caller that holds the mutex.
+func (p *Pauses) remaining(upstream Upstream) time.Duration {
+	return max(p.untilPauseEnds(upstream), p.untilLimit(upstream))
+}
+
+// untilPauseEnds returns the rest of the time for which the upstream has asked for no
+// requests. The caller holds the mutex.
+func (p *Pauses) untilPauseEnds(upstream Upstream) time.Duration {
 	current, ok := p.byID[upstream.ID]
 	if !ok || current.incarnation != upstream.Started {
 		return 0
@@ -66,13 +96,16 @@
 }
 
 // Paused returns which of the upstreams want no requests now. If that holds for all of
-// them, it also returns the time until the first one accepts requests again, else 0.
+// them, it also returns the time until the first one accepts requests again, of this host or
+// of another one, else 0.
 func (p *Pauses) Paused(upstreams []Upstream) (paused []ident.UpstreamID, shortest time.Duration) {
-	if p.Count() == 0 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.byID)+len(p.limits) == 0 {
 		return nil, 0
 	}
 	for _, upstream := range upstreams {
-		left := p.Remaining(upstream)
+		left := p.retryAfter(upstream)
 		if left == 0 {
 			continue
 		}
@@ -87,8 +120,8 @@
 	return paused, shortest
 }
 
-// Count returns the number of upstreams that want no requests now, and forgets the
-// pauses that have ended.
+// Count returns the number of upstreams that have asked for no requests now, and forgets
+// the pauses that have ended.
 func (p *Pauses) Count() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/relay/fleet/pauses_test.go
+++ b/internal/relay/fleet/pauses_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -78,7 +79,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			now := start
-			p := fleet.NewPauses(func() time.Time { return now })
+			p := fleet.NewPauses(func() time.Time { return now }, rand.Float64)
 			test.apply(p)
 			now = start.Add(test.at)
 			paused, shortest := p.Paused(test.asked)
--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -309,13 +309,13 @@
 		})
 	}
 	f.holder.Offer(table())
-	pauses := fleet.NewPauses(time.Now)
+	pauses := fleet.NewPauses(time.Now, rand.Float64)
 	client := upstreamhttp.New(upstreamhttp.Config{
 		Codec:  codec{},
 		Dial:   upstreamhttp.Dial,
 		Now:    time.Now,
 		Opened: func() {},
-		Paused: pauses.Remaining,
+		Admit:  pauses.Remaining,
 		Observe: func(upstream fleet.Upstream, reply wire.Reply) {
 			if reply.Pause > 0 {
 				pauses.Add(upstream, reply.Pause)
--- a/internal/relay/forward/proposal.go
+++ b/internal/relay/forward/proposal.go
@@ -54,8 +54,8 @@
 		Ending:  ending,
 		Pace:    pace,
 	}
-	if e.proposal.placed != nil {
-		report.Pause = e.config.Pauses.Remaining(e.proposal.placed.Upstream)
+	if upstream, ok := e.config.Fleet.Snapshot().Upstream(e.proposal.upstream); ok {
+		report.Pause = e.config.Pauses.RetryAfter(upstream)
 	}
 	e.config.Stager.Report(e.proposal.coordinator, report)
 	e.proposal = nil
--- a/internal/relay/forward/send.go
+++ b/internal/relay/forward/send.go
@@ -58,7 +58,7 @@
 
 // reasonPaused is the reason of refusals while all upstreams of a service want no
 // requests.
-const reasonPaused = "all upstreams have asked for no requests"
+const reasonPaused = "all upstreams want no requests now"
 
 // allPaused returns the Retry-After time for the request if all upstreams of its service
 // want no requests from this host; otherwise it returns 0.
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -117,7 +117,7 @@
 		health:      discovery.NewHealth(log, time.Now),
 		routes:      &routes.Holder{},
 		fleet:       fleet.New(),
-		pauses:      fleet.NewPauses(time.Now),
+		pauses:      fleet.NewPauses(time.Now, rand.Float64),
 		syncSources: make(chan ident.HostID, 1),
 		started:     time.Now(),
 		stopping:    make(chan struct{}),
@@ -138,9 +138,9 @@
 		Protocol: platform.Store,
 	})
 	h.clients = clients{
-		requests: h.newClient(),
-		batches:  h.newClient(),
-		releases: h.newClient(),
+		requests: h.newClient(h.liveHosts),
+		batches:  h.newClient(oneSender),
+		releases: h.newClient(oneSender),
 	}
 	h.coordinators = newCoordinators(h.newCoordinator)
 	sinks := sinks{
@@ -225,6 +225,7 @@
 	h.meter.Gauge("relay_upstreams_draining", func() float64 { return float64(h.fleet.MarkedDraining()) })
 	h.meter.Gauge("relay_domains_evacuated", func() float64 { return float64(h.fleet.Evacuated()) })
 	h.meter.Gauge("relay_upstreams_paused", func() float64 { return float64(h.pauses.Count()) })
+	h.meter.Gauge("relay_upstreams_limited", func() float64 { return float64(h.pauses.Limited()) })
 	h.meter.Gauge("relay_messages_rejected", func() float64 { return float64(h.memory.Rejected()) })
 	h.meter.Gauge("relay_message_bytes", func() float64 { return float64(h.memory.Used()) })
 	h.meter.Gauge("relay_headers_rejected", func() float64 { return float64(h.connections.Headers.Load()) })
--- a/internal/relay/host/signals.go
+++ b/internal/relay/host/signals.go
@@ -8,9 +8,10 @@
 	"github.com/nutmegshift/nutmegshift/peer"
 )
 
-// observeReply applies what the header of a response says about the upstream itself.
-func (h *Host) observeReply(upstream fleet.Upstream, reply wire.Reply) {
-	if reply.Upstream != "" && reply.Upstream != upstream.ID {
+// observeReply applies what the header of a response says about the upstream itself, to
+// which a number of hosts send requests.
+func (h *Host) observeReply(upstream fleet.Upstream, reply wire.Reply, senders int) {
+	if reply.Misdirected || reply.Upstream != "" && reply.Upstream != upstream.ID {
 		return // another upstream has the address now
 	}
 	if reply.Draining {
@@ -22,6 +23,20 @@
 	if reply.Pause > 0 {
 		h.pause(upstream, reply.Pause)
 	}
+	h.observeLimit(upstream, reply, senders)
+}
+
+// observeLimit applies the limit of requests that a response states, or that it states none
+// any more.
+func (h *Host) observeLimit(upstream fleet.Upstream, reply wire.Reply, senders int) {
+	switch {
+	case reply.LimitError != nil:
+		h.log.Warn().Err(reply.LimitError).Str("upstream", string(upstream.ID)).Msg("fleet: upstream states a limit that is not valid")
+	case reply.Limit != nil && h.pauses.SetLimit(upstream, *reply.Limit, senders):
+		h.log.Info().Str("upstream", string(upstream.ID)).Str("service", string(upstream.Service)).Float64("limit", float64(*reply.Limit)).Int("senders", senders).Msg("fleet: upstream states a limit of requests")
+	case reply.Limit == nil && h.pauses.ClearLimit(upstream):
+		h.log.Info().Str("upstream", string(upstream.ID)).Str("service", string(upstream.Service)).Msg("fleet: upstream states no limit of requests any more")
+	}
 }
 
 // markDraining records that an upstream drains, whatever its registration says, and
--- a/internal/relay/upstreamhttp/client.go
+++ b/internal/relay/upstreamhttp/client.go
@@ -18,8 +18,9 @@
 const (
 	// ErrBusy means that the connection limit is reached; nothing was sent.
 	ErrBusy = errors.ConstError("connection limit reached")
-	// ErrPaused means that the upstream has asked for no requests; nothing was sent.
-	ErrPaused = errors.ConstError("upstream has asked for no requests")
+	// ErrPaused means that the upstream has asked for no requests, or for few; nothing was
+	// sent.
+	ErrPaused = errors.ConstError("upstream wants no requests now")
 	// ErrNotSent means that no byte of the request was written.
 	ErrNotSent = errors.ConstError("request was not sent")
 	// ErrLost means that no complete response arrived; the request may have run.
@@ -38,8 +39,9 @@
 	Dial   func(ctx context.Context, address ident.Address) (net.Conn, error)
 	Now    func() time.Time
 	Opened func() // called for every new connection
-	// Paused returns how much longer an upstream wants no requests from this host.
-	Paused func(upstream fleet.Upstream) time.Duration
+	// Admit returns how much longer an upstream wants no requests from this host. If that is
+	// 0, it counts the request that is about to be sent.
+	Admit func(upstream fleet.Upstream) time.Duration
 	// Observe is called with the header of each response to a request.
 	Observe func(upstream fleet.Upstream, reply wire.Reply)
 }
@@ -83,7 +85,7 @@
 // When the context ends, the exchange is aborted. Errors are ErrBusy, ErrPaused,
 // ErrNotSent, ErrLost, ErrOversized and ErrStale.
 func (c *Client) Send(ctx context.Context, request Request) (*Response, error) {
-	if left := c.config.Paused(request.Upstream); left > 0 {
+	if left := c.config.Admit(request.Upstream); left > 0 {
 		return nil, errors.Annotatef(ErrPaused, "%s, for another %s", request.Upstream.ID, left)
 	}
 	conn, err := c.acquire(ctx, request)
--- a/internal/relay/upstreamhttp/client_test.go
+++ b/internal/relay/upstreamhttp/client_test.go
@@ -133,7 +133,7 @@
 		Dial:    upstreamhttp.Dial,
 		Now:     time.Now,
 		Opened:  func() {},
-		Paused:  func(fleet.Upstream) time.Duration { return 0 },
+		Admit:   func(fleet.Upstream) time.Duration { return 0 },
 		Observe: func(fleet.Upstream, wire.Reply) {},
 	})
 	t.Cleanup(client.Close)
--- a/internal/relay/wire/wire.go
+++ b/internal/relay/wire/wire.go
@@ -80,7 +80,12 @@
 	Draining   bool          // the upstream is about to stop
 	Pause      time.Duration // how long the upstream wants no requests from this host; 0 if not stated
 	PauseError error         // why a stated pause is not valid; nil if it is
-	Load       *Load         // nil if not stated
+	Limit      *fleet.Rate   // requests that the upstream accepts from all hosts together; nil if not stated
+	LimitError error         // why a stated limit is not valid; nil if it is
+	// Misdirected means that the response comes from another upstream than the request
+	// was for.
+	Misdirected bool
+	Load        *Load // nil if not stated
 }
 
 // Handle identifies a result of a stage at the upstream that holds it.
