--- a/kv/kv.go
+++ b/kv/kv.go
@@ -30,6 +30,10 @@
 // Cursor is the store-wide number up to which a reader has seen all writes.
 type Cursor uint64
 
+// Epoch numbers the histories of a service. A service that is restored from a backup, and so
+// loses its latest writes, begins the next one.
+type Epoch uint64
+
 // LeaseID identifies a lease; 0 means no lease.
 type LeaseID uint64
 
--- a/kv/memkv/memkv.go
+++ b/kv/memkv/memkv.go
@@ -52,6 +52,7 @@
 	faults  Faults
 	counts  Counts
 	version kv.Version // of the last write or deletion
+	epoch   kv.Epoch   // number of times that the store has been restored
 	leaseID kv.LeaseID // of the last granted lease
 	entries map[kv.Key]kv.Entry
 	leases  map[kv.LeaseID]lease
@@ -356,7 +357,7 @@
 }
 
 func (s *Store) changesSince(prefix kv.Key, after kv.Cursor) (kv.Changes, error) {
-	if kv.Version(after) < s.compacted {
+	if kv.Version(after) < s.compacted || kv.Version(after) > s.version {
 		return kv.Changes{}, errors.Annotatef(kv.ErrCompacted, "watch %q", prefix)
 	}
 	found := kv.Changes{
