Follow a store that is restored from a backup

The platform's store may come back from a copy some seconds old. Its revisions go back and are given out again, and a header field numbers its histories. Hosts order all entries by revision, so they took what was published afterwards for old: no later table was in force within 20 s in TestStoreRestored, callers of added routes got 404, and keys that had been removed stayed valid. A watch could also continue among other changes with the same numbers, and a conditional write succeed against another write.

Versions and cursors now carry the epoch in their upper bits, added by the client of the store, so that every comparison puts what was read after the restore last. A watch whose response is of another epoch than its cursor fails as compacted, and the reader lists; writes that expect a version of an earlier epoch fail as conflicts without a call. A registration that was removed stays so if the backup brings it back unchanged, and a process that has drained never accepts work again.

--- a/internal/relay/discovery/reader.go
+++ b/internal/relay/discovery/reader.go
@@ -294,6 +294,9 @@
 		}
 		after = page.Entries[len(page.Entries)-1].Key
 	}
+	if before := r.config.Replica.Cursor(); before != 0 && kv.EpochOf(cursor) > kv.EpochOf(before) {
+		r.config.Log.Warn().Uint64("epoch", uint64(kv.EpochOf(cursor))).Uint64("before", uint64(before)).Uint64("cursor", uint64(cursor)).Msg("store: restored from a backup, its latest changes are lost")
+	}
 	r.config.Replica.ApplyListing(entries, cursor)
 	r.logListing(len(entries), cursor, false)
 	return nil
--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/nutmegshift/nutmegshift/kv"
 )
 
@@ -73,11 +75,30 @@
 
 	mu               sync.Mutex
 	entries          map[kv.Key]kv.Entry
-	earlier          []kv.Entry            // large values that have been replaced, the latest last
-	earlierBytes     int                   // sum of the sizes of earlier
-	tombstones       map[kv.Key]kv.Version // versions of removals
-	historyStart     kv.Cursor             // tombstones has all removals after it
-	unconfirmedUntil time.Time             // removals before it are unconfirmed
+	earlier          []kv.Entry // large values that have been replaced, the latest last
+	earlierBytes     int        // sum of the sizes of earlier
+	tombstones       map[kv.Key]tombstone
+	historyStart     kv.Cursor // tombstones has all removals after it
+	unconfirmedUntil time.Time // removals before it are unconfirmed
+}
+
+// tombstone is a removal, with what is needed to recognise the removed entry if the store is
+// restored from a backup that still has it.
+type tombstone struct {
+	version kv.Version // of the removal
+	removed kv.Version // of the entry; 0 if it is not known
+	digest  uint64     // of the value of the entry
+}
+
+// hides reports whether an entry is the removed one or an earlier one. After the store has
+// been restored, that is the one with the same value and the same revision.
+func (t tombstone) hides(entry kv.Entry) bool {
+	if t.version >= entry.Version {
+		return true
+	}
+	return kv.EpochOf(entry.Version) > kv.EpochOf(t.version) &&
+		kv.RevisionOf(entry.Version) == kv.RevisionOf(t.removed) &&
+		xxhash.Sum64(entry.Value) == t.digest
 }
 
 // syncState tells how far a replica is in sync with the store. Its mutex is not held
@@ -166,7 +187,7 @@
 		maxValue:   maxValue,
 		now:        now,
 		entries:    make(map[kv.Key]kv.Entry),
-		tombstones: make(map[kv.Key]kv.Version),
+		tombstones: make(map[kv.Key]tombstone),
 	}
 }
 
@@ -292,6 +313,11 @@
 	if cursor < r.Cursor() {
 		return // it may have entries whose removal is known here
 	}
+	if r.Cursor() != 0 && kv.EpochOf(cursor) > kv.EpochOf(r.Cursor()) {
+		// The store has been restored from a backup: what was written since is about to be
+		// written again.
+		r.unconfirmedUntil = r.now().Add(reregisterTime)
+	}
 	if cursor > r.Cursor() {
 		r.historyStart = cursor // a listing does not tell what was removed before it
 	}
@@ -378,12 +404,12 @@
 			})
 		}
 	}
-	for key, version := range r.tombstones {
-		if kv.Cursor(version) > after {
+	for key, removal := range r.tombstones {
+		if kv.Cursor(removal.version) > after {
 			delta.Changes = append(delta.Changes, kv.Change{
 				Entry: kv.Entry{
 					Key:     key,
-					Version: version,
+					Version: removal.version,
 				},
 				Deleted: true,
 			})
@@ -404,7 +430,7 @@
 	if ok && current.Version >= entry.Version {
 		return
 	}
-	if tombstone, ok := r.tombstones[entry.Key]; ok && tombstone >= entry.Version {
+	if removal, ok := r.tombstones[entry.Key]; ok && removal.hides(entry) {
 		return
 	}
 	if len(entry.Value) > r.maxValue(entry.Key) {
@@ -438,7 +464,13 @@
 	if len(r.tombstones) >= maxTombstones {
 		r.dropTombstones()
 	}
-	r.tombstones[key] = max(r.tombstones[key], version)
+	removal := r.tombstones[key]
+	removal.version = max(removal.version, version)
+	if ok {
+		removal.removed = current.Version
+		removal.digest = xxhash.Sum64(current.Value)
+	}
+	r.tombstones[key] = removal
 	if !ok {
 		return
 	}
@@ -453,8 +485,8 @@
 // dropTombstones makes room for other tombstones. Those of the changes that are being
 // applied are beyond the cursor.
 func (r *Replica) dropTombstones() {
-	for _, version := range r.tombstones {
-		r.historyStart = max(r.historyStart, kv.Cursor(version))
+	for _, removal := range r.tombstones {
+		r.historyStart = max(r.historyStart, kv.Cursor(removal.version))
 	}
 	clear(r.tombstones)
 }
--- a/internal/relay/fleet/directory.go
+++ b/internal/relay/fleet/directory.go
@@ -94,8 +94,8 @@
 	mu        sync.Mutex
 	entries   map[ident.UpstreamID]*entry
 	draining  map[ident.UpstreamID]drainMark
-	evacuated map[ident.FailureDomain]bool
-	snapshot  *Snapshot // nil after a change
+	evacuated map[ident.FailureDomain]time.Time // until when; zero while no end is known
+	snapshot  *Snapshot                         // nil after a change
 }
 
 // New returns an empty directory.
@@ -103,22 +103,34 @@
 	return &Directory{
 		entries:   make(map[ident.UpstreamID]*entry),
 		draining:  make(map[ident.UpstreamID]drainMark),
-		evacuated: make(map[ident.FailureDomain]bool),
+		evacuated: make(map[ident.FailureDomain]time.Time),
 	}
 }
 
-// SetEvacuated records whether operators have evacuated a failure domain: its upstreams
-// accept no new work until it is restored. It reports whether that has changed.
-func (d *Directory) SetEvacuated(domain ident.FailureDomain, evacuated bool) bool {
+// Evacuate records that operators have evacuated a failure domain: its upstreams accept no
+// new work until it is restored. It reports whether that is new.
+func (d *Directory) Evacuate(domain ident.FailureDomain) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.evacuated[domain] == evacuated {
+	_, known := d.evacuated[domain]
+	d.evacuated[domain] = time.Time{}
+	d.snapshot = nil
+	return !known
+}
+
+// EndEvacuation records that a failure domain is evacuated no longer. An unconfirmed end
+// takes effect at until, unless the domain is evacuated again before; zero means at once. It
+// reports whether the domain was evacuated.
+func (d *Directory) EndEvacuation(domain ident.FailureDomain, until time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, known := d.evacuated[domain]; !known {
 		return false
 	}
-	if evacuated {
-		d.evacuated[domain] = true
-	} else {
+	if until.IsZero() {
 		delete(d.evacuated, domain)
+	} else {
+		d.evacuated[domain] = until
 	}
 	d.snapshot = nil
 	return true
@@ -193,8 +205,8 @@
 	d.remove(current, until)
 }
 
-// Tick completes the unconfirmed removals that take effect by now, and drops marks of
-// upstreams that have not been registered for long.
+// Tick completes the unconfirmed removals and ends of evacuations that take effect by now,
+// and drops marks of upstreams that have not been registered for long.
 func (d *Directory) Tick(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -204,6 +216,12 @@
 			d.snapshot = nil
 		}
 	}
+	for domain, until := range d.evacuated {
+		if !until.IsZero() && !now.Before(until) {
+			delete(d.evacuated, domain)
+			d.snapshot = nil
+		}
+	}
 	for id, mark := range d.draining {
 		current, ok := d.entries[id]
 		switch {
@@ -263,8 +281,9 @@
 	}
 	for id, current := range d.entries {
 		upstream := current.Upstream
+		_, evacuated := d.evacuated[upstream.Domain]
 		switch {
-		case d.evacuated[upstream.Domain]:
+		case evacuated:
 			upstream.State = Evacuated
 		case d.isMarked(upstream):
 			upstream.State = Draining
--- a/internal/relay/host/sinks.go
+++ b/internal/relay/host/sinks.go
@@ -111,6 +111,11 @@
 		return
 	}
 	upstream.Region = s.settings.Regions[upstream.Domain]
+	if upstream.State == fleet.Draining && upstream.Started != 0 {
+		// A process that drains never accepts work again, also if a store that has been
+		// restored from a backup says so.
+		s.fleet.MarkDraining(upstream.ID, upstream.Started, time.Now())
+	}
 	if upstream.ColdLeft > 0 {
 		upstream.ColdUntil = time.Now().Add(upstream.ColdLeft)
 	}
@@ -141,18 +146,20 @@
 
 // Put implements discovery.Sink.
 func (s evacuationSink) Put(entry kv.Entry) {
-	s.set(entry.Key, entry.Version, true)
+	if domain := s.domain(entry.Key); s.fleet.Evacuate(domain) {
+		s.log.Warn().Str("domain", string(domain)).Uint64("revision", uint64(entry.Version)).Msg("fleet: failure domain evacuated")
+	}
 }
 
 // Removed implements discovery.Sink. An evacuation has no owner that could have missed a
-// renewal, so its removal takes effect at once.
-func (s evacuationSink) Removed(key kv.Key, version kv.Version, _ time.Time) {
-	s.set(key, version, false)
+// renewal, but its entry may be missing because the store has lost its latest changes.
+func (s evacuationSink) Removed(key kv.Key, version kv.Version, until time.Time) {
+	if domain := s.domain(key); s.fleet.EndEvacuation(domain, until) {
+		s.log.Warn().Str("domain", string(domain)).Uint64("revision", uint64(version)).Bool("doubtful", !until.IsZero()).Msg("fleet: evacuation of a failure domain ended")
+	}
 }
 
-func (s evacuationSink) set(key kv.Key, version kv.Version, evacuated bool) {
-	domain := ident.FailureDomain(strings.TrimPrefix(string(key), string(s.platform.Keys.Evacuated)))
-	if s.fleet.SetEvacuated(domain, evacuated) {
-		s.log.Warn().Str("domain", string(domain)).Uint64("revision", uint64(version)).Bool("evacuated", evacuated).Msg("fleet: evacuation of a failure domain changed")
-	}
+// domain returns the failure domain that a key names.
+func (s evacuationSink) domain(key kv.Key) ident.FailureDomain {
+	return ident.FailureDomain(strings.TrimPrefix(string(key), string(s.platform.Keys.Evacuated)))
 }
--- a/kv/httpkv/httpkv.go
+++ b/kv/httpkv/httpkv.go
@@ -42,6 +42,7 @@
 	timeout   time.Duration
 	watchWait time.Duration
 	protocol  Protocol
+	epoch     atomic.Uint64 // highest kv.Epoch that a response has stated
 }
 
 var _ kv.Store = (*Store)(nil)
@@ -68,7 +69,7 @@
 
 // Get implements kv.Store.
 func (s *Store) Get(ctx context.Context, key kv.Key) (kv.Entry, error) {
-	entry, err := read(ctx, s, s.protocol.Get(key), s.timeout, s.protocol.Entry)
+	entry, err := read(ctx, s, s.protocol.Get(key), s.timeout, s.decodeEntry)
 	return entry, errors.Annotatef(err, "get %q", key)
 }
 
@@ -85,7 +86,7 @@
 }
 
 func (s *Store) list(ctx context.Context, c Call, prefix kv.Key, limit int) (kv.Page, error) {
-	page, err := read(ctx, s, c, s.timeout, s.protocol.Page)
+	page, err := read(ctx, s, c, s.timeout, s.decodePage)
 	if limit > 0 && len(page.Entries) > limit {
 		page.Entries = page.Entries[:limit]
 		page.More = true
@@ -97,7 +98,8 @@
 }
 
 // Put implements kv.Store. It returns a NotValid error for a key that is not
-// valid UTF-8, because JSON would change it.
+// valid UTF-8, because JSON would change it, and ErrConflict if the expected version is of
+// an earlier epoch: that version may be another write now.
 func (s *Store) Put(ctx context.Context, put kv.Put) (kv.Version, error) {
 	if !utf8.ValidString(string(put.Key)) {
 		return 0, errors.NotValidf("key %q", put.Key)
@@ -105,25 +107,39 @@
 	if len(put.Value) > kv.MaxValueBytes {
 		return 0, errors.Annotatef(kv.ErrTooLarge, "put %q", put.Key)
 	}
-	version, err := write(ctx, s, s.protocol.Put(put), present(s.protocol.Version))
+	if s.isEarlier(put.Expect) {
+		return 0, errors.Annotatef(kv.ErrConflict, "put %q: version of an earlier epoch", put.Key)
+	}
+	put.Expect = kv.RevisionOf(put.Expect)
+	version, err := write(ctx, s, s.protocol.Put(put), s.decodeVersion)
 	return version, errors.Annotatef(err, "put %q", put.Key)
 }
 
-// Delete implements kv.Store.
+// Delete implements kv.Store. Like Put, it returns ErrConflict if the expected version is of
+// an earlier epoch.
 func (s *Store) Delete(ctx context.Context, key kv.Key, expect kv.Version) error {
-	_, err := write(ctx, s, s.protocol.Delete(key, expect), decodeEmpty)
+	if s.isEarlier(expect) {
+		return errors.Annotatef(kv.ErrConflict, "delete %q: version of an earlier epoch", key)
+	}
+	_, err := write(ctx, s, s.protocol.Delete(key, kv.RevisionOf(expect)), decodeEmpty)
 	return errors.Annotatef(err, "delete %q", key)
 }
 
-// Watch implements kv.Store.
+// Watch implements kv.Store. It returns ErrCompacted if the cursor is of another epoch than
+// the response: the changes between it and the backup from which the service was restored
+// are lost, and others may have their numbers.
 func (s *Store) Watch(ctx context.Context, prefix kv.Key, after kv.Cursor) (kv.Changes, error) {
-	changes, err := read(ctx, s, s.protocol.Watch(prefix, after, s.watchWait), s.timeout+s.watchWait, s.protocol.Changes)
+	call := s.protocol.Watch(prefix, kv.RevisionOf(after), s.watchWait)
+	changes, err := read(ctx, s, call, s.timeout+s.watchWait, s.decodeChanges)
+	if err == nil && kv.EpochOf(changes.Cursor) != kv.EpochOf(after) {
+		return kv.Changes{}, errors.Annotatef(kv.ErrCompacted, "watch %q: cursor of epoch %d", prefix, kv.EpochOf(after))
+	}
 	return changes, errors.Annotatef(err, "watch %q", prefix)
 }
 
 // Grant implements kv.Store. The ttl is rounded up to milliseconds.
 func (s *Store) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
-	lease, err := write(ctx, s, s.protocol.Grant(ttl), present(s.protocol.Lease))
+	lease, err := write(ctx, s, s.protocol.Grant(ttl), s.decodeLease)
 	return lease, errors.Annotate(err, "grant lease")
 }
 
@@ -139,27 +155,8 @@
 	return errors.Annotatef(err, "revoke lease %d", lease)
 }
 
-// decodeEmpty decodes a response whose fields are not used. A body that is not a
-// JSON object does not come from the service.
-func decodeEmpty(body []byte) (struct{}, error) {
-	var fields map[string]json.RawMessage
-	return struct{}{}, json.Unmarshal(body, &fields)
-}
-
-// present returns a decoder that rejects zero, which a number in a response is if its field
-// is missing.
-func present[T ~uint64](decode func([]byte) (T, error)) func([]byte) (T, error) {
-	return func(body []byte) (T, error) {
-		number, err := decode(body)
-		if err == nil && number == 0 {
-			err = errors.NotFoundf("number in response")
-		}
-		return number, err
-	}
-}
-
 // read makes a call that has no effect on the service.
-func read[T any](ctx context.Context, s *Store, c Call, timeout time.Duration, decode func([]byte) (T, error)) (T, error) {
+func read[T any](ctx context.Context, s *Store, c Call, timeout time.Duration, decode func(response) (T, error)) (T, error) {
 	return exchange(ctx, s, call{
 		Call:    c,
 		timeout: timeout,
@@ -167,7 +164,7 @@
 }
 
 // write makes a call that may take effect even if its response is lost.
-func write[T any](ctx context.Context, s *Store, c Call, decode func([]byte) (T, error)) (T, error) {
+func write[T any](ctx context.Context, s *Store, c Call, decode func(response) (T, error)) (T, error) {
 	return exchange(ctx, s, call{
 		Call:    c,
 		timeout: s.timeout,
@@ -190,48 +187,56 @@
 }
 
 // exchange sends the call and decodes the response.
-func exchange[T any](ctx context.Context, s *Store, c call, decode func([]byte) (T, error)) (T, error) {
+func exchange[T any](ctx context.Context, s *Store, c call, decode func(response) (T, error)) (T, error) {
 	var zero T
-	body, err := s.do(ctx, c)
+	received, err := s.do(ctx, c)
 	if err != nil {
 		return zero, err
 	}
-	result, err := decode(body)
+	result, err := decode(received)
 	if err != nil {
 		return zero, c.sentError("decode answer: " + err.Error())
 	}
 	return result, nil
 }
 
-// do sends the call and returns the body of the response if its status is 200.
-func (s *Store) do(ctx context.Context, c call) ([]byte, error) {
+// do sends the call and returns the response if its status is 200.
+func (s *Store) do(ctx context.Context, c call) (response, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	request, sent, err := s.newRequest(ctx, c)
 	if err != nil {
-		return nil, err
+		return response{}, err
 	}
-	response, err := s.client.Do(request)
+	received, err := s.client.Do(request)
 	if err != nil {
 		if !sent.Load() {
-			return nil, errors.Annotate(kv.ErrUnavailable, err.Error())
+			return response{}, errors.Annotate(kv.ErrUnavailable, err.Error())
 		}
-		return nil, c.sentError(err.Error())
+		return response{}, c.sentError(err.Error())
 	}
 	defer func() {
-		_ = response.Body.Close()
+		_ = received.Body.Close()
 	}()
-	body, err := readAll(response.Body, maxResponseBytes+1)
+	body, err := readAll(received.Body, maxResponseBytes+1)
 	switch {
 	case err != nil:
-		return nil, c.sentError("read answer: " + err.Error())
+		return response{}, c.sentError("read answer: " + err.Error())
 	case len(body) > maxResponseBytes:
-		return nil, c.sentError("answer exceeds " + strconv.Itoa(maxResponseBytes) + " bytes")
+		return response{}, c.sentError("answer exceeds " + strconv.Itoa(maxResponseBytes) + " bytes")
+	}
+	epoch, err := s.protocol.Epoch(received.Header)
+	if err != nil || epoch > kv.MaxEpoch {
+		return response{}, c.sentError("answer has no valid epoch")
 	}
-	if response.StatusCode != http.StatusOK {
-		return nil, s.statusError(c, response.StatusCode, body)
+	s.observeEpoch(epoch)
+	if received.StatusCode != http.StatusOK {
+		return response{}, s.statusError(c, received.StatusCode, body)
 	}
-	return body, nil
+	return response{
+		epoch: epoch,
+		body:  body,
+	}, nil
 }
 
 // newRequest builds the HTTP request. The returned flag becomes true once a
--- a/kv/httpkv/protocol.go
+++ b/kv/httpkv/protocol.go
@@ -20,8 +20,9 @@
 }
 
 // Protocol translates the operations of a kv.Store into HTTP calls and decodes
-// the responses. Decoders get the body of a response with status 200 and return
-// an error if it is malformed. Methods must be safe for concurrent use.
+// the responses. Versions and cursors are those within an epoch, on both sides. Decoders get
+// the body of a response with status 200 and return an error if it is malformed. Methods
+// must be safe for concurrent use.
 type Protocol interface {
 	Get(key kv.Key) Call
 	List(prefix, after kv.Key, limit int) Call
@@ -40,6 +41,9 @@
 	Changes(body []byte) (kv.Changes, error)
 	Lease(body []byte) (kv.LeaseID, error)
 
+	// Epoch returns the epoch of the service that a response states, 0 if it states none.
+	Epoch(header http.Header) (kv.Epoch, error)
+
 	// Refusal returns the error of package kv that a response with a status
 	// other than 200 stands for, or nil if it stands for none. For nil, Store
 	// returns kv.ErrUnavailable, or kv.ErrUncertain for a write whose status is
@@ -185,6 +189,8 @@
 	return granted.Lease, err
 }
 
+func (kvjsonProtocol) Epoch(http.Header) (kv.Epoch, error) { return 0, nil }
+
 func (kvjsonProtocol) Refusal(_ Call, status int, body []byte) error {
 	switch status {
 	case http.StatusNotFound:
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -24,16 +24,14 @@
 // Key names an entry; "/" separates its parts.
 type Key string
 
-// Version is the store-wide number of the write that created or last changed an entry.
+// Version is the store-wide number of the write that created or last changed an entry. Its
+// upper bits are an Epoch.
 type Version uint64
 
-// Cursor is the store-wide number up to which a reader has seen all writes.
+// Cursor is the store-wide number up to which a reader has seen all writes. Its upper bits
+// are an Epoch.
 type Cursor uint64
 
-// Epoch numbers the histories of a service. A service that is restored from a backup, and so
-// loses its latest writes, begins the next one.
-type Epoch uint64
-
 // LeaseID identifies a lease; 0 means no lease.
 type LeaseID uint64
 
