Keep the time of the next request when an upstream changes its limit

An upstream may state another limit with each response, as its need changes. Each change drew the time of the host's next request anew, on average half an interval away, so an upstream with nine hosts got 38 requests in 4 s at a limit of 4, 29 allowed (the new case 'changing limit' of TestSharesOfLimit, which fails before). The time is now drawn for the first limit only, and moved up if a higher limit allows it. Found while reading the change again; no deployment has shown it.

--- a/internal/relay/fleet/limits.go
+++ b/internal/relay/fleet/limits.go
@@ -51,14 +51,15 @@
 		next:        current.next,
 		stated:      now,
 	}
-	changed := !known || current.rate != rate
-	if changed {
+	interval := limit.spacing() * time.Duration(max(1, senders))
+	if !known {
 		// All hosts learn of the limit at about the same time.
-		interval := limit.spacing() * time.Duration(max(1, senders))
 		limit.next = now.Add(time.Duration(p.random() * float64(interval)))
+	} else if soonest := now.Add(interval); limit.next.After(soonest) {
+		limit.next = soonest // the limit has risen
 	}
 	p.limits[upstream.ID] = limit
-	return changed
+	return !known || current.rate != rate
 }
 
 // ClearLimit records that the upstream states no limit any more. It reports whether it had
--- a/internal/relay/fleet/limits_test.go
+++ b/internal/relay/fleet/limits_test.go
@@ -24,7 +24,9 @@
 	tests := map[string]struct {
 		hosts int
 		limit fleet.Rate
+		vary  bool // each response states another limit, up to that one
 	}{
+		"changing limit":     {hosts: 9, limit: 4, vary: true},
 		"one host":           {hosts: 1, limit: 2},
 		"nine hosts":         {hosts: 9, limit: 1},
 		"high limit":         {hosts: 9, limit: 40},
@@ -50,8 +52,12 @@
 			var sent []time.Time
 			for ; now.Before(start.Add(length)); now = now.Add(step) {
 				for _, p := range hosts {
-					if p.Admit(upstream, test.hosts) == 0 {
-						sent = append(sent, now)
+					if p.Admit(upstream, test.hosts) != 0 {
+						continue
+					}
+					sent = append(sent, now)
+					if test.vary {
+						p.SetLimit(upstream, test.limit*fleet.Rate(0.95+0.05*random.Float64()), test.hosts)
 					}
 				}
 			}
