Ask other hosts before a host that is behind lists the store

A host whose replica is not confirmed polls the store after 1.65 to 2.2 s, waited 0.4 s for others to send what it lacked, and listed all entries otherwise. With a table of 678 kB that is over 1 MB, 1.1 s on a link of 10 Mbit/s: too late for the 3 s of a change.

It now asks four random live hosts at once, and takes the change from one of them as a patch of some hundred bytes; it lists only if none has it after 0.4 s. Listings by all hosts at once, which share the link of the store, become rare as well. TestHostBehindAsksOthers fails without the request.

--- a/internal/relay/discovery/reader.go
+++ b/internal/relay/discovery/reader.go
@@ -70,6 +70,7 @@
 	MaxAge     time.Duration             // longest time without a confirmation of the replica
 	IsReader   func() bool               // reports whether this host is one of the readers
 	HandOver   func(ctx context.Context) // makes another host a reader in place of this one
+	AskHosts   func(ctx context.Context) // asks other hosts for the changes that the replica lacks
 	LiveHosts  func() int                // number of live hosts known here, including this one
 	ListsFirst bool                      // list the store at the start instead of waiting for other hosts
 	// ListStale is like Store.List, but costs the store less and may be out of date.
@@ -104,9 +105,9 @@
 		case !r.stale():
 			sleep(ctx, checkInterval)
 		case r.config.LiveHosts() <= 1:
-			r.backOff(ctx, r.poll(ctx, 0), maxBackoff)
+			r.backOff(ctx, r.poll(ctx, func(context.Context) {}), maxBackoff)
 		default:
-			r.backOff(ctx, r.poll(ctx, peerGrace), maxPassiveBackoff)
+			r.backOff(ctx, r.poll(ctx, r.askHosts), maxPassiveBackoff)
 		}
 	}
 	return nil
@@ -241,7 +242,7 @@
 		case <-watchDone:
 			return nil
 		case <-time.After(interval - watchGrace/2 + rand.N(watchGrace)):
-			if err := r.poll(ctx, watchGrace); err != nil {
+			if err := r.poll(ctx, awaitWatch); err != nil {
 				return err
 			}
 		}
@@ -251,8 +252,8 @@
 
 // poll reads an empty page, since the response carries the cursor of the store's latest
 // change. A page with the table would take longer than the poll interval on a slow link.
-// If the replica still lacks changes after the grace period, it lists all entries.
-func (r *Reader) poll(ctx context.Context, grace time.Duration) error {
+// If the replica lacks changes, also after await has returned, it lists all entries.
+func (r *Reader) poll(ctx context.Context, await func(ctx context.Context)) error {
 	page, err := r.config.Store.List(ctx, r.config.ProbeKey, r.config.ProbeKey, 1)
 	if err != nil {
 		return err
@@ -264,13 +265,28 @@
 	if !r.config.Replica.Confirm(page.Cursor, 0) {
 		return nil
 	}
-	sleep(ctx, grace)
-	if !r.config.Replica.Confirm(page.Cursor, grace) {
+	answered := time.Now()
+	await(ctx)
+	if !r.config.Replica.Confirm(page.Cursor, time.Since(answered)) {
 		return nil
 	}
 	return r.list(ctx)
 }
 
+// awaitWatch waits for the watch to report what a poll has shown.
+func awaitWatch(ctx context.Context) {
+	sleep(ctx, watchGrace)
+}
+
+// askHosts asks other hosts for what a poll has shown and gives them time to send it: the
+// changes of a large table are far smaller than a listing.
+func (r *Reader) askHosts(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, peerGrace)
+	defer cancel()
+	r.config.AskHosts(ctx)
+	<-ctx.Done()
+}
+
 // list reads all entries page by page and applies them to the replica.
 func (r *Reader) list(ctx context.Context) error {
 	var entries []kv.Entry
--- a/internal/relay/discovery/reader_test.go
+++ b/internal/relay/discovery/reader_test.go
@@ -112,6 +112,7 @@
 		IsReader:  f.isReader.Load,
 		LiveHosts: func() int { return 2 },
 		HandOver:  func(context.Context) { f.handovers.Add(1) },
+		AskHosts:  func(context.Context) {},
 		ListStale: func(context.Context, kv.Key, kv.Key, int) (kv.Page, error) { return kv.Page{}, kv.ErrUnavailable },
 	}
 	change(&config)
@@ -223,6 +224,33 @@
 	c.Check(f.store.bytes.Load()-bytes, qt.Equals, int64(0))
 }
 
+// Guards against a host that lists all entries although others can send it the few that it
+// lacks: with a large table, that takes seconds on a slow link.
+func TestHostBehindAsksOthers(t *testing.T) {
+	c := qt.New(t)
+	var f *fixture
+	var asked atomic.Int64
+	ready := make(chan struct{})
+	f = startReaderWith(t, false, func(config *discovery.ReaderConfig) {
+		config.AskHosts = func(ctx context.Context) {
+			<-ready
+			asked.Add(1)
+			changes, err := f.backing.Watch(ctx, "", f.replica.Cursor())
+			c.Check(err, qt.IsNil)
+			f.replica.ApplyWatch(f.replica.Cursor(), changes)
+		}
+	})
+	close(ready)
+	first := f.create(c, "op/config")
+	eventually(c, "first entry", func() bool { return f.sink.has("op/config", first) })
+	before := f.store.pages.Load()
+	second := f.create(c, "servers/a")
+	eventually(c, "second entry", func() bool { return f.sink.has("servers/a", second) })
+	eventually(c, "confirmation", func() bool { return f.replica.Age() < time.Second/2 })
+	c.Check(asked.Load(), qt.Equals, int64(1))
+	c.Check(f.store.pages.Load()-before, qt.Equals, int64(1), qt.Commentf("pages, a poll"))
+}
+
 // Guards against hosts that call the store although other hosts confirm their replicas.
 func TestPassiveHostDoesNotRead(t *testing.T) {
 	c := qt.New(t)
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -405,6 +405,7 @@
 		MaxAge:     h.settings.Apply - pollMargin,
 		IsReader:   h.isReader,
 		HandOver:   h.handOverReaderDuty,
+		AskHosts:   h.peers.ask,
 		LiveHosts:  h.liveHosts,
 		ListsFirst: len(h.seeds()) < max(1, len(h.settings.Seeds)),
 		ListStale:  h.store.ListStale,
--- a/internal/relay/host/peers.go
+++ b/internal/relay/host/peers.go
@@ -35,6 +35,9 @@
 	// once it has the list of hosts. With half of the hosts down, three of four hosts reach
 	// one.
 	joinMessages = 2
+	// askMessages is the number of hosts that a host asks for changes that it lacks. With
+	// half of the hosts down, fifteen of sixteen hosts reach one.
+	askMessages = 4
 )
 
 // errNotServed is the response to the calls of the peer protocol that only entry hosts
@@ -181,11 +184,19 @@
 	case <-ctx.Done():
 		return nil
 	}
+	p.announceToSome(ctx, joinMessages)
+	<-ctx.Done()
+	return nil
+}
+
+// announceToSome announces this host to a number of random live hosts, and so learns whether
+// they have later documents. It returns once all of them have replied or failed to.
+func (p *peers) announceToSome(ctx context.Context, count int) {
 	others := slices.DeleteFunc(slices.Clone(p.table.Snapshot().Live()), func(row peer.Row) bool {
 		return row.Host == p.self || row.Address == ""
 	})
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	others = others[:min(len(others), joinMessages)]
+	others = others[:min(len(others), count)]
 	announced := make(chan struct{})
 	for _, row := range others {
 		go func(ctx context.Context) {
@@ -196,8 +207,11 @@
 	for range others {
 		<-announced
 	}
-	<-ctx.Done()
-	return nil
+}
+
+// ask asks a few hosts for later documents.
+func (p *peers) ask(ctx context.Context) {
+	p.announceToSome(ctx, askMessages)
 }
 
 // announceToSeed announces this host to a random seed, if there is one.
