--- a/internal/relay/fleet/doc.go
+++ b/internal/relay/fleet/doc.go
@@ -5,7 +5,8 @@
 //
 // A Directory also keeps what this host has learned from upstreams themselves: that an
 // incarnation drains although its registration says that it is ready. Pauses keeps the
-// upstreams that have asked this host for no requests for some time.
+// upstreams that want no requests of this host for some time, because they have asked for
+// none or because they state a limit of requests per second, which the hosts share.
 //
 // Invariants:
 //   - A registration that is older than the present one changes nothing.
