Take the end of a response without a length for its end only after the request

Cause: the body of such a response ends with the connection. A reset is reported only once, to whichever call on the socket comes first. The request is written beside the reading of the response, so that the write takes the error, and the read after it returns an orderly end.

Evidence: TestResetDuringUpload, with 32 MB, 10 tries a case. Before the change:

--- FAIL: TestResetDuringUpload --- FAIL: TestResetDuringUpload/body_without_length 10 of 10 tries --- FAIL: TestResetDuringUpload/empty,_without_length 10 of 10 tries --- FAIL: TestResetDuringUpload/events_without_length 7 of 10 tries got nil error but want non-nil

The cases with a length or with chunks passed before: their end is in the bytes.

Change: Response.Read returns ErrLost for the end of an unframed body unless the whole request has been written without an error. Whole bodies, streams of events and the reuse of the connection all depend on this Read. It waits at most a second for the end of the writing: an upstream that ends its side may read the rest of the request afterwards (TestEndBeforeUpload, which passes before and after). A write that takes the error of the connection fails, so that the read after it cannot count as complete; a write that has ended before the reset leaves the error to the read.

Result: both tests pass, 10 times in a row and 5 times with the race detector.

--- a/internal/relay/upstreamhttp/response.go
+++ b/internal/relay/upstreamhttp/response.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -20,6 +21,9 @@
 	// response that is skipped: a faulty upstream may send bytes without end.
 	maxHeaderBytes  = 64 << 10
 	maxSkippedBytes = 1 << 20
+	// writeEndTimeout is how long the rest of a request may take after the end of an
+	// unframed response. An upstream that has broken off ends it at once.
+	writeEndTimeout = time.Second
 )
 
 // errUnidentified means that a response on a reused connection may belong to an earlier
@@ -133,13 +137,20 @@
 	distinct bool // see Request
 }
 
-// Read reads the body. The body is complete only if the error is io.EOF.
+// Read reads the body. The body is complete only if the error is io.EOF. It returns ErrLost
+// for an unframed body that ends before the request has been written.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
-	if err == io.EOF {
-		r.complete = true
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	// A reset is reported only once, to a read or a write. Reads after a write that has
+	// failed find an orderly end.
+	if r.Unframed && !r.awaitSent() {
+		return n, errors.Annotate(ErrLost, "body without a length ends before the request has been written")
+	}
+	r.complete = true
+	return n, io.EOF
 }
 
 // ReadAll reads the whole body, of at most limit bytes, into the memory of the lease. It
@@ -181,6 +192,19 @@
 	<-r.sending.done
 }
 
+// awaitSent waits at most writeEndTimeout for the end of the writing and reports whether
+// the whole request has been written.
+func (r *Response) awaitSent() bool {
+	timer := time.NewTimer(writeEndTimeout)
+	defer timer.Stop()
+	select {
+	case <-r.sending.done:
+		return r.sending.err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
 // sent reports whether the whole request has been written.
 func (r *Response) sent() bool {
 	select {
