Treat a response of an upstream whose status is in no class as damaged

What callers saw: a response of an upstream with status 600 or 999, sealed, was passed on to the caller as it was. One with status 600 that stated that the request had not run was believed, and the request ran elsewhere.

Cause: readResponse knew two kinds of statuses, those below 200 and all others, and net/http reads any three digits as a status.

Evidence: the tests failed before:

--- FAIL: TestStatusOutOfRange (zero, below_100, with_a_sign, switching_protocols, first_beyond_the_last, last_of_three_digits): got nil error but want non-nil --- FAIL: TestPlain/unsafe,_status_600: got status 600, sealed, body "error"; want 502 --- FAIL: TestPlain/unsafe,_status_600,_not_run: got status 200; want 502 --- FAIL: TestStream/status_600: got status 600, sealed, body "error"; want 502

Change: the package httpstatus tells what a status means for an exchange. A status below 100 or above 599, and 101, which no request asks for, make the response damaged: Send returns ErrLost and closes the connection, as for bytes that are not HTTP. The request may have run, so only an idempotent one is sent again. Callers' requests, batches, releases and health checks all go through this place.

--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -251,7 +251,7 @@
 
 func status(code int, lines string) scriptedResponse {
 	return scriptedResponse{
-		text: fmt.Sprintf("HTTP/1.1 %d X\r\nId: $ID\r\n%sConnection: close\r\nContent-Length: 5\r\n\r\nerror", code, lines),
+		text: fmt.Sprintf("HTTP/1.1 %03d X\r\nId: $ID\r\n%sConnection: close\r\nContent-Length: 5\r\n\r\nerror", code, lines),
 	}
 }
 
--- a/internal/relay/upstreamhttp/client_test.go
+++ b/internal/relay/upstreamhttp/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -220,6 +221,41 @@
 	}
 }
 
+// Guards against a damaged response that counts as a response, or as an informational one
+// before the response.
+func TestStatusOutOfRange(t *testing.T) {
+	const rest = " X\r\nSeal: s\r\nId: a\r\nContent-Length: 0\r\n\r\n"
+	tests := map[string]struct {
+		status   string
+		response bool
+	}{
+		"zero":                  {status: "000"},
+		"below 100":             {status: "099"},
+		"with a sign":           {status: "+20"},
+		"switching protocols":   {status: "101"},
+		"first of a response":   {status: "200", response: true},
+		"last of a response":    {status: "599", response: true},
+		"first beyond the last": {status: "600"},
+		"last of three digits":  {status: "999"},
+		"four digits":           {status: "2000"},
+		"empty":                 {},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := serve(t, raw("HTTP/1.1 "+test.status+rest+"HTTP/1.1 200"+rest))
+			response, err := newClient(t).Send(t.Context(), request(s.address))
+			if !test.response {
+				c.Assert(err, qt.ErrorIs, upstreamhttp.ErrLost)
+				return
+			}
+			c.Assert(err, qt.IsNil)
+			defer response.Close()
+			c.Check(strconv.Itoa(response.Status), qt.Equals, test.status)
+		})
+	}
+}
+
 // Guards against changing the request target.
 func TestTargetIsKept(t *testing.T) {
 	for _, target := range []string{"/", "/a//b/../c", "//a/b", "/a%2fb%20c?x=%zz;y", "/a?", "//a?", "/a#b", "//a#b?c", "//[", "/ä"} {
--- a/internal/relay/upstreamhttp/response.go
+++ b/internal/relay/upstreamhttp/response.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
+	"github.com/nutmegshift/nutmegshift/internal/transport/httpstatus"
 	"github.com/nutmegshift/nutmegshift/internal/transport/memory"
 )
 
@@ -51,12 +52,16 @@
 		if err != nil {
 			return receivedHeader{}, err
 		}
-		if response.StatusCode < http.StatusOK {
+		switch httpstatus.KindOf(response.StatusCode) {
+		case httpstatus.Invalid:
+			return receivedHeader{}, errors.Errorf("response has status %03d", response.StatusCode)
+		case httpstatus.Informational:
 			informational++
 			if informational > maxInformational {
 				return receivedHeader{}, errors.Annotatef(ErrOversized, "more than %d informational responses", maxInformational)
 			}
 			continue
+		case httpstatus.Final:
 		}
 		reply := c.config.Codec.Reply(response.StatusCode, response.Header)
 		switch owner := ownerOf(reply, request, conn.used || skipped > 0); {
