nutmegshift entry: treat a reply whose status is in no class as lost

What callers saw: a reply of a plain service with status 000, 099, 600 or 999 counted as the answer to the request, and one of a pool as its refusal. A reply with status 101 that named another protocol was read until the engine closed the connection, whatever the deadline of the request.

Cause: net/http reads any three digits as a status. For 101 it hands the connection to the reader of the body, and the context of the request no longer ends the read.

Change: the exchange ends with ErrLost and the connection is closed unless the status is from 200 to 599. The body is not read, so that no read escapes the context.

--- a/internal/stagehttp/client.go
+++ b/internal/stagehttp/client.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 
 	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/transport/httpstatus"
 	"github.com/nutmegshift/nutmegshift/pipeline"
 )
 
@@ -200,6 +201,11 @@
 		}
 		return nil, withKind(pipeline.ErrNotSent, err)
 	}
+	if httpstatus.KindOf(response.StatusCode) != httpstatus.Final {
+		conn.discard()
+		_ = response.Body.Close()
+		return nil, errors.Annotatef(pipeline.ErrLost, "reply has status %03d", response.StatusCode)
+	}
 	if got := response.Header.Get(attemptHeader); got != string(attempt) {
 		conn.discard()
 		_ = response.Body.Close()
--- a/internal/stagehttp/client_test.go
+++ b/internal/stagehttp/client_test.go
@@ -210,6 +210,34 @@
 	}
 }
 
+// Guards against a damaged response that counts as a response, and against one that seems to
+// switch protocols and is read without end, which takes the connection out of the context.
+func TestStatusOutOfRange(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			s := startServer(t, func(conn *net.TCPConn, request *http.Request) bool {
+				write(conn, "HTTP/1.1 "+status+" X\r\nConnection: Upgrade\r\nUpgrade: x\r\nAttempt-Id: "+request.Header.Get(attemptHeader)+"\r\nContent-Length: 0\r\n\r\n")
+				_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+				_, _ = conn.Read(make([]byte, 1)) // until the client closes
+				return false
+			})
+			client := newClient(t, Config{})
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			for _, call := range []pipeline.Call{plainCall("a"), poolCall("b")} {
+				_, err := client.Call(ctx, s.address, call)
+				qt.Check(t, err, qt.ErrorIs, pipeline.ErrLost, qt.Commentf("%s", call.Path))
+			}
+			_, err := client.Generate(ctx, s.address, pipeline.Generation{
+				Attempt: "a",
+			})
+			qt.Check(t, err, qt.ErrorIs, pipeline.ErrLost)
+			qt.Check(t, client.idle, qt.HasLen, 0)
+			qt.Check(t, ctx.Err(), qt.IsNil, qt.Commentf("the client waits for the end of the connection"))
+		})
+	}
+}
+
 // Guards against retries by net/http: http.Transport retries GET, HEAD and requests
 // with an Idempotency-Key if a reused connection breaks after the request was sent.
 func TestReusedConnectionRunsAtMostOnce(t *testing.T) {
