orderhttp: treat a response whose status is in no class as none

An order answered with status 000 counted as rejected, which says that it had no effect. One answered 101, with a Connection and an Upgrade field, was read until the engine closed the connection, whatever the deadline of the order.

Cause: all statuses that were not named counted as rejections, and net/http reads any three digits as a status. For 101 it hands the connection to the reader of the body.

Evidence: rows of TestFaults failed before:

--- FAIL: TestFaults/status_000 --- FAIL: TestFaults/switches_protocols (2.00s, the time for which the engine waits)

Change: such a response is ErrUnavailable, which says that an order may have taken effect, before the body is read. Status 600 and a part of a state without a length had fitting errors before.

Result: the tests of the package pass, twice with the race detector.

--- a/internal/orderhttp/client.go
+++ b/internal/orderhttp/client.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/transport/httpstatus"
 	"github.com/nutmegshift/nutmegshift/order"
 )
 
@@ -179,6 +180,9 @@
 		return stateBody{}, errors.Annotatef(ErrUnavailable, "engine %q: %v", engine, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if httpstatus.KindOf(response.StatusCode) != httpstatus.Final {
+		return stateBody{}, errors.Annotatef(ErrUnavailable, "engine %q: status %d", engine, response.StatusCode)
+	}
 	encoded, err := io.ReadAll(io.LimitReader(response.Body, maxStateBytes+1))
 	if err != nil {
 		return stateBody{}, errors.Annotatef(ErrUnavailable, "engine %q: read response body: %v", engine, err)
--- a/internal/orderhttp/client_test.go
+++ b/internal/orderhttp/client_test.go
@@ -83,6 +83,33 @@
 	panic(http.ErrAbortHandler)
 }
 
+// respondRaw reads the request, writes a text and closes the connection.
+func respondRaw(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(conn, text)
+		_ = conn.Close()
+	}
+}
+
+// switchProtocols seems to switch protocols, and returns when the client closes the
+// connection or after some seconds.
+func switchProtocols(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 101 X\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n")
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	_, _ = conn.Read(make([]byte, 1))
+	_ = conn.Close()
+}
+
 // hang does not respond until the client closes the connection.
 func hang(_ http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
@@ -117,6 +144,10 @@
 		"body too long":               {handler: respond(200, strings.Repeat(" ", 65<<10)+state), actualErr: orderhttp.ErrInvalid, sendErr: orderhttp.ErrInvalid},
 		"truncated body":              {handler: truncateBody, actualErr: orderhttp.ErrUnavailable, sendErr: orderhttp.ErrUnavailable},
 		"reset":                       {handler: resetConnection, actualErr: orderhttp.ErrUnavailable, sendErr: orderhttp.ErrUnavailable},
+		"status 000":                  {handler: respondRaw("HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}"), actualErr: orderhttp.ErrUnavailable, sendErr: orderhttp.ErrUnavailable},
+		"status 600":                  {handler: respondRaw("HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\n{}"), actualErr: orderhttp.ErrUnavailable, sendErr: orderhttp.ErrUnavailable},
+		"part without a length":       {handler: respondRaw("HTTP/1.1 200 OK\r\n\r\n" + state[:len(state)-1]), actualErr: orderhttp.ErrInvalid, sendErr: orderhttp.ErrInvalid},
+		"switches protocols":          {handler: switchProtocols, actualErr: orderhttp.ErrUnavailable, sendErr: orderhttp.ErrUnavailable},
 		"hang":                        {handler: hang, actualErr: orderhttp.ErrUnavailable, sendErr: orderhttp.ErrUnavailable},
 	}
 	for name, test := range tests {
