Log the release of a stream and which stream a request takes up

No line could tell whether that happened within one request or between two: the header field with which callers name the stream that they take up was not decoded, and the release of upstreams was not logged.

--- a/internal/relay/fleet/directory.go
+++ b/internal/relay/fleet/directory.go
@@ -13,6 +13,9 @@
 // State says whether an upstream accepts new work.
 type State uint8
 
+// Release is the version of the software of an upstream.
+type Release string
+
 // States of an upstream.
 const (
 	Ready State = iota + 1
@@ -27,7 +30,7 @@
 	Address  ident.Address
 	Domain   ident.FailureDomain
 	Region   ident.Region // empty if not known
-	Release  string       // version of its software
+	Release  Release      // empty if not known
 	Slots    int          // number of requests that it runs concurrently
 	State    State
 	ColdLeft time.Duration // remaining cold-start time, in which it is slow, as of the registration
--- a/internal/relay/forward/record.go
+++ b/internal/relay/forward/record.go
@@ -120,6 +120,12 @@
 	if e.record.cacheSource != "" {
 		line = line.Str("cache", string(e.record.cacheSource))
 	}
+	if e.resumes() {
+		line = line.Str("origin", string(e.head.Origin)).Int("resumed", int(e.head.LastEvent))
+	}
+	if e.release != "" {
+		line = line.Str("release", string(e.release))
+	}
 	if e.record.firstEvent > 0 {
 		line = line.Dur("first", e.record.firstEvent).Int("last", int(e.record.lastEvent)).Dur("pause", e.record.maxPause)
 	}
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -359,6 +359,7 @@
 			e.progress.lastEvent = event.ID
 			e.record.lastEvent = event.ID
 		}
+		e.release = placed.Release
 		e.record.maxPause = max(e.record.maxPause, e.progress.addEvent(e.config.Now()))
 		if _, err := e.writer.Write(event.Text); err != nil {
 			return err
--- a/internal/relay/host/sinks.go
+++ b/internal/relay/host/sinks.go
@@ -124,7 +124,7 @@
 		Upstream: upstream,
 		Version:  entry.Version,
 	}) {
-		s.registrationLine().Str("upstream", string(upstream.ID)).Str("service", string(upstream.Service)).Str("address", string(upstream.Address)).Uint8("state", uint8(upstream.State)).Uint64("revision", uint64(entry.Version)).Msg("fleet: registered")
+		s.registrationLine().Str("upstream", string(upstream.ID)).Str("service", string(upstream.Service)).Str("address", string(upstream.Address)).Str("release", string(upstream.Release)).Uint8("state", uint8(upstream.State)).Uint64("revision", uint64(entry.Version)).Msg("fleet: registered")
 	}
 }
 
--- a/internal/relay/wire/wire.go
+++ b/internal/relay/wire/wire.go
@@ -42,9 +42,12 @@
 	Key       routes.Key
 	Timeout   time.Duration // how long the caller waits; 0 if not stated
 	LastEvent EventID       // last event that the caller has received; 0 means none
-	Prompt    Prompt
-	Pieces    []int  // number of pieces of each stage
-	PieceKey  string // identifies the content of the pieces of stages without inputs
+	// Origin is the request that received the first event of the stream that this one
+	// takes up; empty if it takes none up.
+	Origin   ident.RequestID
+	Prompt   Prompt
+	Pieces   []int  // number of pieces of each stage
+	PieceKey string // identifies the content of the pieces of stages without inputs
 }
 
 // Dispatch holds the header fields that the system sets on a request to an upstream.
