Retry a broken stream at the release that began it

Callers received streams whose first part came from one release of upstream software and whose rest came from another, in one response. A resumable stream that broke off was retried at whichever upstream was free; the release of upstreams was known and not compared.

The release of the first event now bounds the rest of the stream: the query for an upstream names it, so that also an upstream that a coordinator proposes, or that has registered since, is refused if it has another one. If no upstream of the release is left, the stream ends at once, without running its stages again.

--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -271,6 +271,7 @@
 	stager    *stager
 	server    *httptest.Server
 	holder    *routes.Holder
+	directory *fleet.Directory
 	suspects  atomic.Int64 // in reports of crashes
 	elapsed   atomic.Int64 // added to the clock of the chooser of upstreams, in nanoseconds
 }
@@ -287,6 +288,11 @@
 
 // startWith starts a fixture with a number of upstreams and a share of hedges.
 func startWith(t *testing.T, count int, hedges float64, responses ...scriptedResponse) *fixture {
+	return startHost(t, make([]fleet.Release, count), hedges, responses...)
+}
+
+// startHost starts a fixture with an upstream for each of the given releases.
+func startHost(t *testing.T, software []fleet.Release, hedges float64, responses ...scriptedResponse) *fixture {
 	f := &fixture{
 		upstreams: &upstreams{
 			responses: responses,
@@ -296,19 +302,21 @@
 	}
 	address := f.upstreams.serve(t)
 	directory := fleet.New()
-	for i := range count {
+	for i, release := range software {
 		directory.Put(fleet.Registration{
 			Upstream: fleet.Upstream{
 				ID:      ident.UpstreamID(fmt.Sprintf("u%d", i)),
 				Service: "s",
 				Address: address,
 				Domain:  "here",
+				Release: release,
 				State:   fleet.Ready,
 			},
 			Version: 1,
 		})
 	}
 	f.holder.Offer(table())
+	f.directory = directory
 	pauses := fleet.NewPauses(time.Now, rand.Float64)
 	client := upstreamhttp.New(upstreamhttp.Config{
 		Codec:  codec{},
--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -118,7 +118,7 @@
 	latest       *poison.Attempt // at an upstream; nil before the first
 	tried        []ident.UpstreamID
 	ran          int            // upstreams that may have run the request
-	release      fleet.Release  // of the upstream that has begun the stream; empty before
+	release      fleet.Release  // that has begun the stream; empty if any may run it
 	progress     streamProgress // zero if the response is not a stream
 	record       record
 	log          zerolog.Logger
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -104,7 +104,7 @@
 		case streamBroken:
 			// The results are still held unless an event has been received.
 			e.ran++
-			if !e.mayRunAgain() {
+			if !e.mayRunAgain() || !e.hasRelease() {
 				e.concludeStream()
 				return
 			}
@@ -222,6 +222,7 @@
 		Bytes:   bytes,
 		Prompt:  e.head.Prompt,
 		Shared:  e.affinity(),
+		Release: e.release,
 		Exclude: make(map[ident.UpstreamID]bool, len(e.tried)),
 		Cold:    placement.HostColdRate(e.service.ColdRate, e.config.Hosts()),
 	}
@@ -235,7 +236,7 @@
 		query.Exclude[id] = true
 	}
 	paused, _ := e.config.Pauses.Paused(e.config.Fleet.Snapshot().Ready(e.service.Name))
-	for _, id := range paused {
+	for _, id := range append(paused, e.otherReleases()...) {
 		query.Exclude[id] = true
 	}
 	return query
--- a/internal/relay/placement/chooser.go
+++ b/internal/relay/placement/chooser.go
@@ -31,6 +31,7 @@
 	Bytes   int64               // size of the results that the upstream reads from Domain
 	Prompt  wire.Prompt         // zero value if the request has none
 	Shared  SharedPrefix
+	Release fleet.Release             // that the upstream must have; empty if any
 	Exclude map[ident.UpstreamID]bool // upstreams that must not be chosen
 	Cold    ColdRate                  // limit of requests to cold upstreams
 	Homes   [][]ident.Region          // lists of regions, each of which must have the upstream's
@@ -39,7 +40,7 @@
 // allows reports whether an upstream may be chosen. If there are homes, one whose region is
 // not known may not.
 func (q Query) allows(upstream fleet.Upstream) bool {
-	if q.Exclude[upstream.ID] {
+	if q.Exclude[upstream.ID] || q.Release != "" && upstream.Release != q.Release {
 		return false
 	}
 	for _, homes := range q.Homes {
