Fetch cached prompts only from upstreams of the same release

An upstream was told to fetch the cached part of a prompt from whichever upstream had read most of it, also one of another release of its software.

The chooser keeps a source for each release, and takes that of the upstream it chooses; a source that a coordinator proposes is checked in the same way. The cost of a fetch counts only where there is one.

TestReleasesDoNotMix failed before (cache "a" of release v1 for an upstream of v2) and passes.

--- a/internal/relay/placement/chooser.go
+++ b/internal/relay/placement/chooser.go
@@ -159,7 +159,9 @@
 	prompt := promptPrefixes(query.Prompt)
 	fresh := max(0, query.Prompt.Input-c.prefixes.requestedAt(now, prompt, upstream, snapshot))
 	placed := c.assign(now, upstream, prompt, fresh)
-	placed.Cache, _ = snapshot.Upstream(cache)
+	if source, ok := snapshot.Upstream(cache); ok && source.Release == upstream.Release {
+		placed.Cache = source
+	}
 	return placed, true
 }
 
@@ -200,7 +202,6 @@
 	p := c.pool(query.Service, snapshot)
 	medianPace := p.medianPace(now)
 	cached := c.prefixes.cached(now, prompt, query.Service, p)
-	source = cached.source
 	preferred, requested := fleet.Upstream{}, cached.mostRequested
 	known := requested >= query.Shared.Tokens
 	if !known {
@@ -221,7 +222,7 @@
 		if upstream.ID == preferred.ID {
 			current.cached = max(current.cached, query.Shared.Tokens)
 		}
-		current.fetched = max(0, cached.sourceTokens-current.cached)
+		current.fetched = max(0, cached.sourceFor(upstream.Release).tokens-current.cached)
 		current.fresh = max(0, query.Prompt.Input-current.cached-current.fetched)
 		cost := p.states[i].cost(now, medianPace, current.fresh) + fetchCost*float64(current.fetched)
 		cost += rereadCost * float64(max(0, requested-current.cached-current.fetched))
@@ -233,6 +234,7 @@
 			best, lowest, ok = current, cost, true
 		}
 	}
+	source = cached.sourceFor(best.Release).Upstream
 	if ok && !known {
 		if holder, ok := CacheSource(query, snapshot, best.Upstream, now); ok {
 			source, best.fetched = holder, max(0, query.Shared.Tokens-cached.requested[p.index[best.ID]])
@@ -376,7 +378,7 @@
 // CacheSource returns an upstream that has probably read the shared prefix of a
 // request, if the chosen upstream has probably not. That is the preferred upstream,
 // or the one that was preferred before the chosen one started or before an upstream
-// began to drain.
+// began to drain, among those of the same release.
 func CacheSource(query Query, snapshot *fleet.Snapshot, chosen fleet.Upstream, now time.Time) (fleet.Upstream, bool) {
 	if query.Shared.Key == 0 {
 		return fleet.Upstream{}, false
@@ -384,7 +386,7 @@
 	var source ident.UpstreamID
 	highest := uint64(0)
 	for id, upstream := range snapshot.All() {
-		if upstream.Service != query.Service || id == chosen.ID {
+		if upstream.Service != query.Service || upstream.Release != chosen.Release || id == chosen.ID {
 			continue
 		}
 		if hash := rendezvousHash(id, query.Shared.Key); source == "" || hash > highest {
--- a/internal/relay/placement/prefixes.go
+++ b/internal/relay/placement/prefixes.go
@@ -103,10 +103,44 @@
 
 // cached is what the upstreams of a pool have probably cached of a prompt, in tokens.
 type cached struct {
-	requested     []int          // by upstream of the pool: has read or has been asked to read; valid until the next call
-	mostRequested int            // of any upstream, draining ones included
-	source        fleet.Upstream // has read the most, may be draining; without an ID if there is none
-	sourceTokens  int
+	requested     []int // by upstream of the pool: has read or has been asked to read; valid until the next call
+	mostRequested int   // of any upstream, draining ones included
+	sources       []source
+}
+
+// source is the upstream that has read the most of a prompt among those of its release.
+type source struct {
+	fleet.Upstream // without an ID if there is none; may be draining
+	tokens         int
+}
+
+// sourceFor returns the upstream from which one of the given release may fetch the prompt:
+// what two releases cache does not fit together.
+func (c cached) sourceFor(release fleet.Release) source {
+	for _, s := range c.sources {
+		if s.Release == release {
+			return s
+		}
+	}
+	return source{}
+}
+
+// addSource adds an upstream that has read the given number of tokens of the prompt.
+func (c *cached) addSource(upstream fleet.Upstream, tokens int) {
+	added := source{
+		Upstream: upstream,
+		tokens:   tokens,
+	}
+	for i, s := range c.sources {
+		if s.Release != upstream.Release {
+			continue
+		}
+		if tokens > s.tokens || tokens == s.tokens && upstream.ID < s.ID {
+			c.sources[i] = added
+		}
+		return
+	}
+	c.sources = append(c.sources, added)
 }
 
 // valid returns the upstream of a holder, if that still runs and the prefix counts as
@@ -135,8 +169,8 @@
 			if i, ok := p.index[h.id]; ok {
 				c.requested[i] = prefix.tokens
 			}
-			if h.read && upstream.Service == service && (prefix.tokens > c.sourceTokens || prefix.tokens == c.sourceTokens && h.id < c.source.ID) {
-				c.source, c.sourceTokens = upstream, prefix.tokens
+			if h.read && upstream.Service == service {
+				c.addSource(upstream, prefix.tokens)
 			}
 		}
 	}
