Find the release that began a stream when a caller takes it up

Callers that took up a broken stream at another host, or after all hosts had ended, were answered 200 with the rest of the text from another release of upstream software, and nothing in the answer showed it. Hosts had no memory of streams beyond one request, and did not ask.

internal/relay/resumption keeps which release began each stream: in memory, and, while a service has or has lately had several releases, in an entry of the store for each host, which outlives the host and also the end of all hosts. An entry with the releases in service tells hosts that start later whether to look.

A stream that is taken up also stays with the service that its first request was sent to on a route with several.

--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -28,12 +28,14 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
+	"github.com/nutmegshift/nutmegshift/internal/relay/resumption"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 	"github.com/nutmegshift/nutmegshift/internal/standin/tcp"
 	"github.com/nutmegshift/nutmegshift/internal/transport/memory"
 	"github.com/nutmegshift/nutmegshift/kv"
+	"github.com/nutmegshift/nutmegshift/kv/memkv"
 	"github.com/nutmegshift/nutmegshift/peer"
 )
 
@@ -61,6 +63,7 @@
 		}
 		head.LastEvent = wire.EventID(last)
 	}
+	head.Origin = ident.RequestID(header.Get("Origin"))
 	if header.Get("Pieces") != "" {
 		head.Pieces = []int{1}
 	}
@@ -272,6 +275,8 @@
 	server    *httptest.Server
 	holder    *routes.Holder
 	directory *fleet.Directory
+	releases  *resumption.Releases
+	streams   *resumption.Streams
 	suspects  atomic.Int64 // in reports of crashes
 	elapsed   atomic.Int64 // added to the clock of the chooser of upstreams, in nanoseconds
 }
@@ -288,11 +293,11 @@
 
 // startWith starts a fixture with a number of upstreams and a share of hedges.
 func startWith(t *testing.T, count int, hedges float64, responses ...scriptedResponse) *fixture {
-	return startHost(t, make([]fleet.Release, count), hedges, responses...)
+	return startHost(t, memkv.New(time.Now), make([]fleet.Release, count), hedges, responses...)
 }
 
-// startHost starts a fixture with an upstream for each of the given releases.
-func startHost(t *testing.T, software []fleet.Release, hedges float64, responses ...scriptedResponse) *fixture {
+// startHost starts a fixture with a store, and an upstream for each of the given releases.
+func startHost(t *testing.T, store kv.Store, software []fleet.Release, hedges float64, responses ...scriptedResponse) *fixture {
 	f := &fixture{
 		upstreams: &upstreams{
 			responses: responses,
@@ -317,6 +322,8 @@
 	}
 	f.holder.Offer(table())
 	f.directory = directory
+	f.releases = resumption.NewReleases(directory.Snapshot, time.Now)
+	f.streams = resumption.NewStreams(f.releases, resumption.NewRecords(store, time.Now, zerolog.Nop()), time.Now)
 	pauses := fleet.NewPauses(time.Now, rand.Float64)
 	client := upstreamhttp.New(upstreamhttp.Config{
 		Codec:  codec{},
@@ -353,8 +360,9 @@
 			OnVerdict: func([]poison.Pattern) {},
 			MayProbe:  func() bool { return false },
 		}),
-		Memory: memory.New(64 << 20),
-		Meter:  meter.New(),
+		Streams: f.streams,
+		Memory:  memory.New(64 << 20),
+		Meter:   meter.New(),
 		Budget: budget.New(budget.Config{
 			Share:     0.2,
 			Allowance: 100,
--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -18,6 +18,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
+	"github.com/nutmegshift/nutmegshift/internal/relay/resumption"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
@@ -71,6 +72,7 @@
 	Budget     *budget.Budget
 	Hedges     *hedge.Policy
 	Poison     *poison.Table
+	Streams    *resumption.Streams
 	Memory     *memory.Budget // of the bodies of requests and responses
 	Stager     Stager
 	Meter      *meter.Meter
@@ -117,9 +119,10 @@
 	identity     *poison.Request
 	latest       *poison.Attempt // at an upstream; nil before the first
 	tried        []ident.UpstreamID
-	ran          int            // upstreams that may have run the request
-	release      fleet.Release  // that has begun the stream; empty if any may run it
-	progress     streamProgress // zero if the response is not a stream
+	ran          int             // upstreams that may have run the request
+	release      fleet.Release   // that has begun the stream; empty if any may run it
+	run          *resumption.Run // of a stream
+	progress     streamProgress  // zero if the response is not a stream
 	record       record
 	log          zerolog.Logger
 }
@@ -153,7 +156,9 @@
 		return
 	}
 	if e.route.Kind == routes.Stream {
-		e.stream()
+		if e.resume() {
+			e.stream()
+		}
 		return
 	}
 	e.plain()
@@ -228,9 +233,10 @@
 }
 
 // routeSample returns a number in [0, 1) that selects the service within a route. It
-// is a hash of the request id, so that all hosts select the same service.
+// is a hash of a request id, so that all hosts select the same service, also for a stream
+// that is taken up.
 func (e *exchange) routeSample() float64 {
-	return float64(hash(string(e.head.Request))>>11) / (1 << 53)
+	return float64(hash(string(e.origin()))>>11) / (1 << 53)
 }
 
 // readBody reads the request body. It returns false after sending an error response if
--- a/internal/relay/forward/resume.go
+++ b/internal/relay/forward/resume.go
@@ -1,10 +1,51 @@
 package forward
 
-import "github.com/nutmegshift/nutmegshift/ident"
+import (
+	"time"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/relay/resumption"
+)
+
+// unknownReleaseRetryAfter is the Retry-After time if the release that began a stream is not
+// known: its host records it within this time, if that host is up.
+const unknownReleaseRetryAfter = time.Second
 
 // resumes reports whether the caller takes up a stream of which it has received events.
 func (e *exchange) resumes() bool { return e.head.LastEvent > 0 }
 
+// origin returns the request that received the first event of the stream, or this one if
+// the stream begins with it.
+func (e *exchange) origin() ident.RequestID {
+	if e.resumes() && e.head.Origin != "" {
+		return e.head.Origin
+	}
+	return e.head.Request
+}
+
+// resume finds out which release has begun a stream that the caller takes up. It returns
+// false after refusing the request if that is not known, or if the release has no upstream:
+// events of two releases do not fit together.
+func (e *exchange) resume() bool {
+	if !e.resumes() {
+		return true
+	}
+	release, err := e.config.Streams.Release(e.ctx, resumption.Stream{
+		Origin:  e.head.Origin,
+		Service: e.service.Name,
+	})
+	if err != nil {
+		e.refuse(err.Error(), unknownReleaseRetryAfter)
+		return false
+	}
+	e.release = release
+	if !e.hasRelease() {
+		e.refuse("no upstream has the release that began the stream", defaultRetryAfter)
+		return false
+	}
+	return true
+}
+
 // hasRelease reports whether an upstream may run the rest of the stream.
 func (e *exchange) hasRelease() bool {
 	for _, upstream := range e.config.Fleet.Snapshot().Ready(e.service.Name) {
@@ -28,3 +69,11 @@
 	}
 	return others
 }
+
+// newRun returns the handling of the stream by this request.
+func (e *exchange) newRun() *resumption.Run {
+	return e.config.Streams.NewRun(resumption.Stream{
+		Origin:  e.origin(),
+		Service: e.service.Name,
+	})
+}
--- a/internal/relay/forward/resume_test.go
+++ b/internal/relay/forward/resume_test.go
@@ -1,12 +1,19 @@
 package forward_test
 
 import (
+	"context"
+	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/resumption"
+	"github.com/nutmegshift/nutmegshift/kv"
+	"github.com/nutmegshift/nutmegshift/kv/memkv"
 )
 
 // sentTo returns the releases of the upstreams to which requests were sent.
@@ -40,7 +47,7 @@
 		t.Run(name, func(t *testing.T) {
 			for range 8 { // upstreams are chosen at random
 				c := qt.New(t)
-				f := startHost(t, test.software, 0, breaks, whole)
+				f := startHost(t, memkv.New(time.Now), test.software, 0, breaks, whole)
 				c.Check(f.post(c, "/resumable/x", nil).broken, qt.Equals, !test.goesOn)
 				sentTo := f.sentTo()
 				c.Assert(len(sentTo) == 2, qt.Equals, test.goesOn)
@@ -49,3 +56,68 @@
 		})
 	}
 }
+
+// record writes the streams of a host to the store, as it does while it runs.
+func (f *fixture) record(store kv.Store, host ident.HostID) {
+	ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
+	defer cancel()
+	_ = resumption.NewRecorder(resumption.RecorderConfig{
+		Store:    store,
+		Host:     host,
+		Started:  time.Now(),
+		Releases: f.releases,
+		Streams:  f.streams,
+		Log:      zerolog.Nop(),
+	}).Run(ctx)
+}
+
+// Guards against a stream that goes on at another release of the software when its caller
+// takes it up at a host that has never seen it, since all hosts have ended.
+func TestStreamRejoinedAfterKillOfAllHosts(t *testing.T) {
+	breaks := scriptedResponse{
+		text: stream + events(1, 2),
+	}
+	rest := scriptedResponse{
+		text: stream + events(3) + endOfChunks,
+	}
+	tests := map[string]struct {
+		recorded bool
+		later    []fleet.Release // after the kill
+		status   int
+	}{
+		"recorded":                  {recorded: true, later: []fleet.Release{"v1", "v2"}, status: 200},
+		"not recorded":              {later: []fleet.Release{"v1", "v2"}, status: 503},
+		"the other release is left": {recorded: true, later: []fleet.Release{"v3"}, status: 503},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			store := memkv.New(time.Now)
+			before := startHost(t, store, []fleet.Release{"v1", "v2"}, 0, breaks)
+			c.Assert(before.post(c, "/resumable/x", nil).broken, qt.IsTrue)
+			if test.recorded {
+				before.record(store, "before")
+			}
+			entry, err := before.releases.Entry(nil)
+			c.Assert(err, qt.IsNil)
+
+			for range 8 { // upstreams are chosen at random
+				after := startHost(t, store, test.later, 0, rest)
+				c.Assert(after.releases.Learn(entry), qt.IsNil)
+				response := after.post(c, "/resumable/x", map[string]string{
+					"Id":     "r2",
+					"Origin": "r1",
+					"Last":   "2",
+				})
+				c.Check(response.status, qt.Equals, test.status)
+				c.Check(response.retryAfter, qt.Equals, test.status == 503)
+				if test.status != 200 {
+					c.Check(after.sentTo(), qt.HasLen, 0)
+					continue
+				}
+				c.Check(after.sentTo(), qt.DeepEquals, before.sentTo())
+				c.Check(strings.Count(response.body, "data:"), qt.Equals, 1)
+			}
+		})
+	}
+}
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -84,6 +84,8 @@
 	results := &stageResults{}
 	defer results.release()
 	defer e.reportProposal(placement.Abandoned, 0)
+	e.run = e.newRun()
+	defer func() { e.run.End(e.record.result == meter.Served) }()
 	for {
 		if !results.ready {
 			if err := e.prepare(results); err != nil {
@@ -274,6 +276,7 @@
 	started := e.config.Now()
 	e.progress.upstreamEvents = 0
 	e.record.cacheSource = placed.Cache.ID
+	e.run.Sent(placed.Release)
 	response, err := e.send(e.ctx, placed, wire.Dispatch{
 		Inputs:    results.Inputs,
 		LastEvent: e.progress.lastEvent,
@@ -361,6 +364,7 @@
 			e.record.lastEvent = event.ID
 		}
 		e.release = placed.Release
+		e.run.Began(placed.Release)
 		e.record.maxPause = max(e.record.maxPause, e.progress.addEvent(e.config.Now()))
 		if _, err := e.writer.Write(event.Text); err != nil {
 			return err
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -27,6 +27,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
+	"github.com/nutmegshift/nutmegshift/internal/relay/resumption"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
@@ -91,6 +92,8 @@
 	routes       *routes.Holder
 	fleet        *fleet.Directory
 	pauses       *fleet.Pauses
+	releases     *resumption.Releases
+	streams      *resumption.Streams
 	clients      clients
 	replica      *discovery.Replica
 	peers        *peers
@@ -137,6 +140,8 @@
 		Wait:     watchWait,
 		Protocol: platform.Store,
 	})
+	h.releases = resumption.NewReleases(h.fleet.Snapshot, time.Now)
+	h.streams = resumption.NewStreams(h.releases, resumption.NewRecords(h.store, time.Now, log), time.Now)
 	h.clients = clients{
 		requests: h.newClient(h.liveHosts),
 		batches:  h.newClient(oneSender),
@@ -166,6 +171,9 @@
 	sinks[organisedKey] = organisedSink{
 		Host: h,
 	}
+	sinks[releasesKey] = releasesSink{
+		Host: h,
+	}
 	h.relayClient = grpcrelay.NewClient(h.peers.client.Connection, time.Now)
 	h.stager = cell.New(cell.Config{
 		Self:      s.Host,
@@ -202,6 +210,7 @@
 			Now:   time.Now,
 		}),
 		Poison:   h.poison,
+		Streams:  h.streams,
 		Memory:   h.memory,
 		Meter:    h.meter,
 		Stager:   h.stager,
@@ -448,6 +457,25 @@
 		Value:       h.organisedEntry,
 	})
 	h.addComponent(componentCtx, &group, "organised", organised.Run)
+	releases := discovery.NewPublisher(discovery.PublisherConfig{
+		Store:       h.store,
+		Health:      h.health,
+		Replica:     h.replica,
+		Log:         h.log,
+		Key:         releasesKey,
+		IsPublisher: h.writesMembers,
+		Value:       h.releases.Entry,
+	})
+	h.addComponent(componentCtx, &group, "releases", releases.Run)
+	recorder := resumption.NewRecorder(resumption.RecorderConfig{
+		Store:    h.store,
+		Host:     h.settings.Host,
+		Started:  h.started,
+		Releases: h.releases,
+		Streams:  h.streams,
+		Log:      h.log,
+	})
+	h.addComponent(componentCtx, &group, "recorder", recorder.Run)
 	h.addComponent(componentCtx, &group, "coordinators", h.coordinators.run)
 	h.addComponent(componentCtx, &group, "peers", h.peers.serve(peerListener))
 	h.addComponent(componentCtx, &group, "gossip", h.peers.runner.Run)
--- a/internal/relay/host/sinks.go
+++ b/internal/relay/host/sinks.go
@@ -9,6 +9,7 @@
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/resumption"
 	"github.com/nutmegshift/nutmegshift/kv"
 )
 
@@ -49,6 +50,8 @@
 		return maxMembersValue
 	case key == crashesKey:
 		return maxCrashesValue
+	case key == releasesKey:
+		return resumption.MaxReleasesBytes
 	case key == organisedKey:
 		return len(organisedValue)
 	}
--- /dev/null
+++ b/internal/relay/resumption/doc.go
@@ -0,0 +1,14 @@
+// Package resumption knows which release of an upstream's software began each stream. The
+// rest of a stream has to come from the same release, also if a caller takes the stream up
+// at a host that has never seen it.
+//
+// While all upstreams of a service have had the same release, every stream was begun by
+// that one, and nothing is recorded. Releases follows which releases have been in service,
+// and an entry of the store tells it to hosts that start later. While there are several, a
+// Recorder writes the recent streams of its host to the store, and other hosts look them up
+// there: a stream outlives its host, and also the end of all hosts. A stream whose release
+// cannot be found is not continued.
+//
+// Locking: Streams and Releases each have a mutex, which is not held during calls of the
+// store.
+package resumption
--- /dev/null
+++ b/internal/relay/resumption/releases_test.go
@@ -0,0 +1,141 @@
+package resumption_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/resumption"
+	"github.com/nutmegshift/nutmegshift/kv"
+)
+
+// host is a host's view of the upstreams of service "s".
+type host struct {
+	now       time.Time
+	directory *fleet.Directory
+	releases  *resumption.Releases
+	version   kv.Version
+}
+
+func newHost(now time.Time) *host {
+	h := &host{
+		now:       now,
+		directory: fleet.New(),
+	}
+	h.releases = resumption.NewReleases(h.directory.Snapshot, func() time.Time { return h.now })
+	return h
+}
+
+func (h *host) register(id ident.UpstreamID, release fleet.Release) {
+	h.version++
+	h.directory.Put(fleet.Registration{
+		Upstream: fleet.Upstream{
+			ID:      id,
+			Service: "s",
+			Release: release,
+			State:   fleet.Ready,
+		},
+		Version: h.version,
+	})
+}
+
+func (h *host) remove(id ident.UpstreamID) {
+	h.version++
+	h.directory.Remove(id, h.version, time.Time{})
+}
+
+// Guards against a release that is forgotten while its streams may still be taken up: the
+// rest of such a stream would come from another release.
+func TestReleases(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	replace := func(h *host) {
+		h.register("a", "v1")
+		h.releases.Possible("s")
+		h.register("b", "v2")
+		h.releases.Possible("s")
+		h.remove("a")
+		h.releases.Possible("s")
+	}
+	tests := map[string]struct {
+		apply func(c *qt.C, h *host)
+		want  []fleet.Release
+	}{
+		"one release": {
+			apply: func(_ *qt.C, h *host) { h.register("a", "v1") },
+			want:  []fleet.Release{"v1"},
+		},
+		"two in service": {
+			apply: func(_ *qt.C, h *host) {
+				h.register("a", "v1")
+				h.register("b", "v2")
+			},
+			want: []fleet.Release{"v1", "v2"},
+		},
+		"the first has left": {
+			apply: func(_ *qt.C, h *host) { replace(h) },
+			want:  []fleet.Release{"v1", "v2"},
+		},
+		"the first left long ago": {
+			apply: func(_ *qt.C, h *host) {
+				replace(h)
+				h.now = h.now.Add(2 * time.Minute)
+			},
+			want: []fleet.Release{"v2"},
+		},
+		"the first left before this host started": {
+			apply: func(c *qt.C, h *host) {
+				before := newHost(h.now)
+				replace(before)
+				entry, err := before.releases.Entry(nil)
+				c.Assert(err, qt.IsNil)
+				c.Assert(h.releases.Learn(entry), qt.IsNil)
+				h.register("b", "v2")
+			},
+			want: []fleet.Release{"v1", "v2"},
+		},
+		"the first left long before this host started": {
+			apply: func(c *qt.C, h *host) {
+				before := newHost(h.now)
+				replace(before)
+				entry, err := before.releases.Entry(nil)
+				c.Assert(err, qt.IsNil)
+				h.now = h.now.Add(2 * time.Minute)
+				h.register("b", "v2")
+				entry, err = h.releases.Entry(entry)
+				c.Assert(err, qt.IsNil)
+				c.Assert(h.releases.Learn(entry), qt.IsNil)
+			},
+			want: []fleet.Release{"v2"},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHost(start)
+			test.apply(c, h)
+			c.Assert(h.releases.Possible("s"), qt.DeepEquals, test.want)
+			c.Check(h.releases.Mixed(), qt.Equals, len(test.want) > 1)
+		})
+	}
+}
+
+// Guards against an entry that every host writes anew although nothing has changed.
+func TestReleasesEntryIsStable(t *testing.T) {
+	c := qt.New(t)
+	h := newHost(time.Unix(1_700_000_000, 0))
+	h.register("a", "v1")
+	h.register("b", "v2")
+	first, err := h.releases.Entry(nil)
+	c.Assert(err, qt.IsNil)
+	h.remove("a")
+	departed, err := h.releases.Entry(first)
+	c.Assert(err, qt.IsNil)
+	c.Check(string(departed), qt.Not(qt.Equals), string(first))
+	h.now = h.now.Add(10 * time.Second)
+	again, err := h.releases.Entry(departed)
+	c.Assert(err, qt.IsNil)
+	c.Check(string(again), qt.Equals, string(departed))
+}
