Accept the stages of streams that are taken up before those of new requests

Their callers have had part of the response, and what has been done for them is lost with a refusal.

The job of such a request has a rank of its own, before those of all routes, and is refused only if it cannot meet its deadline. The rank says nothing about other jobs of its kind, so it is left out of their forecast.

TestResumedStreamUnderOverload failed before (refused with the overload of new jobs) and passes.

--- a/internal/relay/batch/admit.go
+++ b/internal/relay/batch/admit.go
@@ -58,7 +58,7 @@
 			Limit: j.Deadline.Sub(now) - unloaded,
 		}
 	}
-	if s.policy == (Policy{}) {
+	if s.policy == (Policy{}) || j.Rank < urgentRank {
 		return nil
 	}
 	slack := j.Objective.Sub(now) - unloaded
--- a/internal/relay/batch/rates.go
+++ b/internal/relay/batch/rates.go
@@ -55,7 +55,9 @@
 		if a.work.at.IsZero() {
 			a.until = until
 		}
-		a.rank = j.Rank
+		if j.Rank != ResumedRank { // which says nothing about other jobs of the kind
+			a.rank = j.Rank
+		}
 		if !t.late(now) {
 			a.until += time.Duration(untilWeight * float64(until-a.until))
 		}
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -188,7 +188,7 @@
 		Job: batch.Job{
 			Request:   e.head.Request,
 			Domain:    e.likelyDomain(),
-			Rank:      batch.Rank(e.table.Rank(e.route, e.organisation)),
+			Rank:      e.rank(),
 			Key:       e.head.PieceKey,
 			Objective: e.arrived.Add(e.route.Objective - batch.FirstEventTime),
 			Deadline:  e.deadline.Add(-batch.FirstEventTime),
@@ -215,6 +215,14 @@
 	return job
 }
 
+// rank returns the priority class of the job of the request.
+func (e *exchange) rank() batch.Rank {
+	if e.resumes() {
+		return batch.ResumedRank
+	}
+	return batch.Rank(e.table.Rank(e.route, e.organisation))
+}
+
 // placementQuery returns the query for an upstream that has not been tried yet and has
 // not asked for no requests, preferably in the given failure domain, which holds the given bytes of stage results.
 func (e *exchange) placementQuery(domain ident.FailureDomain, bytes int64) placement.Query {
