Record streams at the coordinators that place them

While a service had several releases, each host wrote the streams that it forwards to the store two or three times a second. On the fleets of some 90 hosts this made some 200 calls a second, more than all others together.

The coordinator of a cell proposes the upstream of each request and so knows the release before the request is sent. Notes are written once, into records that are replaced after five seconds, instead of all recent streams with each write, and only for services with several releases. What has begun counts before what was sent, so that a request that is retried at another release is known again once it has begun.

--- a/internal/relay/cell/cell_test.go
+++ b/internal/relay/cell/cell_test.go
@@ -255,6 +255,7 @@
 		Fleet:    fleet.New().Snapshot,
 		Includes: cell.ID("").Includes,
 		Meter:    meter.New(),
+		OnPlace:  func(coordinator.Job, fleet.Upstream) {},
 		Chooser:  placement.New(time.Now, rand.Float64),
 		Now:      time.Now,
 		Log:      zerolog.Nop(),
--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -80,7 +80,8 @@
 	Includes func(upstream fleet.Upstream) bool // reports whether an upstream belongs to the coordinator
 	Chooser  *placement.Chooser
 	Pauses   *fleet.Pauses
-	Memory   *memory.Budget // of the bodies of responses
+	OnPlace  func(job Job, upstream fleet.Upstream) // called when an upstream is proposed for a job
+	Memory   *memory.Budget                         // of the bodies of responses
 	Meter    *meter.Meter
 	Now      func() time.Time
 	Log      zerolog.Logger
@@ -335,6 +336,7 @@
 	placed, ok := t.coordinator.placements.place(t.coordinator.config.Now(), t.job, query, t.coordinator.config.Fleet())
 	if ok {
 		prepared.Upstream, prepared.Cache = placed.ID, placed.Cache.ID
+		t.coordinator.config.OnPlace(t.job, placed.Upstream)
 	}
 	return prepared
 }
--- a/internal/relay/coordinator/coordinator_test.go
+++ b/internal/relay/coordinator/coordinator_test.go
@@ -267,6 +267,7 @@
 		Table:    func() *routes.Table { return table },
 		Fleet:    directory.Snapshot,
 		Includes: cell.ID("").Includes,
+		OnPlace:  func(coordinator.Job, fleet.Upstream) {},
 		Chooser:  placement.New(time.Now, rand.Float64),
 		Pauses:   pauses,
 		Memory:   memory.New(1 << 20),
--- a/internal/relay/forward/proposal.go
+++ b/internal/relay/forward/proposal.go
@@ -44,6 +44,11 @@
 	return e.config.Chooser.Choose(query, snapshot)
 }
 
+// isProposed reports whether a coordinator has proposed to place the request there.
+func (e *exchange) isProposed(placed *placement.Placed) bool {
+	return e.proposal != nil && e.proposal.placed == placed
+}
+
 // reportProposal reports the outcome of the proposal to its coordinator and clears it.
 func (e *exchange) reportProposal(ending placement.Ending, pace time.Duration) {
 	if e.proposal == nil {
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -275,6 +275,7 @@
 		Includes: id.Includes,
 		Chooser:  placement.New(time.Now, rand.Float64, placement.WithPrefixes(coordinatorPrefixes)),
 		Pauses:   h.pauses,
+		OnPlace:  h.noteStream,
 		Memory:   h.memory,
 		Meter:    h.meter,
 		Now:      time.Now,
@@ -528,6 +529,7 @@
 			limits.write(h, h.log)
 			h.fleet.Tick(now)
 			h.poison.Sweep()
+			h.streams.Sweep()
 			h.clients.each((*upstreamhttp.Client).Sweep)
 		}
 	}
--- a/internal/relay/host/releases.go
+++ b/internal/relay/host/releases.go
@@ -3,7 +3,11 @@
 import (
 	"time"
 
+	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
+	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
+	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/resumption"
 	"github.com/nutmegshift/nutmegshift/kv"
 )
 
@@ -31,3 +35,15 @@
 
 // Removed implements discovery.Sink. The releases stay known until the next entry.
 func (releasesSink) Removed(kv.Key, kv.Version, time.Time) {}
+
+// noteStream notes the upstream that a coordinator of this host proposes for a request. One
+// that takes up a stream goes to the release that began it, which has been noted.
+func (h *Host) noteStream(job coordinator.Job, upstream fleet.Upstream) {
+	if job.Rank == batch.ResumedRank {
+		return
+	}
+	h.streams.Propose(resumption.Stream{
+		Origin:  job.Request,
+		Service: upstream.Service,
+	}, upstream.Release)
+}
--- a/internal/relay/resumption/doc.go
+++ b/internal/relay/resumption/doc.go
@@ -4,11 +4,12 @@
 //
 // While all upstreams of a service have had the same release, every stream was begun by
 // that one, and nothing is recorded. Releases follows which releases have been in service,
-// and an entry of the store tells it to hosts that start later. While there are several, a
-// Recorder writes the recent streams of its host to the store, and other hosts look them up
-// there: a stream outlives its host, and also the end of all hosts. A stream whose release
-// cannot be found is not continued.
+// and an entry of the store tells it to hosts that start later. While there are several, the
+// coordinators that place requests, and the hosts that send them elsewhere, note where each
+// stream begins. A Recorder writes these notes to the store, where Records finds them: a
+// stream outlives its host, and also the end of all hosts. A stream whose release cannot be
+// found is not continued.
 //
-// Locking: Streams and Releases each have a mutex, which is not held during calls of the
-// store.
+// Locking: Streams, Releases and Records each have a mutex, which is not held during calls of
+// the store.
 package resumption
--- a/internal/relay/resumption/lookup.go
+++ b/internal/relay/resumption/lookup.go
@@ -28,9 +28,9 @@
 	log   zerolog.Logger
 
 	mu      sync.Mutex
-	found   map[Stream][]fleet.Release // of the latest reading
-	readAt  time.Time                  // when the latest reading began
-	reading *reading                   // in progress; nil if none is
+	found   map[Stream]recorded // of the latest reading
+	readAt  time.Time           // when the latest reading began
+	reading *reading            // in progress; nil if none is
 }
 
 var _ Finder = (*Records)(nil)
@@ -78,11 +78,7 @@
 func (r *Records) lookUp(stream Stream) (fleet.Release, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	releases := r.found[stream]
-	if len(releases) != 1 {
-		return "", false
-	}
-	return releases[0], true
+	return r.found[stream].release()
 }
 
 // read returns the reading in progress, or begins one. It returns nil if the latest one was
@@ -110,7 +106,7 @@
 	return current
 }
 
-func (r *Records) finish(current *reading, found map[Stream][]fleet.Release, err error) {
+func (r *Records) finish(current *reading, found map[Stream]recorded, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err == nil {
@@ -123,8 +119,8 @@
 }
 
 // list reads the records page by page.
-func (r *Records) list(ctx context.Context) (map[Stream][]fleet.Release, error) {
-	found := make(map[Stream][]fleet.Release)
+func (r *Records) list(ctx context.Context) (map[Stream]recorded, error) {
+	found := make(map[Stream]recorded)
 	after := kv.Key("")
 	for {
 		page, err := r.store.List(ctx, Prefix, after, pageSize)
--- a/internal/relay/resumption/record.go
+++ b/internal/relay/resumption/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"slices"
 
 	"github.com/juju/errors"
@@ -11,56 +10,93 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 )
 
-// maxRecordBytes is the largest record of a host. One with more streams is cut.
-const maxRecordBytes = 256 << 10
+// origins are the streams that a release begins.
+type origins struct {
+	Sent  []ident.RequestID `json:"sent,omitempty"`  // being sent to an upstream when noted
+	Begun []ident.RequestID `json:"begun,omitempty"` // had begun when noted
+}
 
-// record is an entry of the store with the streams of one host. A stream with two releases
-// may have been begun by either.
-type record map[ident.ServiceName]map[fleet.Release][]ident.RequestID
+// record is an entry of the store with the streams that a host has noted.
+type record map[ident.ServiceName]map[fleet.Release]*origins
 
-// encodeRecord encodes streams, of which it leaves out those that exceed maxRecordBytes.
-func encodeRecord(streams map[Stream][]fleet.Release) ([]byte, error) {
+func encodeRecord(notes []note) ([]byte, error) {
 	r := make(record)
-	size := 0
-	for stream, releases := range streams {
-		size += len(releases) * (len(stream.Origin) + len(`"",`))
-		if size > maxRecordBytes {
-			break
+	for _, n := range notes {
+		releases := r[n.Service]
+		if releases == nil {
+			releases = make(map[fleet.Release]*origins)
+			r[n.Service] = releases
+		}
+		list := releases[n.release]
+		if list == nil {
+			list = new(origins)
+			releases[n.release] = list
 		}
-		for _, release := range releases {
-			r.add(stream, release)
+		if n.begun {
+			list.Begun = append(list.Begun, n.Origin)
+		} else {
+			list.Sent = append(list.Sent, n.Origin)
 		}
 	}
 	return json.Marshal(r)
 }
 
-func (r record) add(stream Stream, release fleet.Release) {
-	releases := r[stream.Service]
-	if releases == nil {
-		releases = make(map[fleet.Release][]ident.RequestID)
-		r[stream.Service] = releases
+// recorded is what the records of all hosts say of a stream: the releases to which it has
+// been sent, and those that have begun it. Hosts may retry it at another release until the
+// first event.
+type recorded struct {
+	sent, begun []fleet.Release
+}
+
+// release returns the release that began the stream, if that is certain.
+func (r recorded) release() (fleet.Release, bool) {
+	releases := r.sent
+	if len(r.begun) > 0 {
+		releases = r.begun
 	}
-	releases[release] = append(releases[release], stream.Origin)
+	if len(releases) != 1 {
+		return "", false
+	}
+	return releases[0], true
 }
 
 // decodeRecord adds the streams of a record to those of others.
-func decodeRecord(value []byte, streams map[Stream][]fleet.Release) error {
+func decodeRecord(value []byte, streams map[Stream]recorded) error {
 	var r record
 	if err := json.Unmarshal(value, &r); err != nil {
-		return errors.Annotate(err, "decode streams of a host")
+		return errors.Annotate(err, "decode record of streams")
 	}
 	for service, releases := range r {
-		for _, release := range slices.Sorted(maps.Keys(releases)) {
-			for _, origin := range releases[release] {
+		for release, list := range releases {
+			if list == nil {
+				continue
+			}
+			for _, origin := range list.Sent {
 				stream := Stream{
 					Origin:  origin,
 					Service: service,
 				}
-				if !slices.Contains(streams[stream], release) {
-					streams[stream] = append(streams[stream], release)
+				known := streams[stream]
+				known.sent = addRelease(known.sent, release)
+				streams[stream] = known
+			}
+			for _, origin := range list.Begun {
+				stream := Stream{
+					Origin:  origin,
+					Service: service,
 				}
+				known := streams[stream]
+				known.begun = addRelease(known.begun, release)
+				streams[stream] = known
 			}
 		}
 	}
 	return nil
 }
+
+func addRelease(releases []fleet.Release, release fleet.Release) []fleet.Release {
+	if slices.Contains(releases, release) {
+		return releases
+	}
+	return append(releases, release)
+}
--- a/internal/relay/resumption/recorder.go
+++ b/internal/relay/resumption/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -16,16 +17,17 @@
 const (
 	// Prefix is the prefix of the keys of records.
 	Prefix kv.Key = "streams/"
-	// recordInterval is the mean time between two writes of a record. Streams that were sent
-	// to an upstream since the last one cannot be taken up if their host ends.
+	// recordInterval is the mean time between two writes of a record. Streams that were noted
+	// since the last one cannot be taken up if their host ends.
 	recordInterval = 400 * time.Millisecond
 	// maxRecordBackoff bounds the pause after a failed write.
 	maxRecordBackoff = 4 * time.Second
-	// recordTTL is the time to live of a record after the last renewal of its lease. It is
-	// longer than callers wait for a stream.
-	recordTTL       = time.Minute
-	renewalsPerTTL  = 3
-	renewalInterval = recordTTL / renewalsPerTTL
+	// A record gets no more notes after recordAge, or when it has recordNotes: each write
+	// repeats its notes.
+	recordAge   = 5 * time.Second
+	recordNotes = 1024
+	// recordTTL is the time to live of a record, whose lease is not renewed.
+	recordTTL = streamLife + 2*recordAge
 )
 
 // RecorderConfig holds the dependencies of a Recorder.
@@ -38,15 +40,22 @@
 	Log      zerolog.Logger
 }
 
-// Recorder writes the recent streams of a host to the store while a service has several
+// Recorder writes the notes of a host to the store while their service has several
 // releases.
 type Recorder struct {
-	config  RecorderConfig
-	lease   kv.LeaseID // 0 if there is none
-	renewAt time.Time
-	record  int        // number of the key of the record
-	version kv.Version // of the record; 0 if it has not been written
-	written uint64     // number of the change of the streams that the record includes
+	config RecorderConfig
+	last   int         // number of the latest record
+	open   *openRecord // gets the next notes; nil if there is none
+	next   uint64      // number of the first note that is in no record
+}
+
+// openRecord is a record that may get more notes.
+type openRecord struct {
+	number  int
+	lease   kv.LeaseID
+	version kv.Version // 0 before the first write
+	opened  time.Time
+	notes   []note
 }
 
 // NewRecorder returns a Recorder; Run starts it.
@@ -78,89 +87,68 @@
 	return nil
 }
 
-// update writes the record if it lacks a stream. Without several releases, it lets the
-// record expire.
+// update writes the notes that are in no record. Those of services with one release are
+// written if another one comes.
 func (r *Recorder) update(ctx context.Context) error {
-	if !r.config.Releases.Mixed() {
-		r.forget()
+	mixed := r.config.Releases.Mixed()
+	if len(mixed) == 0 {
+		r.open, r.next = nil, 0
 		return nil
 	}
-	if r.lease != 0 && time.Now().After(r.renewAt) {
-		if err := r.renew(ctx); err != nil {
-			return err
-		}
-	}
-	streams, changes := r.config.Streams.recent()
-	if len(streams) == 0 || changes == r.written && r.version != 0 {
+	notes, next := r.config.Streams.notesAfter(r.next)
+	notes = slices.DeleteFunc(notes, func(n note) bool { return !mixed[n.Service] })
+	if len(notes) == 0 {
 		return nil
 	}
-	value, err := encodeRecord(streams)
+	if err := r.openRecord(ctx); err != nil {
+		return err
+	}
+	value, err := encodeRecord(append(r.open.notes, notes...))
 	if err != nil {
 		return err
 	}
-	if err := r.write(ctx, value); err != nil {
-		r.replace(err)
+	version, err := r.config.Store.Put(ctx, kv.Put{
+		Key:    r.key(),
+		Value:  value,
+		Expect: r.open.version,
+		Lease:  r.open.lease,
+	})
+	switch {
+	case errors.Is(err, kv.ErrUnavailable):
+		return err // not written
+	case errors.Is(err, kv.ErrUncertain):
+		r.open = nil // its version is not known
+		return err
+	case err != nil:
+		r.open, r.next = nil, 0 // its lease has ended, and that of others may have
 		return err
 	}
-	r.written = changes
+	r.open.version = version
+	r.open.notes = append(r.open.notes, notes...)
+	r.next = next
 	return nil
 }
 
-func (r *Recorder) renew(ctx context.Context) error {
-	err := r.config.Store.Renew(ctx, r.lease)
-	if errors.Is(err, kv.ErrLeaseLost) {
-		r.forget()
+// openRecord makes sure that a record gets the next notes.
+func (r *Recorder) openRecord(ctx context.Context) error {
+	if r.open != nil && time.Since(r.open.opened) < recordAge && len(r.open.notes) < recordNotes {
 		return nil
 	}
-	if err == nil {
-		r.renewAt = time.Now().Add(renewalInterval)
-	}
-	return err
-}
-
-func (r *Recorder) write(ctx context.Context, value []byte) error {
-	if r.lease == 0 {
-		lease, err := r.config.Store.Grant(ctx, recordTTL)
-		if err != nil {
-			return err
-		}
-		r.lease = lease
-		r.renewAt = time.Now().Add(renewalInterval)
+	r.open = nil
+	lease, err := r.config.Store.Grant(ctx, recordTTL)
+	if err != nil {
+		return err
 	}
-	version, err := r.config.Store.Put(ctx, kv.Put{
-		Key:    r.key(),
-		Value:  value,
-		Expect: r.version,
-		Lease:  r.lease,
-	})
-	if err == nil {
-		r.version = version
+	r.last++
+	r.open = &openRecord{
+		number: r.last,
+		lease:  lease,
+		opened: time.Now(),
 	}
-	return err
+	return nil
 }
 
-// key returns the key of the record. A host that starts again has another one.
+// key returns the key of the open record. Those of a host that starts again are others.
 func (r *Recorder) key() kv.Key {
-	return Prefix + kv.Key(string(r.config.Host)+"/"+strconv.FormatInt(r.config.Started.UnixMilli(), 36)+"/"+strconv.Itoa(r.record))
-}
-
-// replace makes the next write create another record after a failed one, if the version of
-// this one is no longer known.
-func (r *Recorder) replace(err error) {
-	switch {
-	case errors.Is(err, kv.ErrLeaseLost):
-		r.forget()
-	case errors.Is(err, kv.ErrConflict), errors.Is(err, kv.ErrUncertain):
-		r.record++
-		r.version = 0
-	}
-}
-
-// forget leaves the record to expire with its lease.
-func (r *Recorder) forget() {
-	if r.lease == 0 {
-		return
-	}
-	r.lease, r.version = 0, 0
-	r.record++
+	return Prefix + kv.Key(string(r.config.Host)+"/"+strconv.FormatInt(r.config.Started.UnixMilli(), 36)+"/"+strconv.Itoa(r.open.number))
 }
--- a/internal/relay/resumption/releases.go
+++ b/internal/relay/resumption/releases.go
@@ -54,17 +54,18 @@
 	return r.possible(service)
 }
 
-// Mixed reports whether streams of any service may have been begun by several releases.
-func (r *Releases) Mixed() bool {
+// Mixed returns the services whose streams may have been begun by several releases.
+func (r *Releases) Mixed() map[ident.ServiceName]bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.observe()
+	mixed := make(map[ident.ServiceName]bool)
 	for service := range r.seen {
 		if len(r.possible(service)) > 1 {
-			return true
+			mixed[service] = true
 		}
 	}
-	return false
+	return mixed
 }
 
 // possible implements Possible. The caller holds the mutex.
--- a/internal/relay/resumption/streams.go
+++ b/internal/relay/resumption/streams.go
@@ -13,14 +13,13 @@
 )
 
 const (
-	// brokenLife is how long a stream that has broken off is remembered. Callers wait for
+	// streamLife is how long a stream is remembered that may be taken up. Callers wait for
 	// less.
-	brokenLife = 30 * time.Second
-	// completeLife is how long a stream is remembered whose last byte has been sent: its
-	// caller may not have received all of it.
-	completeLife = 5 * time.Second
-	// maxStreams bounds the streams that are remembered.
+	streamLife = 30 * time.Second
+	// maxStreams bounds the streams that a host forwards and remembers, and maxNotes the
+	// notes for other hosts.
 	maxStreams = 16384
+	maxNotes   = 16384
 )
 
 // ErrUnknown means that the release that began a stream is not known here and now.
@@ -38,7 +37,7 @@
 	Find(ctx context.Context, stream Stream) (fleet.Release, error)
 }
 
-// known is what a host remembers of a stream.
+// known is what a host remembers of a stream that it forwards or has forwarded.
 type known struct {
 	releases []fleet.Release // that may have begun it
 	begun    bool            // releases has the one that has begun it
@@ -46,17 +45,26 @@
 	until    time.Time       // when it is forgotten; valid while none is active
 }
 
+// note says which release begins a stream, for other hosts.
+type note struct {
+	Stream
+	release fleet.Release
+	begun   bool // it has begun; otherwise the request is being sent to an upstream
+	at      time.Time
+}
+
 // Streams remembers the recent streams of a host, and finds those of others. It is safe for
 // concurrent use.
 type Streams struct {
 	releases *Releases
 	finder   Finder
 	now      func() time.Time
-	urgent   chan struct{} // has an element after a change that other hosts may soon need
+	urgent   chan struct{} // has an element after a note that other hosts may need soon
 
 	mu      sync.Mutex
 	streams map[Stream]*known
-	changes uint64 // number of changes of the streams
+	notes   []note // the latest ones, in the order of their numbers
+	next    uint64 // number of the next note
 }
 
 // NewStreams returns a Streams without streams.
@@ -96,94 +104,41 @@
 	return current.releases[0], true
 }
 
-// Run is the handling of a stream by one request. It is not safe for concurrent use.
-type Run struct {
-	streams *Streams
-	stream  Stream
-	known   *known // nil until the request is sent
-}
-
-// NewRun returns the handling of a stream by a request that has not been sent.
-func (s *Streams) NewRun(stream Stream) *Run {
-	return &Run{
-		streams: s,
-		stream:  stream,
-	}
-}
-
-// Sent records that an upstream of a release may begin the stream. Hosts record it then, so
-// that the record is in the store when the first event arrives.
-func (r *Run) Sent(release fleet.Release) { r.streams.sent(r, release) }
-
-// Began records that an upstream of a release has sent an event of the stream.
-func (r *Run) Began(release fleet.Release) { r.streams.began(r, release) }
-
-// End records that the request has ended, and whether its caller has been sent the whole
-// stream.
-func (r *Run) End(complete bool) { r.streams.end(r, complete) }
-
-func (s *Streams) sent(r *Run, release fleet.Release) {
+// Propose notes that a coordinator has proposed an upstream of a release to the host that
+// forwards the stream. One coordinator notes the streams of many hosts.
+func (s *Streams) Propose(stream Stream, release fleet.Release) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r.known == nil && !s.attach(r) {
-		return
-	}
-	if r.known.begun || slices.Contains(r.known.releases, release) {
-		return
-	}
-	r.known.releases = append(r.known.releases, release)
-	s.changes++
-	if len(r.known.releases) > 1 {
-		s.hurry() // the record says that another release begins the stream
-	}
-}
-
-// attach adds a run to its stream. It returns false if there are too many streams: this one
-// cannot be taken up at another host. The caller holds the mutex.
-func (s *Streams) attach(r *Run) bool {
-	current, ok := s.streams[r.stream]
-	if !ok {
-		if len(s.streams) >= maxStreams {
-			return false
-		}
-		current = &known{}
-		s.streams[r.stream] = current
-	}
-	current.active++
-	r.known = current
-	return true
+	s.note(stream, release, false)
 }
 
-func (s *Streams) began(r *Run, release fleet.Release) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if r.known == nil || r.known.begun {
-		return
-	}
-	r.known.begun = true
-	if len(r.known.releases) != 1 {
-		s.changes++
-	}
-	r.known.releases = []fleet.Release{release}
+// note adds a note. The caller holds the mutex.
+func (s *Streams) note(stream Stream, release fleet.Release, begun bool) {
+	now := s.now()
+	old := 0
+	for old < len(s.notes) && now.Sub(s.notes[old].at) > streamLife {
+		old++
+	}
+	if old == 0 && len(s.notes) == maxNotes {
+		old = 1
+	}
+	s.notes = append(s.notes[old:], note{
+		Stream:  stream,
+		release: release,
+		begun:   begun,
+		at:      now,
+	})
+	s.next++
 }
 
-func (s *Streams) end(r *Run, complete bool) {
+// notesAfter returns the recent notes from the number from on, and the number of the next
+// one.
+func (s *Streams) notesAfter(from uint64) (notes []note, next uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r.known == nil {
-		return
-	}
-	r.known.active--
-	switch {
-	case !r.known.begun && r.known.active == 0:
-		delete(s.streams, r.stream)
-	case complete:
-		r.known.until = s.now().Add(completeLife)
-	default:
-		r.known.until = s.now().Add(brokenLife)
-		s.hurry()
-	}
-	r.known = nil
+	first := s.next - uint64(len(s.notes))
+	skip := max(from, first) - first
+	return slices.Clone(s.notes[min(skip, uint64(len(s.notes))):]), s.next
 }
 
 // hurry makes the recorder write soon.
@@ -194,19 +149,14 @@
 	}
 }
 
-// recent returns the streams that may be taken up, and a number that is higher after each
-// change of them.
-func (s *Streams) recent() (streams map[Stream][]fleet.Release, changes uint64) {
+// Sweep forgets streams that can no longer be taken up.
+func (s *Streams) Sweep() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	streams = make(map[Stream][]fleet.Release, len(s.streams))
 	for stream, current := range s.streams {
 		if current.active == 0 && now.After(current.until) {
 			delete(s.streams, stream)
-			continue
 		}
-		streams[stream] = current.releases
 	}
-	return streams, s.changes
 }
