Give streams that are taken up a rank that no route has

The rank of requests that take up a stream was -1, but ranks may be negative: an organisation's priority is subtracted from that of the route. Requests with rank -1 were accepted as if they took up streams, and the coordinator did not note their releases, so their streams could not be taken up by anyone.

The rank is far below those of routes now, and only it is exempt from the limit of the delay. A request gets it only on a route whose requests may be repeated and if it names a stream, and is refused if its organisation uses more than its share: a caller could otherwise pass all others with a made-up field.

TestNegativeRankUnderOverload failed before ("rank -1 is never refused") and passes.

--- a/internal/relay/batch/admit.go
+++ b/internal/relay/batch/admit.go
@@ -58,9 +58,12 @@
 			Limit: j.Deadline.Sub(now) - unloaded,
 		}
 	}
-	if s.policy == (Policy{}) || j.Rank < urgentRank {
+	if s.policy == (Policy{}) {
 		return nil
 	}
+	if j.Rank == ResumedRank {
+		return s.admitShare(now, j, took-unloaded, max(0, j.Deadline.Sub(now)-unloaded))
+	}
 	slack := j.Objective.Sub(now) - unloaded
 	if j.Rank <= urgentRank && slack > 0 {
 		s.observeSlack(slack)
--- a/internal/relay/batch/job.go
+++ b/internal/relay/batch/job.go
@@ -72,10 +72,10 @@
 // and higher ranks are less urgent.
 type Rank int
 
-// ResumedRank is the class of requests that take up a stream, before those of all routes:
-// their callers have received part of the response. Such a job is refused only if it cannot
-// meet its deadline.
-const ResumedRank Rank = -1
+// ResumedRank is the class of requests that take up a stream, before those of all routes and
+// organisations: their callers have received part of the response. Such a job is refused
+// only if it cannot meet its deadline, or if its organisation uses more than its share.
+const ResumedRank Rank = -1 << 19
 
 // Kind groups stages whose pieces take the same time, for example by route and stage
 // index.
--- a/internal/relay/batch/resumed_test.go
+++ b/internal/relay/batch/resumed_test.go
@@ -37,3 +37,21 @@
 	_, err = h.submit(late)
 	c.Check(err, qt.ErrorIs, batch.ErrOverload, qt.Commentf("it cannot meet its deadline"))
 }
+
+// Guards against routes or organisations with a rank below that of the most urgent routes,
+// which are accepted under overload as if they took up streams.
+func TestNegativeRankUnderOverload(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(map[ident.ServiceName]int{"s": 1}, 1_000_000)
+	for _, rank := range []batch.Rank{-1, -2} {
+		var err error
+		for accepted := 0; err == nil; accepted++ {
+			c.Assert(accepted < 1000, qt.IsTrue, qt.Commentf("rank %d is never refused", rank))
+			j := job("s", 8, ms(2000))
+			j.Rank = rank
+			j.Deadline = start.Add(ms(1_000_000))
+			_, err = h.submit(j)
+		}
+		c.Check(err, qt.ErrorIs, batch.ErrOverload)
+	}
+}
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -217,7 +217,7 @@
 
 // rank returns the priority class of the job of the request.
 func (e *exchange) rank() batch.Rank {
-	if e.resumes() {
+	if e.resumes() && e.head.Origin != "" && e.route.Idempotent() {
 		return batch.ResumedRank
 	}
 	return batch.Rank(e.table.Rank(e.route, e.organisation))
