Publish the releases in service without times

The entry with the releases that have lately been in service had the Unix time at which each was first missing.

The entry has only names now. Each host measures with its own monotonic clock for how long it has missed a release, and takes from the entry only those that it has neither seen nor missed.

--- a/internal/relay/resumption/releases.go
+++ b/internal/relay/resumption/releases.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -15,15 +14,21 @@
 
 const (
 	// releaseLife is how long a release that has left may still have streams that are taken
-	// up. It is longer than callers wait for a stream, since the clocks of hosts differ.
+	// up. Callers wait for less.
 	releaseLife = time.Minute
 	// MaxReleasesBytes is the largest entry with the releases in service.
 	MaxReleasesBytes = 64 << 10
 )
 
-// departures holds the releases of each service that have been in service lately, with the
-// Unix time in seconds when they were first missing; 0 while they are in service.
-type departures map[ident.ServiceName]map[fleet.Release]int64
+// inService holds the releases of each service that are or have lately been in service, in
+// order.
+type inService map[ident.ServiceName][]fleet.Release
+
+// presence is what a host knows of a release.
+type presence struct {
+	seen    time.Time // latest time when an upstream of the release was registered, or was when the release became known
+	dropped bool      // it has been missing for releaseLife
+}
 
 // Releases knows which releases of each service are or have lately been in service. It is
 // safe for concurrent use.
@@ -31,10 +36,9 @@
 	fleet func() *fleet.Snapshot
 	now   func() time.Time
 
-	mu       sync.Mutex
-	latest   *fleet.Snapshot // the one that seen includes
-	seen     map[ident.ServiceName]map[fleet.Release]time.Time
-	recorded departures // as another host has published them
+	mu     sync.Mutex
+	latest *fleet.Snapshot // the one that known includes; nil at first
+	known  map[ident.ServiceName]map[fleet.Release]presence
 }
 
 // NewReleases returns a Releases that follows a fleet.
@@ -42,7 +46,7 @@
 	return &Releases{
 		fleet: snapshot,
 		now:   now,
-		seen:  make(map[ident.ServiceName]map[fleet.Release]time.Time),
+		known: make(map[ident.ServiceName]map[fleet.Release]presence),
 	}
 }
 
@@ -60,7 +64,7 @@
 	defer r.mu.Unlock()
 	r.observe()
 	mixed := make(map[ident.ServiceName]bool)
-	for service := range r.seen {
+	for service := range r.known {
 		if len(r.possible(service)) > 1 {
 			mixed[service] = true
 		}
@@ -70,9 +74,9 @@
 
 // possible implements Possible. The caller holds the mutex.
 func (r *Releases) possible(service ident.ServiceName) []fleet.Release {
-	possible := slices.Collect(maps.Keys(r.seen[service]))
-	for release := range r.recorded[service] {
-		if !slices.Contains(possible, release) {
+	var possible []fleet.Release
+	for release, p := range r.known[service] {
+		if !p.dropped {
 			possible = append(possible, release)
 		}
 	}
@@ -80,7 +84,7 @@
 	return possible
 }
 
-// observe updates the releases in service and forgets those that have left long ago. The
+// observe updates the releases in service and drops those that have left long ago. The
 // caller holds the mutex.
 func (r *Releases) observe() {
 	now := r.now()
@@ -91,10 +95,11 @@
 		r.latest = latest
 		r.see(latest, now)
 	}
-	for _, releases := range r.seen {
-		for release, last := range releases {
-			if now.Sub(last) > releaseLife {
-				delete(releases, release)
+	for _, releases := range r.known {
+		for release, p := range releases {
+			if now.Sub(p.seen) > releaseLife {
+				p.dropped = true
+				releases[release] = p
 			}
 		}
 	}
@@ -103,87 +108,64 @@
 // see records that the releases of a snapshot are in service. The caller holds the mutex.
 func (r *Releases) see(snapshot *fleet.Snapshot, now time.Time) {
 	for _, upstream := range snapshot.All() {
-		releases, ok := r.seen[upstream.Service]
-		if !ok {
-			releases = make(map[fleet.Release]time.Time)
-			r.seen[upstream.Service] = releases
-		}
-		releases[upstream.Release] = now
+		r.put(upstream.Service, upstream.Release, presence{
+			seen: now,
+		})
 	}
 }
 
-// Learn replaces the releases that another host has published.
-func (r *Releases) Learn(entry []byte) error {
-	var recorded departures
-	if err := json.Unmarshal(entry, &recorded); err != nil {
-		return errors.Annotate(err, "decode releases in service")
+func (r *Releases) put(service ident.ServiceName, release fleet.Release, p presence) {
+	releases, ok := r.known[service]
+	if !ok {
+		releases = make(map[fleet.Release]presence)
+		r.known[service] = releases
 	}
+	releases[release] = p
+}
+
+// Learn adds the releases that another host has published.
+func (r *Releases) Learn(entry []byte) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.recorded = recorded
+	return r.learn(entry)
+}
+
+// learn implements Learn. Releases that this host has seen or missed itself are not added:
+// it knows better when they left. The caller holds the mutex.
+func (r *Releases) learn(entry []byte) error {
+	var published inService
+	if err := json.Unmarshal(entry, &published); err != nil {
+		return errors.Annotate(err, "decode releases in service")
+	}
+	for service, releases := range published {
+		for _, release := range releases {
+			if _, ok := r.known[service][release]; !ok {
+				r.put(service, release, presence{
+					seen: r.now(),
+				})
+			}
+		}
+	}
 	return nil
 }
 
 // Entry returns the entry that should replace the present one, which is nil if there is
-// none. It is nil while no upstream is known.
+// none. A release that has left stays in it until this host has missed it for releaseLife;
+// the entry has no times, since the clocks of hosts differ. It is nil while no upstream is
+// known.
 func (r *Releases) Entry(present []byte) ([]byte, error) {
-	var recorded departures
-	if present != nil && json.Unmarshal(present, &recorded) != nil {
-		recorded = nil // replaced by what this host knows
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.observe()
-	if len(r.seen) == 0 {
+	if len(r.known) == 0 {
 		return present, nil
 	}
-	entry := make(departures)
-	for service, releases := range recorded {
-		for release, since := range releases {
-			r.keepDeparted(entry, service, release, since)
-		}
+	if present != nil {
+		_ = r.learn(present) // one that cannot be read is replaced by what this host knows
 	}
-	for service, releases := range r.seen {
-		for release, last := range releases {
-			since := int64(0)
-			if !r.inService(service, release) {
-				since = last.Unix()
-			}
-			entry.add(service, release, since)
-		}
+	entry := make(inService)
+	for service := range r.known {
+		entry[service] = r.possible(service)
 	}
 	return json.Marshal(entry)
 }
-
-// keepDeparted adds a release of the present entry to the next one, unless it has left long
-// ago. The caller holds the mutex.
-func (r *Releases) keepDeparted(entry departures, service ident.ServiceName, release fleet.Release, since int64) {
-	now := r.now()
-	if since == 0 {
-		since = now.Unix()
-	}
-	if now.Sub(time.Unix(since, 0)) <= releaseLife {
-		entry.add(service, release, since)
-	}
-}
-
-// inService reports whether an upstream of the release is registered. The caller holds the
-// mutex.
-func (r *Releases) inService(service ident.ServiceName, release fleet.Release) bool {
-	for _, upstream := range r.latest.All() {
-		if upstream.Service == service && upstream.Release == release {
-			return true
-		}
-	}
-	return false
-}
-
-func (d departures) add(service ident.ServiceName, release fleet.Release, since int64) {
-	if d[service] == nil {
-		d[service] = make(map[fleet.Release]int64)
-	}
-	if known, ok := d[service][release]; ok && known != 0 && since != 0 {
-		since = min(known, since)
-	}
-	d[service][release] = since
-}
--- a/internal/relay/resumption/releases_test.go
+++ b/internal/relay/resumption/releases_test.go
@@ -100,12 +100,10 @@
 			apply: func(c *qt.C, h *host) {
 				before := newHost(h.now)
 				replace(before)
-				entry, err := before.releases.Entry(nil)
+				before.now = before.now.Add(2 * time.Minute)
+				entry, err := before.releases.Entry([]byte(`{"s":["v1","v2"]}`))
 				c.Assert(err, qt.IsNil)
-				h.now = h.now.Add(2 * time.Minute)
 				h.register("b", "v2")
-				entry, err = h.releases.Entry(entry)
-				c.Assert(err, qt.IsNil)
 				c.Assert(h.releases.Learn(entry), qt.IsNil)
 			},
 			want: []fleet.Release{"v2"},
@@ -122,20 +120,29 @@
 	}
 }
 
-// Guards against an entry that every host writes anew although nothing has changed.
-func TestReleasesEntryIsStable(t *testing.T) {
+// Guards against an entry that is written anew although nothing has changed, or that keeps a
+// release without end.
+func TestReleasesEntry(t *testing.T) {
 	c := qt.New(t)
 	h := newHost(time.Unix(1_700_000_000, 0))
 	h.register("a", "v1")
 	h.register("b", "v2")
-	first, err := h.releases.Entry(nil)
+	entry, err := h.releases.Entry(nil)
 	c.Assert(err, qt.IsNil)
 	h.remove("a")
-	departed, err := h.releases.Entry(first)
-	c.Assert(err, qt.IsNil)
-	c.Check(string(departed), qt.Not(qt.Equals), string(first))
-	h.now = h.now.Add(10 * time.Second)
-	again, err := h.releases.Entry(departed)
-	c.Assert(err, qt.IsNil)
-	c.Check(string(again), qt.Equals, string(departed))
+	for _, step := range []struct {
+		after time.Duration
+		want  string
+	}{
+		{after: 0, want: `{"s":["v1","v2"]}`},
+		{after: 50 * time.Second, want: `{"s":["v1","v2"]}`},
+		{after: 20 * time.Second, want: `{"s":["v2"]}`},
+		{after: time.Hour, want: `{"s":["v2"]}`},
+	} {
+		h.now = h.now.Add(step.after)
+		entry, err = h.releases.Entry(entry)
+		c.Assert(err, qt.IsNil)
+		c.Check(string(entry), qt.Equals, step.want)
+		c.Check(h.releases.Learn([]byte(`{"s":["v1","v2"]}`)), qt.IsNil) // from a host that has missed it for less long
+	}
 }
