Look a stream up in records that are recent

A host answered from its latest reading of the records, however old, if that had the stream. A host whose latest reading was a short time ago refused a stream that it did not find, instead of reading again.

--- a/internal/relay/resumption/lookup.go
+++ b/internal/relay/resumption/lookup.go
@@ -28,7 +28,8 @@
 	log   zerolog.Logger
 
 	mu      sync.Mutex
-	found   map[Stream]recorded // of the latest reading
+	found   map[Stream]recorded // of the latest reading that has succeeded
+	foundAt time.Time           // when that one began
 	readAt  time.Time           // when the latest reading began
 	reading *reading            // in progress; nil if none is
 }
@@ -50,50 +51,59 @@
 	}
 }
 
-// Find implements Finder. It reads the records again if the latest reading lacks the stream
-// and is not recent.
+// Find implements Finder. It waits for a reading that begins after the call, unless an
+// earlier one has the stream.
 func (r *Records) Find(ctx context.Context, stream Stream) (fleet.Release, error) {
-	if release, ok := r.lookUp(stream); ok {
-		return release, nil
-	}
-	current := r.read(ctx)
-	if current == nil {
-		return "", ErrUnknown
-	}
-	select {
-	case <-current.done:
-	case <-ctx.Done():
-		return "", errors.Annotatef(ErrUnknown, "read records: %v", ctx.Err())
-	}
-	if current.err != nil {
-		return "", errors.Annotatef(ErrUnknown, "read records: %v", current.err)
-	}
-	if release, ok := r.lookUp(stream); ok {
-		return release, nil
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	asked := r.now()
+	var err error
+	for {
+		release, ok, final := r.lookUp(stream, asked)
+		if ok {
+			return release, nil
+		}
+		if final {
+			return "", ErrUnknown
+		}
+		if current, pause := r.read(ctx); current != nil {
+			err = current.wait(ctx)
+		} else {
+			sleep(ctx, pause)
+		}
+		if ctx.Err() != nil {
+			return "", errors.Annotatef(ErrUnknown, "records were not read in time: %v", err)
+		}
 	}
-	return "", ErrUnknown
 }
 
-// lookUp returns the release of a stream, if only one may have begun it.
-func (r *Records) lookUp(stream Stream) (fleet.Release, bool) {
+// lookUp returns the release of a stream, if only one may have begun it. Final means that a
+// later reading will hardly tell more. A stream that has only been sent may have been sent
+// to another release since.
+func (r *Records) lookUp(stream Stream, asked time.Time) (release fleet.Release, ok, final bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.found[stream].release()
+	entry := r.found[stream]
+	release, ok = entry.release()
+	if len(entry.begun) == 0 && r.foundAt.Before(asked.Add(-readInterval)) {
+		ok = false
+	}
+	return release, ok, !r.foundAt.Before(asked)
 }
 
-// read returns the reading in progress, or begins one. It returns nil if the latest one was
-// a short time ago.
-func (r *Records) read(ctx context.Context) *reading {
+// read returns the reading in progress, or begins one. If the latest one began a short time
+// ago, it returns how long to wait instead.
+func (r *Records) read(ctx context.Context) (current *reading, pause time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.reading != nil {
-		return r.reading
+		return r.reading, 0
 	}
-	if r.now().Sub(r.readAt) < readInterval {
-		return nil
+	if since := r.now().Sub(r.readAt); since < readInterval {
+		return nil, readInterval - since
 	}
 	r.readAt = r.now()
-	current := &reading{
+	current = &reading{
 		done: make(chan struct{}),
 	}
 	r.reading = current
@@ -103,14 +113,24 @@
 		found, err := r.list(ctx)
 		r.finish(current, found, err)
 	}(context.WithoutCancel(ctx)) // other requests wait for it too
-	return current
+	return current, 0
+}
+
+// wait waits for the end of the reading and returns its error.
+func (r *reading) wait(ctx context.Context) error {
+	select {
+	case <-r.done:
+		return r.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 func (r *Records) finish(current *reading, found map[Stream]recorded, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err == nil {
-		r.found = found
+		r.found, r.foundAt = found, r.readAt
 	}
 	r.reading = nil
 	current.err = err
@@ -138,3 +158,13 @@
 		}
 	}
 }
+
+// sleep returns after the pause, or when the context ends.
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
