Bound what a host writes to record streams

Request ids of callers have no bound of their own.

Ids of more than 128 bytes are not noted: such a stream cannot be taken up at another host while there are several releases. A record has at most 1,024 notes, the next ones go to another. Writes are at least 100 ms apart, and after a failed one the next waits for its backoff.

--- a/internal/relay/resumption/recorder.go
+++ b/internal/relay/resumption/recorder.go
@@ -20,6 +20,9 @@
 	// recordInterval is the mean time between two writes of a record. Streams that were noted
 	// since the last one cannot be taken up if their host ends.
 	recordInterval = 400 * time.Millisecond
+	// minRecordInterval is the shortest time between two writes. Many streams may break off
+	// at the same time.
+	minRecordInterval = 100 * time.Millisecond
 	// maxRecordBackoff bounds the pause after a failed write.
 	maxRecordBackoff = 4 * time.Second
 	// A record gets no more notes after recordAge, or when it has recordNotes: each write
@@ -67,26 +70,42 @@
 
 // Run writes records until the context ends. It always returns nil.
 func (r *Recorder) Run(ctx context.Context) error {
-	pause := recordInterval
+	backoff := time.Duration(0) // after a failed write; 0 if the latest one was not
 	for ctx.Err() == nil {
-		timer := time.NewTimer(pause/2 + rand.N(pause))
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-r.config.Streams.urgent:
-		}
-		timer.Stop()
+		r.wait(ctx, backoff)
 		err := r.update(ctx)
 		if err == nil || ctx.Err() != nil {
-			pause = recordInterval
+			backoff = 0
 			continue
 		}
 		r.config.Log.Debug().Err(err).Msg("resumption: streams were not recorded; retrying")
-		pause = min(2*pause, maxRecordBackoff)
+		backoff = min(2*max(backoff, recordInterval), maxRecordBackoff)
 	}
 	return nil
 }
 
+// wait waits for the next write. An urgent note ends the wait soon, unless the latest write
+// has failed.
+func (r *Recorder) wait(ctx context.Context, backoff time.Duration) {
+	urgent := r.config.Streams.urgent
+	if backoff > 0 {
+		urgent = nil
+	}
+	pause := max(backoff, recordInterval)
+	timer := time.NewTimer(pause/2 + rand.N(pause))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-urgent:
+		timer.Reset(minRecordInterval)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+	}
+}
+
 // update writes the notes that are in no record. Those of services with one release are
 // written if another one comes.
 func (r *Recorder) update(ctx context.Context) error {
@@ -95,15 +114,24 @@
 		r.open, r.next = nil, 0
 		return nil
 	}
-	notes, next := r.config.Streams.notesAfter(r.next)
+	notes := r.config.Streams.notesFrom(r.next)
 	notes = slices.DeleteFunc(notes, func(n note) bool { return !mixed[n.Service] })
-	if len(notes) == 0 {
-		return nil
-	}
-	if err := r.openRecord(ctx); err != nil {
-		return err
+	for len(notes) > 0 {
+		if err := r.openRecord(ctx); err != nil {
+			return err
+		}
+		count := min(len(notes), recordNotes-len(r.open.notes))
+		if err := r.write(ctx, notes[:count]); err != nil {
+			return err
+		}
+		notes = notes[count:]
 	}
-	value, err := encodeRecord(append(r.open.notes, notes...))
+	return nil
+}
+
+// write adds notes to the open record.
+func (r *Recorder) write(ctx context.Context, notes []note) error {
+	value, err := encodeRecord(slices.Concat(r.open.notes, notes))
 	if err != nil {
 		return err
 	}
@@ -125,7 +153,7 @@
 	}
 	r.open.version = version
 	r.open.notes = append(r.open.notes, notes...)
-	r.next = next
+	r.next = notes[len(notes)-1].number + 1
 	return nil
 }
 
--- a/internal/relay/resumption/streams.go
+++ b/internal/relay/resumption/streams.go
@@ -20,6 +20,9 @@
 	// notes for other hosts.
 	maxStreams = 16384
 	maxNotes   = 16384
+	// maxOrigin is the length of the longest request id that is noted, in bytes. The protocol
+	// has shorter ones.
+	maxOrigin = 128
 )
 
 // ErrUnknown means that the release that began a stream is not known here and now.
@@ -48,6 +51,7 @@
 // note says which release begins a stream, for other hosts.
 type note struct {
 	Stream
+	number  uint64
 	release fleet.Release
 	begun   bool // it has begun; otherwise the request is being sent to an upstream
 	at      time.Time
@@ -88,7 +92,7 @@
 	if len(possible) == 1 {
 		return possible[0], nil
 	}
-	if stream.Origin == "" || len(possible) == 0 {
+	if len(stream.Origin) > maxOrigin || stream.Origin == "" || len(possible) == 0 {
 		return "", ErrUnknown
 	}
 	return s.finder.Find(ctx, stream)
@@ -114,6 +118,9 @@
 
 // note adds a note. The caller holds the mutex.
 func (s *Streams) note(stream Stream, release fleet.Release, begun bool) {
+	if len(stream.Origin) > maxOrigin {
+		return // it cannot be taken up at another host
+	}
 	now := s.now()
 	old := 0
 	for old < len(s.notes) && now.Sub(s.notes[old].at) > streamLife {
@@ -124,6 +131,7 @@
 	}
 	s.notes = append(s.notes[old:], note{
 		Stream:  stream,
+		number:  s.next,
 		release: release,
 		begun:   begun,
 		at:      now,
@@ -131,14 +139,13 @@
 	s.next++
 }
 
-// notesAfter returns the recent notes from the number from on, and the number of the next
-// one.
-func (s *Streams) notesAfter(from uint64) (notes []note, next uint64) {
+// notesFrom returns the recent notes from a number on.
+func (s *Streams) notesFrom(number uint64) []note {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	first := s.next - uint64(len(s.notes))
-	skip := max(from, first) - first
-	return slices.Clone(s.notes[min(skip, uint64(len(s.notes))):]), s.next
+	skip := min(max(number, first)-first, uint64(len(s.notes)))
+	return slices.Clone(s.notes[skip:])
 }
 
 // hurry makes the recorder write soon.
