Note streams that begin elsewhere than a coordinator has proposed

A coordinator notes the release of the upstream that it proposes, and a host that sends the request to another release noted that as one more release to which it had been sent.

A host knows the release that was proposed and treats a request that goes elsewhere like one that goes to two releases: it notes that soon, and what has begun as soon as it has. It prefers the release that was proposed, or to which the request was sent first, as long as that has a usable upstream, so that this is rare. What remains: the store does not take the note, or the host ends within some 100 ms.

TestFind plays a coordinator and a host, with proposals, and TestFindAfterRetry a retry after another host has read the records.

--- a/internal/relay/forward/proposal.go
+++ b/internal/relay/forward/proposal.go
@@ -5,6 +5,7 @@
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
+	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
 )
 
@@ -27,6 +28,8 @@
 		cache:       prepared.Cache,
 		coordinator: prepared.Coordinator,
 	}
+	upstream, _ := e.config.Fleet.Snapshot().Upstream(prepared.Upstream)
+	e.run.Proposed(upstream.Release)
 }
 
 // choose returns the proposed upstream. If there is no proposal, or this host finds the
@@ -41,12 +44,23 @@
 		}
 		e.reportProposal(placement.Abandoned, 0)
 	}
+	if placed, ok := e.chooseFirst(query, snapshot); ok {
+		return placed, true
+	}
 	return e.config.Chooser.Choose(query, snapshot)
 }
 
-// isProposed reports whether a coordinator has proposed to place the request there.
-func (e *exchange) isProposed(placed *placement.Placed) bool {
-	return e.proposal != nil && e.proposal.placed == placed
+// chooseFirst chooses an upstream of the release that was proposed, or to which the request
+// was sent, first. It returns false if there is none.
+func (e *exchange) chooseFirst(query placement.Query, snapshot *fleet.Snapshot) (*placement.Placed, bool) {
+	if e.run == nil || query.Release != "" {
+		return nil, false
+	}
+	query.Release = e.run.First()
+	if query.Release == "" {
+		return nil, false
+	}
+	return e.config.Chooser.Choose(query, snapshot)
 }
 
 // reportProposal reports the outcome of the proposal to its coordinator and clears it.
--- a/internal/relay/forward/resume.go
+++ b/internal/relay/forward/resume.go
@@ -1,15 +1,16 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/resumption"
 )
 
-// unknownReleaseRetryAfter is the Retry-After time if the release that began a stream is not
-// known: its host records it within this time, if that host is up.
-const unknownReleaseRetryAfter = time.Second
+// unknownReleaseRetryAfter is the shortest Retry-After time if the release that began a
+// stream is not known: its host usually records it within this time, if that host is up.
+const unknownReleaseRetryAfter = 800 * time.Millisecond
 
 // resumes reports whether the caller takes up a stream of which it has received events.
 func (e *exchange) resumes() bool { return e.head.LastEvent > 0 }
@@ -35,7 +36,7 @@
 		Service: e.service.Name,
 	})
 	if err != nil {
-		e.refuse(err.Error(), unknownReleaseRetryAfter)
+		e.refuse(err.Error(), unknownReleaseRetryAfter+rand.N(unknownReleaseRetryAfter/2))
 		return false
 	}
 	e.release = release
--- a/internal/relay/forward/send.go
+++ b/internal/relay/forward/send.go
@@ -176,7 +176,7 @@
 	case placement.Served, placement.Failed, placement.Abandoned:
 		e.latest.End(ending == placement.Served)
 	}
-	if e.isProposed(placed) {
+	if e.proposal != nil && e.proposal.placed == placed {
 		e.reportProposal(ending, pace)
 	}
 	e.config.Meter.Call(e.service.Name, results[ending], latency)
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -284,7 +284,7 @@
 	started := e.config.Now()
 	e.progress.upstreamEvents = 0
 	e.record.cacheSource = placed.Cache.ID
-	e.run.Sent(placed.Release, e.isProposed(placed))
+	e.run.Sent(placed.Release)
 	response, err := e.send(e.ctx, placed, wire.Dispatch{
 		Inputs:    results.Inputs,
 		LastEvent: e.progress.lastEvent,
--- a/internal/relay/resumption/recorder_test.go
+++ b/internal/relay/resumption/recorder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,19 +11,22 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/resumption"
 	"github.com/nutmegshift/nutmegshift/kv"
 	"github.com/nutmegshift/nutmegshift/kv/memkv"
 )
 
-// uncertainStore loses the response to some writes.
-type uncertainStore struct {
+// countingStore counts writes, and loses the response to some.
+type countingStore struct {
 	kv.Store
+	puts atomic.Int32
 	lose atomic.Int32 // further responses to lose
 }
 
-func (s *uncertainStore) Put(ctx context.Context, put kv.Put) (kv.Version, error) {
+func (s *countingStore) Put(ctx context.Context, put kv.Put) (kv.Version, error) {
+	s.puts.Add(1)
 	version, err := s.Store.Put(ctx, put)
 	if err == nil && s.lose.Add(-1) >= 0 {
 		return 0, errors.Annotate(kv.ErrUncertain, "response is lost")
@@ -30,63 +34,129 @@
 	return version, err
 }
 
+// recordingHost returns the streams of a host that records them until the test ends. Two
+// releases are in service.
+func recordingHost(t *testing.T, name ident.HostID, store kv.Store) (*resumption.Streams, *resumption.Records) {
+	h := newHost(time.Now())
+	h.register("a", "v1")
+	h.register("b", "v2")
+	records := resumption.NewRecords(store, time.Now, zerolog.Nop())
+	streams := resumption.NewStreams(h.releases, records, time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func(ctx context.Context) {
+		ended <- resumption.NewRecorder(resumption.RecorderConfig{
+			Store:    store,
+			Host:     name,
+			Started:  time.Now(),
+			Releases: h.releases,
+			Streams:  streams,
+			Log:      zerolog.Nop(),
+		}).Run(ctx)
+	}(ctx)
+	t.Cleanup(func() {
+		cancel()
+		qt.Check(t, <-ended, qt.IsNil)
+	})
+	return streams, records
+}
+
+var stream = resumption.Stream{
+	Origin:  "r1",
+	Service: "s",
+}
+
 // Guards against streams that no other host can find, or for which it finds a release that
 // has not begun them.
 func TestFind(t *testing.T) {
 	const none = fleet.Release("")
+	propose := func(s *resumption.Streams) { s.Propose(stream, "v1") }
 	tests := map[string]struct {
-		run  func(run *resumption.Run)
-		lose int32
-		want fleet.Release
+		coordinator func(s *resumption.Streams) // nil if it has proposed nothing
+		run         func(r *resumption.Run)
+		lose        int32
+		want        fleet.Release
 	}{
-		"begun":                           {run: func(r *resumption.Run) { r.Sent("v1", false); r.Began("v1") }, want: "v1"},
-		"about to begin":                  {run: func(r *resumption.Run) { r.Sent("v1", false) }, want: "v1"},
-		"broken off":                      {run: func(r *resumption.Run) { r.Sent("v1", false); r.Began("v1"); r.End(false) }, want: "v1"},
-		"complete":                        {run: func(r *resumption.Run) { r.Sent("v1", false); r.Began("v1"); r.End(true) }, want: "v1"},
-		"either may begin it":             {run: func(r *resumption.Run) { r.Sent("v1", false); r.Sent("v2", false) }, want: none},
-		"begun by the second":             {run: func(r *resumption.Run) { r.Sent("v1", false); r.Sent("v2", false); r.Began("v2") }, want: "v2"},
+		"begun":                           {run: func(r *resumption.Run) { r.Sent("v1"); r.Began("v1") }, want: "v1"},
+		"about to begin":                  {run: func(r *resumption.Run) { r.Sent("v1") }, want: "v1"},
+		"broken off":                      {run: func(r *resumption.Run) { r.Sent("v1"); r.Began("v1"); r.End(false) }, want: "v1"},
+		"complete":                        {run: func(r *resumption.Run) { r.Sent("v1"); r.Began("v1"); r.End(true) }, want: "v1"},
+		"either may begin it":             {run: func(r *resumption.Run) { r.Sent("v1"); r.Sent("v2") }, want: none},
+		"begun by the second":             {run: func(r *resumption.Run) { r.Sent("v1"); r.Sent("v2"); r.Began("v2") }, want: "v2"},
 		"never sent":                      {run: func(*resumption.Run) {}, want: none},
-		"a response of the store is lost": {run: func(r *resumption.Run) { r.Sent("v1", false); r.Began("v1") }, lose: 1, want: "v1"},
+		"a response of the store is lost": {run: func(r *resumption.Run) { r.Sent("v1"); r.Began("v1") }, lose: 1, want: "v1"},
+
+		"proposed":                        {coordinator: propose, run: func(r *resumption.Run) { r.Proposed("v1"); r.Sent("v1") }, want: "v1"},
+		"proposed, sent elsewhere":        {coordinator: propose, run: func(r *resumption.Run) { r.Proposed("v1"); r.Sent("v2") }, want: none},
+		"proposed, begun elsewhere":       {coordinator: propose, run: func(r *resumption.Run) { r.Proposed("v1"); r.Sent("v2"); r.Began("v2") }, want: "v2"},
+		"proposed by an unknown upstream": {coordinator: propose, run: func(r *resumption.Run) { r.Proposed(""); r.Sent("v2"); r.Began("v2") }, want: "v2"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := qt.New(t)
-			store := &uncertainStore{
+			store := &countingStore{
 				Store: memkv.New(time.Now),
 			}
 			store.lose.Store(test.lose)
-			h := newHost(time.Now())
-			h.register("a", "v1")
-			h.register("b", "v2")
-			records := resumption.NewRecords(store, time.Now, zerolog.Nop())
-			streams := resumption.NewStreams(h.releases, records, time.Now)
-			stream := resumption.Stream{
-				Origin:  "r1",
-				Service: "s",
-			}
-			test.run(streams.NewRun(stream))
-			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-			defer cancel()
-			ended := make(chan error, 1)
-			go func(ctx context.Context) {
-				ended <- resumption.NewRecorder(resumption.RecorderConfig{
-					Store:    store,
-					Host:     "h",
-					Started:  time.Now(),
-					Releases: h.releases,
-					Streams:  streams,
-					Log:      zerolog.Nop(),
-				}).Run(ctx)
-			}(ctx)
-			found := none
-			for found == none && ctx.Err() == nil {
-				found, _ = records.Find(ctx, stream) // ErrUnknown until it is recorded
-				time.Sleep(50 * time.Millisecond)
+			coordinator, records := recordingHost(t, "coordinator", store)
+			host, _ := recordingHost(t, "host", store)
+			if test.coordinator != nil {
+				test.coordinator(coordinator)
 			}
-			c.Check(found, qt.Equals, test.want)
-			cancel()
-			c.Check(<-ended, qt.IsNil)
+			test.run(host.NewRun(stream))
+			time.Sleep(1500 * time.Millisecond) // both record
+			found, _ := records.Find(context.Background(), stream)
+			qt.Check(t, found, qt.Equals, test.want)
+		})
+	}
+}
+
+// Guards against a release that is remembered from an earlier reading of the records,
+// although the request has been sent to another one since.
+func TestFindAfterRetry(t *testing.T) {
+	c := qt.New(t)
+	store := memkv.New(time.Now)
+	host, records := recordingHost(t, "host", store)
+	run := host.NewRun(stream)
+	run.Sent("v1")
+	time.Sleep(time.Second)
+	found, err := records.Find(context.Background(), stream)
+	c.Assert(err, qt.IsNil)
+	c.Check(found, qt.Equals, fleet.Release("v1"))
+	run.Sent("v2")
+	run.Began("v2")
+	run.End(false)
+	time.Sleep(time.Second)
+	found, err = records.Find(context.Background(), stream)
+	c.Assert(err, qt.IsNil)
+	c.Check(found, qt.Equals, fleet.Release("v2"))
+}
+
+// Guards against a caller whose long request ids keep the streams of all others from being
+// recorded, and against a write for each of many streams that break off.
+func TestRecordsUnderPressure(t *testing.T) {
+	c := qt.New(t)
+	store := &countingStore{
+		Store: memkv.New(time.Now),
+	}
+	host, records := recordingHost(t, "host", store)
+	start := time.Now()
+	for i := range 1500 {
+		r := host.NewRun(resumption.Stream{
+			Origin:  ident.RequestID(strings.Repeat("x", 30_000+i)),
+			Service: "s",
 		})
+		r.Sent("v1")
+		r.Began("v1")
+		r.End(false)
+		if i%5 == 0 {
+			time.Sleep(time.Millisecond)
+		}
 	}
+	host.NewRun(stream).Sent("v1")
+	time.Sleep(time.Second)
+	found, err := records.Find(context.Background(), stream)
+	c.Assert(err, qt.IsNil)
+	c.Check(found, qt.Equals, fleet.Release("v1"))
+	c.Check(time.Duration(store.puts.Load()) <= time.Since(start)/(100*time.Millisecond)+1, qt.IsTrue, qt.Commentf("%d writes in %s", store.puts.Load(), time.Since(start)))
 }
--- a/internal/relay/resumption/run.go
+++ b/internal/relay/resumption/run.go
@@ -10,7 +10,7 @@
 type Run struct {
 	streams *Streams
 	stream  Stream
-	known   *known // nil until the request is sent
+	known   *known // nil until an upstream is proposed or the request is sent
 }
 
 // NewRun returns the handling of a stream by a request that has not been sent.
@@ -21,42 +21,41 @@
 	}
 }
 
+// Proposed records that a coordinator has proposed, and noted, an upstream of a release;
+// empty if the release is not known here.
+func (r *Run) Proposed(release fleet.Release) {
+	s := r.streams
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attach(r)
+	r.known.add(release)
+}
+
 // Sent records that an upstream of a release may begin the stream, so that the record is in
-// the store when the first event arrives. The coordinator has recorded it if it has proposed
-// the upstream.
-func (r *Run) Sent(release fleet.Release, proposed bool) {
+// the store when the first event arrives.
+func (r *Run) Sent(release fleet.Release) {
 	s := r.streams
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r.known == nil && !s.attach(r) {
-		return
-	}
-	if r.known.begun || slices.Contains(r.known.releases, release) {
+	s.attach(r)
+	if !r.known.add(release) {
 		return
 	}
-	r.known.releases = append(r.known.releases, release)
-	if !proposed {
-		s.note(r.stream, release, false)
-	}
+	s.note(r.stream, release, false)
 	if len(r.known.releases) > 1 {
 		s.hurry() // what is recorded says that another release begins the stream
 	}
 }
 
-// attach adds a run to its stream. It returns false if there are too many streams: this one
-// cannot be taken up at another host. The caller holds the mutex.
-func (s *Streams) attach(r *Run) bool {
-	current, ok := s.streams[r.stream]
-	if !ok {
-		if len(s.streams) >= maxStreams {
-			return false
-		}
-		current = &known{}
-		s.streams[r.stream] = current
+// First returns the release that was proposed, or to which the request was sent, first. A
+// retry there leaves no doubt about the release of the stream. It is empty if there is none.
+func (r *Run) First() fleet.Release {
+	r.streams.mu.Lock()
+	defer r.streams.mu.Unlock()
+	if r.known == nil || len(r.known.releases) == 0 {
+		return ""
 	}
-	current.active++
-	r.known = current
-	return true
+	return r.known.releases[0]
 }
 
 // Began records that an upstream of a release has sent an event of the stream.
@@ -69,6 +68,7 @@
 	}
 	if len(r.known.releases) > 1 {
 		s.note(r.stream, release, true)
+		s.hurry()
 	}
 	r.known.begun = true
 	r.known.releases = []fleet.Release{release}
@@ -94,3 +94,30 @@
 	}
 	r.known = nil
 }
+
+// attach adds a run to its stream. If there are too many streams, this one is known to the
+// run only. The caller holds the mutex.
+func (s *Streams) attach(r *Run) {
+	if r.known != nil {
+		return
+	}
+	current, ok := s.streams[r.stream]
+	if !ok {
+		current = &known{}
+		if len(s.streams) < maxStreams {
+			s.streams[r.stream] = current
+		}
+	}
+	current.active++
+	r.known = current
+}
+
+// add adds a release that may begin the stream. It reports false if that is known, or if the
+// stream has begun.
+func (k *known) add(release fleet.Release) bool {
+	if k.begun || slices.Contains(k.releases, release) {
+		return false
+	}
+	k.releases = append(k.releases, release)
+	return true
+}
