Look up streams while the known fleet is not confirmed

A host that has just started may use a listing of the store that is seconds old. If that had one release of a service, the host took it for the only one, although another may have begun streams since (a review's finding).

Until the replica has been confirmed once, the release of a stream that is taken up is looked up in the records, and a stream that is in none is refused. TestUnconfirmedFleet covers both. What remains: a host that is cut off from the store and from all other hosts, and still serves, does not learn of a new release.

--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -231,6 +231,12 @@
 	return min(neverConfirmed, max(0, r.now().Sub(confirmed)))
 }
 
+// Confirmed reports whether the replica was ever confirmed.
+func (r *Replica) Confirmed() bool {
+	_, confirmed := r.state.get()
+	return !confirmed.IsZero()
+}
+
 // SinceLastResponse returns the time since the store last responded to any host, as
 // far as known here, or since the first failed call of this host; 0 before both.
 func (r *Replica) SinceLastResponse() time.Duration {
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -141,7 +141,7 @@
 		Protocol: platform.Store,
 	})
 	h.releases = resumption.NewReleases(h.fleet.Snapshot, time.Now)
-	h.streams = resumption.NewStreams(h.releases, resumption.NewRecords(h.store, time.Now, log), time.Now)
+	h.streams = resumption.NewStreams(h.releases, resumption.NewRecords(h.store, time.Now, log), h.fleetConfirmed, time.Now)
 	h.clients = clients{
 		requests: h.newClient(h.liveHosts),
 		batches:  h.newClient(oneSender),
--- a/internal/relay/resumption/recorder_test.go
+++ b/internal/relay/resumption/recorder_test.go
@@ -41,7 +41,7 @@
 	h.register("a", "v1")
 	h.register("b", "v2")
 	records := resumption.NewRecords(store, time.Now, zerolog.Nop())
-	streams := resumption.NewStreams(h.releases, records, time.Now)
+	streams := resumption.NewStreams(h.releases, records, func() bool { return true }, time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func(ctx context.Context) {
@@ -160,3 +160,20 @@
 	c.Check(found, qt.Equals, fleet.Release("v1"))
 	c.Check(time.Duration(store.puts.Load()) <= time.Since(start)/(100*time.Millisecond)+1, qt.IsTrue, qt.Commentf("%d writes in %s", store.puts.Load(), time.Since(start)))
 }
+
+// Guards against a host that starts from a stale listing and takes the one release in it for
+// the only one.
+func TestUnconfirmedFleet(t *testing.T) {
+	c := qt.New(t)
+	h := newHost(time.Now())
+	h.register("a", "v1")
+	confirmed := false
+	records := resumption.NewRecords(memkv.New(time.Now), time.Now, zerolog.Nop())
+	streams := resumption.NewStreams(h.releases, records, func() bool { return confirmed }, time.Now)
+	_, err := streams.Release(context.Background(), stream)
+	c.Check(err, qt.ErrorIs, resumption.ErrUnknown)
+	confirmed = true
+	release, err := streams.Release(context.Background(), stream)
+	c.Assert(err, qt.IsNil)
+	c.Check(release, qt.Equals, fleet.Release("v1"))
+}
--- a/internal/relay/resumption/streams.go
+++ b/internal/relay/resumption/streams.go
@@ -60,10 +60,11 @@
 // Streams remembers the recent streams of a host, and finds those of others. It is safe for
 // concurrent use.
 type Streams struct {
-	releases *Releases
-	finder   Finder
-	now      func() time.Time
-	urgent   chan struct{} // has an element after a note that other hosts may need soon
+	releases  *Releases
+	finder    Finder
+	confirmed func() bool
+	now       func() time.Time
+	urgent    chan struct{} // has an element after a note that other hosts may need soon
 
 	mu      sync.Mutex
 	streams map[Stream]*known
@@ -71,14 +72,16 @@
 	next    uint64 // number of the next note
 }
 
-// NewStreams returns a Streams without streams.
-func NewStreams(releases *Releases, finder Finder, now func() time.Time) *Streams {
+// NewStreams returns a Streams without streams. The function confirmed reports whether the
+// known fleet has been confirmed since the host started.
+func NewStreams(releases *Releases, finder Finder, confirmed func() bool, now func() time.Time) *Streams {
 	return &Streams{
-		releases: releases,
-		finder:   finder,
-		now:      now,
-		urgent:   make(chan struct{}, 1),
-		streams:  make(map[Stream]*known),
+		releases:  releases,
+		finder:    finder,
+		confirmed: confirmed,
+		now:       now,
+		urgent:    make(chan struct{}, 1),
+		streams:   make(map[Stream]*known),
 	}
 }
 
@@ -89,7 +92,7 @@
 		return release, nil
 	}
 	possible := s.releases.Possible(stream.Service)
-	if len(possible) == 1 {
+	if len(possible) == 1 && s.confirmed() {
 		return possible[0], nil
 	}
 	if len(stream.Origin) > maxOrigin || stream.Origin == "" || len(possible) == 0 {
