Wait for the rest of a request only where a body may be cut

The end of a response without a length counts only once the whole request has been written. A refusal that an upstream sends early, and a response to HEAD, waited a second for that and then counted as cut, although the body of the first is not passed on and the second has none.

TestEarlyResponseWithoutBody failed before for the refusal and for HEAD, and passes.

--- a/internal/relay/upstreamhttp/client.go
+++ b/internal/relay/upstreamhttp/client.go
@@ -139,7 +139,7 @@
 		Header:      received.header.Header,
 		Reply:       received.reply,
 		Length:      received.header.ContentLength,
-		Unframed:    received.header.ContentLength < 0 && len(received.header.TransferEncoding) == 0,
+		Unframed:    received.header.Body != http.NoBody && received.header.ContentLength < 0 && len(received.header.TransferEncoding) == 0,
 		Misdirected: misdirected && conn.used,
 		client:      c,
 		conn:        conn,
--- a/internal/relay/upstreamhttp/early_test.go
+++ b/internal/relay/upstreamhttp/early_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -123,3 +124,36 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(string(body), qt.Equals, "whole")
 }
+
+// Guards against an early response that counts as lost although nothing of it can be lost.
+func TestEarlyResponseWithoutBody(t *testing.T) {
+	tests := map[string]struct {
+		method string
+		text   string
+	}{
+		"refusal":      {method: http.MethodPost, text: "HTTP/1.1 503 X\r\nNot-Run: 1\r\nId: a\r\n\r\nfull"},
+		"head":         {method: http.MethodHead, text: "HTTP/1.1 200 OK\r\nSeal: s\r\nId: a\r\n\r\n"},
+		"no content":   {method: http.MethodPost, text: "HTTP/1.1 204 X\r\nSeal: s\r\nId: a\r\n\r\n"},
+		"not modified": {method: http.MethodPost, text: "HTTP/1.1 304 X\r\nSeal: s\r\nId: a\r\n\r\n"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ended := make(chan struct{})
+			address := tcp.Serve(t, func(conn *net.TCPConn) {
+				write(conn, test.text)
+				_ = conn.CloseWrite()
+				<-ended // the rest of the request is not read
+			}).Address()
+			r := request(address)
+			r.Method = test.method
+			r.Body = make([]byte, uploadBytes)
+			response, err := newClient(t).Send(t.Context(), r)
+			c.Assert(err, qt.IsNil)
+			_, err = readAll(response, 1<<10)
+			c.Check(err, qt.IsNil)
+			response.Close()
+			close(ended)
+		})
+	}
+}
--- a/internal/relay/upstreamhttp/response.go
+++ b/internal/relay/upstreamhttp/response.go
@@ -150,8 +150,8 @@
 		return n, err
 	}
 	// A reset is reported only once, to a read or a write. Reads after a write that has
-	// failed find an orderly end.
-	if r.Unframed && !r.awaitSent() {
+	// failed find an orderly end. The body of a refusal is not passed on.
+	if r.Unframed && !r.Reply.NotRun && !r.awaitSent() {
 		return n, errors.Annotate(ErrLost, "body without a length ends before the request has been written")
 	}
 	r.complete = true
