Charge a crash to the process that a request has reached

Cause: hosts read the registration of an engine that is back at different times. A request that is sent before that is charged to the incarnation that has crashed before, whose crash is known. So the second crash of the engine added nothing for the request at fault, while a host that had read the registration reported its bystanders as those of a new crash. And a host whose registrations changed while the request was in flight reported nothing, since the incarnation that it knew was gone.

Now the time of an attempt decides which crash has ended its process: a request that is sent 200 ms after a crash or later has reached the next process, whatever the host has registered, and its report names the time of the attempt where the incarnation is not known. Reports on one upstream within 200 ms are on the same crash. The message between hosts is as before. Whether an address refuses connections is checked with the registration of the moment in place of that of the placement.

TestReportsOfOtherHosts began its second and third request on a process 300 and 600 ms after its crash, which no longer is one crash. The three requests are in flight at the crash now, and the hosts notice it 300 ms apart.

--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -149,6 +149,7 @@
 // scriptedResponse is the response of an upstream to one request.
 type scriptedResponse struct {
 	text         string
+	before       func()        // if not nil, called before the text is written
 	delay        time.Duration // before the text is written
 	reset        bool
 	hang         bool // the connection stays open although the response is incomplete
@@ -222,6 +223,9 @@
 		return scriptedResponse{}, false
 	}
 	_, _ = io.WriteString(conn, repeat)
+	if response.before != nil {
+		response.before()
+	}
 	time.Sleep(response.delay)
 	_, _ = io.WriteString(conn, strings.ReplaceAll(response.text, "$ID", r.Header.Get("Id")))
 	if response.crash {
@@ -302,27 +306,18 @@
 		upstreams: &upstreams{
 			responses: responses,
 		},
-		stager: &stager{},
-		holder: &routes.Holder{},
+		stager:    &stager{},
+		holder:    &routes.Holder{},
+		directory: fleet.New(),
 	}
 	address := f.upstreams.serve(t)
-	directory := fleet.New()
 	for i, release := range software {
-		directory.Put(fleet.Registration{
-			Upstream: fleet.Upstream{
-				ID:      ident.UpstreamID(fmt.Sprintf("u%d", i)),
-				Service: "s",
-				Address: address,
-				Domain:  "here",
-				Release: release,
-				State:   fleet.Ready,
-			},
-			Version: 1,
-		})
+		upstream := registration(i, address, 1)
+		upstream.Upstream.Release = release
+		f.directory.Put(upstream)
 	}
 	f.holder.Offer(table())
-	f.directory = directory
-	f.releases = resumption.NewReleases(directory.Snapshot, time.Now)
+	f.releases = resumption.NewReleases(f.directory.Snapshot, time.Now)
 	f.streams = resumption.NewStreams(f.releases, resumption.NewRecords(store, time.Now, zerolog.Nop()), func() bool { return true }, time.Now)
 	pauses := fleet.NewPauses(time.Now, rand.Float64)
 	client := upstreamhttp.New(upstreamhttp.Config{
@@ -336,14 +331,14 @@
 				pauses.Add(upstream, reply.Pause)
 			}
 			if reply.Draining {
-				directory.MarkDraining(upstream.ID, upstream.Started, time.Now())
+				f.directory.MarkDraining(upstream.ID, upstream.Started, time.Now())
 			}
 		},
 	})
 	handler := forward.New(forward.Config{
 		Codec:      codec{},
 		Routes:     f.holder,
-		Fleet:      directory,
+		Fleet:      f.directory,
 		Pauses:     pauses,
 		Client:     client,
 		Chooser:    placement.New(func() time.Time { return time.Now().Add(time.Duration(f.elapsed.Load())) }, rand.Float64),
@@ -388,6 +383,22 @@
 	return f
 }
 
+// registration returns the registration of an upstream whose process started at the given
+// version of the entry.
+func registration(number int, address ident.Address, version kv.Version) fleet.Registration {
+	return fleet.Registration{
+		Upstream: fleet.Upstream{
+			ID:      ident.UpstreamID(fmt.Sprintf("u%d", number)),
+			Service: "s",
+			Address: address,
+			Domain:  "here",
+			State:   fleet.Ready,
+			Started: ident.Incarnation(version),
+		},
+		Version: version,
+	}
+}
+
 func table() *routes.Table {
 	route := func(prefix string, kind routes.Kind) *routes.Route {
 		return &routes.Route{
--- a/internal/relay/forward/handler_test.go
+++ b/internal/relay/forward/handler_test.go
@@ -295,6 +295,19 @@
 	c.Check(f.suspects.Load() > 0, qt.IsTrue)
 }
 
+// Guards against a crash that is not reported because the upstream, back after an earlier
+// one, has registered anew since the request was placed.
+func TestCrashAfterRegistration(t *testing.T) {
+	c := qt.New(t)
+	var f *fixture
+	f = startN(t, 1, scriptedResponse{
+		before: func() { f.directory.Put(registration(0, f.upstreams.server.Address(), 2)) },
+		crash:  true,
+	})
+	c.Check(f.post(c, "/safe/x", nil).status, qt.Equals, 502)
+	c.Check(f.suspects.Load(), qt.Equals, int64(1))
+}
+
 // Guards against invalid requests that are forwarded or rejected with the wrong status.
 func TestRejections(t *testing.T) {
 	tests := map[string]struct {
--- a/internal/relay/forward/send.go
+++ b/internal/relay/forward/send.go
@@ -225,14 +225,24 @@
 // checkCrash reports the requests of this host at an upstream to which it has lost the
 // connection, if that has crashed, as it sees itself or another host reports.
 func (e *exchange) checkCrash(placed *placement.Placed) {
-	process := processOf(placed.Upstream)
-	if !e.config.Poison.Known(process) && !e.refusesConnections(placed.Upstream) {
+	if !e.latest.CrashKnown() && !e.refusesConnections(e.registered(placed.Upstream)) {
 		return
 	}
-	suspects := e.config.Poison.Crashed(process)
+	suspects := e.latest.Crashed()
 	e.logAttempt(e.log.Warn(), placed).Int("suspects", suspects).Msg("forward: upstream crashed with the request in flight")
 }
 
+// registered returns the present registration of an upstream that is back at the same
+// address since the request was placed: the request has probably reached that process. It
+// returns the given one if there is none.
+func (e *exchange) registered(placed fleet.Upstream) fleet.Upstream {
+	current, ok := e.config.Fleet.Snapshot().Upstream(placed.ID)
+	if !ok || current.Address != placed.Address || current.Started < placed.Started {
+		return placed
+	}
+	return current
+}
+
 // refusesConnections reports whether an upstream refuses connections although it is not
 // known to drain: it has crashed.
 func (e *exchange) refusesConnections(upstream fleet.Upstream) bool {
--- a/internal/relay/poison/attempt.go
+++ b/internal/relay/poison/attempt.go
@@ -28,8 +28,9 @@
 // Attempt is a request that has been sent to an upstream.
 type Attempt struct {
 	table       *Table
-	process     Process
+	process     Process // by the registration; the address may lead to a later one
 	request     *Request
+	began       time.Time
 	repeated    bool      // the request has been in flight at another crash before
 	respondedAt time.Time // when the response began; zero before
 	endedAt     time.Time // zero before the end
@@ -38,12 +39,13 @@
 
 // Begin records that a request is about to be sent to an upstream.
 func (t *Table) Begin(process Process, request *Request) *Attempt {
+	now := t.config.Now()
 	a := &Attempt{
 		table:   t,
 		process: process,
 		request: request,
+		began:   now,
 	}
-	now := t.config.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a.repeated = request.suspected
@@ -158,26 +160,65 @@
 	}
 }
 
-// suspects returns the attempts at a process that has crashed, without the fingerprints
-// that are sound. The caller holds the mutex.
-func (t *Table) suspects(now time.Time, process Process) []peer.CrashSuspect {
-	var suspects []peer.CrashSuspect
-	for _, a := range t.attempts[process] {
-		if !a.endedAt.IsZero() && now.Sub(a.endedAt) >= settleTime {
-			continue // if it were the cause, the process would have ended before
+// CrashKnown reports whether any host has reported the crash of the process that the
+// attempt has reached.
+func (a *Attempt) CrashKnown() bool {
+	a.table.mu.Lock()
+	defer a.table.mu.Unlock()
+	_, known := a.table.crashOf(a)
+	return known
+}
+
+// Crashed records that the process that the attempt has reached has crashed, and reports
+// the requests of this host that may have caused it. It returns their number; 0 if they
+// have been reported before.
+func (a *Attempt) Crashed() int {
+	t := a.table
+	now := t.config.Now()
+	t.mu.Lock()
+	process, known := t.crashOf(a)
+	report := peer.CrashReported{
+		Host:        t.config.Host,
+		Upstream:    process.Upstream,
+		Incarnation: process.Incarnation,
+		At:          now,
+	}
+	for other := range t.attempts {
+		if other.Upstream != process.Upstream {
+			continue
 		}
-		fingerprints := []Fingerprint{a.request.contentFingerprint()}
-		for _, part := range a.request.parts {
-			if !t.sound.knownSince(part, now.Add(-soundPeriod)) {
-				fingerprints = append(fingerprints, part)
+		t.dropAttempts(other, func(o *Attempt) bool {
+			crash, ended := t.crashOf(o)
+			if ended != known || known && crash != process {
+				return false // has reached another process
 			}
-		}
-		suspects = append(suspects, peer.CrashSuspect{
-			Fingerprints: fingerprints[:min(len(fingerprints), peer.MaxFingerprints)],
-			Repeated:     a.repeated,
+			if o.endedAt.IsZero() || now.Sub(o.endedAt) < settleTime {
+				report.Suspects = append(report.Suspects, t.suspect(now, o))
+			} // else the process would have ended before if it were the cause
+			return true
 		})
-		a.request.suspected = true
 	}
-	delete(t.attempts, process)
-	return suspects[:min(len(suspects), peer.MaxSuspects)]
+	t.mu.Unlock()
+	report.Suspects = report.Suspects[:min(len(report.Suspects), peer.MaxSuspects)]
+	if len(report.Suspects) == 0 || !t.merge(report) {
+		return 0
+	}
+	t.config.OnReport(report)
+	return len(report.Suspects)
+}
+
+// suspect returns what is reported on an attempt at a process that has crashed, without
+// the fingerprints that are sound. The caller holds the mutex.
+func (t *Table) suspect(now time.Time, a *Attempt) peer.CrashSuspect {
+	fingerprints := []Fingerprint{a.request.contentFingerprint()}
+	for _, part := range a.request.parts {
+		if !t.sound.knownSince(part, now.Add(-soundPeriod)) {
+			fingerprints = append(fingerprints, part)
+		}
+	}
+	a.request.suspected = true
+	return peer.CrashSuspect{
+		Fingerprints: fingerprints[:min(len(fingerprints), peer.MaxFingerprints)],
+		Repeated:     a.repeated,
+	}
 }
--- a/internal/relay/poison/table.go
+++ b/internal/relay/poison/table.go
@@ -71,32 +71,24 @@
 	}
 }
 
-// Known reports whether any host has reported that a process has crashed.
-func (t *Table) Known(process Process) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	_, ok := t.crashes[process]
-	return ok
-}
-
-// Crashed records that a process has crashed, and reports the requests of this host that
-// may have caused it. It returns their number; 0 if they have been reported before.
-func (t *Table) Crashed(process Process) int {
-	now := t.config.Now()
-	t.mu.Lock()
-	report := peer.CrashReported{
-		Host:        t.config.Host,
-		Upstream:    process.Upstream,
-		Incarnation: process.Incarnation,
-		At:          now,
-		Suspects:    t.suspects(now, process),
-	}
-	t.mu.Unlock()
-	if len(report.Suspects) == 0 || !t.merge(report) {
-		return 0
+// crashOf returns the process that an attempt has reached as reports on its crash name
+// it, and whether there are any. Requests that are sent after the crash of the registered
+// process, and before the registration of the next one is read, reach that one: the time
+// of the attempt then stands for its incarnation. The caller holds the mutex.
+func (t *Table) crashOf(a *Attempt) (process Process, known bool) {
+	process = a.process
+	for other, c := range t.crashes {
+		switch {
+		case other.Upstream != a.process.Upstream:
+		case c.ended(a):
+			if !known || c.at.Before(t.crashes[process].at) {
+				process, known = other, true
+			}
+		case !known && c.isOf(a.process.Incarnation):
+			process.Incarnation = ident.Incarnation(a.began.UnixMilli())
+		}
 	}
-	t.config.OnReport(report)
-	return len(report.Suspects)
+	return process, known
 }
 
 // Merge adds the report of another host, unless it is known. A report without a host, as
@@ -113,23 +105,18 @@
 	}
 	t.mu.Lock()
 	t.expire(now)
-	process := Process{
-		Upstream:    report.Upstream,
-		Incarnation: report.Incarnation,
-	}
-	known, ok := t.crashes[process]
-	if now.Sub(report.At) >= reportRetention || ok && (report.Host == "" || known.hosts[report.Host]) {
+	known := t.reported(report)
+	if now.Sub(report.At) >= reportRetention || known != nil && !known.adds(report) {
 		t.mu.Unlock()
 		return false
 	}
-	if !ok {
-		known = &crash{
-			at:    report.At,
-			hosts: make(map[ident.HostID]bool),
-			all:   make(map[Fingerprint]bool),
-		}
+	if known == nil {
+		known = newCrash(report.At)
 		t.dropOldestCrash()
-		t.crashes[process] = known
+		t.crashes[Process{
+			Upstream:    report.Upstream,
+			Incarnation: report.Incarnation,
+		}] = known
 	}
 	known.add(report, func(f Fingerprint) bool { return t.sound.knownSince(f, now.Add(-soundPeriod)) })
 	var publish []Fingerprint
@@ -145,6 +132,22 @@
 	return true
 }
 
+// reported returns the crash that a report is on, nil if no other report is. The caller
+// holds the mutex.
+func (t *Table) reported(report peer.CrashReported) *crash {
+	var together *crash
+	for process, c := range t.crashes {
+		switch {
+		case process.Upstream != report.Upstream:
+		case c.isOf(report.Incarnation):
+			return c
+		case c.at.Sub(report.At).Abs() < minDowntime:
+			together = c
+		}
+	}
+	return together
+}
+
 // dropOldestCrash makes room for another crash. Crashes that are the reason of a block are
 // dropped last. The caller holds the mutex.
 func (t *Table) dropOldestCrash() {
--- a/internal/relay/poison/table_test.go
+++ b/internal/relay/poison/table_test.go
@@ -103,11 +103,18 @@
 	for _, request := range requests {
 		attempts = append(attempts, h.Begin(at, request))
 	}
-	h.Crashed(at)
+	h.lose(attempts...)
+	*h.now = h.now.Add(crashInterval)
+}
+
+// lose plays that this host notices a crash by the loss of requests.
+func (h *host) lose(attempts ...*poison.Attempt) {
+	for _, attempt := range attempts {
+		attempt.Crashed()
+	}
 	for _, attempt := range attempts {
 		attempt.End(false)
 	}
-	*h.now = h.now.Add(crashInterval)
 }
 
 // crashTogether plays the crash of several upstreams at the same time.
@@ -206,12 +213,13 @@
 		h.Finish(request)
 		return attempt
 	}
-	begin().End(false)
+	attempt := begin()
+	attempt.End(false)
 	for range 10 {
 		runtime.GC()
 		select {
 		case <-collected:
-			h.Crashed(process(1))
+			attempt.Crashed()
 			c.Assert(h.reports, qt.HasLen, 1)
 			content := poison.ContentFingerprint("o", "/chat", make([]byte, 1<<20))
 			c.Check(h.reports[0].Suspects[0].Fingerprints[0], qt.Equals, content)
@@ -273,8 +281,13 @@
 		c.Check(h.blocks(prompt("dead")), qt.IsTrue)
 	}
 	more := newHosts(c, 3)
+	var attempts []*poison.Attempt
 	for _, h := range more {
-		h.crash(process(0), prompt("dead"))
+		attempts = append(attempts, h.Begin(process(0), prompt("dead")))
+	}
+	for i, h := range more {
+		h.lose(attempts[i])
+		*h.now = h.now.Add(crashInterval)
 	}
 	c.Check(more[0].blocks(prompt("dead")), qt.IsFalse, qt.Commentf("one crash, seen by three hosts"))
 }
