Probe a verdict although every request may be the cause

After a wrong verdict all prompts are refused until a probe shows it to be wrong.

Cause: only a request without any rival, a fingerprint that was in flight at several of the crashes, may probe. If each request has one of them, for example because all have one of three parts and each of these was in flight at two crashes, nothing is ever sent. The class is the one that the probes were made for: the rule that protects upstreams removes the evidence.

Evidence: TestProbesWhileAllRequestsHaveRivals, in which requests have one of two such parts, waits 10 s for a probe; on the code before none came, and none could.

Now a request with rivals probes if it lacks at least one of them, and no request with fewer was blocked in the last 3 to 6 s. A probe that ends well then shows that the blocked part is sound, and its rivals with it. Requests with all rivals never probe, as before (TestNoProbeByRequestsWithAllRivals). The cost: a right verdict whose requests have different rivals, and never come without one, is probed once, which can crash one upstream; TestProbesEndWithACrash still holds.

Result: the test passes, with the first probe 3 to 6 s after the verdict.

--- a/internal/relay/poison/doc.go
+++ b/internal/relay/poison/doc.go
@@ -15,7 +15,7 @@
 // that a fingerprint is sound if others suspect it. Every host derives its verdict from
 // what it knows, so a wrong one ends as soon as the missing report arrives. If none does,
 // one host probes the verdict: from time to time it lets a request through that has what is
-// blocked, and nothing else that may have caused the crashes.
+// blocked, and as little as possible of what else may have caused the crashes.
 //
 // Locking: one mutex of the Table guards its fields and those of its Attempts. It is not
 // held while functions of the Config or of watchers are called.
--- a/internal/relay/poison/probe.go
+++ b/internal/relay/poison/probe.go
@@ -11,34 +11,60 @@
 // probes. Fingerprints of bystanders are usually known to be sound by then.
 const probeInterval = 3 * time.Second
 
-// probe is the latest probe of a pattern.
+// probe holds the latest probe of a pattern, and which requests it blocks.
 type probe struct {
-	at      time.Time
-	crashes int // that the pattern explained at the time
+	at      time.Time // zero before the first probe
+	crashes int       // that the pattern explained at the time
+
+	// Requests are counted in windows of probeInterval. Before the second window, only
+	// requests without rivals may probe.
+	windowStart time.Time
+	fewest      int // rivals of a request that was blocked in this window
+	earlier     int // the same in the window before; 0 in the first one
 }
 
 // probe reports whether a request that a pattern blocks is sent nevertheless. Without
 // probes a wrong pattern would last: no request with it is sent, so nothing shows that it
 // is sound, and the requests with the real cause of the crashes, which have it too, crash
-// no further upstream. A request probes the pattern if it has none of the fingerprints that
-// may have caused the crashes instead. A crash since the last probe ends the probes, since
+// no further upstream. The rivals are the fingerprints that may have caused the crashes
+// instead. A request probes the pattern if it has none of them or, if there is no such
+// request, as few as any and not all. A crash since the last probe ends the probes, since
 // it confirms the pattern. The caller holds the mutex.
 func (t *Table) probe(now time.Time, pattern Pattern, request *Request) bool {
-	if len(pattern.rivals) == 0 || now.Sub(pattern.since) < probeInterval || request.hasAny(pattern.rivals) {
-		return false
+	rivals := request.count(pattern.rivals)
+	if rivals == len(pattern.rivals) {
+		return false // would show nothing
+	}
+	p := t.probes[pattern.key()]
+	if p == nil {
+		p = &probe{
+			windowStart: now,
+			fewest:      rivals,
+		}
+		t.probes[pattern.key()] = p
 	}
-	last, ok := t.probes[pattern.key()]
-	if ok && (now.Sub(last.at) < probeInterval || len(pattern.Crashes) > last.crashes) {
+	p.add(now, rivals)
+	if now.Sub(pattern.since) < probeInterval || rivals > min(p.fewest, p.earlier) {
 		return false
 	}
-	t.probes[pattern.key()] = probe{
-		at:      now,
-		crashes: len(pattern.Crashes),
+	if !p.at.IsZero() && (now.Sub(p.at) < probeInterval || len(pattern.Crashes) > p.crashes) {
+		return false
 	}
+	p.at = now
+	p.crashes = len(pattern.Crashes)
 	request.probes = true
 	return true
 }
 
+// add counts a blocked request with a number of rivals.
+func (p *probe) add(now time.Time, rivals int) {
+	if now.Sub(p.windowStart) >= probeInterval {
+		p.windowStart = now
+		p.earlier, p.fewest = p.fewest, rivals
+	}
+	p.fewest = min(p.fewest, rivals)
+}
+
 // dropProbes drops the probes of patterns that are no longer blocked. The caller holds the
 // mutex.
 func (t *Table) dropProbes() {
--- /dev/null
+++ b/internal/relay/poison/probe_test.go
@@ -0,0 +1,46 @@
+package poison_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/nutmegshift/nutmegshift/internal/relay/poison"
+)
+
+// Guards against a wrong verdict that lasts because every request has one of the parts
+// that may have caused the crashes instead.
+func TestProbesWhileAllRequestsHaveRivals(t *testing.T) {
+	c := qt.New(t)
+	h := newHosts(c, 1)[0]
+	h.crash(process(0), prompt("system", "a", "cause"))
+	h.crash(process(1), prompt("system", "a", "cause"), prompt("system", "b"))
+	h.crash(process(2), prompt("system", "b")) // the report on the request at fault is missing
+	c.Assert(h.blocks(prompt("system", "a")), qt.IsTrue)
+	var probing *poison.Request
+	for start := *h.now; probing == nil && h.now.Sub(start) < 10*time.Second; {
+		*h.now = h.now.Add(200 * time.Millisecond)
+		c.Assert(h.blocks(prompt("system", "a", "cause")), qt.IsTrue, qt.Commentf("another request has fewer rivals"))
+		if request := prompt("system", "a"); !h.blocks(request) {
+			probing = request
+		}
+	}
+	c.Assert(probing, qt.IsNotNil)
+	h.serve(process(3), probing)
+	c.Check(h.blocks(prompt("system", "a")), qt.IsFalse)
+	c.Check(h.blocks(prompt("system", "b")), qt.IsFalse)
+}
+
+// Guards against probes by requests that have all that may have caused the crashes.
+func TestNoProbeByRequestsWithAllRivals(t *testing.T) {
+	c := qt.New(t)
+	h := newHosts(c, 1)[0]
+	h.crash(process(0), prompt("cause", "rival"))
+	h.crash(process(1), prompt("cause", "rival"))
+	h.crash(process(2), prompt("cause"))
+	for range 100 {
+		*h.now = h.now.Add(200 * time.Millisecond)
+		c.Assert(h.blocks(prompt("cause", "rival")), qt.IsTrue)
+	}
+}
--- a/internal/relay/poison/request.go
+++ b/internal/relay/poison/request.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"slices"
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
@@ -87,9 +86,15 @@
 	return r.contentFingerprint() == f
 }
 
-// hasAny reports whether the request has one of the fingerprints.
-func (r *Request) hasAny(fingerprints []Fingerprint) bool {
-	return slices.ContainsFunc(fingerprints, r.has)
+// count returns how many of the fingerprints the request has.
+func (r *Request) count(fingerprints []Fingerprint) int {
+	n := 0
+	for _, f := range fingerprints {
+		if r.has(f) {
+			n++
+		}
+	}
+	return n
 }
 
 // hasAll reports whether the request has all of the fingerprints.
--- a/internal/relay/poison/table.go
+++ b/internal/relay/poison/table.go
@@ -49,7 +49,7 @@
 	crashes  map[Process]*crash
 	cleared  map[Fingerprint]time.Time // when any host last stated that a reported fingerprint is sound
 	verdict  verdict
-	probes   map[string]probe // by the fingerprints of the pattern
+	probes   map[string]*probe // by the fingerprints of the pattern
 	watchers map[*watcher]bool
 }
 
@@ -66,7 +66,7 @@
 		attempts: make(map[Process][]*Attempt),
 		crashes:  make(map[Process]*crash),
 		cleared:  make(map[Fingerprint]time.Time),
-		probes:   make(map[string]probe),
+		probes:   make(map[string]*probe),
 		watchers: make(map[*watcher]bool),
 	}
 }
