Report the requests lost a moment before a crash was noticed

Cause: a host takes a lost request for a crash if the address then refuses connections. The request at fault loses its connection first, possibly before the listening socket is closed, so the new connection is accepted and the host reports nothing. Bystanders are lost later, when it refuses. The host of the request at fault learns of the crash from their report, but looked again only if it lost another request there.

TestRequestLostBeforeCrashIsNoticed failed on the code before: the shared part was blocked, whether the report came at once or late.

A host that receives a report now reports its own requests that this crash has ended: those lost after it, or up to 250 ms before, as before for requests of the host that notices a crash. That time is measured from the crash in place of the arrival of the report.

Result: the test passes.

--- a/internal/relay/poison/attempt.go
+++ b/internal/relay/poison/attempt.go
@@ -34,6 +34,7 @@
 	repeated    bool      // the request has been in flight at another crash before
 	respondedAt time.Time // when the response began; zero before
 	endedAt     time.Time // zero before the end
+	incomplete  bool      // has ended without the whole response
 	settled     bool      // written and read by the caller of Responding only
 }
 
@@ -110,6 +111,7 @@
 	var sound []Fingerprint
 	a.table.mu.Lock()
 	a.endedAt = now
+	a.incomplete = !complete
 	if complete {
 		sound = a.table.seenRunning(now, a.process)
 	}
@@ -177,6 +179,10 @@
 	now := t.config.Now()
 	t.mu.Lock()
 	process, known := t.crashOf(a)
+	crashedAt := now
+	if known {
+		crashedAt = t.crashes[process].at
+	}
 	report := peer.CrashReported{
 		Host:        t.config.Host,
 		Upstream:    process.Upstream,
@@ -192,9 +198,9 @@
 			if ended != known || known && crash != process {
 				return false // has reached another process
 			}
-			if o.endedAt.IsZero() || now.Sub(o.endedAt) < settleTime {
+			if o.mayHaveCaused(crashedAt) {
 				report.Suspects = append(report.Suspects, t.suspect(now, o))
-			} // else the process would have ended before if it were the cause
+			}
 			return true
 		})
 	}
@@ -207,6 +213,41 @@
 	return len(report.Suspects)
 }
 
+// mayHaveCaused reports whether the attempt may have caused a crash of the process that it
+// has reached. If it ended long before, the process would have crashed earlier.
+func (a *Attempt) mayHaveCaused(crashedAt time.Time) bool {
+	return a.endedAt.IsZero() || crashedAt.Sub(a.endedAt) < settleTime
+}
+
+// reportLost reports the requests that this host has lost by a crash that another host has
+// reported. It did not notice the crash if it lost them a moment before the upstream
+// refused connections.
+func (t *Table) reportLost(upstream ident.UpstreamID) {
+	t.mu.Lock()
+	lost := t.lostByCrash(upstream)
+	t.mu.Unlock()
+	if lost != nil {
+		lost.Crashed()
+	}
+}
+
+// lostByCrash returns an attempt that has been lost by a known crash of an upstream, nil
+// if there is none. The caller holds the mutex.
+func (t *Table) lostByCrash(upstream ident.UpstreamID) *Attempt {
+	for process, list := range t.attempts {
+		if process.Upstream != upstream {
+			continue
+		}
+		for _, a := range list {
+			crash, known := t.crashOf(a)
+			if a.incomplete && known && a.mayHaveCaused(t.crashes[crash].at) {
+				return a
+			}
+		}
+	}
+	return nil
+}
+
 // suspect returns what is reported on an attempt at a process that has crashed, without
 // the fingerprints that are sound. The caller holds the mutex.
 func (t *Table) suspect(now time.Time, a *Attempt) peer.CrashSuspect {
--- a/internal/relay/poison/incarnation_test.go
+++ b/internal/relay/poison/incarnation_test.go
@@ -65,3 +65,36 @@
 	h.lose(fault)
 	*h.now = h.now.Add(crashInterval)
 }
+
+// Guards against crashes that count against bystanders only: the request at fault lost its
+// connection a moment before the address refused others, so its host did not notice.
+func TestRequestLostBeforeCrashIsNoticed(t *testing.T) {
+	tests := map[string]struct {
+		early    time.Duration // from the loss to the crash
+		late     time.Duration // from the crash to the arrival of its report
+		reported bool
+	}{
+		"report at once":   {early: 5 * time.Millisecond, reported: true},
+		"report late":      {early: 5 * time.Millisecond, late: time.Second, reported: true},
+		"lost long before": {early: time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			hosts := newHosts(c, 2)
+			hosts[0].crash(process(0), prompt("system", "cause"))
+			hosts[1].crash(process(1), prompt("system", "cause"))
+			hosts[1].others = nil
+			lost, bystander := hosts[0].Begin(process(2), prompt("system", "cause")), hosts[1].Begin(process(2), prompt("system"))
+			lost.End(false)
+			*hosts[0].now = hosts[0].now.Add(test.early)
+			hosts[1].lose(bystander)
+			*hosts[0].now = hosts[0].now.Add(test.late)
+			hosts[0].Merge(hosts[1].reports[1])
+			for _, h := range hosts {
+				c.Check(h.blocks(prompt("system")), qt.Equals, !test.reported)
+				c.Check(h.blocks(prompt("system", "cause")), qt.IsTrue)
+			}
+		})
+	}
+}
--- a/internal/relay/poison/table.go
+++ b/internal/relay/poison/table.go
@@ -94,7 +94,9 @@
 // Merge adds the report of another host, unless it is known. A report without a host, as
 // in Evidence, counts only if no host's report on the process is known.
 func (t *Table) Merge(report peer.CrashReported) {
-	t.merge(report)
+	if t.merge(report) {
+		t.reportLost(report.Upstream)
+	}
 }
 
 // merge adds a report. It returns false if it is known or has expired.
