Take what crashed several upstreams at once for a rival of a verdict

A wrong verdict, on a part that all prompts share, could be probed by a request with the part at fault: an upstream crashes, which ends the probes, and sound prompts stay refused for up to 15 minutes.

Cause: a rival of a blocked part, which a probe should not have, was a fingerprint with two moments of crashes. So the part at fault was no rival, while the content of a bystander that had been sent again was one, and any other request could probe.

Evidence: TestProbesIfCauseCrashedTogether. On the code before, the request at fault probes and the sound one does not.

Two crashes make a rival now, whether they were within one moment or not. Moments are meant to spare what happens to be in flight when upstreams fail together; as a rival a fingerprint is not blocked, only passed over by probes while requests without it come.

--- a/internal/relay/poison/probe_test.go
+++ b/internal/relay/poison/probe_test.go
@@ -44,3 +44,19 @@
 		c.Assert(h.blocks(prompt("cause", "rival")), qt.IsTrue)
 	}
 }
+
+// Guards against a wrong verdict that is never probed because the crashes by the real
+// cause were within one moment, so that nothing else seems to have caused several.
+func TestProbesIfCauseCrashedTogether(t *testing.T) {
+	c := qt.New(t)
+	h := newHosts(c, 1)[0]
+	bystander := prompt("system")
+	h.crash(process(0), bystander, prompt("system", "cause"))
+	*h.now = h.now.Add(20*time.Millisecond - crashInterval)
+	h.crash(process(1), bystander, prompt("system", "cause"))
+	h.crash(process(2), prompt("system")) // the report on the request at fault is missing
+	c.Assert(h.blocks(prompt("system")), qt.IsTrue)
+	*h.now = h.now.Add(3 * time.Second)
+	c.Check(h.blocks(prompt("system", "cause")), qt.IsTrue)
+	c.Check(h.blocks(prompt("system")), qt.IsFalse)
+}
--- a/internal/relay/poison/verdict.go
+++ b/internal/relay/poison/verdict.go
@@ -13,6 +13,9 @@
 	// retryMoments that after which it is not sent again once it has been lost.
 	blockMoments = 3
 	retryMoments = 2
+	// rivalCrashes is the number of crashes from which a fingerprint may be the cause in
+	// place of one that is blocked, together or not.
+	rivalCrashes = 2
 	// momentLength is the time between crashes that count as two moments. Upstreams that
 	// fail together end within less, and many requests are in flight at several of them.
 	momentLength = 100 * time.Millisecond
@@ -159,7 +162,7 @@
 		return cmp.Or(unexplained[b].at.Compare(unexplained[a].at), cmp.Compare(a.Upstream, b.Upstream))
 	})
 	for f, t := range tallies {
-		if t.moments >= retryMoments && !slices.Contains(pattern.Fingerprints, f) {
+		if t.crashes >= rivalCrashes && !slices.Contains(pattern.Fingerprints, f) {
 			pattern.rivals = append(pattern.rivals, f)
 		}
 	}
