Send the next probe of a verdict soon if the response to one was short

Cause: a request counts as sound once its upstream is seen running 250 ms after it has begun to respond.

The next probe may follow 250 ms after one that was served. It shows that the upstream went on after the first. A probe that is lost is followed by another after 3 s, as before, or by none if its upstream crashed.

Result: TestShortResponseToProbe, in which the second probe was refused on the code before.

--- a/internal/relay/poison/attempt.go
+++ b/internal/relay/poison/attempt.go
@@ -113,6 +113,7 @@
 	a.endedAt = now
 	a.incomplete = !complete
 	if complete {
+		a.request.served = true
 		sound = a.table.seenRunning(now, a.process)
 	}
 	a.table.mu.Unlock()
--- a/internal/relay/poison/probe.go
+++ b/internal/relay/poison/probe.go
@@ -14,7 +14,8 @@
 // probe holds the latest probe of a pattern, and which requests it blocks.
 type probe struct {
 	at      time.Time // zero before the first probe
-	crashes int       // that the pattern explained at the time
+	request *Request
+	crashes int // that the pattern explained at the time
 
 	// Requests are counted in windows of probeInterval. Before the second window, only
 	// requests without rivals may probe.
@@ -47,15 +48,26 @@
 	if now.Sub(pattern.since) < probeInterval || rivals > min(p.fewest, p.earlier) {
 		return false
 	}
-	if !p.at.IsZero() && (now.Sub(p.at) < probeInterval || len(pattern.Crashes) > p.crashes) {
+	if !p.at.IsZero() && (now.Sub(p.at) < p.interval() || len(pattern.Crashes) > p.crashes) {
 		return false
 	}
 	p.at = now
+	p.request = request
 	p.crashes = len(pattern.Crashes)
 	request.probes = true
 	return true
 }
 
+// interval returns the time between the latest probe and the next one. If the response to
+// the probe ended too soon to show that it is sound, the next one shows soon whether the
+// upstream went on.
+func (p *probe) interval() time.Duration {
+	if p.request.served {
+		return settleTime
+	}
+	return probeInterval
+}
+
 // add counts a blocked request with a number of rivals.
 func (p *probe) add(now time.Time, rivals int) {
 	if now.Sub(p.windowStart) >= probeInterval {
--- a/internal/relay/poison/probe_test.go
+++ b/internal/relay/poison/probe_test.go
@@ -60,3 +60,25 @@
 	c.Check(h.blocks(prompt("system", "cause")), qt.IsTrue)
 	c.Check(h.blocks(prompt("system")), qt.IsFalse)
 }
+
+// Guards against a wrong verdict that holds for several intervals between probes because
+// responses are short: only a later request to the same upstream shows that it went on.
+func TestShortResponseToProbe(t *testing.T) {
+	c := qt.New(t)
+	h := newHosts(c, 1)[0]
+	h.crash(process(0), prompt("system", "cause"))
+	h.crash(process(1), prompt("system", "cause"))
+	h.crash(process(2), prompt("system")) // the report on the request at fault is missing
+	*h.now = h.now.Add(3 * time.Second)
+	for i := range 2 {
+		probing := prompt("system")
+		c.Assert(h.blocks(probing), qt.IsFalse)
+		c.Check(h.blocks(prompt("system")), qt.IsTrue, qt.Commentf("one probe at a time"))
+		attempt := h.Begin(process(3), probing)
+		attempt.Responding()
+		*h.now = h.now.Add(100 * time.Millisecond)
+		attempt.End(true)
+		*h.now = h.now.Add(300 * time.Millisecond)
+		c.Check(h.blocks(prompt("system", "cause")), qt.Equals, i == 0)
+	}
+}
--- a/internal/relay/poison/request.go
+++ b/internal/relay/poison/request.go
@@ -44,6 +44,7 @@
 	suspected  bool               // has been in flight at a crash
 	responding bool               // its present upstream has begun to respond
 	probes     bool               // is sent although it is blocked, see Table.Blocked
+	served     bool               // an upstream has sent the whole response
 }
 
 // Probes reports whether the request is sent although requests like it are blocked. It is
