Crash an engine of the soak once, however many prompts it was given

In the soak an engine that ran two prompts with the deadly part at once crashed, came back 600 ms later and crashed again at once, without such a prompt. A real process ends once.

Cause: the first prompt tried the lock of the slot and left it to a goroutine, and the second one found it free before that goroutine ran. A prompt at an engine that had been replaced could likewise crash its successor (not seen).

An engine now crashes by the first such prompt only, and only itself. No check is changed, but the second crash no longer counts among the five after which prompts with the part may no longer reach engines, so that limit can begin one crash later than in a run with such a crash. What the fault played by chance is in a plan of its own now, "engines crash beside prompts that crash engines": both engines crash again as soon as they are back.

--- a/internal/system/soak_cluster_test.go
+++ b/internal/system/soak_cluster_test.go
@@ -63,6 +63,7 @@
 	mu       sync.Mutex
 	config   standin.UpstreamConfig
 	upstream *standin.Upstream // current one
+	crashed  *standin.Upstream // latest one that a prompt has crashed
 	server   *httptest.Server
 	created  int // number of upstream IDs used so far
 }
@@ -324,8 +325,9 @@
 // startUpstream starts and registers an upstream with the configuration of a slot. The
 // caller holds slot.mu.
 func (c *soakCluster) startUpstream(slot *upstreamSlot) {
-	slot.upstream = standin.NewUpstream(slot.config)
-	slot.upstream.CrashOn(soakDeadlyPart, func() { c.crashByPrompt(slot) })
+	upstream := standin.NewUpstream(slot.config)
+	upstream.CrashOn(soakDeadlyPart, func() { c.crashByPrompt(slot, upstream) })
+	slot.upstream = upstream
 	slot.server = httptest.NewUnstartedServer(slot.upstream.Handler())
 	slot.server.Listener = slot.upstream.Listener(slot.server.Listener)
 	slot.server.Start()
--- a/internal/system/soak_crash_test.go
+++ b/internal/system/soak_crash_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"github.com/nutmegshift/nutmegshift/platform/standin"
 )
 
 const (
@@ -39,12 +41,19 @@
 	c.deadlyShare.Store(0)
 }
 
-// crashByPrompt crashes the engine of a slot, unless it is down or is being replaced.
-func (c *soakCluster) crashByPrompt(slot *upstreamSlot) {
+// crashByPrompt crashes an engine in a slot, once, unless it is down or is being replaced.
+func (c *soakCluster) crashByPrompt(slot *upstreamSlot, engine *standin.Upstream) {
 	if !slot.mu.TryLock() {
 		return
 	}
+	first := slot.upstream == engine && slot.crashed != engine
+	if first {
+		slot.crashed = engine
+	}
 	slot.mu.Unlock()
+	if !first {
+		return
+	}
 	c.mu.Lock()
 	c.crashes = append(c.crashes, time.Now())
 	c.mu.Unlock()
--- a/internal/system/soak_regression_test.go
+++ b/internal/system/soak_regression_test.go
@@ -74,6 +74,28 @@
 			Share:  0.6,
 		},
 	},
+	// Engines that crash again as soon as they are back, with other requests only, make
+	// what all prompts share look like the cause.
+	"engines crash beside prompts that crash engines": {
+		{
+			At:     0,
+			Action: deadlyPart,
+			Share:  0.5,
+			For:    3 * time.Second,
+		},
+		{
+			At:     300 * time.Millisecond,
+			Action: crashUpstream,
+			Target: 1,
+			For:    crashDowntime,
+		},
+		{
+			At:     300 * time.Millisecond,
+			Action: crashUpstream,
+			Target: 4,
+			For:    crashDowntime,
+		},
+	},
 	// Two replacements of an upstream at once left a registration whose address another
 	// upstream had. Hosts took its 421 for a moment without room, sent it requests again
 	// and again, and had no retries left.
