--- a/peer/rumour.go
+++ b/peer/rumour.go
@@ -95,9 +95,9 @@
 type CrashReported struct {
 	Host        ident.HostID
 	Upstream    ident.UpstreamID
-	Incarnation ident.Incarnation
-	At          time.Time      // when the host noticed the crash; in milliseconds
-	Suspects    []CrashSuspect // at most MaxSuspects
+	Incarnation ident.Incarnation // the time of a request if the host had not read the registration of the process
+	At          time.Time         // when the host noticed the crash; in milliseconds
+	Suspects    []CrashSuspect    // at most MaxSuspects
 }
 
 // FingerprintStruck states that a request was in flight on an upstream that crashed.
