Count callers' connections that are closed with unread bytes

No log line or metric showed that a host had closed a connection on which a request had arrived: the request never reached a handler. The close of a connection now looks for bytes in the socket. There is a metric at hosts and entry processes, and a warning in the log of hosts, also when they stop.

--- a/internal/entry/gauges.go
+++ b/internal/entry/gauges.go
@@ -15,6 +15,7 @@
 	gauge("nutmegshift_requests_active", func() int { return len(h.server.active.list()) })
 	gauge("nutmegshift_messages_rejected", func() int { return int(h.memory.Rejected()) })
 	gauge("nutmegshift_message_bytes", func() int { return int(h.memory.Used()) })
+	gauge("nutmegshift_connections_closed_unread", func() int { return int(h.connections.Unread.Load()) })
 	gauge("nutmegshift_connections_evicted", func() int { return int(h.connections.Evicted.Load()) })
 	gauge("nutmegshift_connections_refused", func() int { return int(h.connections.Refused.Load()) })
 	gauge("nutmegshift_documents", func() int { return len(h.registry.Snapshot().Names()) })
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -238,6 +238,7 @@
 	h.meter.Gauge("relay_messages_rejected", func() float64 { return float64(h.memory.Rejected()) })
 	h.meter.Gauge("relay_message_bytes", func() float64 { return float64(h.memory.Used()) })
 	h.meter.Gauge("relay_headers_rejected", func() float64 { return float64(h.connections.Headers.Load()) })
+	h.meter.Gauge("relay_connections_closed_unread", func() float64 { return float64(h.connections.Unread.Load()) })
 	h.meter.Gauge("relay_connections_evicted", func() float64 { return float64(h.connections.Evicted.Load()) })
 	h.meter.Gauge("relay_connections_refused", func() float64 { return float64(h.connections.Refused.Load()) })
 	h.meter.Gauge("relay_requests_blocked", func() float64 { return float64(h.poison.BlockedPatterns()) })
@@ -524,6 +525,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			limits.write(h, h.log)
 			return nil
 		case now := <-ticker.C:
 			limits.write(h, h.log)
--- a/internal/relay/host/limits.go
+++ b/internal/relay/host/limits.go
@@ -36,7 +36,7 @@
 
 // limitLog logs how often limits have been met since the last line.
 type limitLog struct {
-	evicted, refused, headers, messages uint64
+	evicted, refused, headers, messages, unread uint64
 }
 
 // write logs what has been counted since the last call, if anything.
@@ -46,6 +46,7 @@
 		refused:  h.connections.Refused.Load(),
 		headers:  h.connections.Headers.Load(),
 		messages: h.memory.Rejected(),
+		unread:   h.connections.Unread.Load(),
 	}
 	if now.messages != l.messages {
 		log.Warn().Uint64("messages", now.messages-l.messages).Uint64("headers", now.headers-l.headers).Int64("bytes", h.memory.Used()).Msg("memory: no room for requests or responses")
@@ -53,5 +54,8 @@
 	if now.evicted != l.evicted || now.refused != l.refused {
 		log.Warn().Uint64("evicted", now.evicted-l.evicted).Uint64("refused", now.refused-l.refused).Int("limit", callerConnections(h.settings)).Msg("callers: limit of connections reached")
 	}
+	if now.unread != l.unread {
+		log.Warn().Uint64("connections", now.unread-l.unread).Msg("callers: connections closed with bytes that were not read")
+	}
 	*l = now
 }
--- a/internal/transport/callerhttp/connection.go
+++ b/internal/transport/callerhttp/connection.go
@@ -45,6 +45,9 @@
 
 // Close implements io.Closer.
 func (c *connection) Close() error {
+	if hasUnread(c.Conn) {
+		c.listener.limits.Counts.Unread.Add(1)
+	}
 	c.listener.remove(c)
 	return c.Conn.Close()
 }
--- a/internal/transport/callerhttp/listener.go
+++ b/internal/transport/callerhttp/listener.go
@@ -37,11 +37,13 @@
 	Counts      *Counts        // may be nil
 }
 
-// Counts counts the connections and messages that have met a limit.
+// Counts counts the connections and messages that have met a limit, and the connections
+// that were closed before all bytes from the caller were read.
 type Counts struct {
 	Evicted atomic.Uint64 // connections closed in favour of new ones
 	Refused atomic.Uint64 // connections closed when they were accepted
 	Headers atomic.Uint64 // messages rejected because there was no memory for their header
+	Unread  atomic.Uint64 // connections closed although bytes had arrived that were not read
 }
 
 // Listen wraps a listener so that the messages on its connections are checked, and its
