Serve the requests that have arrived on a connection before a stop closes it

Callers saw: during planned work a whole request got neither a response nor a refusal. The connection was closed 2.7 s after the SIGTERM, just after drainDelay.

Cause: the stop called http.Server.Shutdown. net/http counts a connection as idle until it has parsed a whole header, and closes it then, although bytes of a request may be in the socket or in the framing reader. A connection whose response began before the stop, and so without "Connection: close", is closed after that response even if the next request has arrived, and a request that is read in full after Shutdown has begun is dropped. On a host with little processor time the bytes wait for hundreds of milliseconds.

callerhttp now owns the stop. Reads of a connection, and the check before its close, hold one lock: it is closed only if a read waits for a request, nothing of it has been read and MSG_PEEK shows no byte. net/http does not learn of the stop before the last connection is closed. "Connection: close" is decided when the header of a response is written. Hosts and entry processes use the same stop.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -24,21 +24,25 @@
 		Log:      h.log,
 	}), h.settings, h.log)
 	serveDone := make(chan error, 1)
-	go func(context.Context) {
-		serveDone <- server.Serve(callerhttp.Listen(listener, h.callerLimits()))
-	}(ctx)
+	limited := callerhttp.Listen(listener, h.callerLimits())
+	go func(context.Context) { serveDone <- server.Serve(limited) }(ctx)
 	select {
 	case err := <-serveDone:
 		return errors.Annotate(err, "serve callers")
 	case <-ctx.Done():
 	}
-	return h.drain(force, server, serveDone)
+	err := h.drain(force, limited)
+	_ = server.Close() // fails only because the listener is closed already
+	if serveErr := <-serveDone; !errors.Is(serveErr, net.ErrClosed) && !errors.Is(serveErr, http.ErrServerClosed) {
+		h.log.Warn().Err(serveErr).Msg("entry: callers' port failed while stopping")
+	}
+	return err
 }
 
-// drain shuts down the callers' port gracefully, until the stop timeout of the
-// settings elapses or force is cancelled. It returns ErrInterrupted if requests or
-// outcomes are left.
-func (h *Host) drain(force context.Context, server *http.Server, serveDone <-chan error) error {
+// drain drains the callers' port, until the stop timeout of the settings elapses or force is
+// cancelled. It returns ErrInterrupted if requests or outcomes are left.
+func (h *Host) drain(force context.Context, callers *callerhttp.Listener) error {
+	callers.EndKeepAlive()
 	finishedBefore := h.server.active.markStopping()
 	h.peers.gossip.Leave()
 	h.log.Info().Int("requests", len(h.server.active.list())).Msg("entry: stopping")
@@ -49,15 +53,11 @@
 	case <-time.After(h.settings.Drain):
 	case <-stopCtx.Done():
 	}
-	err := server.Shutdown(stopCtx)
-	if serveErr := <-serveDone; !errors.Is(serveErr, http.ErrServerClosed) {
-		h.log.Warn().Err(serveErr).Msg("entry: callers' port failed while stopping")
-	}
+	err := callers.Drain(stopCtx)
 	unfinished := h.server.active.list()
 	unwritten := h.ledger.Drain(stopCtx)
 	// Other hosts cannot answer retries with an outcome that was not written.
 	if err != nil || unwritten > 0 {
-		_ = server.Close()
 		h.log.Error().Interface("requests", unfinished).Int("outcomes", unwritten).Msg("entry: stop interrupted requests")
 		return errors.Annotatef(ErrInterrupted, "%d requests, %d unwritten outcomes", len(unfinished), unwritten)
 	}
--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -176,9 +176,6 @@
 // accept validates and reads a request. It returns false after sending an error
 // response if the request cannot be forwarded.
 func (e *exchange) accept() bool {
-	if e.config.Stopping() {
-		e.writer.Header().Set("Connection", "close")
-	}
 	head, err := e.config.Codec.Head(e.request.Header)
 	e.log = e.config.Log.With().Str("request", string(head.Request)).Logger()
 	if err != nil {
--- a/internal/relay/host/serve.go
+++ b/internal/relay/host/serve.go
@@ -77,6 +77,7 @@
 	}
 	h.log.Info().Msg("host: stopping")
 	close(h.stopping)
+	limited.EndKeepAlive()
 	h.peers.gossip.Leave()
 	end := time.Now().Add(h.settings.Grace - exitMargin)
 	time.Sleep(drainDelay)
@@ -87,23 +88,21 @@
 		h.handler.Abort()
 	})
 	defer runs.Stop()
-	shutdownCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), end)
+	drainCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), end)
 	defer cancel()
-	err := server.Shutdown(shutdownCtx)
-	if err != nil {
+	if err := limited.Drain(drainCtx); err != nil {
 		h.log.Warn().Err(err).Msg("host: connections were closed at the end of the grace period")
-		err = server.Close()
 	}
-	if err != nil {
+	if err := server.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return errors.Annotate(err, "close callers' server")
 	}
 	return closedError(<-serveErr)
 }
 
 // closedError returns the error of the Serve method of a server that has been closed, or
-// nil if the close was the only reason.
+// nil if the close, also of its listener, was the only reason.
 func closedError(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return errors.Annotate(err, "serve")
--- a/internal/transport/callerhttp/connection.go
+++ b/internal/transport/callerhttp/connection.go
@@ -15,8 +15,8 @@
 
 // connection checks the messages that are read from it, and bounds their headers.
 type connection struct {
-	net.Conn
-	listener *listener
+	*socket
+	listener *Listener
 	reader   *framingReader
 	header   headerLease
 	rejected atomic.Pointer[rejection] // of the last message
@@ -45,11 +45,43 @@
 
 // Close implements io.Closer.
 func (c *connection) Close() error {
-	if hasUnread(c.Conn) {
+	if c.hasUnread() {
 		c.listener.limits.Counts.Unread.Add(1)
 	}
 	c.listener.remove(c)
-	return c.Conn.Close()
+	return c.socket.Close()
+}
+
+// receive reads what comes next in the message.
+func (c *connection) receive(p []byte) (int, error) {
+	switch {
+	case c.unused.Load() == 0:
+		return c.read(p, expectBody)
+	case c.reader.inHeader():
+		return c.read(p, expectHeader)
+	default:
+		return c.read(p, expectRequest)
+	}
+}
+
+// closeIfQuiet closes the connection if no request has begun to arrive for quietTime, or if
+// the rest of a header has not arrived for stallTime.
+func (c *connection) closeIfQuiet() bool {
+	now := time.Now()
+	if !c.closeIf(func(expected expectation, since time.Time) bool {
+		switch expected {
+		case expectRequest:
+			return now.Sub(since) >= quietTime
+		case expectHeader:
+			return now.Sub(since) >= stallTime
+		case expectBody:
+		}
+		return false
+	}) {
+		return false
+	}
+	c.listener.remove(c)
+	return true
 }
 
 // setState follows the state of the connection in its server.
@@ -109,7 +141,16 @@
 		h.reject(w, r, conn.rejected.Load())
 		return
 	}
-	h.handler.ServeHTTP(w, r)
+	if ok {
+		closing := &closingWriter{
+			ResponseWriter: w,
+			listener:       conn.listener,
+		}
+		h.handler.ServeHTTP(closing, r)
+		closing.ensureHeader()
+	} else {
+		h.handler.ServeHTTP(w, r)
+	}
 	if r.ContentLength == 0 {
 		return
 	}
--- a/internal/transport/callerhttp/doc.go
+++ b/internal/transport/callerhttp/doc.go
@@ -9,4 +9,8 @@
 //
 // A framingReader follows the messages on a connection, so that it knows where each header
 // begins. It reads ahead no further than into a small buffer.
+//
+// Listener.Drain stops a server gracefully. A socket knows whether a byte of a request has
+// arrived, read or not, which net/http does not: its Shutdown method takes a connection for
+// idle until the whole header has been read.
 package callerhttp
--- a/internal/transport/callerhttp/framing.go
+++ b/internal/transport/callerhttp/framing.go
@@ -97,6 +97,9 @@
 	return f.next != atHeader && f.next != atRejection && (f.next != inBody || f.left > 0)
 }
 
+// inHeader reports whether a part of a header has been read, and the rest has not.
+func (f *framingReader) inHeader() bool { return f.next == atHeader && len(f.pending) > 0 }
+
 // Read implements io.Reader.
 func (f *framingReader) Read(p []byte) (int, error) {
 	if len(p) == 0 {
--- a/internal/transport/callerhttp/listener.go
+++ b/internal/transport/callerhttp/listener.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/nutmegshift/nutmegshift/internal/transport/memory"
 )
 
@@ -49,34 +51,41 @@
 // Listen wraps a listener so that the messages on its connections are checked, and its
 // connections limited. At the limit, a new connection replaces the one that has waited for
 // its caller for the longest time; if all of them work on requests, it is closed.
-func Listen(inner net.Listener, limits Limits) net.Listener {
+func Listen(inner net.Listener, limits Limits) *Listener {
 	if limits.Counts == nil {
 		limits.Counts = new(Counts)
 	}
-	return &listener{
+	return &Listener{
 		Listener: inner,
 		limits:   limits,
 		open:     make(map[*connection]bool),
 	}
 }
 
-// listener wraps the connections that it accepts in connection.
-type listener struct {
+// Listener accepts connections whose messages are checked. It is safe for concurrent use.
+type Listener struct {
 	net.Listener
 	limits Limits
+	ending atomic.Bool // connections end after their next response
 
-	mu   sync.Mutex
-	open map[*connection]bool
+	mu     sync.Mutex
+	open   map[*connection]bool
+	closed bool // Accept has returned because the listener is closed
 }
 
 // Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		accepted, err := l.Listener.Accept()
 		if err != nil {
+			l.noteClosed(err)
+			return nil, err
+		}
+		c, err := l.newConnection(accepted)
+		if err != nil {
+			_ = accepted.Close()
 			return nil, err
 		}
-		c := l.newConnection(accepted)
 		evicted, ok := l.add(c)
 		if evicted != nil {
 			l.limits.Counts.Evicted.Add(1)
@@ -90,28 +99,43 @@
 	}
 }
 
-func (l *listener) newConnection(accepted net.Conn) *connection {
+func (l *Listener) newConnection(accepted net.Conn) (*connection, error) {
+	socket, err := newSocket(accepted)
+	if err != nil {
+		return nil, err
+	}
 	c := &connection{
-		Conn:     accepted,
+		socket:   socket,
 		listener: l,
 	}
 	c.unused.Store(time.Now().UnixNano())
 	if l.limits.Memory != nil {
 		c.header.lease = l.limits.Memory.Lease(memory.Callers)
 	}
-	c.reader = newFramingReader(accepted, c.rejected.Store, func(bytes, fields int) bool {
+	c.reader = newFramingReader(readerFunc(c.receive), c.rejected.Store, func(bytes, fields int) bool {
 		if c.header.reserve(bytes, fields) {
 			return true
 		}
 		l.limits.Counts.Headers.Add(1)
 		return false
 	})
-	return c
+	return c, nil
+}
+
+// noteClosed records that no connection is accepted any more, if that is what the error of
+// Accept means.
+func (l *Listener) noteClosed(err error) {
+	if !errors.Is(err, net.ErrClosed) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
 }
 
 // add adds a connection. At the limit, it removes and returns the one that has waited for
 // its caller for the longest time; if there is none, it returns false.
-func (l *listener) add(c *connection) (evicted *connection, ok bool) {
+func (l *Listener) add(c *connection) (evicted *connection, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.limits.Connections > 0 && len(l.open) >= l.limits.Connections {
@@ -125,7 +149,7 @@
 	return evicted, true
 }
 
-func (l *listener) remove(c *connection) {
+func (l *Listener) remove(c *connection) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.open, c)
@@ -133,7 +157,7 @@
 
 // longestWaiting returns the connection that has waited for its caller for the longest
 // time, or nil. The caller holds the mutex.
-func (l *listener) longestWaiting() *connection {
+func (l *Listener) longestWaiting() *connection {
 	now := time.Now()
 	var longest *connection
 	earliest := int64(0)
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -29,7 +29,7 @@
 
 // New returns a server that rejects messages which could be read in two ways, if its
 // listener comes from Listen. The server logs these, and the errors of its connections and
-// handlers.
+// handlers. Listener.Drain stops it gracefully.
 func New(config Config) *http.Server {
 	return &http.Server{
 		Handler: rejecter{
