Serve a request that arrives just before the time limit of its connection

What callers may have seen: a request sent on a connection that has been idle for nearly as long as the time limit gets neither a response nor a refusal.

Cause: a read whose deadline has passed fails without a look at the socket, so the server closes the connection although bytes have arrived. A server that gets little processor time wakes up after both have happened.

Evidence: TestIdleTimeoutWithUnreadRequest holds the server until the second request is in the socket and the deadline has passed.

A read of a header whose deadline has passed now takes the bytes that had arrived by then. Reads of bodies are as before: their deadline is that of the request, which is answered.

--- a/internal/transport/callerhttp/socket.go
+++ b/internal/transport/callerhttp/socket.go
@@ -64,6 +64,9 @@
 func (s *socket) read(p []byte, expected expectation) (int, error) {
 	s.begin(p, expected)
 	err := s.raw.Read(s.readArrived)
+	if expected != expectBody && errors.Is(err, os.ErrDeadlineExceeded) {
+		err = s.readLate(err)
+	}
 	s.end()
 	switch {
 	case err != nil:
@@ -112,6 +115,19 @@
 	return !s.blocked
 }
 
+// readLate reads the bytes of a header that had arrived when a time limit passed. If there
+// are none, it returns the error of the time limit.
+func (s *socket) readLate(exceeded error) error {
+	arrived := false
+	if err := s.raw.Control(func(fd uintptr) { arrived = s.receive(fd) }); err != nil {
+		return err
+	}
+	if !arrived {
+		return exceeded
+	}
+	return nil
+}
+
 // readError returns an error as the Read method of a net.Conn does.
 func (s *socket) readError(err error) error {
 	if operation, ok := errors.AsType[*net.OpError](err); ok {
--- a/internal/transport/callerhttp/stop_test.go
+++ b/internal/transport/callerhttp/stop_test.go
@@ -176,3 +176,17 @@
 		})
 	}
 }
+
+// Guards against a request that is lost because the time limit of an idle connection passes
+// after it has arrived and before it is read.
+func TestIdleTimeoutWithUnreadRequest(t *testing.T) {
+	c := qt.New(t)
+	s := newHeldServer(t, true, time.Nanosecond, callerhttp.Limits{})
+	caller := dial(c, s.address)
+	caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	caller.receive(func() {})
+	<-s.idle
+	caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	close(s.release)
+	caller.receive(func() {})
+}
