Evict no connection on which a request has arrived

What callers may have seen: at the limit of connections, a request on a kept connection gets neither a response nor a refusal.

Cause: a new connection took the place of the one that had waited for its caller for the longest time. Waiting ended only when the whole header had been read, so the server did not know of a request that was in the socket or in the framing reader.

Evidence: TestConnectionLimitWithUnreadRequest holds the server until a request is in the socket, then opens a connection beyond the limit.

The eviction makes the same check as the stop, under the lock that reads hold, and takes the next connection in order if bytes have arrived. A connection that waits for the rest of a header or of a body is still evicted if nothing of it has arrived, and one whose caller does not read its response as before, so that slow crowds hold no places.

--- a/internal/transport/callerhttp/connection.go
+++ b/internal/transport/callerhttp/connection.go
@@ -110,12 +110,30 @@
 	if writing := c.writing.Load(); since == 0 || writing != 0 && writing < since {
 		since = writing
 	}
-	if since > now.Add(-stallTime).UnixNano() {
+	if !stalled(since, now) {
 		return 0
 	}
 	return since
 }
 
+// stalled reports whether stallTime has passed since a time in Unix nanoseconds that is not 0.
+func stalled(since int64, now time.Time) bool {
+	return since != 0 && since <= now.Add(-stallTime).UnixNano()
+}
+
+// evict closes the connection unless bytes have arrived for which the caller may expect a
+// response, or a request is in progress. A caller that does not read its response is not
+// spared. It reports whether it has closed the connection.
+func (c *connection) evict(now time.Time) bool {
+	if stalled(c.writing.Load(), now) {
+		_ = c.socket.Close() // fails only if it is closed already
+		return true
+	}
+	return c.closeIf(func(expected expectation, _ time.Time) bool {
+		return expected != expectBody || stalled(c.reading.Load(), now)
+	})
+}
+
 func withConnection(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, connectionKey{}, conn)
 }
--- a/internal/transport/callerhttp/listener.go
+++ b/internal/transport/callerhttp/listener.go
@@ -1,7 +1,9 @@
 package callerhttp
 
 import (
+	"cmp"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,7 +52,8 @@
 
 // Listen wraps a listener so that the messages on its connections are checked, and its
 // connections limited. At the limit, a new connection replaces the one that has waited for
-// its caller for the longest time; if all of them work on requests, it is closed.
+// its caller for the longest time; if requests are in progress or have arrived on all of
+// them, it is closed.
 func Listen(inner net.Listener, limits Limits) *Listener {
 	if limits.Counts == nil {
 		limits.Counts = new(Counts)
@@ -86,12 +89,7 @@
 			_ = accepted.Close()
 			return nil, err
 		}
-		evicted, ok := l.add(c)
-		if evicted != nil {
-			l.limits.Counts.Evicted.Add(1)
-			_ = evicted.Close() // fails only if it is closed already
-		}
-		if ok {
+		if l.add(c) {
 			return c, nil
 		}
 		l.limits.Counts.Refused.Add(1)
@@ -133,20 +131,16 @@
 	l.closed = true
 }
 
-// add adds a connection. At the limit, it removes and returns the one that has waited for
-// its caller for the longest time; if there is none, it returns false.
-func (l *Listener) add(c *connection) (evicted *connection, ok bool) {
+// add adds a connection. At the limit, it evicts another one; if there is none that can be
+// evicted, it returns false.
+func (l *Listener) add(c *connection) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.limits.Connections > 0 && len(l.open) >= l.limits.Connections {
-		evicted = l.longestWaiting()
-		if evicted == nil {
-			return nil, false
-		}
-		delete(l.open, evicted)
+	if l.limits.Connections > 0 && len(l.open) >= l.limits.Connections && !l.evict() {
+		return false
 	}
 	l.open[c] = true
-	return evicted, true
+	return true
 }
 
 func (l *Listener) remove(c *connection) {
@@ -155,16 +149,32 @@
 	delete(l.open, c)
 }
 
-// longestWaiting returns the connection that has waited for its caller for the longest
-// time, or nil. The caller holds the mutex.
-func (l *Listener) longestWaiting() *connection {
+// evict closes the connection that has waited for its caller for the longest time, and on
+// which nothing has arrived. It returns false if there is none. The caller holds the mutex.
+func (l *Listener) evict() bool {
 	now := time.Now()
-	var longest *connection
-	earliest := int64(0)
+	waiting := make([]candidate, 0, len(l.open))
 	for c := range l.open {
-		if since := c.waitsSince(now); since != 0 && (longest == nil || since < earliest) {
-			longest, earliest = c, since
+		if since := c.waitsSince(now); since != 0 {
+			waiting = append(waiting, candidate{
+				connection: c,
+				since:      since,
+			})
+		}
+	}
+	slices.SortFunc(waiting, func(a, b candidate) int { return cmp.Compare(a.since, b.since) })
+	for _, c := range waiting {
+		if c.evict(now) {
+			delete(l.open, c.connection)
+			l.limits.Counts.Evicted.Add(1)
+			return true
 		}
 	}
-	return longest
+	return false
+}
+
+// candidate is a connection that may be evicted.
+type candidate struct {
+	*connection
+	since int64 // Unix nanoseconds since when it waits for its caller
 }
--- a/internal/transport/callerhttp/stop_test.go
+++ b/internal/transport/callerhttp/stop_test.go
@@ -190,3 +190,22 @@
 	close(s.release)
 	caller.receive(func() {})
 }
+
+// Guards against a request that is lost because a new connection takes the place of the one
+// on which it has arrived.
+func TestConnectionLimitWithUnreadRequest(t *testing.T) {
+	c := qt.New(t)
+	s := newHeldServer(t, true, time.Minute, callerhttp.Limits{
+		Connections: 1,
+	})
+	caller := dial(c, s.address)
+	caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	caller.receive(func() {})
+	<-s.idle
+	caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	refused := dial(c, s.address)
+	_, err := refused.reader.ReadByte()
+	c.Check(err, qt.Equals, io.EOF)
+	close(s.release)
+	caller.receive(func() {})
+}
