Refuse requests that a draining host might break off

Callers saw: a stream was taken 3.5 s and 3.8 s after the SIGTERM of its host and cut at the end of the grace period. Found while the drain of connections was measured.

Cause: a host served whatever arrived on its kept connections until the end, whether or not it could end in time. Shutdown had hidden most of this, since it closed these connections without an answer; with connections kept until their request is answered it shows.

The second case of TestRequestDuringDrain passes without the check, the first fails 3 of 3 times: 200 in place of 503.

What arrived earlier goes on.

--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -276,6 +276,7 @@
 type fixture struct {
 	upstreams *upstreams
 	stager    *stager
+	handler   *forward.Handler
 	server    *httptest.Server
 	holder    *routes.Holder
 	directory *fleet.Directory
@@ -335,7 +336,7 @@
 			}
 		},
 	})
-	handler := forward.New(forward.Config{
+	f.handler = forward.New(forward.Config{
 		Codec:      codec{},
 		Routes:     f.holder,
 		Fleet:      f.directory,
@@ -372,7 +373,7 @@
 		Now:      time.Now,
 		Log:      zerolog.Nop(),
 	})
-	f.server = httptest.NewServer(handler)
+	f.server = httptest.NewServer(f.handler)
 	f.server.Client().CheckRedirect = func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse
 	}
--- a/internal/relay/forward/handler.go
+++ b/internal/relay/forward/handler.go
@@ -193,7 +193,7 @@
 		e.refuse("no routing table is known", defaultRetryAfter)
 		return false
 	}
-	return e.resolveRoute() && e.readBody() && e.checkPoison()
+	return e.resolveRoute() && e.readBody() && e.checkShutdown() && e.checkPoison()
 }
 
 // resolveRoute sets the route, organisation, deadline and service of the request. It
--- a/internal/relay/forward/handler_test.go
+++ b/internal/relay/forward/handler_test.go
@@ -340,6 +340,40 @@
 	c.Assert(f.upstreams.requests(), qt.DeepEquals, []string{"POST /safe//x/%2F..?q=1&q o last=0 inputs=[] some body"})
 }
 
+// Guards against a stream that is accepted shortly before the host ends, and is broken off
+// then although another host could have served it.
+func TestRequestDuringDrain(t *testing.T) {
+	tests := map[string]struct {
+		left    time.Duration // until the end of the host; the route allows 2 s
+		want    int
+		arrived int // at upstreams
+	}{
+		"may be broken off": {
+			left: time.Second,
+			want: http.StatusServiceUnavailable,
+		},
+		"ends in time": {
+			left:    time.Minute,
+			want:    http.StatusOK,
+			arrived: 1,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			f := start(t, scriptedResponse{
+				text: stream + events(1) + endOfChunks,
+			})
+			f.handler.RefuseBeyond(time.Now().Add(test.left))
+			response := f.post(c, "/stream/x", nil)
+			c.Check(response.status, qt.Equals, test.want)
+			c.Check(response.retryAfter, qt.Equals, test.want != http.StatusOK)
+			c.Check(f.upstreams.requests(), qt.HasLen, test.arrived)
+		})
+	}
+}
+
 // Guards against a response without Retry-After from a host that has just started and
 // has no routing table yet: the caller would not retry.
 func TestNoTable(t *testing.T) {
--- a/internal/relay/forward/shutdown.go
+++ b/internal/relay/forward/shutdown.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -20,6 +22,7 @@
 	endWaits context.CancelFunc
 	running  context.Context // done when all requests end
 	endRuns  context.CancelFunc
+	end      atomic.Pointer[time.Time] // until which requests that arrive now are served; nil before the host drains
 }
 
 func newShutdown() *shutdown {
@@ -29,6 +32,10 @@
 	return s
 }
 
+// RefuseBeyond refuses the requests that arrive from now on, unless their deadline is before
+// the end of the time in which the host serves requests: they might be broken off.
+func (h *Handler) RefuseBeyond(end time.Time) { h.shutdown.end.Store(&end) }
+
 // EndWaiting refuses the requests that wait for their stages, and sends none whose stages
 // end later: too little time is left for their responses.
 func (h *Handler) EndWaiting() { h.shutdown.endWaits() }
@@ -46,6 +53,17 @@
 	return context.AfterFunc(phase, func() { cancel(errStopping) })
 }
 
+// checkShutdown refuses a request that might last longer than the host, and reports whether
+// the request may run.
+func (e *exchange) checkShutdown() bool {
+	end := e.shutdown.end.Load()
+	if end == nil || e.deadline.Before(*end) {
+		return true
+	}
+	e.refuse(reasonStopping, stoppingRetryAfter)
+	return false
+}
+
 // stopped reports whether the request has ended because the host stops.
 func (e *exchange) stopped() bool {
 	return errors.Is(context.Cause(e.ctx), errStopping)
--- a/internal/relay/host/serve.go
+++ b/internal/relay/host/serve.go
@@ -81,6 +81,7 @@
 	h.peers.gossip.Leave()
 	end := time.Now().Add(h.settings.Grace - exitMargin)
 	time.Sleep(drainDelay)
+	h.handler.RefuseBeyond(end.Add(-responseMargin))
 	waits := time.AfterFunc(time.Until(end)-responseMargin-minResponseTime, h.handler.EndWaiting)
 	defer waits.Stop()
 	runs := time.AfterFunc(time.Until(end)-responseMargin, func() {
