Accept the connections that are open already before a stop closes the port

What callers may have seen: a connection that they had opened, and perhaps sent a request on, is reset when the port closes. The process has not read the request.

Cause: the close of a listening socket resets the connections that the kernel has opened and the process has not accepted.

Evidence: TestStopWithConnectionNotAccepted holds the server before Accept, opens a connection with a request and begins the stop.

--- a/internal/transport/callerhttp/listener.go
+++ b/internal/transport/callerhttp/listener.go
@@ -70,6 +70,9 @@
 	net.Listener
 	limits Limits
 	ending atomic.Bool // connections end after their next response
+	// Unix nanoseconds until which connections are accepted while the listener drains; 0
+	// before.
+	acceptUntil atomic.Int64
 
 	mu     sync.Mutex
 	open   map[*connection]bool
@@ -79,7 +82,7 @@
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		accepted, err := l.Listener.Accept()
+		accepted, err := l.accept()
 		if err != nil {
 			l.noteClosed(err)
 			return nil, err
--- a/internal/transport/callerhttp/stop_test.go
+++ b/internal/transport/callerhttp/stop_test.go
@@ -35,11 +35,16 @@
 func newHeldServer(t *testing.T, holdIdle bool, idleTimeout time.Duration, limits callerhttp.Limits) *heldServer {
 	inner, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
+	return serveHeld(t, inner, make(chan bool), holdIdle, idleTimeout, limits)
+}
+
+// serveHeld starts a server that is held until release is closed.
+func serveHeld(t *testing.T, inner net.Listener, release chan bool, holdIdle bool, idleTimeout time.Duration, limits callerhttp.Limits) *heldServer {
 	s := &heldServer{
 		listener: callerhttp.Listen(inner, limits),
 		address:  inner.Addr().String(),
 		idle:     make(chan bool, 1),
-		release:  make(chan bool),
+		release:  release,
 	}
 	s.Server = callerhttp.New(callerhttp.Config{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -74,7 +79,7 @@
 // had the time to close those that are open.
 func (s *heldServer) stop(ctx context.Context) <-chan error {
 	stopped := make(chan error, 1)
-	go func() { stopped <- s.listener.Drain(ctx) }()
+	go func(ctx context.Context) { stopped <- s.listener.Drain(ctx) }(ctx)
 	for {
 		conn, err := new(net.Dialer).DialContext(ctx, "tcp4", s.address)
 		if err != nil {
@@ -209,3 +214,36 @@
 	close(s.release)
 	caller.receive(func() {})
 }
+
+// heldListener accepts no connection before it is released.
+type heldListener struct {
+	*net.TCPListener
+	release chan bool
+}
+
+// Accept implements net.Listener.
+func (l heldListener) Accept() (net.Conn, error) {
+	<-l.release
+	return l.TCPListener.Accept()
+}
+
+// Guards against a stop that resets connections which callers have opened, and perhaps sent
+// requests on, before the server has accepted them.
+func TestStopWithConnectionNotAccepted(t *testing.T) {
+	c := qt.New(t)
+	inner, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	release := make(chan bool)
+	s := serveHeld(t, heldListener{
+		TCPListener: inner.(*net.TCPListener),
+		release:     release,
+	}, release, false, time.Minute, callerhttp.Limits{})
+	caller := dial(c, s.address)
+	caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	stopped := make(chan error, 1)
+	go func(ctx context.Context) { stopped <- s.listener.Drain(ctx) }(t.Context())
+	time.Sleep(100 * time.Millisecond)
+	close(release)
+	c.Check(caller.receive(func() {}), qt.IsTrue)
+	c.Check(<-stopped, qt.IsNil)
+}
