Drain a listener that is closed already

Drain returned an error at once if the port had been closed before, without waiting for the requests in progress. No caller does that today: found in a review of the accept queue.

--- a/internal/transport/callerhttp/drain.go
+++ b/internal/transport/callerhttp/drain.go
@@ -63,13 +63,16 @@
 // then. A listener that is no tcpListener is closed at once.
 func (l *Listener) endAccepting() error {
 	l.acceptUntil.Store(time.Now().Add(maxAcceptTime).UnixNano())
+	var err error
 	if inner, ok := l.Listener.(tcpListener); ok {
-		return errors.Annotate(inner.SetDeadline(time.Now()), "end accepting connections")
+		err = inner.SetDeadline(time.Now())
+	} else {
+		err = l.Close()
 	}
-	if err := l.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
-		return errors.Annotate(err, "close listener")
+	if errors.Is(err, net.ErrClosed) {
+		return nil
 	}
-	return nil
+	return errors.Annotate(err, "end accepting connections")
 }
 
 // accept accepts a connection. While the listener drains, it accepts those that are open
