Refuse requests that a draining entry process might interrupt

Cause: a connection whose response lasts for most of the stop may bring another request, which has its whole deadline, up to 25 s, before it.

Once `[stop] drain` has passed, a request whose deadline is after the end of the stop is refused with 503 and the reason "stopping".

--- a/internal/entry/active.go
+++ b/internal/entry/active.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/nutmegshift/nutmegshift/ident"
 )
@@ -13,6 +14,7 @@
 	requests map[ident.RequestID]bool
 	finished uint64
 	stopping bool
+	until    time.Time // requests that begin are refused if their deadline is later; zero before the host drains
 }
 
 func newActive() *active {
@@ -49,6 +51,21 @@
 	return a.stopping
 }
 
+// refuseBeyond refuses the requests that begin from now on if their deadline is after end.
+func (a *active) refuseBeyond(end time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.until = end
+}
+
+// refuses reports whether a request with a deadline might be interrupted by the end of the
+// host.
+func (a *active) refuses(deadline time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.until.IsZero() && deadline.After(a.until)
+}
+
 func (a *active) finishedCount() uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -73,8 +73,15 @@
 	return out
 }
 
-// admit runs the request once the service's limiter admits its organisation.
+// admit runs the request once the service's limiter admits its organisation. While the host
+// drains, it refuses requests that might be interrupted.
 func (s *Server) admit(ctx context.Context, request caller.Request, sink caller.Sink) outcome.Outcome {
+	if s.active.refuses(request.Deadline) {
+		return outcome.Refused{
+			Reason:  outcome.Stopping,
+			Message: "the host stops before the deadline of the request",
+		}
+	}
 	limits := s.services.get(request.Service)
 	permit, err := limits.Limiter.Acquire(ctx, request.Organisation, 1, request.Deadline)
 	switch {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -53,6 +53,9 @@
 	case <-time.After(h.settings.Drain):
 	case <-stopCtx.Done():
 	}
+	if end, ok := stopCtx.Deadline(); ok {
+		h.server.active.refuseBeyond(end)
+	}
 	err := callers.Drain(stopCtx)
 	unfinished := h.server.active.list()
 	unwritten := h.ledger.Drain(stopCtx)
