Decode both lists of a record in one way

decodeRecord had the same lines for the streams that are being sent and those that have begun. knownAs finds or adds what is recorded of a stream for both.

--- a/internal/relay/resumption/lookup.go
+++ b/internal/relay/resumption/lookup.go
@@ -28,10 +28,10 @@
 	log   zerolog.Logger
 
 	mu      sync.Mutex
-	found   map[Stream]recorded // of the latest reading that has succeeded
-	foundAt time.Time           // when that one began
-	readAt  time.Time           // when the latest reading began
-	reading *reading            // in progress; nil if none is
+	found   map[Stream]*recorded // of the latest reading that has succeeded
+	foundAt time.Time            // when that one began
+	readAt  time.Time            // when the latest reading began
+	reading *reading             // in progress; nil if none is
 }
 
 var _ Finder = (*Records)(nil)
@@ -83,12 +83,13 @@
 func (r *Records) lookUp(stream Stream, asked time.Time) (release fleet.Release, ok, final bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	entry := r.found[stream]
-	release, ok = entry.release()
-	if len(entry.begun) == 0 && r.foundAt.Before(asked.Add(-readInterval)) {
-		ok = false
+	final = !r.foundAt.Before(asked)
+	entry, noted := r.found[stream]
+	if !noted || len(entry.begun) == 0 && r.foundAt.Before(asked.Add(-readInterval)) {
+		return "", false, final
 	}
-	return release, ok, !r.foundAt.Before(asked)
+	release, ok = entry.release()
+	return release, ok, final
 }
 
 // read returns the reading in progress, or begins one. If the latest one began a short time
@@ -126,7 +127,7 @@
 	}
 }
 
-func (r *Records) finish(current *reading, found map[Stream]recorded, err error) {
+func (r *Records) finish(current *reading, found map[Stream]*recorded, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err == nil {
@@ -139,8 +140,8 @@
 }
 
 // list reads the records page by page.
-func (r *Records) list(ctx context.Context) (map[Stream]recorded, error) {
-	found := make(map[Stream]recorded)
+func (r *Records) list(ctx context.Context) (map[Stream]*recorded, error) {
+	found := make(map[Stream]*recorded)
 	after := kv.Key("")
 	for {
 		page, err := r.store.List(ctx, Prefix, after, pageSize)
--- a/internal/relay/resumption/record.go
+++ b/internal/relay/resumption/record.go
@@ -61,7 +61,7 @@
 }
 
 // decodeRecord adds the streams of a record to those of others.
-func decodeRecord(value []byte, streams map[Stream]recorded) error {
+func decodeRecord(value []byte, streams map[Stream]*recorded) error {
 	var r record
 	if err := json.Unmarshal(value, &r); err != nil {
 		return errors.Annotate(err, "decode record of streams")
@@ -72,28 +72,32 @@
 				continue
 			}
 			for _, origin := range list.Sent {
-				stream := Stream{
-					Origin:  origin,
-					Service: service,
-				}
-				known := streams[stream]
+				known := knownAs(streams, origin, service)
 				known.sent = addRelease(known.sent, release)
-				streams[stream] = known
 			}
 			for _, origin := range list.Begun {
-				stream := Stream{
-					Origin:  origin,
-					Service: service,
-				}
-				known := streams[stream]
+				known := knownAs(streams, origin, service)
 				known.begun = addRelease(known.begun, release)
-				streams[stream] = known
 			}
 		}
 	}
 	return nil
 }
 
+// knownAs returns what is recorded of a stream, which is added if it is new.
+func knownAs(streams map[Stream]*recorded, origin ident.RequestID, service ident.ServiceName) *recorded {
+	stream := Stream{
+		Origin:  origin,
+		Service: service,
+	}
+	known, ok := streams[stream]
+	if !ok {
+		known = new(recorded)
+		streams[stream] = known
+	}
+	return known
+}
+
 func addRelease(releases []fleet.Release, release fleet.Release) []fleet.Release {
 	if slices.Contains(releases, release) {
 		return releases
