Do not count refused patient work as demand against urgent work

Cause: shares apply while more than 2% of the offered work of a service is refused, whatever its kind. The share of a large organisation is what the demand of the others leaves of the admitted work, and refused triage of all organisations, repeated attempts included, counted as demand. The share fell below what the organisation had admitted, and the limit of its chats to 0, although only triage lacked capacity.

Shares are computed for each class now: less urgent classes count with what is admitted of them, not with what is offered. If only patient work lacks capacity, urgent work is not limited. For the least urgent class, shares are as before.

--- a/internal/relay/batch/replay_test.go
+++ b/internal/relay/batch/replay_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -16,6 +17,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
+	"github.com/nutmegshift/nutmegshift/internal/relay/share"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
 
@@ -78,11 +80,12 @@
 
 // request is a caller's request with its attempts.
 type request struct {
-	kind    *kind
-	arrived time.Time
-	stages  []batch.Stage
-	inBurst bool
-	retried bool
+	kind         *kind
+	organisation ident.OrganisationID
+	arrived      time.Time
+	stages       []batch.Stage
+	inBurst      bool
+	retried      bool
 }
 
 // tally counts the requests of one kind, or the calls and items of one service.
@@ -106,6 +109,7 @@
 	now           time.Time
 	random        *rand.Rand
 	pacing, noise *rand.Rand
+	weight        share.Weight // of each organisation
 	clock         *clock.Clock
 	lastID        batch.JobID
 	waiting       map[batch.JobID]*request
@@ -205,10 +209,20 @@
 	if len(q.stages) == 0 {
 		return
 	}
+	if r.weight > 0 {
+		q.organisation = organisation(r.noise)
+	}
 	r.tally(q).all++
 	r.submit(q)
 }
 
+// organisation draws one of 16 organisations, of which the largest has a third of the
+// requests.
+func organisation(random *rand.Rand) ident.OrganisationID {
+	i := math.Floor(math.Pow(17, math.Pow(random.Float64(), 1.2)))
+	return ident.OrganisationID(fmt.Sprint(i))
+}
+
 func (r *replay) tally(q *request) *tally {
 	if q.inBurst {
 		return r.tallies.of(q.kind.name + " burst")
@@ -229,6 +243,9 @@
 		Stages:    q.stages,
 		Objective: q.arrived.Add(q.kind.objective - batch.FirstEventTime),
 		Deadline:  q.arrived.Add(q.kind.deadline - batch.FirstEventTime),
+
+		Organisation: q.organisation,
+		Weight:       r.weight,
 	})
 	r.waiting[id] = q
 	if err != nil {
@@ -326,3 +343,34 @@
 		})
 	}
 }
+
+// playShort plays the load on upstreams that are slower than usual by 30%, so that only
+// patient requests lack capacity. The weight is that of each of 16 organisations.
+func playShort(weight share.Weight) tallies {
+	counts := make(tallies)
+	r := newReplay(1, true, false, counts)
+	r.weight = weight
+	for id := range r.paces {
+		r.paces[id] *= 1.3
+	}
+	r.run()
+	return counts
+}
+
+// Guards against shares that refuse urgent requests of large organisations although only
+// patient requests lack capacity.
+func TestReplaySharesOfKinds(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	without, with := playShort(0), playShort(1)
+	for _, kind := range kinds {
+		was, is := without[kind.name+" burst"], with[kind.name+" burst"]
+		served := is.share(is.served)
+		comment := qt.Commentf("%s: served %.3f without shares, %.3f with", kind.name, was.share(was.served), served)
+		if kind.rank == 2 {
+			c.Check(served > 0.25 && served < 0.9, qt.IsTrue, comment)
+			continue
+		}
+		c.Check(served > was.share(was.served)-0.02, qt.IsTrue, comment)
+	}
+}
--- a/internal/relay/share/accounts.go
+++ b/internal/relay/share/accounts.go
@@ -36,26 +36,21 @@
 type account struct {
 	counter
 	weight  Weight
-	share   Cost // infinite if less is offered, or if the shares do not apply
-	classes map[Class]*class
-}
-
-// class is the part of an account that belongs to one class of urgency.
-type class struct {
-	counter
-	share Cost // infinite if less is offered, or if the shares do not apply
+	classes map[Class]*counter
 }
 
 // Accounts counts the usage of one service by organisation.
 type Accounts struct {
 	accounts map[ident.OrganisationID]*account
-	updated  time.Time // when the counters were decayed and the shares computed
+	levels   map[Class]Cost // shares per weight as seen by each class, computed when needed
+	updated  time.Time      // when the counters were decayed and the levels dropped
 }
 
 // New returns accounts without usage.
 func New() *Accounts {
 	return &Accounts{
 		accounts: make(map[ident.OrganisationID]*account),
+		levels:   make(map[Class]Cost),
 	}
 }
 
@@ -68,8 +63,7 @@
 	entry, ok := a.accounts[work.Organisation]
 	if !ok {
 		entry = &account{
-			share:   infinite,
-			classes: make(map[Class]*class),
+			classes: make(map[Class]*counter),
 		}
 		a.accounts[work.Organisation] = entry
 	}
@@ -77,9 +71,7 @@
 	entry.add(work.Cost, admitted)
 	part, ok := entry.classes[work.Class.counted()]
 	if !ok {
-		part = &class{
-			share: infinite,
-		}
+		part = &counter{}
 		entry.classes[work.Class.counted()] = part
 	}
 	part.add(work.Cost, admitted)
@@ -94,14 +86,19 @@
 	}
 	a.update(now)
 	entry, ok := a.accounts[work.Organisation]
-	if !ok || !Ratio(entry.admitted/entry.share).Limited() {
+	if !ok {
 		return 0
 	}
-	part, ok := entry.classes[work.Class.counted()]
+	class := work.Class.counted()
+	share := a.level(class) * Cost(entry.weight)
+	if entry.demand(class) <= share || !Ratio(entry.admitted/share).Limited() {
+		return 0
+	}
+	part, ok := entry.classes[class]
 	if !ok {
 		return 0
 	}
-	return min(Ratio(part.admitted/part.share), highestRatio)
+	return min(Ratio(part.admitted/entry.classLevel(class, share)), highestRatio)
 }
 
 // Unmet reports whether enough work is refused for the shares to apply.
@@ -114,6 +111,7 @@
 // descending order.
 func (a *Accounts) Largest(now time.Time, n int) []Standing {
 	a.update(now)
+	level := a.level(maxClass)
 	perSecond := Cost(math.Ln2 / halfLife.Seconds())
 	standings := make([]Standing, 0, len(a.accounts))
 	for id, entry := range a.accounts {
@@ -121,8 +119,8 @@
 			Organisation: id,
 			Usage:        entry.admitted * perSecond,
 		}
-		if entry.share < infinite {
-			standing.Share = entry.share * perSecond
+		if share := level * Cost(entry.weight); entry.offered > share {
+			standing.Share = share * perSecond
 		}
 		standings = append(standings, standing)
 	}
@@ -132,13 +130,14 @@
 	return standings[:min(n, len(standings))]
 }
 
-// update decays the counters and computes the shares, unless this was done just before.
+// update decays the counters and drops the levels, unless this was done just before.
 func (a *Accounts) update(now time.Time) {
 	elapsed := now.Sub(a.updated)
 	if elapsed < levelInterval {
 		return
 	}
 	a.updated = now
+	clear(a.levels)
 	factor := Cost(math.Exp2(-elapsed.Seconds() / halfLife.Seconds()))
 	for id, entry := range a.accounts {
 		entry.decay(factor)
@@ -152,7 +151,6 @@
 			delete(a.accounts, id)
 		}
 	}
-	a.divide()
 }
 
 // total returns the sum of the counters of all organisations.
@@ -165,42 +163,65 @@
 	return total
 }
 
-// divide computes the shares of all organisations and of their classes.
-func (a *Accounts) divide() {
-	total := a.total()
-	level := infinite
-	if total.unmet() {
-		demands := make([]demand, 0, len(a.accounts))
-		for _, entry := range a.accounts {
-			demands = append(demands, demand{
-				offered: entry.offered,
-				weight:  entry.weight,
-			})
-		}
-		level = fairLevel(demands, total.admitted)
+// level returns the share per weight of all organisations as seen by a class. It is
+// infinite if shares do not apply to the class.
+func (a *Accounts) level(class Class) Cost {
+	level, ok := a.levels[class]
+	if !ok {
+		level = a.divide(class)
+		a.levels[class] = level
 	}
+	return level
+}
+
+// divide computes the level as seen by a class.
+func (a *Accounts) divide(class Class) Cost {
+	var sum counter
+	demands := make([]demand, 0, len(a.accounts))
 	for _, entry := range a.accounts {
-		entry.divide(level * Cost(entry.weight))
-	}
-}
-
-// divide sets the share of an organisation, and divides it among its classes.
-func (e *account) divide(share Cost) {
-	level := infinite
-	if e.offered <= share {
-		share = infinite
-	} else {
-		demands := make([]demand, 0, len(e.classes))
-		for _, part := range e.classes {
-			demands = append(demands, demand{
-				offered: part.offered,
-				weight:  1,
-			})
-		}
-		level = fairLevel(demands, share)
+		offered := entry.demand(class)
+		sum.offered += offered
+		sum.admitted += entry.admitted
+		demands = append(demands, demand{
+			offered: offered,
+			weight:  entry.weight,
+		})
+	}
+	if !sum.unmet() {
+		return infinite
+	}
+	return fairLevel(demands, sum.admitted)
+}
+
+// demand returns what an organisation demands of the capacity as seen by a class: what it
+// offers of this class and of more urgent ones, and what is admitted of less urgent ones.
+// Less urgent work that was refused does not compete with the class. If it counted, a
+// shortage for patient work alone would limit urgent work.
+func (e *account) demand(class Class) Cost {
+	sum := Cost(0)
+	for kind, part := range e.classes {
+		sum += part.demand(kind, class)
 	}
-	e.share = share
-	for _, part := range e.classes {
-		part.share = level
+	return sum
+}
+
+// demand returns the part of a counter of one class that another one sees.
+func (c *counter) demand(kind, seenBy Class) Cost {
+	if kind > seenBy {
+		return c.admitted
+	}
+	return c.offered
+}
+
+// classLevel divides the share of an organisation among its classes, as seen by one of
+// them.
+func (e *account) classLevel(class Class, share Cost) Cost {
+	demands := make([]demand, 0, len(e.classes))
+	for kind, part := range e.classes {
+		demands = append(demands, demand{
+			offered: part.demand(kind, class),
+			weight:  1,
+		})
 	}
+	return fairLevel(demands, share)
 }
