Reject a message after more than a few line breaks

A caller that sent nothing but line breaks on kept connections held up a planned stop to its end, kept its connection at the limit of connections, and passed the time limits of a header: each line break was a byte that had arrived, and none of them part of a request that a bound holds for.

More than eight bytes of line breaks before a message are rejected like a malformed one, and the connection ends; HTTP asks to ignore one empty line.

TestLineBreaksOnly failed before (the stop ran into its deadline) and passes.

--- a/internal/transport/callerhttp/framing.go
+++ b/internal/transport/callerhttp/framing.go
@@ -20,6 +20,8 @@
 	// maxChunkDigits is the number of hexadecimal digits of the longest chunk.
 	maxChunkDigits = 8
 	bufferBytes    = 4 << 10
+	// maxSkipped is the number of bytes of line breaks that are skipped before a message.
+	maxSkipped = 8
 )
 
 // errFraming means that a chunked body is malformed.
@@ -74,6 +76,7 @@
 	pending []byte // read from the source, not passed on yet
 	ready   []byte // checked, to be passed on next
 	next    position
+	skipped int   // bytes of line breaks before the message
 	left    int64 // bytes of the body or of the chunk, if inside one; bytes of trailer fields so far
 }
 
@@ -161,7 +164,10 @@
 func (f *framingReader) readHeader() error {
 	const end = "\r\n\r\n"
 	for searched := 0; ; {
-		f.skipLineBreaks()
+		if !f.skipLineBreaks() {
+			f.reject(malformed("line breaks before a message"))
+			return nil
+		}
 		if i := bytes.Index(f.pending[searched:], []byte(end)); i >= 0 {
 			f.acceptHeader(f.take(searched + i + len(end)))
 			return nil
@@ -205,11 +211,17 @@
 }
 
 // skipLineBreaks drops line breaks before a message, which some callers send after a body.
-func (f *framingReader) skipLineBreaks() {
+// It returns false if there are too many: a caller that sends nothing else would seem busy
+// without end.
+func (f *framingReader) skipLineBreaks() bool {
+	before := len(f.pending)
 	f.pending = bytes.TrimLeft(f.pending, "\r\n")
+	f.skipped += before - len(f.pending)
+	return f.skipped <= maxSkipped
 }
 
 func (f *framingReader) acceptHeader(header []byte) {
+	f.skipped = 0
 	framing, rejected := checkHeader(header)
 	if rejected == nil && !f.reserve(len(header), bytes.Count(header, []byte("\r\n"))) {
 		rejected = noMemory
--- a/internal/transport/callerhttp/stop_test.go
+++ b/internal/transport/callerhttp/stop_test.go
@@ -247,3 +247,42 @@
 	c.Check(caller.receive(func() {}), qt.IsTrue)
 	c.Check(<-stopped, qt.IsNil)
 }
+
+// Guards against a caller that sends line breaks only, and so holds up a stop and keeps its
+// connection at the limit: they are bytes, and no part of a request.
+func TestLineBreaksOnly(t *testing.T) {
+	const limit = 2
+	c := qt.New(t)
+	release := make(chan bool)
+	close(release)
+	inner, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	s := serveHeld(t, inner, release, false, testTimeout, callerhttp.Limits{
+		Connections: limit,
+	})
+	ended := make(chan bool, limit)
+	for range limit {
+		caller := dial(c, s.address)
+		caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		caller.receive(func() {})
+		go func(ctx context.Context) {
+			defer func() { ended <- true }()
+			for ctx.Err() == nil {
+				if _, err := io.WriteString(caller, "\r\n"); err != nil {
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		}(t.Context())
+	}
+	time.Sleep(500 * time.Millisecond)
+	other := dial(c, s.address)
+	other.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	other.receive(func() {})
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout/2)
+	defer cancel()
+	c.Check(s.listener.Drain(ctx), qt.IsNil)
+	for range limit {
+		<-ended
+	}
+}
