Keep time for the response when a draining entry process takes a request

A request whose deadline was just before the end of a stop was taken, and failed at its deadline; its response then waited for its outcome to be stored, up to 250 ms, and the connection was closed before.

The refusal now ends 400 ms before the stop, as on relay hosts, which keep such a margin.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -12,6 +12,10 @@
 	"github.com/nutmegshift/nutmegshift/internal/transport/callerhttp"
 )
 
+// responseMargin is the time, before a stop ends, in which the outcome of a request that has
+// reached its deadline is stored, and the response sent.
+const responseMargin = recordTimeout + 150*time.Millisecond
+
 // serveCallers serves callers until ctx is done and then drains.
 func (h *Host) serveCallers(ctx, force context.Context, listener net.Listener) error {
 	server := newHTTPServer(caller.New(caller.Config{
@@ -54,7 +58,7 @@
 	case <-stopCtx.Done():
 	}
 	if end, ok := stopCtx.Deadline(); ok {
-		h.server.active.refuseBeyond(end)
+		h.server.active.refuseBeyond(end.Add(-responseMargin))
 	}
 	err := callers.Drain(stopCtx)
 	unfinished := h.server.active.list()
