Apply the entries of the store in the order in which they were written

The log shows why: the transfer from another host took 66 ms to apply, its entries came in no order, and the table without organisations was in force, and the host ready, before the entry was applied which says that an empty list requires a key.

Listings and transfers are applied by version now, so the entry, which is written before the last organisation is removed, comes before that table.

TestEntriesAreAppliedInOrder failed before in its three cases and passes. What remains: the entry is written up to a second after the first table with organisations; if the next table removes them within that second, the order is the other one.

--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -328,7 +329,7 @@
 		r.historyStart = cursor // a listing does not tell what was removed before it
 	}
 	present := make(map[kv.Key]bool, len(entries))
-	for _, entry := range entries {
+	for _, entry := range slices.SortedFunc(slices.Values(entries), byVersion) {
 		present[entry.Key] = true
 		r.put(entry)
 	}
@@ -339,6 +340,10 @@
 	}
 }
 
+// byVersion orders entries as they were written: a routing table must not be in force before
+// what was published earlier and restricts it.
+func byVersion(a, b kv.Entry) int { return cmp.Compare(a.Version, b.Version) }
+
 // Apply applies the delta of another host's replica. It reports false, and applies
 // nothing, if delta.After is beyond the cursor of this replica.
 func (r *Replica) Apply(delta Delta) bool {
@@ -363,7 +368,9 @@
 		}
 		r.applyListing(entries, delta.Cursor)
 	}
-	r.applyChanges(delta.Changes)
+	r.applyChanges(slices.SortedFunc(slices.Values(delta.Changes), func(a, b kv.Change) int {
+		return byVersion(a.Entry, b.Entry)
+	}))
 	r.advance(delta.Cursor, delta.Age)
 	return true
 }
