Look for new releases once a second while services have one

Each host looked at all registrations twice each 400 ms to find services with several releases.

An unchanged fleet is looked at once a second, and the recorder wakes once a second as long as no service has several releases.

--- a/internal/relay/resumption/recorder.go
+++ b/internal/relay/resumption/recorder.go
@@ -20,6 +20,8 @@
 	// recordInterval is the mean time between two writes of a record. Streams that were noted
 	// since the last one cannot be taken up if their host ends.
 	recordInterval = 400 * time.Millisecond
+	// idleInterval is the mean time between two looks for services with several releases.
+	idleInterval = time.Second
 	// minRecordInterval is the shortest time between two writes. Many streams may break off
 	// at the same time.
 	minRecordInterval = 100 * time.Millisecond
@@ -47,6 +49,7 @@
 // releases.
 type Recorder struct {
 	config RecorderConfig
+	idle   bool        // no service has several releases
 	last   int         // number of the latest record
 	open   *openRecord // gets the next notes; nil if there is none
 	next   uint64      // number of the first note that is in no record
@@ -92,6 +95,9 @@
 		urgent = nil
 	}
 	pause := max(backoff, recordInterval)
+	if r.idle {
+		pause = max(backoff, idleInterval)
+	}
 	timer := time.NewTimer(pause/2 + rand.N(pause))
 	defer timer.Stop()
 	select {
@@ -110,7 +116,8 @@
 // written if another one comes.
 func (r *Recorder) update(ctx context.Context) error {
 	mixed := r.config.Releases.Mixed()
-	if len(mixed) == 0 {
+	r.idle = len(mixed) == 0
+	if r.idle {
 		r.open, r.next = nil, 0
 		return nil
 	}
--- a/internal/relay/resumption/releases.go
+++ b/internal/relay/resumption/releases.go
@@ -16,6 +16,8 @@
 	// releaseLife is how long a release that has left may still have streams that are taken
 	// up. Callers wait for less.
 	releaseLife = time.Minute
+	// observeInterval is how often an unchanged fleet is looked at.
+	observeInterval = time.Second
 	// MaxReleasesBytes is the largest entry with the releases in service.
 	MaxReleasesBytes = 64 << 10
 )
@@ -36,9 +38,10 @@
 	fleet func() *fleet.Snapshot
 	now   func() time.Time
 
-	mu     sync.Mutex
-	latest *fleet.Snapshot // the one that known includes; nil at first
-	known  map[ident.ServiceName]map[fleet.Release]presence
+	mu       sync.Mutex
+	latest   *fleet.Snapshot // the one that known includes; nil at first
+	observed time.Time       // when known was brought up to date
+	known    map[ident.ServiceName]map[fleet.Release]presence
 }
 
 // NewReleases returns a Releases that follows a fleet.
@@ -88,13 +91,18 @@
 // caller holds the mutex.
 func (r *Releases) observe() {
 	now := r.now()
+	latest := r.fleet()
+	if latest == r.latest && now.Sub(r.observed) < observeInterval {
+		return
+	}
 	if r.latest != nil {
 		r.see(r.latest, now)
 	}
-	if latest := r.fleet(); latest != r.latest {
+	if latest != r.latest {
 		r.latest = latest
 		r.see(latest, now)
 	}
+	r.observed = now
 	for _, releases := range r.known {
 		for release, p := range releases {
 			if now.Sub(p.seen) > releaseLife {
