Take a stream as begun here only once it has sent an event

A host that handles a request which takes up a stream also remembers the release of the upstream that a coordinator proposes for it. A coordinator may propose another release than the one that began the stream; the host refuses that proposal, but until the request was sent elsewhere it held the proposed release for the one of the stream. A caller that tried again at that moment would have been joined to it.

Only a stream that has sent an event at this host counts as known here. Every caller that takes a stream up has received one, so nothing else changes.

TestProposalIsNoBeginning failed before and passes; the tests of resumption and forward pass with the race detector.

--- a/internal/relay/resumption/recorder_test.go
+++ b/internal/relay/resumption/recorder_test.go
@@ -177,3 +177,23 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(release, qt.Equals, fleet.Release("v1"))
 }
+
+// Guards against a release that has only been proposed to a request that takes up a stream,
+// and is taken for the one that began it when the caller tries again.
+func TestProposalIsNoBeginning(t *testing.T) {
+	c := qt.New(t)
+	h := newHost(time.Now())
+	h.register("a", "v1")
+	h.register("b", "v2")
+	records := resumption.NewRecords(memkv.New(time.Now), time.Now, zerolog.Nop())
+	streams := resumption.NewStreams(h.releases, records, func() bool { return true }, time.Now)
+	run := streams.NewRun(stream)
+	run.Proposed("v2")
+	_, err := streams.Release(context.Background(), stream)
+	c.Check(err, qt.ErrorIs, resumption.ErrUnknown)
+	run.Sent("v1")
+	run.Began("v1")
+	release, err := streams.Release(context.Background(), stream)
+	c.Assert(err, qt.IsNil)
+	c.Check(release, qt.Equals, fleet.Release("v1"))
+}
--- a/internal/relay/resumption/streams.go
+++ b/internal/relay/resumption/streams.go
@@ -105,7 +105,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current, ok := s.streams[stream]
-	if !ok || len(current.releases) != 1 {
+	if !ok || !current.begun {
 		return "", false
 	}
 	return current.releases[0], true
