review: case 9, streams are lost when relays end as a new version enters service

Cause: resumption records nothing while a service has one version, and each host looks for a second one up to 1.5 s later only. The streams of hosts that end before are in no record, and the others refuse to take them up, since they know of two versions by then.

Nothing of the project is changed.

--- a/review/second/lab.go
+++ b/review/second/lab.go
@@ -38,9 +38,9 @@
 
 var zones = []string{"erie-hall", "huron-hall", "superior-hall"}
 
-// relayNames are the names of the relays of a case. The first two are in one zone, whose
-// clients reach both.
-var relayNames = []string{"edge-erie-hall-1", "edge-erie-hall-2", "edge-huron-hall-1"}
+// relayNames are the names of the relays of a case. Two are in each zone, whose clients reach
+// both.
+var relayNames = []string{"edge-erie-hall-1", "edge-erie-hall-2", "edge-huron-hall-1", "edge-huron-hall-2", "edge-superior-hall-1"}
 
 // relayZone returns the zone of a relay.
 func relayZone(i int) string { return zones[i/2] }
@@ -65,6 +65,7 @@
 type relay struct {
 	name                                      string
 	callers, ready, peers, metrics, advertise string
+	log                                       string // file
 	command                                   *exec.Cmd
 	exited                                    chan struct{}
 }
@@ -230,7 +231,7 @@
 	return l.put(platform.Keys.Table, value)
 }
 
-// startRelays starts up to three relays, which reach the store and each other by links
+// startRelays starts up to five relays, which reach the store and each other by links
 // that can be cut.
 func (l *lab) startRelays(count int) error {
 	for i := range count {
@@ -319,7 +320,8 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
 	}
-	output, err := os.Create(filepath.Join(l.folder, r.name+".log"))
+	r.log = filepath.Join(l.folder, r.name+".log")
+	output, err := os.Create(r.log)
 	if err != nil {
 		return err
 	}
