review: number the cases by gravity, record what engines ran

Case 8 (slow crowd) is case 9 now, case 9 (streams not taken up) is case 10. The record of each case lists what the engines have run.

--- a/review/second/crowd.go
+++ b/review/second/crowd.go
@@ -36,7 +36,7 @@
 	minTrying   = 7
 )
 
-func init() { cases["8"] = slowCrowd }
+func init() { cases["9"] = slowCrowd }
 
 // try is one request of an ordinary client on a new connection.
 type try struct {
--- a/review/second/lab.go
+++ b/review/second/lab.go
@@ -106,6 +106,17 @@
 	fmt.Fprintf(l.record, "%8.3f s  %s\n", time.Since(l.started).Seconds(), fmt.Sprintf(format, values...))
 }
 
+// noteRuns writes to the record what the engines have run.
+func (l *lab) noteRuns() {
+	for _, e := range l.engines {
+		runs := e.Runs()
+		l.note("engine %s (%s) ran %d requests", e.id, e.release, len(runs))
+		for _, run := range runs {
+			l.note("engine %s (%s) ran %s after event %d at %.3f s", e.id, e.release, run.Request, run.LastEvent, run.At.Sub(l.started).Seconds())
+		}
+	}
+}
+
 // received records the last event that a client has received for an attempt.
 func (l *lab) received(id ident.RequestID, got answer) {
 	l.mu.Lock()
@@ -190,6 +201,20 @@
 	_ = e.server.Close()
 }
 
+// restart starts an engine that has crashed again, with its id and address.
+func (l *lab) restart(e *engine) {
+	listener, err := net.Listen("tcp4", e.address)
+	if err != nil {
+		l.note("engine %s does not start again: %v", e.id, err)
+		return
+	}
+	l.note("engine %s is back", e.id)
+	e.server = &http.Server{
+		Handler: e.Handler(),
+	}
+	go func() { _ = e.server.Serve(listener) }()
+}
+
 // register writes the registration of an engine to the store.
 func (l *lab) register(e *engine) error {
 	key, value, err := e.Entry(ident.Address(e.address))
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -39,6 +39,7 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	l.note("case %s, with its disruption: %t", name, trouble)
 	result, err := cases[name](l, trouble)
+	l.noteRuns()
 	if err != nil {
 		l.note("could not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
--- a/review/second/release.go
+++ b/review/second/release.go
@@ -163,7 +163,6 @@
 	others := make(map[string]string) // what went on elsewhere
 	for _, e := range l.engines {
 		for _, run := range e.Runs() {
-			l.note("engine %s (%s) ran %s after event %d at %.3f s", e.id, e.release, run.Request, run.LastEvent, run.At.Sub(l.started).Seconds())
 			if run.LastEvent == 0 {
 				client, _, _ := strings.Cut(string(run.Request), "-")
 				began[client] = e.release
--- a/review/second/takeup.go
+++ b/review/second/takeup.go
@@ -32,7 +32,7 @@
 	eventInterval = 50 * time.Millisecond
 )
 
-func init() { cases["9"] = lostStreams }
+func init() { cases["10"] = lostStreams }
 
 // counts are the outcomes of streams.
 type counts struct {
