review: case 9 says if there are too few descriptors for its crowd

Cause: with a small limit of descriptors the crowd could not connect, and the rule would seem to hold.

--- a/review/second/crowd.go
+++ b/review/second/crowd.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/nutmegshift/nutmegshift/platform/standin"
@@ -48,6 +49,10 @@
 
 // slowCrowd sends ordinary requests while a crowd sends others very slowly.
 func slowCrowd(l *lab, trouble bool) (verdict, error) {
+	var descriptors syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors); err != nil || descriptors.Cur < 2*crowdClients {
+		return verdict{}, fmt.Errorf("%d descriptors are not enough for the crowd", descriptors.Cur)
+	}
 	services := []any{map[string]any{"name": "entries", "max_conns": 52}}
 	routes := []any{
 		map[string]any{
