review: put the stand-ins into the folder of case 6

Cause: review/second was no folder of a case; the review has review/6 to review/10 only. Added: nothing. The program that the five scripts share stands in review/6 now, and review/build-2.sh builds it from there.

--- a/review/second/doc.go
+++ b/review/6/doc.go
@@ -1,7 +1,7 @@
 //go:build review
 
-// Command second runs the scripted cases of the second review: review/6 and the following
-// folders.
+// Command second runs the scripted cases of the second review, review/6 to review/10, which
+// share it. It stands in the folder of the first one.
 //
 // Each case starts relays as separate processes with the command of the deploy file. The
 // store, the engines, the links between them and the clients are stand-ins in this process.
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # repository, after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -tags review -o target/second ./review/second
+go build -tags review -o target/second ./review/6
