Verify the known releases before a stream is continued

Cause: a host that knows one release of a service took it for the one that began any stream. It asked only whether its replica had ever been confirmed. The line of each request shows it: release v1 and an age of over 5 s.

A bound on the age would not do. The least time from a registration to the first take-up is some 50 ms, and a host that stood still reads ages that were stated before it. So the order of events decides: the host asks a question after it has read the request, of the store, or of all other hosts if the store does not respond. Whoever knows of the registration is among them. A host that is not answered refuses with 503. If the store is away, but all other hosts respond, streams go on. The age of a poll counts from its call now, not from the reading of the response.

Evidence: TestReleaseJoinsWhileHostIsOutOfStep on real processes, with links cut in each direction, SIGSTOP and SIGCONT, 0.1 to 10 s.

--- a/internal/relay/discovery/reader.go
+++ b/internal/relay/discovery/reader.go
@@ -81,6 +81,7 @@
 // host confirms the replica.
 type Reader struct {
 	config        ReaderConfig
+	probe         probe
 	recentChanges []time.Time   // times of watch responses with changes, within burstWindow
 	backoff       time.Duration // base of the pause after the next failed call
 	staleUntil    time.Time     // end of the time in which other hosts may still confirm a stale listing
@@ -89,7 +90,13 @@
 // NewReader returns a Reader; Run starts it.
 func NewReader(config ReaderConfig) *Reader {
 	return &Reader{
-		config:  config,
+		config: config,
+		probe: probe{
+			store:   config.Store,
+			health:  config.Health,
+			replica: config.Replica,
+			key:     config.ProbeKey,
+		},
 		backoff: minBackoff,
 	}
 }
@@ -143,7 +150,7 @@
 		r.config.Replica.RecordFailure()
 		return
 	}
-	r.recordSuccess()
+	r.probe.recordSuccess()
 	if page.More {
 		return
 	}
@@ -195,12 +202,6 @@
 	}
 }
 
-// recordSuccess records a response of the store.
-func (r *Reader) recordSuccess() {
-	r.config.Health.RecordSuccess()
-	r.config.Replica.RecordResponse()
-}
-
 // watchAndPoll watches and polls for as long as this host is a reader. After a failure
 // it lists, since a listing succeeds as soon as the store has recovered.
 func (r *Reader) watchAndPoll(ctx context.Context) error {
@@ -250,24 +251,16 @@
 	return nil
 }
 
-// poll reads an empty page, since the response carries the cursor of the store's latest
-// change. A page with the table would take longer than the poll interval on a slow link.
-// If the replica lacks changes, also after await has returned, it lists all entries.
+// poll brings the replica up to the cursor of the store's latest change. If it lacks changes
+// also after await has returned, all entries are listed.
 func (r *Reader) poll(ctx context.Context, await func(ctx context.Context)) error {
-	page, err := r.config.Store.List(ctx, r.config.ProbeKey, r.config.ProbeKey, 1)
-	if err != nil {
+	called := time.Now()
+	cursor, complete, err := r.probe.run(ctx)
+	if err != nil || complete {
 		return err
 	}
-	if page.Cursor == 0 {
-		return errors.Annotate(kv.ErrUnavailable, "poll has no cursor")
-	}
-	r.recordSuccess()
-	if !r.config.Replica.Confirm(page.Cursor, 0) {
-		return nil
-	}
-	answered := time.Now()
 	await(ctx)
-	if !r.config.Replica.Confirm(page.Cursor, time.Since(answered)) {
+	if !r.config.Replica.Confirm(cursor, time.Since(called)) {
 		return nil
 	}
 	return r.list(ctx)
@@ -297,7 +290,7 @@
 		if err != nil {
 			return err
 		}
-		r.recordSuccess()
+		r.probe.recordSuccess()
 		if after == "" {
 			cursor = page.Cursor // the first page may lack changes after its cursor
 		}
@@ -342,7 +335,7 @@
 	if err != nil {
 		return err
 	}
-	r.recordSuccess()
+	r.probe.recordSuccess()
 	r.config.Replica.ApplyWatch(cursor, changes)
 	sleep(ctx, r.watchDelay(time.Now(), len(changes.Changes) > 0))
 	return nil
--- a/internal/relay/forward/record.go
+++ b/internal/relay/forward/record.go
@@ -17,6 +17,7 @@
 	reason      string
 	retryAfter  time.Duration    // Retry-After time; 0 if none was sent
 	stagesTime  time.Duration    // total time that the stages took
+	releaseTime time.Duration    // time until the release was known that began the stream
 	coordinator ident.HostID     // host that ran the stages
 	cacheSource ident.UpstreamID // upstream from which the prompt was to be fetched
 	firstEvent  time.Duration    // time from the arrival of the request to the first event
@@ -121,7 +122,7 @@
 		line = line.Str("cache", string(e.record.cacheSource))
 	}
 	if e.resumes() {
-		line = line.Str("origin", string(e.head.Origin)).Int("resumed", int(e.head.LastEvent))
+		line = line.Str("origin", string(e.head.Origin)).Int("resumed", int(e.head.LastEvent)).Dur("known", e.record.releaseTime)
 	}
 	if e.release != "" {
 		line = line.Str("release", string(e.release))
--- a/internal/relay/forward/resume.go
+++ b/internal/relay/forward/resume.go
@@ -31,10 +31,12 @@
 	if !e.resumes() {
 		return true
 	}
+	asked := e.config.Now()
 	release, err := e.config.Streams.Release(e.ctx, resumption.Stream{
 		Origin:  e.head.Origin,
 		Service: e.service.Name,
 	})
+	e.record.releaseTime = e.config.Now().Sub(asked)
 	if err != nil {
 		e.refuse(err.Error(), unknownReleaseRetryAfter+rand.N(unknownReleaseRetryAfter/2))
 		return false
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -96,6 +96,7 @@
 	streams      *resumption.Streams
 	clients      clients
 	replica      *discovery.Replica
+	verifier     *discovery.Verifier
 	peers        *peers
 	relayClient  *grpcrelay.Client
 	leaders      *duty.Leaders
@@ -141,7 +142,6 @@
 		Protocol: platform.Store,
 	})
 	h.releases = resumption.NewReleases(h.fleet.Snapshot, time.Now)
-	h.streams = resumption.NewStreams(h.releases, resumption.NewRecords(h.store, time.Now, log), h.fleetConfirmed, time.Now)
 	h.clients = clients{
 		requests: h.newClient(h.liveHosts),
 		batches:  h.newClient(oneSender),
@@ -160,6 +160,16 @@
 		Host: h,
 	}
 	h.replica = discovery.NewReplica(sinks, s.Renewal, time.Now, h.maxValue)
+	h.verifier = discovery.NewVerifier(discovery.VerifierConfig{
+		Store:    h.store,
+		Health:   h.health,
+		Replica:  h.replica,
+		ProbeKey: platform.Keys.Table,
+		Survey:   h.survey,
+		AskHosts: func(ctx context.Context) { h.peers.ask(ctx) },
+		Log:      log,
+	})
+	h.streams = resumption.NewStreams(h.releases, resumption.NewRecords(h.store, time.Now, log), h.verifier.Verify, time.Now)
 	h.responses = duty.NewResponses(time.Now)
 	leaders := duty.New(func(name duty.Name) bool { return !slices.Contains(readerDuties, name) }, h.responses)
 	h.leaders = leaders
--- a/internal/relay/host/peers.go
+++ b/internal/relay/host/peers.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -57,7 +58,8 @@
 	runner     *grpcpeer.Runner
 	server     *grpcpeer.Server
 	listWriter *memberlist.Writer
-	listed     chan struct{} // closed when the list of hosts has been received
+	members    atomic.Pointer[map[ident.HostID]bool] // the list of hosts; nil before it has been received
+	listed     chan struct{}                         // closed when the list of hosts has been received
 	listedOnce sync.Once
 }
 
@@ -145,7 +147,9 @@
 		return
 	}
 	rows := make([]peer.Row, 0, len(members))
+	listed := make(map[ident.HostID]bool, len(members))
 	for _, member := range members {
+		listed[member.Host] = true
 		rows = append(rows, peer.Row{
 			Host:     member.Host,
 			Address:  member.Address,
@@ -156,6 +160,7 @@
 		})
 	}
 	p.table.Merge(time.Now(), rows)
+	p.members.Store(&listed)
 	p.listedOnce.Do(func() { close(p.listed) })
 }
 
@@ -225,7 +230,7 @@
 // announce sends a gossip message to a host at once, in addition to the periodic ones,
 // and applies the reply.
 func (p *peers) announce(ctx context.Context, address ident.Address) {
-	if err := p.exchange(ctx, address); err != nil {
+	if _, err := p.exchange(ctx, address); err != nil {
 		p.log.Debug().Err(err).Str("peer", string(address)).Msg("peers: announcement failed")
 	}
 }
@@ -233,16 +238,18 @@
 // probe sends a gossip message to a host and applies the reply. It returns an error if
 // there is none.
 func (p *peers) probe(ctx context.Context, to peer.Row) error {
-	return p.exchange(ctx, to.Address)
+	_, err := p.exchange(ctx, to.Address)
+	return err
 }
 
-func (p *peers) exchange(ctx context.Context, address ident.Address) error {
+// exchange sends a gossip message to a host and applies and returns the reply.
+func (p *peers) exchange(ctx context.Context, address ident.Address) (peer.Message, error) {
 	reply, err := p.client.Exchange(ctx, address, p.gossip.Announcement())
 	if err != nil {
-		return err
+		return peer.Message{}, err
 	}
 	p.gossip.Announced(time.Now(), reply)
-	return nil
+	return reply, nil
 }
 
 // handleRumours logs membership changes and merges the crashes that other hosts report,
--- a/internal/relay/host/releases.go
+++ b/internal/relay/host/releases.go
@@ -36,10 +36,6 @@
 // Removed implements discovery.Sink. The releases stay known until the next entry.
 func (releasesSink) Removed(kv.Key, kv.Version, time.Time) {}
 
-// fleetConfirmed reports whether the replica has been confirmed since the host started. It
-// may start from a stale listing.
-func (h *Host) fleetConfirmed() bool { return h.replica.Confirmed() }
-
 // noteStream notes the upstream that a coordinator of this host proposes for a request. One
 // that takes up a stream goes to the release that began it, which has been noted.
 func (h *Host) noteStream(job coordinator.Job, upstream fleet.Upstream) {
--- a/internal/relay/resumption/recorder_test.go
+++ b/internal/relay/resumption/recorder_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/resumption"
 	"github.com/nutmegshift/nutmegshift/kv"
@@ -41,7 +42,7 @@
 	h.register("a", "v1")
 	h.register("b", "v2")
 	records := resumption.NewRecords(store, time.Now, zerolog.Nop())
-	streams := resumption.NewStreams(h.releases, records, func() bool { return true }, time.Now)
+	streams := resumption.NewStreams(h.releases, records, verified, time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func(ctx context.Context) {
@@ -161,21 +162,40 @@
 	c.Check(time.Duration(store.puts.Load()) <= time.Since(start)/(100*time.Millisecond)+1, qt.IsTrue, qt.Commentf("%d writes in %s", store.puts.Load(), time.Since(start)))
 }
 
-// Guards against a host that starts from a stale listing and takes the one release in it for
-// the only one.
-func TestUnconfirmedFleet(t *testing.T) {
-	c := qt.New(t)
-	h := newHost(time.Now())
-	h.register("a", "v1")
-	confirmed := false
-	records := resumption.NewRecords(memkv.New(time.Now), time.Now, zerolog.Nop())
-	streams := resumption.NewStreams(h.releases, records, func() bool { return confirmed }, time.Now)
-	_, err := streams.Release(context.Background(), stream)
-	c.Check(err, qt.ErrorIs, resumption.ErrUnknown)
-	confirmed = true
-	release, err := streams.Release(context.Background(), stream)
-	c.Assert(err, qt.IsNil)
-	c.Check(release, qt.Equals, fleet.Release("v1"))
+// verified states that the known fleet is complete.
+func verified(context.Context) error { return nil }
+
+// Guards against a host that takes the one release that it knows for the only one, although it
+// has started from a stale listing, or has been cut off.
+func TestUnverifiedFleet(t *testing.T) {
+	tests := map[string]struct {
+		err      error // of the verification
+		register fleet.Release
+		want     fleet.Release
+	}{
+		"verified":                      {want: "v1"},
+		"isolated":                      {err: discovery.ErrIsolated},
+		"behind":                        {err: discovery.ErrUnverified},
+		"another one has joined":        {register: "v2"},
+		"another one, but not verified": {register: "v2", err: discovery.ErrUnverified},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHost(time.Now())
+			h.register("a", "v1")
+			records := resumption.NewRecords(memkv.New(time.Now), time.Now, zerolog.Nop())
+			streams := resumption.NewStreams(h.releases, records, func(context.Context) error {
+				if test.register != "" {
+					h.register("b", test.register) // the verification has shown it
+				}
+				return test.err
+			}, time.Now)
+			release, err := streams.Release(context.Background(), stream)
+			c.Check(err == nil, qt.Equals, test.want != "")
+			c.Check(release, qt.Equals, test.want)
+		})
+	}
 }
 
 // Guards against a release that has only been proposed to a request that takes up a stream,
@@ -186,7 +206,7 @@
 	h.register("a", "v1")
 	h.register("b", "v2")
 	records := resumption.NewRecords(memkv.New(time.Now), time.Now, zerolog.Nop())
-	streams := resumption.NewStreams(h.releases, records, func() bool { return true }, time.Now)
+	streams := resumption.NewStreams(h.releases, records, verified, time.Now)
 	run := streams.NewRun(stream)
 	run.Proposed("v2")
 	_, err := streams.Release(context.Background(), stream)
--- a/internal/relay/resumption/streams.go
+++ b/internal/relay/resumption/streams.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 )
 
@@ -23,6 +24,9 @@
 	// maxOrigin is the length of the longest request id that is noted, in bytes. The protocol
 	// has shorter ones.
 	maxOrigin = 128
+	// decisionTimeout bounds the time that a request waits until the release of its stream is
+	// known.
+	decisionTimeout = time.Second
 )
 
 // ErrUnknown means that the release that began a stream is not known here and now.
@@ -60,11 +64,11 @@
 // Streams remembers the recent streams of a host, and finds those of others. It is safe for
 // concurrent use.
 type Streams struct {
-	releases  *Releases
-	finder    Finder
-	confirmed func() bool
-	now       func() time.Time
-	urgent    chan struct{} // has an element after a note that other hosts may need soon
+	releases *Releases
+	finder   Finder
+	verify   func(ctx context.Context) error
+	now      func() time.Time
+	urgent   chan struct{} // has an element after a note that other hosts may need soon
 
 	mu      sync.Mutex
 	streams map[Stream]*known
@@ -72,35 +76,56 @@
 	next    uint64 // number of the next note
 }
 
-// NewStreams returns a Streams without streams. The function confirmed reports whether the
-// known fleet has been confirmed since the host started.
-func NewStreams(releases *Releases, finder Finder, confirmed func() bool, now func() time.Time) *Streams {
+// NewStreams returns a Streams without streams. The function verify returns nil once the known
+// fleet has all upstreams that may have begun a stream which is taken up before the call. Its
+// error wraps discovery.ErrIsolated if nobody could tell.
+func NewStreams(releases *Releases, finder Finder, verify func(ctx context.Context) error, now func() time.Time) *Streams {
 	return &Streams{
-		releases:  releases,
-		finder:    finder,
-		confirmed: confirmed,
-		now:       now,
-		urgent:    make(chan struct{}, 1),
-		streams:   make(map[Stream]*known),
+		releases: releases,
+		finder:   finder,
+		verify:   verify,
+		now:      now,
+		urgent:   make(chan struct{}, 1),
+		streams:  make(map[Stream]*known),
 	}
 }
 
-// Release returns the release that began a stream. It returns ErrUnknown, possibly
-// annotated, if there are several that may have.
+// Release returns the release that began a stream, which a caller takes up before the call. It
+// returns ErrUnknown, possibly annotated, if there are several that may have.
 func (s *Streams) Release(ctx context.Context, stream Stream) (fleet.Release, error) {
 	if release, ok := s.own(stream); ok {
 		return release, nil
 	}
-	possible := s.releases.Possible(stream.Service)
-	if len(possible) == 1 && s.confirmed() {
-		return possible[0], nil
-	}
-	if len(stream.Origin) > maxOrigin || stream.Origin == "" || len(possible) == 0 {
+	ctx, cancel := context.WithTimeout(ctx, decisionTimeout)
+	defer cancel()
+	release, ok, err := s.only(ctx, stream.Service)
+	switch {
+	case ok:
+		return release, nil
+	case errors.Is(err, discovery.ErrIsolated):
+		return "", errors.Annotatef(ErrUnknown, "%v", err) // the records cannot be read either
+	case len(stream.Origin) > maxOrigin, stream.Origin == "", len(s.releases.Possible(stream.Service)) == 0:
 		return "", ErrUnknown
 	}
 	return s.finder.Find(ctx, stream)
 }
 
+// only returns the release that has begun all streams of a service, if there is only one that
+// may have. What this host knows may be old, so that is verified.
+func (s *Streams) only(ctx context.Context, service ident.ServiceName) (release fleet.Release, ok bool, err error) {
+	if len(s.releases.Possible(service)) != 1 {
+		return "", false, nil
+	}
+	if err := s.verify(ctx); err != nil {
+		return "", false, err
+	}
+	possible := s.releases.Possible(service)
+	if len(possible) != 1 {
+		return "", false, nil
+	}
+	return possible[0], true, nil
+}
+
 func (s *Streams) own(stream Stream) (fleet.Release, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/system/links.go
+++ b/internal/system/links.go
@@ -248,11 +248,16 @@
 	l.mu.Lock()
 	pids := l.pids
 	l.mu.Unlock()
+	return max(0, processWithSocket(inode, pids[:]))
+}
+
+// processWithSocket returns the index of the process that has a socket open; -1 if none has.
+func processWithSocket(inode uint32, pids []int) int {
 	file := fmt.Sprintf("socket:[%d]", inode)
-	for i := 1; i <= entryHosts; i++ {
-		directory := filepath.Join("/proc", strconv.Itoa(pids[i]), "fd")
+	for i, pid := range pids {
+		directory := filepath.Join("/proc", strconv.Itoa(pid), "fd")
 		descriptors, err := os.ReadDir(directory)
-		if err != nil {
+		if pid == 0 || err != nil {
 			continue // the process ended or has not started
 		}
 		for _, descriptor := range descriptors {
@@ -261,5 +266,5 @@
 			}
 		}
 	}
-	return 0
+	return -1
 }
--- a/internal/system/soak_forwarder_test.go
+++ b/internal/system/soak_forwarder_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -31,7 +33,8 @@
 	listener net.Listener // nil while connections are refused
 	target   ident.Address
 	fault    linkFault
-	changed  chan struct{} // closed when fault changes
+	senders  map[int]linkFault // faults of the connections from single processes, by their ids
+	changed  chan struct{}     // closed when a fault changes
 	open     map[*forwardedConn]bool
 }
 
@@ -39,6 +42,7 @@
 type forwardedConn struct {
 	client, server net.Conn
 	muted          bool
+	sender         int // id of the client's process; 0 until there are faults of single processes
 }
 
 // newForwarder forwards connections from address to target until ctx ends.
@@ -50,6 +54,7 @@
 		ctx:     ctx,
 		target:  target,
 		changed: make(chan struct{}),
+		senders: make(map[int]linkFault),
 		open:    make(map[*forwardedConn]bool),
 	}
 	f.setFault(linkFault{})
@@ -98,10 +103,39 @@
 			c.muted = true
 		}
 	}
+	f.signalChange()
+}
+
+// setSenderFault replaces the fault of the connections that a process has opened.
+func (f *forwarder) setSenderFault(pid int, fault linkFault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.senders[pid] = fault
+	f.signalChange()
+}
+
+// signalChange wakes those who wait for the end of a fault. The caller holds the mutex.
+func (f *forwarder) signalChange() {
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
 
+// isBlocked reports whether data is held back in a direction, and returns the fault of all
+// connections. The channel is closed when that may change.
+func (f *forwarder) isBlocked(c *forwardedConn, direction int) (blocked bool, fault linkFault, changed <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.senders) > 0 && c.sender == 0 {
+		pids := slices.Collect(maps.Keys(f.senders))
+		if inode, err := socketInode(c.client.RemoteAddr(), c.client.LocalAddr()); err == nil {
+			if i := processWithSocket(inode, pids); i >= 0 {
+				c.sender = pids[i]
+			}
+		}
+	}
+	return f.fault.Block[direction] || f.senders[c.sender].Block[direction] || c.muted, f.fault, f.changed
+}
+
 // reset resets all open connections.
 func (f *forwarder) reset() {
 	f.mu.Lock()
@@ -177,10 +211,8 @@
 // of the run.
 func (f *forwarder) applyFault(c *forwardedConn, direction int) bool {
 	for {
-		f.mu.Lock()
-		fault, changed, muted := f.fault, f.changed, c.muted
-		f.mu.Unlock()
-		if !fault.Block[direction] && !muted {
+		blocked, fault, changed := f.isBlocked(c, direction)
+		if !blocked {
 			return f.sleep(fault.Delay)
 		}
 		select {
--- a/internal/system/soak_test.go
+++ b/internal/system/soak_test.go
@@ -43,6 +43,18 @@
 func TestSoak(t *testing.T) {
 	deploymentSlots <- struct{}{}
 	defer func() { <-deploymentSlots }()
+	setSoakFlags(t)
+	generator := planGenerator()
+	rapid.Check(t, func(r *rapid.T) {
+		p := generator.Draw(r, "plan")
+		if failures := runPlan(t, p); len(failures) > 0 {
+			r.Fatalf("plan failed with %d failures:\n%s\n%s", len(failures), p, strings.Join(failures[:min(len(failures), maxPrintedFailures)], "\n"))
+		}
+	})
+}
+
+// setSoakFlags makes rapid execute a few seeded plans unless its flags are set.
+func setSoakFlags(t *testing.T) {
 	setFlags := make(map[string]bool)
 	flag.Visit(func(f *flag.Flag) { setFlags[f.Name] = true })
 	for name, value := range map[string]string{"rapid.checks": defaultSoakPlans, "rapid.seed": "1"} {
@@ -53,13 +65,6 @@
 			t.Fatal(err)
 		}
 	}
-	generator := planGenerator()
-	rapid.Check(t, func(r *rapid.T) {
-		p := generator.Draw(r, "plan")
-		if failures := runPlan(t, p); len(failures) > 0 {
-			r.Fatalf("plan failed with %d failures:\n%s\n%s", len(failures), p, strings.Join(failures[:min(len(failures), maxPrintedFailures)], "\n"))
-		}
-	})
 }
 
 // executedStep is a step with the times at which it started and ended.
--- a/internal/system/socket.go
+++ b/internal/system/socket.go
@@ -9,6 +9,9 @@
 	"golang.org/x/sys/unix"
 )
 
+// netlink finds out the byte order at the first query, without a lock.
+var _ = nl.NativeEndian()
+
 // socketQuery asks the kernel for the IPv4 socket that has a local and a remote address,
 // as struct inet_diag_req_v2.
 type socketQuery struct {
