Read the records anew for streams that have only been sent

A stream that is taken up could go on at another release than the one that began it if its host had read the records of streams before the stream began there: what such a reading shows as sent to one release may have been sent to another one since. The reading counted if it was at most 250 ms old by the clock of the host. A host that stood still, on a machine whose steady clock does not count that time, takes an older one for fresh; so did any host for a retry within the 250 ms.

--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -169,7 +169,7 @@
 		AskHosts: func(ctx context.Context) { h.peers.ask(ctx) },
 		Log:      log,
 	})
-	h.streams = resumption.NewStreams(h.releases, resumption.NewRecords(h.store, time.Now, log), h.verifier.Verify, time.Now)
+	h.streams = resumption.NewStreams(h.releases, resumption.NewRecords(h.store, log), h.verifier.Verify, time.Now)
 	h.responses = duty.NewResponses(time.Now)
 	leaders := duty.New(func(name duty.Name) bool { return !slices.Contains(readerDuties, name) }, h.responses)
 	h.leaders = leaders
--- a/internal/relay/resumption/lookup.go
+++ b/internal/relay/resumption/lookup.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
+	"github.com/nutmegshift/nutmegshift/internal/relay/freshread"
 	"github.com/nutmegshift/nutmegshift/kv"
 )
 
@@ -23,120 +24,71 @@
 
 // Records finds streams in the records of all hosts. It is safe for concurrent use.
 type Records struct {
-	store kv.Store
-	now   func() time.Time
-	log   zerolog.Logger
+	store  kv.Store
+	log    zerolog.Logger
+	reader *freshread.Reader
 
-	mu      sync.Mutex
-	found   map[Stream]*recorded // of the latest reading that has succeeded
-	foundAt time.Time            // when that one began
-	readAt  time.Time            // when the latest reading began
-	reading *reading             // in progress; nil if none is
+	mu    sync.Mutex
+	found map[Stream]*recorded // of the latest reading that has succeeded
 }
 
 var _ Finder = (*Records)(nil)
 
-// reading is one reading of the records.
-type reading struct {
-	done chan struct{} // closed at its end
-	err  error         // valid once done is closed
-}
-
 // NewRecords returns a Records of the given store.
-func NewRecords(store kv.Store, now func() time.Time, log zerolog.Logger) *Records {
-	return &Records{
+func NewRecords(store kv.Store, log zerolog.Logger) *Records {
+	r := &Records{
 		store: store,
-		now:   now,
 		log:   log,
 	}
+	r.reader = freshread.New(r.read, readInterval, readTimeout)
+	return r
 }
 
 // Find implements Finder. It waits for a reading that begins after the call, unless an
-// earlier one has the stream.
+// earlier one shows that the stream has begun: one that has only been sent may have been sent
+// to another release since.
 func (r *Records) Find(ctx context.Context, stream Stream) (fleet.Release, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	asked := r.now()
-	var err error
+	if entry := r.entry(stream); len(entry.begun) == 1 {
+		return entry.begun[0], nil
+	}
 	for {
-		release, ok, final := r.lookUp(stream, asked)
-		if ok {
-			return release, nil
-		}
-		if final {
-			return "", ErrUnknown
-		}
-		if current, pause := r.read(ctx); current != nil {
-			err = current.wait(ctx)
-		} else {
-			sleep(ctx, pause)
-		}
-		if ctx.Err() != nil {
+		err := r.reader.Await(ctx)
+		switch {
+		case ctx.Err() != nil:
 			return "", errors.Annotatef(ErrUnknown, "records were not read in time: %v", err)
+		case err != nil:
+			continue
 		}
+		if release, ok := r.entry(stream).release(); ok {
+			return release, nil
+		}
+		return "", ErrUnknown
 	}
 }
 
-// lookUp returns the release of a stream, if only one may have begun it. Final means that a
-// later reading will hardly tell more. A stream that has only been sent may have been sent
-// to another release since.
-func (r *Records) lookUp(stream Stream, asked time.Time) (release fleet.Release, ok, final bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	final = !r.foundAt.Before(asked)
-	entry, noted := r.found[stream]
-	if !noted || len(entry.begun) == 0 && r.foundAt.Before(asked.Add(-readInterval)) {
-		return "", false, final
-	}
-	release, ok = entry.release()
-	return release, ok, final
-}
-
-// read returns the reading in progress, or begins one. If the latest one began a short time
-// ago, it returns how long to wait instead.
-func (r *Records) read(ctx context.Context) (current *reading, pause time.Duration) {
+// entry returns what the latest reading says of a stream.
+func (r *Records) entry(stream Stream) recorded {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.reading != nil {
-		return r.reading, 0
-	}
-	if since := r.now().Sub(r.readAt); since < readInterval {
-		return nil, readInterval - since
+	if entry, ok := r.found[stream]; ok {
+		return *entry
 	}
-	r.readAt = r.now()
-	current = &reading{
-		done: make(chan struct{}),
-	}
-	r.reading = current
-	go func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		found, err := r.list(ctx)
-		r.finish(current, found, err)
-	}(context.WithoutCancel(ctx)) // other requests wait for it too
-	return current, 0
+	return recorded{}
 }
 
-// wait waits for the end of the reading and returns its error.
-func (r *reading) wait(ctx context.Context) error {
-	select {
-	case <-r.done:
-		return r.err
-	case <-ctx.Done():
-		return ctx.Err()
+// read reads the records of all hosts.
+func (r *Records) read(ctx context.Context) error {
+	found, err := r.list(ctx)
+	r.log.Info().Err(err).Int("streams", len(found)).Msg("resumption: records of streams read")
+	if err != nil {
+		return err
 	}
-}
-
-func (r *Records) finish(current *reading, found map[Stream]*recorded, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err == nil {
-		r.found, r.foundAt = found, r.readAt
-	}
-	r.reading = nil
-	current.err = err
-	close(current.done)
-	r.log.Info().Err(err).Int("streams", len(found)).Msg("resumption: records of streams read")
+	r.found = found
+	return nil
 }
 
 // list reads the records page by page.
@@ -159,13 +111,3 @@
 		}
 	}
 }
-
-// sleep returns after the pause, or when the context ends.
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/relay/resumption/recorder_test.go
+++ b/internal/relay/resumption/recorder_test.go
@@ -41,7 +41,7 @@
 	h := newHost(time.Now())
 	h.register("a", "v1")
 	h.register("b", "v2")
-	records := resumption.NewRecords(store, time.Now, zerolog.Nop())
+	records := resumption.NewRecords(store, zerolog.Nop())
 	streams := resumption.NewStreams(h.releases, records, verified, time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -133,6 +133,32 @@
 	c.Check(found, qt.Equals, fleet.Release("v2"))
 }
 
+// Guards against a release that is taken from a reading before the call: a host that stood still
+// since does not know how old that is, and the stream may have begun at another release.
+func TestFindAfterPause(t *testing.T) {
+	c := qt.New(t)
+	store := memkv.New(time.Now)
+	version := kv.Version(0)
+	record := func(value string) {
+		written, err := store.Put(context.Background(), kv.Put{
+			Key:    resumption.Prefix + "host/1/1",
+			Value:  []byte(value),
+			Expect: version,
+		})
+		c.Assert(err, qt.IsNil)
+		version = written
+	}
+	records := resumption.NewRecords(store, zerolog.Nop())
+	record(`{"s":{"v1":{"sent":["r1"]}}}`)
+	found, err := records.Find(context.Background(), stream)
+	c.Assert(err, qt.IsNil)
+	c.Check(found, qt.Equals, fleet.Release("v1"))
+	record(`{"s":{"v1":{"sent":["r1"]},"v2":{"begun":["r1"]}}}`)
+	found, err = records.Find(context.Background(), stream)
+	c.Assert(err, qt.IsNil)
+	c.Check(found, qt.Equals, fleet.Release("v2"))
+}
+
 // Guards against a caller whose long request ids keep the streams of all others from being
 // recorded, and against a write for each of many streams that break off.
 func TestRecordsUnderPressure(t *testing.T) {
@@ -184,7 +210,7 @@
 			c := qt.New(t)
 			h := newHost(time.Now())
 			h.register("a", "v1")
-			records := resumption.NewRecords(memkv.New(time.Now), time.Now, zerolog.Nop())
+			records := resumption.NewRecords(memkv.New(time.Now), zerolog.Nop())
 			streams := resumption.NewStreams(h.releases, records, func(context.Context) error {
 				if test.register != "" {
 					h.register("b", test.register) // the verification has shown it
@@ -205,7 +231,7 @@
 	h := newHost(time.Now())
 	h.register("a", "v1")
 	h.register("b", "v2")
-	records := resumption.NewRecords(memkv.New(time.Now), time.Now, zerolog.Nop())
+	records := resumption.NewRecords(memkv.New(time.Now), zerolog.Nop())
 	streams := resumption.NewStreams(h.releases, records, verified, time.Now)
 	run := streams.NewRun(stream)
 	run.Proposed("v2")
