Wait until a restored store is complete before a stream is continued

Cause: the listing of a store that has been restored a moment ago counted as complete. The replica knew of a restore only if it had lived through it.

Recorders write all their notes again in a new epoch; before, those in records that get no more notes stayed lost.

--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -109,6 +109,7 @@
 	cursor    kv.Cursor
 	confirmed time.Time // when the cursor was last known to be the latest
 	responded time.Time // when the store last responded to any host, as far as known here, or when the first call failed
+	epochAt   time.Time // when the cursor came into its epoch
 }
 
 func (s *syncState) get() (cursor kv.Cursor, confirmed time.Time) {
@@ -170,13 +171,24 @@
 	return silence
 }
 
-// advanceTo moves the cursor forward; it never moves it back.
-func (s *syncState) advanceTo(cursor kv.Cursor) {
+// advanceTo moves the cursor forward at the given time; it never moves it back.
+func (s *syncState) advanceTo(cursor kv.Cursor, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.cursor == 0 || kv.EpochOf(cursor) > kv.EpochOf(s.cursor) {
+		s.epochAt = at
+	}
 	s.cursor = max(s.cursor, cursor)
 }
 
+// epoch returns the epoch of the cursor and when the cursor came into it; 0 and zero before
+// the first listing.
+func (s *syncState) epoch() (epoch kv.Epoch, since time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return kv.EpochOf(s.cursor), s.epochAt
+}
+
 // NewReplica returns an empty Replica of a store whose entries are renewed by their
 // owners at the interval renewal. The value of an entry is kept, and passed to the sink
 // and to other hosts, only up to the size in bytes that maxValue returns for its key: a
@@ -277,7 +289,7 @@
 		return
 	}
 	r.applyListing(entries, cursor)
-	r.state.advanceTo(cursor)
+	r.state.advanceTo(cursor, r.now())
 }
 
 // ApplyWatch applies the response of a watch that started after the given cursor, if
@@ -291,7 +303,7 @@
 	}
 	r.recordResponseLocked()
 	r.applyChanges(changes.Changes)
-	r.state.advanceTo(changes.Cursor)
+	r.state.advanceTo(changes.Cursor, r.now())
 }
 
 // RecordFailure records that a call of this host to the store has failed. If no host is
@@ -433,7 +445,7 @@
 
 func (r *Replica) advance(cursor kv.Cursor, age time.Duration) {
 	if cursor >= r.Cursor() {
-		r.state.advanceTo(cursor)
+		r.state.advanceTo(cursor, r.now())
 		r.Confirm(cursor, age)
 	}
 }
--- a/internal/relay/discovery/verifier.go
+++ b/internal/relay/discovery/verifier.go
@@ -31,7 +31,7 @@
 	// ErrIsolated means that neither the store nor another host has responded.
 	ErrIsolated = errors.ConstError("neither the store nor another host responds")
 	// ErrUnverified means that the store or another host may know of changes that the
-	// replica lacks.
+	// replica lacks, or that the store has lost them.
 	ErrUnverified = errors.ConstError("the replica may lack changes")
 )
 
@@ -54,7 +54,10 @@
 	Survey func(ctx context.Context) Survey
 	// AskHosts makes this host fetch changes that it lacks from a few other hosts.
 	AskHosts func(ctx context.Context)
-	Log      zerolog.Logger
+	// Settled reports whether everything has been written again that the store may have lost
+	// when it was restored from a backup.
+	Settled func() bool
+	Log     zerolog.Logger
 }
 
 // Verifier finds out whether the replica has all changes that may have had an effect on what
@@ -111,7 +114,7 @@
 		select {
 		case err := <-results:
 			if err == nil {
-				return nil
+				return v.checkSettled()
 			}
 			failures = append(failures, err)
 		case <-patience.C:
@@ -124,6 +127,14 @@
 	return v.failure(failures)
 }
 
+// checkSettled returns an error if the store has been restored a short time ago.
+func (v *Verifier) checkSettled() error {
+	if !v.config.Settled() {
+		return errors.Annotate(ErrUnverified, "the store has been restored from a backup")
+	}
+	return nil
+}
+
 // failure returns the error of a verification with which neither the store nor the hosts
 // helped.
 func (v *Verifier) failure(failures []error) error {
--- a/internal/relay/discovery/verifier_test.go
+++ b/internal/relay/discovery/verifier_test.go
@@ -21,9 +21,11 @@
 		behind    bool // the store has a change that the replica lacks
 		fetched   bool // another host sends it
 		survey    discovery.Survey
+		restored  bool
 		want      error
 	}{
 		"store confirms":              {},
+		"store is restored":           {restored: true, want: discovery.ErrUnverified},
 		"change is fetched":           {behind: true, fetched: true},
 		"change is not fetched":       {behind: true, survey: discovery.Survey{Asked: 1}, want: discovery.ErrUnverified},
 		"all hosts confirm":           {storeDown: true, survey: discovery.Survey{Asked: 3, Answered: 3}},
@@ -72,7 +74,8 @@
 						list()
 					}
 				},
-				Log: zerolog.Nop(),
+				Settled: func() bool { return !test.restored },
+				Log:     zerolog.Nop(),
 			})
 			err := verifier.Verify(ctx)
 			if test.want == nil {
--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -319,7 +319,7 @@
 	}
 	f.holder.Offer(table())
 	f.releases = resumption.NewReleases(f.directory.Snapshot, time.Now)
-	f.streams = resumption.NewStreams(f.releases, resumption.NewRecords(store, zerolog.Nop()), func(context.Context) error { return nil }, time.Now)
+	f.streams = resumption.NewStreams(f.releases, resumption.NewRecords(store, func() bool { return true }, zerolog.Nop()), func(context.Context) error { return nil }, time.Now)
 	pauses := fleet.NewPauses(time.Now, rand.Float64)
 	client := upstreamhttp.New(upstreamhttp.Config{
 		Codec:  codec{},
--- a/internal/relay/forward/resume_test.go
+++ b/internal/relay/forward/resume_test.go
@@ -67,6 +67,7 @@
 		Started:  time.Now(),
 		Releases: f.releases,
 		Streams:  f.streams,
+		Epoch:    func() kv.Epoch { return 0 },
 		Log:      zerolog.Nop(),
 	}).Run(ctx)
 }
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -167,9 +167,10 @@
 		ProbeKey: platform.Keys.Table,
 		Survey:   h.survey,
 		AskHosts: func(ctx context.Context) { h.peers.ask(ctx) },
+		Settled:  h.storeSettled,
 		Log:      log,
 	})
-	h.streams = resumption.NewStreams(h.releases, resumption.NewRecords(h.store, log), h.verifier.Verify, time.Now)
+	h.streams = resumption.NewStreams(h.releases, resumption.NewRecords(h.store, h.storeSettled, log), h.verifier.Verify, time.Now)
 	h.responses = duty.NewResponses(time.Now)
 	leaders := duty.New(func(name duty.Name) bool { return !slices.Contains(readerDuties, name) }, h.responses)
 	h.leaders = leaders
@@ -479,12 +480,23 @@
 		Value:       h.releases.Entry,
 	})
 	h.addComponent(componentCtx, &group, "releases", releases.Run)
+	settled := discovery.NewPublisher(discovery.PublisherConfig{
+		Store:       h.store,
+		Health:      h.health,
+		Replica:     h.replica,
+		Log:         h.log,
+		Key:         settledKey,
+		IsPublisher: h.writesMembers,
+		Value:       h.replica.SettledEntry,
+	})
+	h.addComponent(componentCtx, &group, "settled", settled.Run)
 	recorder := resumption.NewRecorder(resumption.RecorderConfig{
 		Store:    h.store,
 		Host:     h.settings.Host,
 		Started:  h.started,
 		Releases: h.releases,
 		Streams:  h.streams,
+		Epoch:    func() kv.Epoch { return kv.EpochOf(h.replica.Cursor()) },
 		Log:      h.log,
 	})
 	h.addComponent(componentCtx, &group, "recorder", recorder.Run)
--- a/internal/relay/host/sinks.go
+++ b/internal/relay/host/sinks.go
@@ -54,6 +54,8 @@
 		return resumption.MaxReleasesBytes
 	case key == organisedKey:
 		return len(organisedValue)
+	case key == settledKey:
+		return discovery.MaxSettledBytes
 	}
 	return 0
 }
--- a/internal/relay/resumption/lookup.go
+++ b/internal/relay/resumption/lookup.go
@@ -24,9 +24,10 @@
 
 // Records finds streams in the records of all hosts. It is safe for concurrent use.
 type Records struct {
-	store  kv.Store
-	log    zerolog.Logger
-	reader *freshread.Reader
+	store   kv.Store
+	settled func() bool
+	log     zerolog.Logger
+	reader  *freshread.Reader
 
 	mu    sync.Mutex
 	found map[Stream]*recorded // of the latest reading that has succeeded
@@ -34,11 +35,13 @@
 
 var _ Finder = (*Records)(nil)
 
-// NewRecords returns a Records of the given store.
-func NewRecords(store kv.Store, log zerolog.Logger) *Records {
+// NewRecords returns a Records of the given store. The function settled reports whether hosts
+// have had time to write again what the store may have lost when it was restored from a backup.
+func NewRecords(store kv.Store, settled func() bool, log zerolog.Logger) *Records {
 	r := &Records{
-		store: store,
-		log:   log,
+		store:   store,
+		settled: settled,
+		log:     log,
 	}
 	r.reader = freshread.New(r.read, readInterval, readTimeout)
 	return r
@@ -61,7 +64,11 @@
 		case err != nil:
 			continue
 		}
-		if release, ok := r.entry(stream).release(); ok {
+		entry := r.entry(stream)
+		if len(entry.begun) == 0 && !r.settled() {
+			return "", errors.Annotate(ErrUnknown, "the store has been restored from a backup")
+		}
+		if release, ok := entry.release(); ok {
 			return release, nil
 		}
 		return "", ErrUnknown
--- a/internal/relay/resumption/recorder.go
+++ b/internal/relay/resumption/recorder.go
@@ -42,6 +42,7 @@
 	Started  time.Time // of this host
 	Releases *Releases
 	Streams  *Streams
+	Epoch    func() kv.Epoch // returns the epoch of the store, as far as known here
 	Log      zerolog.Logger
 }
 
@@ -53,6 +54,7 @@
 	last   int         // number of the latest record
 	open   *openRecord // gets the next notes; nil if there is none
 	next   uint64      // number of the first note that is in no record
+	epoch  kv.Epoch    // of the records; a later one may have lost some
 }
 
 // openRecord is a record that may get more notes.
@@ -115,6 +117,10 @@
 // update writes the notes that are in no record. Those of services with one release are
 // written if another one comes.
 func (r *Recorder) update(ctx context.Context) error {
+	if epoch := r.config.Epoch(); epoch != r.epoch {
+		r.epoch = epoch
+		r.open, r.next = nil, 0
+	}
 	mixed := r.config.Releases.Mixed()
 	r.idle = len(mixed) == 0
 	if r.idle {
--- a/internal/relay/resumption/recorder_test.go
+++ b/internal/relay/resumption/recorder_test.go
@@ -35,13 +35,13 @@
 	return version, err
 }
 
-// recordingHost returns the streams of a host that records them until the test ends. Two
-// releases are in service.
-func recordingHost(t *testing.T, name ident.HostID, store kv.Store) (*resumption.Streams, *resumption.Records) {
+// recordingHost returns the streams of a host that records them until the test ends, in a store
+// that keeps its entries in backing. Two releases are in service.
+func recordingHost(t *testing.T, name ident.HostID, store kv.Store, backing *memkv.Store) (*resumption.Streams, *resumption.Records) {
 	h := newHost(time.Now())
 	h.register("a", "v1")
 	h.register("b", "v2")
-	records := resumption.NewRecords(store, zerolog.Nop())
+	records := resumption.NewRecords(store, func() bool { return true }, zerolog.Nop())
 	streams := resumption.NewStreams(h.releases, records, verified, time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -52,6 +52,7 @@
 			Started:  time.Now(),
 			Releases: h.releases,
 			Streams:  streams,
+			Epoch:    backing.Epoch,
 			Log:      zerolog.Nop(),
 		}).Run(ctx)
 	}(ctx)
@@ -95,12 +96,13 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			backing := memkv.New(time.Now)
 			store := &countingStore{
-				Store: memkv.New(time.Now),
+				Store: backing,
 			}
 			store.lose.Store(test.lose)
-			coordinator, records := recordingHost(t, "coordinator", store)
-			host, _ := recordingHost(t, "host", store)
+			coordinator, records := recordingHost(t, "coordinator", store, backing)
+			host, _ := recordingHost(t, "host", store, backing)
 			if test.coordinator != nil {
 				test.coordinator(coordinator)
 			}
@@ -117,7 +119,7 @@
 func TestFindAfterRetry(t *testing.T) {
 	c := qt.New(t)
 	store := memkv.New(time.Now)
-	host, records := recordingHost(t, "host", store)
+	host, records := recordingHost(t, "host", store, store)
 	run := host.NewRun(stream)
 	run.Sent("v1")
 	time.Sleep(time.Second)
@@ -148,7 +150,7 @@
 		c.Assert(err, qt.IsNil)
 		version = written
 	}
-	records := resumption.NewRecords(store, zerolog.Nop())
+	records := resumption.NewRecords(store, func() bool { return true }, zerolog.Nop())
 	record(`{"s":{"v1":{"sent":["r1"]}}}`)
 	found, err := records.Find(context.Background(), stream)
 	c.Assert(err, qt.IsNil)
@@ -159,14 +161,44 @@
 	c.Check(found, qt.Equals, fleet.Release("v2"))
 }
 
+// Guards against notes that a restore of the store has lost, in records that get no more notes,
+// and against records of a restored store that lack the last word on a stream.
+func TestFindAfterRestore(t *testing.T) {
+	c := qt.New(t)
+	store := memkv.New(time.Now)
+	host, records := recordingHost(t, "host", store, store)
+	backup := store.Backup()
+	run := host.NewRun(stream)
+	run.Sent("v1")
+	time.Sleep(time.Second)
+	found, err := records.Find(context.Background(), stream)
+	c.Assert(err, qt.IsNil)
+	c.Check(found, qt.Equals, fleet.Release("v1"))
+	store.Restore(backup)
+	time.Sleep(time.Second)
+	found, err = records.Find(context.Background(), stream)
+	c.Assert(err, qt.IsNil)
+	c.Check(found, qt.Equals, fleet.Release("v1"))
+	unsettled := resumption.NewRecords(store, func() bool { return false }, zerolog.Nop())
+	_, err = unsettled.Find(context.Background(), stream)
+	c.Check(err, qt.ErrorIs, resumption.ErrUnknown)
+	run.Sent("v2")
+	run.Began("v2")
+	time.Sleep(time.Second)
+	found, err = unsettled.Find(context.Background(), stream)
+	c.Assert(err, qt.IsNil)
+	c.Check(found, qt.Equals, fleet.Release("v2"))
+}
+
 // Guards against a caller whose long request ids keep the streams of all others from being
 // recorded, and against a write for each of many streams that break off.
 func TestRecordsUnderPressure(t *testing.T) {
 	c := qt.New(t)
+	backing := memkv.New(time.Now)
 	store := &countingStore{
-		Store: memkv.New(time.Now),
+		Store: backing,
 	}
-	host, records := recordingHost(t, "host", store)
+	host, records := recordingHost(t, "host", store, backing)
 	start := time.Now()
 	for i := range 1500 {
 		r := host.NewRun(resumption.Stream{
@@ -210,7 +242,7 @@
 			c := qt.New(t)
 			h := newHost(time.Now())
 			h.register("a", "v1")
-			records := resumption.NewRecords(memkv.New(time.Now), zerolog.Nop())
+			records := resumption.NewRecords(memkv.New(time.Now), func() bool { return true }, zerolog.Nop())
 			streams := resumption.NewStreams(h.releases, records, func(context.Context) error {
 				if test.register != "" {
 					h.register("b", test.register) // the verification has shown it
@@ -231,7 +263,7 @@
 	h := newHost(time.Now())
 	h.register("a", "v1")
 	h.register("b", "v2")
-	records := resumption.NewRecords(memkv.New(time.Now), zerolog.Nop())
+	records := resumption.NewRecords(memkv.New(time.Now), func() bool { return true }, zerolog.Nop())
 	streams := resumption.NewStreams(h.releases, records, verified, time.Now)
 	run := streams.NewRun(stream)
 	run.Proposed("v2")
--- a/internal/system/outofstep_test.go
+++ b/internal/system/outofstep_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -118,12 +119,7 @@
 		joined.forwarder.reset()
 	})
 	time.Sleep(joinedLife / 3) // until the other hosts know
-	var streams []*chat
-	for i := range releaseStreams {
-		streams = append(streams, &chat{
-			origin: ident.RequestID(fmt.Sprint("s", i)),
-		})
-	}
+	streams := newChats()
 	eachChat(streams, func(i int, s *chat) {
 		other := c.hosts[1+i%(len(c.hosts)-1)]
 		_ = s.request(ctx, other, func() bool { return false }) // may be broken off
@@ -244,12 +240,7 @@
 			cluster := startReleaseCluster(ctx, t)
 			begin(cluster, cluster.hosts[0])
 			time.Sleep(2 * time.Second)
-			var streams []*chat
-			for i := range releaseStreams {
-				streams = append(streams, &chat{
-					origin: ident.RequestID(fmt.Sprint("s", i)),
-				})
-			}
+			streams := newChats()
 			eachChat(streams, func(i int, s *chat) {
 				_ = s.request(ctx, cluster.hosts[1+i%(len(cluster.hosts)-1)], func() bool { return s.lastEvent == 2 })
 				_ = s.request(ctx, cluster.hosts[0], func() bool { return false })
@@ -264,3 +255,58 @@
 		})
 	}
 }
+
+// Guards against hosts that start while the store comes back from a backup that lacks the first
+// upstream of a release, and continue streams of it at the only release that they find.
+func TestReleaseLostInRestore(t *testing.T) {
+	deploymentSlots <- struct{}{}
+	defer func() { <-deploymentSlots }()
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	cluster := startReleaseCluster(ctx, t)
+	backup := cluster.store.Backup()
+	joined := cluster.addEngine("v2")
+	time.Sleep(joinedLife) // until all hosts know
+	streams := newChats()
+	killed := make(chan struct{})
+	time.AfterFunc(joinedLife, func() {
+		defer close(killed)
+		cluster.store.Restore(backup)
+		eachHost(cluster, func(h *relayHost) { cluster.restart(h, syscall.SIGKILL, 0) })
+		time.Sleep(joinedLife)
+		cluster.register(joined.upstream, joined.forwarder.address)
+	})
+	eachChat(streams, func(i int, s *chat) {
+		_ = s.request(ctx, cluster.hosts[i%soakHosts], func() bool { return false }) // is broken off
+		for try := range outOfStepTries {
+			if s.complete || s.lastEvent == 0 {
+				return
+			}
+			_ = s.request(ctx, cluster.hosts[(i+1+try)%soakHosts], func() bool { return false }) // may be refused
+			time.Sleep(outOfStepPause)
+		}
+	})
+	<-killed
+	begun := 0
+	for _, s := range streams {
+		releases := cluster.releasesOf(s)
+		if releases["v2"] {
+			begun++
+		}
+		c.Check(len(releases) <= 1, qt.IsTrue, qt.Commentf("stream %s, requests %s, releases %v", s.origin, s.requests, releases))
+	}
+	c.Check(begun >= minJoinedStreams, qt.IsTrue, qt.Commentf("%d streams begun at the new release", begun))
+	c.Check(cluster.failures, qt.HasLen, 0)
+}
+
+// newChats returns streams that callers are about to request.
+func newChats() []*chat {
+	var streams []*chat
+	for i := range releaseStreams {
+		streams = append(streams, &chat{
+			origin: ident.RequestID(fmt.Sprint("s", i)),
+		})
+	}
+	return streams
+}
--- a/internal/system/release_test.go
+++ b/internal/system/release_test.go
@@ -124,12 +124,7 @@
 		return err == nil && strings.Contains(string(entry.Value), "v2")
 	})
 
-	var streams []*chat
-	for i := range releaseStreams {
-		streams = append(streams, &chat{
-			origin: ident.RequestID(fmt.Sprint("s", i)),
-		})
-	}
+	streams := newChats()
 	killed := make(chan struct{})
 	time.AfterFunc(4*releaseInterval, func() {
 		defer close(killed)
