Bring the fleet up to date if a proposed upstream is not known

A stream could go on at another release than the one that began it, if the host that began it was a little behind its coordinator: the coordinator had noted that the stream begins at an upstream of the new release, the host did not know that upstream, sent the stream to one of the old release and, knowing one release only, recorded nothing. Whoever takes the stream up finds the note of the coordinator alone, and goes by it. A host that stood still, or was cut off, between its question and the answer of the coordinator is behind by that.

The host now brings its replica up to date before it goes on, as it does for a stream that is taken up. Then it usually knows the upstream; if that has left since, it knows both releases and records what it does. If the replica cannot be verified, the request is refused with 503: it has not run.

TestProposedUpstreamIsNotKnown failed before (sent to v1 with the note v2, and in its second part 200 in place of 503).

--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -282,6 +282,7 @@
 	directory *fleet.Directory
 	releases  *resumption.Releases
 	streams   *resumption.Streams
+	verify    func() error // of the known fleet; nil if it is complete
 	suspects  atomic.Int64 // in reports of crashes
 	elapsed   atomic.Int64 // added to the clock of the chooser of upstreams, in nanoseconds
 }
@@ -319,7 +320,12 @@
 	}
 	f.holder.Offer(table())
 	f.releases = resumption.NewReleases(f.directory.Snapshot, time.Now)
-	f.streams = resumption.NewStreams(f.releases, resumption.NewRecords(store, func() bool { return true }, zerolog.Nop()), func(context.Context) error { return nil }, time.Now)
+	f.streams = resumption.NewStreams(f.releases, resumption.NewRecords(store, func() bool { return true }, zerolog.Nop()), func(context.Context) error {
+		if f.verify == nil {
+			return nil
+		}
+		return f.verify()
+	}, time.Now)
 	pauses := fleet.NewPauses(time.Now, rand.Float64)
 	client := upstreamhttp.New(upstreamhttp.Config{
 		Codec:  codec{},
--- a/internal/relay/forward/proposal.go
+++ b/internal/relay/forward/proposal.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
@@ -17,19 +19,28 @@
 	placed          *placement.Placed // nil until the request is sent to the proposed upstream
 }
 
-// setProposal replaces the proposal by that of a coordinator.
-func (e *exchange) setProposal(prepared coordinator.Prepared) {
+// setProposal replaces the proposal by that of a coordinator. It returns an error if a stream
+// that may be taken up must not begin anywhere: the coordinator has noted that it begins at an
+// upstream that this host does not know, and this host may not be able to note another one.
+func (e *exchange) setProposal(prepared coordinator.Prepared) error {
 	e.reportProposal(placement.Abandoned, 0)
 	if prepared.Upstream == "" {
-		return
+		return nil
 	}
 	e.proposal = &proposal{
 		upstream:    prepared.Upstream,
 		cache:       prepared.Cache,
 		coordinator: prepared.Coordinator,
 	}
-	upstream, _ := e.config.Fleet.Snapshot().Upstream(prepared.Upstream)
+	upstream, known := e.config.Fleet.Snapshot().Upstream(prepared.Upstream)
+	if !known && e.release == "" && e.route.Idempotent() {
+		if err := e.config.Streams.Refresh(e.ctx); err != nil {
+			return errors.Annotatef(err, "upstream %s is proposed and not known", prepared.Upstream)
+		}
+		upstream, _ = e.config.Fleet.Snapshot().Upstream(prepared.Upstream)
+	}
 	e.run.Proposed(upstream.Release)
+	return nil
 }
 
 // choose returns the proposed upstream. If there is no proposal, or this host finds the
--- a/internal/relay/forward/resume_test.go
+++ b/internal/relay/forward/resume_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/nutmegshift/nutmegshift/ident"
+	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
 	"github.com/nutmegshift/nutmegshift/internal/relay/resumption"
 	"github.com/nutmegshift/nutmegshift/kv"
@@ -122,3 +123,37 @@
 		})
 	}
 }
+
+// Guards against a stream that begins at another release than its coordinator has noted, at a
+// host that does not know the proposed upstream and so records nothing: whoever takes the stream
+// up finds the note of the coordinator only.
+func TestProposedUpstreamIsNotKnown(t *testing.T) {
+	tests := map[string]struct {
+		err    error // of the verification
+		status int
+		sentTo []fleet.Release
+	}{
+		"becomes known":    {status: 200, sentTo: []fleet.Release{"v2"}},
+		"the host is late": {err: discovery.ErrUnverified, status: 503},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := startHost(t, memkv.New(time.Now), []fleet.Release{"v1"}, 0, scriptedResponse{
+				text: stream + events(1, 2, 3) + endOfChunks,
+			})
+			joined := registration(1, "", 1)
+			known, _ := f.directory.Snapshot().Upstream("u0")
+			joined.Upstream.Address, joined.Upstream.Release = known.Address, "v2"
+			f.stager.upstream = joined.Upstream.ID
+			f.verify = func() error {
+				if test.err == nil {
+					f.directory.Put(joined)
+				}
+				return test.err
+			}
+			c.Check(f.post(c, "/staged/x", map[string]string{"Pieces": "1"}).status, qt.Equals, test.status)
+			c.Check(f.sentTo(), qt.DeepEquals, test.sentTo)
+		})
+	}
+}
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -177,8 +177,7 @@
 	e.config.Meter.Stages(e.route.Name, meter.Served, took)
 	results.Prepared = prepared
 	results.ready = true
-	e.setProposal(prepared)
-	return nil
+	return e.setProposal(prepared)
 }
 
 // job returns the job for the coordinator: the stages of the request and, for model
--- a/internal/relay/resumption/streams.go
+++ b/internal/relay/resumption/streams.go
@@ -126,6 +126,14 @@
 	return possible[0], true, nil
 }
 
+// Refresh brings the known fleet up to date: the coordinator that notes where a stream begins
+// may know upstreams that this host does not. It returns an error if that is not possible.
+func (s *Streams) Refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, decisionTimeout)
+	defer cancel()
+	return s.verify(ctx)
+}
+
 func (s *Streams) own(stream Stream) (fleet.Release, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
