End the hosts of each play of the out-of-step soak

rapid runs all plays in one test, at whose end the processes were killed: a run of 50 plays would have held 200 processes and passed half of the machine's memory (7.8 GB in use after some 28 plays).

--- a/internal/system/outofstep_test.go
+++ b/internal/system/outofstep_test.go
@@ -180,6 +180,9 @@
 	defer cancel()
 	cluster := startReleaseCluster(ctx, t)
 	streams := cluster.play(ctx, p)
+	for _, h := range cluster.hosts {
+		h.process.kill(t) // not at the end of the test, which may play many more
+	}
 	for _, s := range streams {
 		if releases := cluster.releasesOf(s); len(releases) > 1 {
 			joined = append(joined, fmt.Sprintf("stream %s, requests %s, releases %v", s.origin, s.requests, releases))
