Abort the connection of a caller that has ended its side

Cause: the server ends the context of the request, conclude took that for a caller that is gone and returned without a response, and the server sends 200 for a handler that writes none. The connection is now aborted, as it was after the first event of a stream. A closed connection promises nothing, which suits a request that may have run.

--- a/internal/relay/forward/plain.go
+++ b/internal/relay/forward/plain.go
@@ -62,12 +62,15 @@
 }
 
 // conclude ends a request for which no upstream has sent a final response; last is the
-// latest response, or nil.
+// latest response, or nil. It aborts the connection of a caller that has left: one that has only
+// ended its sending side would otherwise receive the response of a handler that writes none,
+// which is a success.
 func (e *exchange) conclude(last *bufferedResponse) {
 	pause := e.allPaused()
 	switch {
 	case e.request.Context().Err() != nil:
 		e.recordAbandoned()
+		panic(http.ErrAbortHandler)
 	case e.stopped() && e.ran == 0:
 		e.refuse(reasonStopping, stoppingRetryAfter)
 	case e.stopped():
