Derive the verdict whenever crashes expire

Cause: merge dropped crashes older than 15 minutes and returned without a new verdict if the report was known.

--- a/internal/relay/poison/table.go
+++ b/internal/relay/poison/table.go
@@ -106,10 +106,11 @@
 		report.At = now // in the store by a host whose clock is ahead
 	}
 	t.mu.Lock()
-	t.expire(now)
+	notifyExpired := t.expire(now)
 	known := t.reported(report)
 	if now.Sub(report.At) >= reportRetention || known != nil && !known.adds(report) {
 		t.mu.Unlock()
+		notifyExpired()
 		return false
 	}
 	if known == nil {
@@ -130,6 +131,7 @@
 	notify := t.update()
 	t.mu.Unlock()
 	t.publishSound(publish)
+	notifyExpired()
 	notify()
 	return true
 }
@@ -174,9 +176,10 @@
 	delete(t.crashes, oldest)
 }
 
-// expire drops the crashes that no longer count. The caller holds the mutex, and calls
-// update afterwards.
-func (t *Table) expire(now time.Time) (expired bool) {
+// expire drops the crashes that no longer count, and derives the verdict anew if there are any.
+// The caller holds the mutex, and calls notify without, see update.
+func (t *Table) expire(now time.Time) (notify func()) {
+	expired := false
 	for process, c := range t.crashes {
 		if c.expired(now) {
 			delete(t.crashes, process)
@@ -188,17 +191,17 @@
 			delete(t.cleared, f)
 		}
 	}
-	return expired
+	if !expired {
+		return func() {}
+	}
+	return t.update()
 }
 
 // Sweep drops the crashes that no longer count. It has to be called at intervals.
 func (t *Table) Sweep() {
 	now := t.config.Now()
 	t.mu.Lock()
-	notify := func() {}
-	if t.expire(now) {
-		notify = t.update()
-	}
+	notify := t.expire(now)
 	t.mu.Unlock()
 	notify()
 }
