Probe a verdict without rivals

Cause: the part that they share was in flight at all three crashes, nothing else was at two of them, and a verdict without such rivals was never probed. So nothing could show that it was wrong.

It is now probed too, unless a crash at least three seconds after the one that led to it confirms it. That costs one more crash of an upstream where the verdict is right, and ends a wrong one after some three seconds. Two probes at most may end without a response.

TestProbesWithoutRivals failed before (0 probes of a wrong verdict, want 1).

--- a/internal/relay/poison/probe.go
+++ b/internal/relay/poison/probe.go
@@ -11,11 +11,16 @@
 // probes. Fingerprints of bystanders are usually known to be sound by then.
 const probeInterval = 3 * time.Second
 
+// maxUnrivalled is the number of probes of a verdict without rivals that may end without a
+// response. Each of them may crash an upstream.
+const maxUnrivalled = 2
+
 // probe holds the latest probe of a pattern, and which requests it blocks.
 type probe struct {
-	at      time.Time // zero before the first probe
-	request *Request
-	crashes int // that the pattern explained at the time
+	at         time.Time // zero before the first probe
+	request    *Request
+	crashes    int // that the pattern explained at the time
+	unanswered int // probes before the latest one that were not served
 
 	// Requests are counted in windows of probeInterval. Before the second window, only
 	// requests without rivals may probe.
@@ -29,12 +34,17 @@
 // is sound, and the requests with the real cause of the crashes, which have it too, crash
 // no further upstream. The rivals are the fingerprints that may have caused the crashes
 // instead. A request probes the pattern if it has none of them or, if there is no such
-// request, as few as any and not all. A crash since the last probe ends the probes, since
-// it confirms the pattern. The caller holds the mutex.
+// request, as few as any and not all. If there are no rivals, the pattern is probably right,
+// but upstreams that have crashed for reasons of their own give it too: it is probed unless it
+// is confirmed. A crash since the last probe ends the probes, since it confirms the pattern.
+// The caller holds the mutex.
 func (t *Table) probe(now time.Time, pattern Pattern, request *Request) bool {
 	rivals := request.count(pattern.rivals)
-	if rivals == len(pattern.rivals) {
+	switch {
+	case len(pattern.rivals) > 0 && rivals == len(pattern.rivals):
 		return false // would show nothing
+	case len(pattern.rivals) == 0 && t.confirmed(pattern):
+		return false
 	}
 	p := t.probes[pattern.key()]
 	if p == nil {
@@ -51,6 +61,12 @@
 	if !p.at.IsZero() && (now.Sub(p.at) < p.interval() || len(pattern.Crashes) > p.crashes) {
 		return false
 	}
+	if !p.at.IsZero() && !p.request.served {
+		p.unanswered++
+	}
+	if len(pattern.rivals) == 0 && p.unanswered >= maxUnrivalled {
+		return false
+	}
 	p.at = now
 	p.request = request
 	p.crashes = len(pattern.Crashes)
@@ -58,6 +74,14 @@
 	return true
 }
 
+// confirmed reports whether a crash shows that a pattern is right: it came so long after those
+// that led to the verdict that a probe has probably caused it. All hosts with the same reports
+// agree. The caller holds the mutex.
+func (t *Table) confirmed(pattern Pattern) bool {
+	latest := t.crashes[pattern.Crashes[0]]
+	return latest.at.Sub(pattern.concluded) >= probeInterval
+}
+
 // interval returns the time between the latest probe and the next one. If the response to
 // the probe ended too soon to show that it is sound, the next one shows soon whether the
 // upstream went on.
--- a/internal/relay/poison/probe_test.go
+++ b/internal/relay/poison/probe_test.go
@@ -82,3 +82,49 @@
 		c.Check(h.blocks(prompt("system", "cause")), qt.Equals, i == 0)
 	}
 }
+
+// Guards against a wrong verdict that lasts because nothing else was in flight at two of the
+// crashes: upstreams crash one after the other for reasons of their own, while the first requests
+// of a kind are at all of them.
+func TestProbesWithoutRivals(t *testing.T) {
+	tests := map[string]struct {
+		crashes bool // the probes crash their upstreams
+		silent  bool // they end without a response
+		probes  int
+	}{
+		"the verdict is wrong": {probes: 1},
+		"the verdict is right": {crashes: true, probes: 1},
+		"nobody can tell":      {silent: true, probes: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHosts(c, 1)[0]
+			for i := range 3 {
+				h.crash(process(i), prompt("first"))
+			}
+			probes := 0
+			for range 100 {
+				*h.now = h.now.Add(200 * time.Millisecond)
+				request := prompt("first")
+				if h.blocks(request) {
+					continue
+				}
+				if !request.Probes() {
+					break // no longer blocked
+				}
+				probes++
+				switch {
+				case test.crashes:
+					h.crash(process(3), request)
+				case test.silent:
+					h.Begin(process(3), request).End(false)
+				default:
+					h.serve(process(3), request)
+				}
+			}
+			c.Check(probes, qt.Equals, test.probes)
+			c.Check(h.blocks(prompt("first")), qt.Equals, test.crashes || test.silent)
+		})
+	}
+}
--- a/internal/relay/poison/table_test.go
+++ b/internal/relay/poison/table_test.go
@@ -557,7 +557,7 @@
 // many other upstreams crash.
 func TestTableIsBounded(t *testing.T) {
 	c := qt.New(t)
-	h := newHosts(c, 1)[0]
+	h := newHosts(c, 2)[1] // the other one probes
 	for i := range 2 {
 		h.crash(process(i), prompt("twice"))
 	}
@@ -577,7 +577,7 @@
 // wrong, and against callers that come again at short intervals while it holds.
 func TestRetryAfter(t *testing.T) {
 	c := qt.New(t)
-	h := newHosts(c, 1)[0]
+	h := newHosts(c, 2)[1] // the other one probes
 	var lastCrash time.Time
 	for i := range 3 {
 		lastCrash = *h.now
--- a/internal/relay/poison/verdict.go
+++ b/internal/relay/poison/verdict.go
@@ -30,6 +30,7 @@
 	Fingerprints []Fingerprint
 	Crashes      []Process     // that the pattern explains, the latest first
 	rivals       []Fingerprint // others that may have caused several of the crashes
+	concluded    time.Time     // the crash after which there were enough of them
 	since        time.Time     // when this host first blocked it
 	until        time.Time     // when too few of the crashes are left
 }
@@ -42,10 +43,11 @@
 
 // tally counts the crashes that a fingerprint may have caused.
 type tally struct {
-	crashes  int
-	suspects int
-	moments  int       // numbers of crashes that have not happened together
-	last     time.Time // latest moment
+	crashes   int
+	suspects  int
+	moments   int       // numbers of crashes that have not happened together
+	last      time.Time // latest moment
+	concluded time.Time // when there were blockMoments; zero before
 }
 
 // add counts a crash, which is not earlier than those counted before. It follows another
@@ -55,6 +57,9 @@
 	if t.moments == 0 || follows || at.Sub(t.last) >= momentLength {
 		t.moments++
 		t.last = at
+		if t.moments == blockMoments {
+			t.concluded = at
+		}
 	}
 	return t
 }
@@ -134,7 +139,9 @@
 // explain returns the pattern of the fingerprint best, and removes the crashes that it
 // explains. The pattern includes the fingerprints that occur in the same suspects.
 func explain(best Fingerprint, tallies map[Fingerprint]tally, unexplained map[Process]*crash) Pattern {
-	var pattern Pattern
+	pattern := Pattern{
+		concluded: tallies[best].concluded,
+	}
 	for _, c := range unexplained {
 		for _, suspect := range c.suspects {
 			if !slices.Contains(suspect.Fingerprints, best) || !c.countsAgainst(best) {
