Replace connections whose bodies arrive slowly

Cause: at the limit of connections only those were replaced on which nothing of a body had arrived for a second, so a byte now and then kept a connection until the timeout of its route. At the limit, a body that has been arriving for a second at less than 4 KiB/s now counts as waiting since it began. Without pressure nothing is closed.

--- a/internal/transport/callerhttp/connection.go
+++ b/internal/transport/callerhttp/connection.go
@@ -25,15 +25,47 @@
 	unused  atomic.Int64 // for the rest of a header
 	reading atomic.Int64 // for more of a body
 	writing atomic.Int64 // to read its response
+
+	body bodyProgress // of the present message
+}
+
+// bodyProgress tells how fast a body arrives. Its zero value is that of a message of whose body
+// nothing has been read.
+type bodyProgress struct {
+	since atomic.Int64 // when its reading began, in Unix nanoseconds; 0 before
+	bytes atomic.Int64 // read so far
+}
+
+// begin records that the body is about to be read.
+func (b *bodyProgress) begin(now time.Time) { b.since.CompareAndSwap(0, now.UnixNano()) }
+
+// reset makes it that of the next message.
+func (b *bodyProgress) reset() {
+	b.since.Store(0)
+	b.bytes.Store(0)
+}
+
+// isSlow reports whether the body has been read for stallTime, at less than minBodyRate.
+func (b *bodyProgress) isSlow(now time.Time) bool {
+	since := b.since.Load()
+	if !stalled(since, now) {
+		return false
+	}
+	return float64(b.bytes.Load()) < minBodyRate*now.Sub(time.Unix(0, since)).Seconds()
 }
 
 // Read implements io.Reader.
 func (c *connection) Read(p []byte) (int, error) {
-	if c.reader.inBody() {
-		c.reading.Store(time.Now().UnixNano())
-		defer c.reading.Store(0)
+	if !c.reader.inBody() {
+		return c.reader.Read(p)
 	}
-	return c.reader.Read(p)
+	now := time.Now()
+	c.body.begin(now)
+	c.reading.Store(now.UnixNano())
+	defer c.reading.Store(0)
+	n, err := c.reader.Read(p)
+	c.body.bytes.Add(int64(n))
+	return n, err
 }
 
 // Write implements io.Writer.
@@ -90,6 +122,7 @@
 	case http.StateNew:
 	case http.StateActive:
 		c.unused.Store(0)
+		c.body.reset()
 		c.header.start()
 	case http.StateIdle:
 		c.unused.Store(time.Now().UnixNano())
@@ -101,12 +134,16 @@
 }
 
 // waitsSince returns since when the connection waits for its caller, in Unix nanoseconds;
-// 0 if it does not, or has not for stallTime in the middle of a request.
+// 0 if it does not, or has not for stallTime in the middle of a request. A caller whose body
+// arrives slowly is waited for since it began.
 func (c *connection) waitsSince(now time.Time) int64 {
 	if unused := c.unused.Load(); unused != 0 {
 		return unused
 	}
 	since := c.reading.Load()
+	if since != 0 && c.body.isSlow(now) {
+		return c.body.since.Load()
+	}
 	if writing := c.writing.Load(); since == 0 || writing != 0 && writing < since {
 		since = writing
 	}
@@ -122,15 +159,15 @@
 }
 
 // evict closes the connection unless bytes have arrived for which the caller may expect a
-// response, or a request is in progress. A caller that does not read its response is not
-// spared. It reports whether it has closed the connection.
+// response, or a request is in progress. A caller that does not read its response, or sends its
+// body slowly, is not spared. It reports whether it has closed the connection.
 func (c *connection) evict(now time.Time) bool {
 	if stalled(c.writing.Load(), now) {
 		_ = c.socket.Close() // fails only if it is closed already
 		return true
 	}
 	return c.closeIf(func(expected expectation, _ time.Time) bool {
-		return expected != expectBody || stalled(c.reading.Load(), now)
+		return expected != expectBody || stalled(c.reading.Load(), now) || c.reading.Load() != 0 && c.body.isSlow(now)
 	})
 }
 
--- a/internal/transport/callerhttp/listener.go
+++ b/internal/transport/callerhttp/listener.go
@@ -17,6 +17,10 @@
 // response, before its connection may be closed in favour of a new one.
 const stallTime = time.Second
 
+// minBodyRate is the rate in bytes a second below which a body arrives slowly. The connection
+// of such a caller may be closed in favour of a new one, as if nothing arrived.
+const minBodyRate = 4 << 10
+
 const (
 	// connectionBytes is the memory of a connection without its messages: the stack of
 	// its goroutine, and the buffers for reading and writing.
@@ -52,7 +56,7 @@
 
 // Listen wraps a listener so that the messages on its connections are checked, and its
 // connections limited. At the limit, a new connection replaces the one that has waited for
-// its caller for the longest time; if requests are in progress or have arrived on all of
+// its caller for the longest time, also for a body that arrives slowly; if requests are in progress or have arrived on all of
 // them, it is closed.
 func Listen(inner net.Listener, limits Limits) *Listener {
 	if limits.Counts == nil {
