End although nobody reads the log

Cause: Close waits a second for the queued lines, and then without a bound for the line that is being written. It returns ErrBlocked after one more second; the host does not take that for a failure.

TestCloseWhileOutputBlocks failed before: no end within 5 s.

--- a/internal/command/relay.go
+++ b/internal/command/relay.go
@@ -85,7 +85,8 @@
 			err = runErr
 		}
 	}
-	if closeErr := log.Close(); err == nil {
+	// An output that nobody reads is no failure of the host.
+	if closeErr := log.Close(); err == nil && !errors.Is(closeErr, logging.ErrBlocked) {
 		err = errors.Annotate(closeErr, "close log")
 	}
 	return err
--- a/internal/relay/logging/logging.go
+++ b/internal/relay/logging/logging.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 )
@@ -128,13 +129,23 @@
 	}
 }
 
-// Close writes the buffered lines and stops the logger. It waits for the lines itself, up
-// to flushTimeout, since the ring buffer may miss those that are queued while it is being
-// closed.
+// ErrBlocked means that the output has not taken the last lines in time.
+const ErrBlocked = errors.ConstError("log output is blocked")
+
+// Close writes the buffered lines and stops the logger. It waits for the lines itself, since
+// the ring buffer may miss those that are queued while it is being closed. If the output
+// blocks for flushTimeout, and then for as long again, it returns ErrBlocked: the process has to end although nobody reads its output.
 func (l *Log) Close() error {
 	deadline := time.Now().Add(flushTimeout)
 	for l.output.lines.Load()+l.missed.Load() < l.queued.Load() && time.Now().Before(deadline) {
 		time.Sleep(flushInterval)
 	}
-	return l.writer.Close()
+	closed := make(chan error, 1)
+	go func() { closed <- l.writer.Close() }() // waits for the line that is being written
+	select {
+	case err := <-closed:
+		return err
+	case <-time.After(flushTimeout):
+		return ErrBlocked
+	}
 }
--- a/internal/relay/logging/logging_test.go
+++ b/internal/relay/logging/logging_test.go
@@ -95,6 +95,25 @@
 	c.Assert(log.Close(), qt.IsNil)
 }
 
+// Guards against a process that does not end after a signal because nobody reads its output.
+func TestCloseWhileOutputBlocks(t *testing.T) {
+	c := qt.New(t)
+	out := blockedWriter{
+		release: make(chan struct{}),
+	}
+	defer close(out.release)
+	log := logging.New(out, zerolog.InfoLevel, 10)
+	log.Info().Msg("line")
+	closed := make(chan error, 1)
+	go func() { closed <- log.Close() }()
+	select {
+	case err := <-closed:
+		c.Check(err, qt.ErrorIs, logging.ErrBlocked)
+	case <-time.After(5 * time.Second):
+		c.Fatal("log does not close")
+	}
+}
+
 // Guards against a change of the level that has no effect until a restart.
 func TestSet(t *testing.T) {
 	c := qt.New(t)
