Hold a release until the streams of the others are recorded

Cause: while a service has one release nothing is recorded, since every stream was begun by that one. The registration of another one makes that wrong for the past too, and hosts wrote what they knew up to 1.5 s later.

Now hosts write it at once, and a release that joins others may not begin streams that can be taken up before the entry "releases" has it, 0.7 to 1.7 s after the publishing host has learned of it. Until then the streams that nobody has recorded were begun by another release, which a host that takes them up knows for certain, since it verifies its replica. A release is open at once if the published ones have no usable upstream.

TestReleaseJoinsWhileHostIsOutOfStep plays the cut or pause around the opening of the release too, and starts streams once it is open; its checks are the same.

--- a/internal/relay/cell/cell_test.go
+++ b/internal/relay/cell/cell_test.go
@@ -251,6 +251,7 @@
 // newStager returns the stager of a host with a coordinator for the cell of all upstreams.
 func newStager(c *qt.C, m *members, leaders *duty.Leaders, responses *duty.Responses, remote *remote, now func() time.Time) *cell.Stager {
 	local := coordinator.New(coordinator.Config{
+		Held:     func(ident.ServiceName) []fleet.Release { return nil },
 		Table:    func() *routes.Table { return routes.New(1, routes.Limits{}, nil, nil, nil) },
 		Fleet:    fleet.New().Snapshot,
 		Includes: cell.ID("").Includes,
--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -77,7 +77,8 @@
 	Releases *upstreamhttp.Client // sends releases, whose responses are all alike
 	Table    func() *routes.Table
 	Fleet    func() *fleet.Snapshot
-	Includes func(upstream fleet.Upstream) bool // reports whether an upstream belongs to the coordinator
+	Held     func(service ident.ServiceName) []fleet.Release // returns the releases that must not begin streams yet
+	Includes func(upstream fleet.Upstream) bool              // reports whether an upstream belongs to the coordinator
 	Chooser  *placement.Chooser
 	Pauses   *fleet.Pauses
 	OnPlace  func(job Job, upstream fleet.Upstream) // called when an upstream is proposed for a job
@@ -255,6 +256,7 @@
 	job.ID = batch.JobID(c.lastJob.Add(1))
 	if job.Target.Service != "" {
 		job.Target.Cold = c.coldRate(job.Target.Service)
+		job.Target.Held = c.held(job.Target)
 		job.Domain = c.config.Chooser.Domain(job.Target, c.config.Fleet())
 	}
 	ticket := &Ticket{
@@ -288,6 +290,15 @@
 	}
 }
 
+// held returns the releases that a request may not begin at. One that takes up a stream goes to
+// the release of that.
+func (c *Coordinator) held(query placement.Query) []fleet.Release {
+	if query.Release != "" {
+		return nil
+	}
+	return c.config.Held(query.Service)
+}
+
 // coldRate returns the limit of requests to cold upstreams of a service.
 func (c *Coordinator) coldRate(name ident.ServiceName) placement.ColdRate {
 	table := c.config.Table()
@@ -333,6 +344,7 @@
 	if end.Domain != "" {
 		query.Domain, query.Bytes = end.Domain, end.Bytes
 	}
+	query.Held = t.coordinator.held(query)
 	placed, ok := t.coordinator.placements.place(t.coordinator.config.Now(), t.job, query, t.coordinator.config.Fleet())
 	if ok {
 		prepared.Upstream, prepared.Cache = placed.ID, placed.Cache.ID
--- a/internal/relay/coordinator/coordinator_test.go
+++ b/internal/relay/coordinator/coordinator_test.go
@@ -261,6 +261,7 @@
 	}
 	batches, releases := newClient(), newClient()
 	started := coordinator.New(coordinator.Config{
+		Held:     func(ident.ServiceName) []fleet.Release { return nil },
 		Codec:    codec{},
 		Batches:  batches,
 		Releases: releases,
--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -319,7 +319,7 @@
 		f.directory.Put(upstream)
 	}
 	f.holder.Offer(table())
-	f.releases = resumption.NewReleases(f.directory.Snapshot, time.Now)
+	f.releases = resumption.NewReleases(f.directory.Snapshot, func() bool { return true }, time.Now)
 	f.streams = resumption.NewStreams(f.releases, resumption.NewRecords(store, func() bool { return true }, zerolog.Nop()), func(context.Context) error {
 		if f.verify == nil {
 			return nil
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -15,6 +15,7 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/meter"
 	"github.com/nutmegshift/nutmegshift/internal/relay/placement"
+	"github.com/nutmegshift/nutmegshift/internal/relay/routes"
 	"github.com/nutmegshift/nutmegshift/internal/relay/upstreamhttp"
 	"github.com/nutmegshift/nutmegshift/internal/relay/wire"
 )
@@ -235,6 +236,9 @@
 		Exclude: make(map[ident.UpstreamID]bool, len(e.tried)),
 		Cold:    placement.HostColdRate(e.service.ColdRate, e.config.Hosts()),
 	}
+	if e.route.Kind == routes.Stream && e.route.Idempotent() && e.release == "" {
+		query.Held = e.config.Streams.Held(e.service.Name)
+	}
 	if len(e.route.Homes) > 0 {
 		query.Homes = append(query.Homes, e.route.Homes)
 	}
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -141,7 +141,7 @@
 		Wait:     watchWait,
 		Protocol: platform.Store,
 	})
-	h.releases = resumption.NewReleases(h.fleet.Snapshot, time.Now)
+	h.releases = resumption.NewReleases(h.fleet.Snapshot, h.storeSettled, time.Now)
 	h.clients = clients{
 		requests: h.newClient(h.liveHosts),
 		batches:  h.newClient(oneSender),
@@ -284,6 +284,7 @@
 		Releases: h.clients.releases,
 		Table:    h.routes.Table,
 		Fleet:    h.fleet.Snapshot,
+		Held:     h.releases.Held,
 		Includes: id.Includes,
 		Chooser:  placement.New(time.Now, rand.Float64, placement.WithPrefixes(coordinatorPrefixes)),
 		Pauses:   h.pauses,
--- a/internal/relay/host/sinks.go
+++ b/internal/relay/host/sinks.go
@@ -125,10 +125,14 @@
 	if upstream.ColdLeft > 0 {
 		upstream.ColdUntil = time.Now().Add(upstream.ColdLeft)
 	}
+	joins := !s.releases.Knows(upstream.Service, upstream.Release)
 	if s.fleet.Put(fleet.Registration{
 		Upstream: upstream,
 		Version:  entry.Version,
 	}) {
+		if joins {
+			s.streams.Hurry() // the streams of the releases before are recorded before it is open
+		}
 		s.registrationLine().Str("upstream", string(upstream.ID)).Str("service", string(upstream.Service)).Str("address", string(upstream.Address)).Str("release", string(upstream.Release)).Uint8("state", uint8(upstream.State)).Uint64("revision", uint64(entry.Version)).Msg("fleet: registered")
 	}
 }
--- a/internal/relay/placement/chooser.go
+++ b/internal/relay/placement/chooser.go
@@ -32,6 +32,7 @@
 	Prompt  wire.Prompt         // zero value if the request has none
 	Shared  SharedPrefix
 	Release fleet.Release             // that the upstream must have; empty if any
+	Held    []fleet.Release           // releases whose upstreams must not be chosen, but may be proposed
 	Exclude map[ident.UpstreamID]bool // upstreams that must not be chosen
 	Cold    ColdRate                  // limit of requests to cold upstreams
 	Homes   [][]ident.Region          // lists of regions, each of which must have the upstream's
@@ -212,7 +213,7 @@
 	}
 	lowest := 0.0
 	for i, upstream := range p.upstreams {
-		if !query.allows(upstream) || c.coldFull(now, query.Cold, upstream.ColdUntil, p.states[i]) {
+		if !query.allows(upstream) || slices.Contains(query.Held, upstream.Release) || c.coldFull(now, query.Cold, upstream.ColdUntil, p.states[i]) {
 			continue
 		}
 		current := candidate{
--- a/internal/relay/resumption/releases.go
+++ b/internal/relay/resumption/releases.go
@@ -18,6 +18,9 @@
 	releaseLife = time.Minute
 	// observeInterval is how often an unchanged fleet is looked at.
 	observeInterval = time.Second
+	// openDelay is how long a release is known to the host that publishes it until it is open.
+	// All hosts learn of it, and record their streams, in less.
+	openDelay = 700 * time.Millisecond
 	// MaxReleasesBytes is the largest entry with the releases in service.
 	MaxReleasesBytes = 64 << 10
 )
@@ -28,6 +31,8 @@
 
 // presence is what a host knows of a release.
 type presence struct {
+	since   time.Time // when it became known
+	opened  bool      // its upstreams may begin streams although it is not published, see Held
 	seen    time.Time // latest time when an upstream of the release was registered, or was when the release became known
 	dropped bool      // it has been missing for releaseLife
 }
@@ -35,73 +40,103 @@
 // Releases knows which releases of each service are or have lately been in service. It is
 // safe for concurrent use.
 type Releases struct {
-	fleet func() *fleet.Snapshot
-	now   func() time.Time
+	fleet   func() *fleet.Snapshot
+	settled func() bool
+	now     func() time.Time
 
 	mu       sync.Mutex
 	latest   *fleet.Snapshot // the one that known includes; nil at first
 	observed time.Time       // when known was brought up to date
 	known    map[ident.ServiceName]map[fleet.Release]presence
+	// published has the releases in the latest entry of the store.
+	published inService
 }
 
-// NewReleases returns a Releases that follows a fleet.
-func NewReleases(snapshot func() *fleet.Snapshot, now func() time.Time) *Releases {
+// NewReleases returns a Releases that follows a fleet. The function settled reports whether
+// everything has been written again that the store may have lost when it was restored from a
+// backup.
+func NewReleases(snapshot func() *fleet.Snapshot, settled func() bool, now func() time.Time) *Releases {
 	return &Releases{
-		fleet: snapshot,
-		now:   now,
-		known: make(map[ident.ServiceName]map[fleet.Release]presence),
+		fleet:   snapshot,
+		settled: settled,
+		now:     now,
+		known:   make(map[ident.ServiceName]map[fleet.Release]presence),
 	}
 }
 
-// Possible returns the releases that may have begun a stream of the service, in order.
+// Possible returns the releases that may have begun a stream of the service, in order. A
+// release that has joined others may not until it is open, see Held.
 func (r *Releases) Possible(service ident.ServiceName) []fleet.Release {
+	settled := r.settled() // not while the mutex is held
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.observe()
-	return r.possible(service)
+	r.observe(settled)
+	return slices.DeleteFunc(r.lately(service), func(release fleet.Release) bool { return !r.isOpen(service, release) })
 }
 
-// Mixed returns the services whose streams may have been begun by several releases.
+// Held returns the releases of a service whose upstreams must not begin streams yet. A release
+// that joins others is open once it is in the published entry. Until then, a stream that nobody
+// has recorded was begun by another one, also if all hosts that knew it have ended. If none of
+// the published releases has a usable upstream, all others are open.
+func (r *Releases) Held(service ident.ServiceName) []fleet.Release {
+	settled := r.settled() // not while the mutex is held
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.observe(settled)
+	return slices.DeleteFunc(r.lately(service), func(release fleet.Release) bool { return r.isOpen(service, release) })
+}
+
+// isOpen reports whether upstreams of a release may begin streams. The caller holds the mutex.
+func (r *Releases) isOpen(service ident.ServiceName, release fleet.Release) bool {
+	published := r.published[service]
+	return len(published) == 0 || slices.Contains(published, release) || r.known[service][release].opened
+}
+
+// Mixed returns the services that have, or lately had, upstreams of several releases.
 func (r *Releases) Mixed() map[ident.ServiceName]bool {
+	settled := r.settled() // not while the mutex is held
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.observe()
+	r.observe(settled)
 	mixed := make(map[ident.ServiceName]bool)
 	for service := range r.known {
-		if len(r.possible(service)) > 1 {
+		if len(r.lately(service)) > 1 {
 			mixed[service] = true
 		}
 	}
 	return mixed
 }
 
-// possible implements Possible. The caller holds the mutex.
-func (r *Releases) possible(service ident.ServiceName) []fleet.Release {
-	var possible []fleet.Release
+// lately returns the releases that are or have lately been in service, in order. The caller holds
+// the mutex.
+func (r *Releases) lately(service ident.ServiceName) []fleet.Release {
+	var releases []fleet.Release
 	for release, p := range r.known[service] {
 		if !p.dropped {
-			possible = append(possible, release)
+			releases = append(releases, release)
 		}
 	}
-	slices.Sort(possible)
-	return possible
+	slices.Sort(releases)
+	return releases
 }
 
-// observe updates the releases in service and drops those that have left long ago. The
+// observe updates the releases in service and drops those that have left long ago. Those that
+// become known while the store is not settled are open: the entry may have lost them. The
 // caller holds the mutex.
-func (r *Releases) observe() {
+func (r *Releases) observe(settled bool) {
 	now := r.now()
 	latest := r.fleet()
 	if latest == r.latest && now.Sub(r.observed) < observeInterval {
 		return
 	}
 	if r.latest != nil {
-		r.see(r.latest, now)
+		r.see(r.latest, now, settled)
 	}
 	if latest != r.latest {
 		r.latest = latest
-		r.see(latest, now)
+		r.see(latest, now, settled)
 	}
+	r.openUnpublished()
 	r.observed = now
 	for _, releases := range r.known {
 		for release, p := range releases {
@@ -113,12 +148,43 @@
 	}
 }
 
+// openUnpublished opens the releases of services of which no published one has a usable upstream.
+// The caller holds the mutex.
+func (r *Releases) openUnpublished() {
+	for service, published := range r.published {
+		usable := r.latest.Ready(service)
+		if len(published) == 0 || slices.ContainsFunc(usable, func(u fleet.Upstream) bool { return slices.Contains(published, u.Release) }) {
+			continue
+		}
+		for _, upstream := range usable {
+			r.open(service, []fleet.Release{upstream.Release})
+		}
+	}
+}
+
+// open opens releases that are known. They stay open, also if an entry of a restored store lacks
+// them. The caller holds the mutex.
+func (r *Releases) open(service ident.ServiceName, releases []fleet.Release) {
+	for _, release := range releases {
+		if p, ok := r.known[service][release]; ok {
+			p.opened = true
+			r.put(service, release, p)
+		}
+	}
+}
+
 // see records that the releases of a snapshot are in service. The caller holds the mutex.
-func (r *Releases) see(snapshot *fleet.Snapshot, now time.Time) {
+func (r *Releases) see(snapshot *fleet.Snapshot, now time.Time, settled bool) {
 	for _, upstream := range snapshot.All() {
-		r.put(upstream.Service, upstream.Release, presence{
-			seen: now,
-		})
+		p, ok := r.known[upstream.Service][upstream.Release]
+		if !ok || p.dropped {
+			p = presence{
+				since:  now,
+				opened: !settled,
+			}
+		}
+		p.seen = now
+		r.put(upstream.Service, upstream.Release, p)
 	}
 }
 
@@ -131,6 +197,15 @@
 	releases[release] = p
 }
 
+// Knows reports whether a release of a service is or has lately been in service, as far as this
+// host has seen before the latest change of the fleet.
+func (r *Releases) Knows(service ident.ServiceName, release fleet.Release) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, ok := r.known[service][release]
+	return ok && !p.dropped
+}
+
 // Learn adds the releases that another host has published.
 func (r *Releases) Learn(entry []byte) error {
 	r.mu.Lock()
@@ -145,11 +220,15 @@
 	if err := json.Unmarshal(entry, &published); err != nil {
 		return errors.Annotate(err, "decode releases in service")
 	}
+	r.published = published
 	for service, releases := range published {
+		r.open(service, releases)
 		for _, release := range releases {
 			if _, ok := r.known[service][release]; !ok {
 				r.put(service, release, presence{
-					seen: r.now(),
+					since:  r.now(),
+					opened: true,
+					seen:   r.now(),
 				})
 			}
 		}
@@ -158,13 +237,14 @@
 }
 
 // Entry returns the entry that should replace the present one, which is nil if there is
-// none. A release that has left stays in it until this host has missed it for releaseLife;
+// none. A release that joins others is in it once it has been known for openDelay. A release that has left stays in it until this host has missed it for releaseLife;
 // the entry has no times, since the clocks of hosts differ. It is nil while no upstream is
 // known.
 func (r *Releases) Entry(present []byte) ([]byte, error) {
+	settled := r.settled() // not while the mutex is held
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.observe()
+	r.observe(settled)
 	if len(r.known) == 0 {
 		return present, nil
 	}
@@ -173,7 +253,9 @@
 	}
 	entry := make(inService)
 	for service := range r.known {
-		entry[service] = r.possible(service)
+		entry[service] = slices.DeleteFunc(r.lately(service), func(release fleet.Release) bool {
+			return !r.isOpen(service, release) && r.now().Sub(r.known[service][release].since) < openDelay
+		})
 	}
 	return json.Marshal(entry)
 }
--- a/internal/relay/resumption/releases_test.go
+++ b/internal/relay/resumption/releases_test.go
@@ -17,6 +17,7 @@
 	now       time.Time
 	directory *fleet.Directory
 	releases  *resumption.Releases
+	settled   bool // the store is
 	version   kv.Version
 }
 
@@ -24,8 +25,9 @@
 	h := &host{
 		now:       now,
 		directory: fleet.New(),
+		settled:   true,
 	}
-	h.releases = resumption.NewReleases(h.directory.Snapshot, func() time.Time { return h.now })
+	h.releases = resumption.NewReleases(h.directory.Snapshot, func() bool { return h.settled }, func() time.Time { return h.now })
 	return h
 }
 
@@ -146,3 +148,58 @@
 		c.Check(h.releases.Learn([]byte(`{"s":["v1","v2"]}`)), qt.IsNil) // from a host that has missed it for less long
 	}
 }
+
+// Guards against streams that begin at a release that has just joined, so that nobody can tell
+// which release began the others, and against a service that has no other upstreams.
+func TestReleaseIsHeld(t *testing.T) {
+	tests := map[string]struct {
+		before    string // entry when the release joins
+		unsettled bool
+		leave     bool // upstreams of the other release do
+		after     time.Duration
+		held      []fleet.Release
+		possible  []fleet.Release
+		entry     string
+	}{
+		"joins":                       {before: `{"s":["v1"]}`, held: []fleet.Release{"v2"}, possible: []fleet.Release{"v1"}, entry: `{"s":["v1"]}`},
+		"known for some time":         {before: `{"s":["v1"]}`, after: time.Second, held: []fleet.Release{"v2"}, possible: []fleet.Release{"v1"}, entry: `{"s":["v1","v2"]}`},
+		"published":                   {before: `{"s":["v1","v2"]}`, possible: []fleet.Release{"v1", "v2"}, entry: `{"s":["v1","v2"]}`},
+		"nothing is published":        {before: `{}`, possible: []fleet.Release{"v1", "v2"}, entry: `{"s":["v1","v2"]}`},
+		"the other one has left":      {before: `{"s":["v1"]}`, leave: true, possible: []fleet.Release{"v1", "v2"}, entry: `{"s":["v1","v2"]}`},
+		"the store has been restored": {before: `{"s":["v1"]}`, unsettled: true, possible: []fleet.Release{"v1", "v2"}, entry: `{"s":["v1","v2"]}`},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHost(time.Unix(1_700_000_000, 0))
+			h.settled = !test.unsettled
+			h.register("a", "v1")
+			h.releases.Mixed()
+			c.Assert(h.releases.Learn([]byte(test.before)), qt.IsNil)
+			h.register("b", "v2")
+			c.Check(h.releases.Mixed()["s"], qt.IsTrue, qt.Commentf("streams are recorded"))
+			if test.leave {
+				h.remove("a")
+			}
+			h.now = h.now.Add(test.after)
+			c.Check(h.releases.Held("s"), qt.DeepEquals, append([]fleet.Release{}, test.held...))
+			c.Check(h.releases.Possible("s"), qt.DeepEquals, test.possible)
+			entry, err := h.releases.Entry([]byte(test.before))
+			c.Assert(err, qt.IsNil)
+			c.Check(string(entry), qt.Equals, test.entry)
+		})
+	}
+}
+
+// Guards against a release that counts as never used because a restored store has lost it.
+func TestReleaseStaysOpen(t *testing.T) {
+	c := qt.New(t)
+	h := newHost(time.Unix(1_700_000_000, 0))
+	h.register("a", "v1")
+	h.register("b", "v2")
+	h.releases.Mixed()
+	c.Assert(h.releases.Learn([]byte(`{"s":["v1","v2"]}`)), qt.IsNil)
+	c.Assert(h.releases.Learn([]byte(`{"s":["v1"]}`)), qt.IsNil)
+	c.Check(h.releases.Held("s"), qt.HasLen, 0)
+	c.Check(h.releases.Possible("s"), qt.DeepEquals, []fleet.Release{"v1", "v2"})
+}
--- a/internal/relay/resumption/run.go
+++ b/internal/relay/resumption/run.go
@@ -43,7 +43,7 @@
 	}
 	s.note(r.stream, release, false)
 	if len(r.known.releases) > 1 {
-		s.hurry() // what is recorded says that another release begins the stream
+		s.Hurry() // what is recorded says that another release begins the stream
 	}
 }
 
@@ -68,7 +68,7 @@
 	}
 	if len(r.known.releases) > 1 {
 		s.note(r.stream, release, true)
-		s.hurry()
+		s.Hurry()
 	}
 	r.known.begun = true
 	r.known.releases = []fleet.Release{release}
@@ -90,7 +90,7 @@
 		delete(s.streams, r.stream)
 	case r.known.begun && !complete:
 		s.note(r.stream, r.known.releases[0], true) // its caller may take it up elsewhere now
-		s.hurry()
+		s.Hurry()
 	}
 	r.known = nil
 }
--- a/internal/relay/resumption/streams.go
+++ b/internal/relay/resumption/streams.go
@@ -126,6 +126,9 @@
 	return possible[0], true, nil
 }
 
+// Held returns the releases of a service whose upstreams must not begin streams yet.
+func (s *Streams) Held(service ident.ServiceName) []fleet.Release { return s.releases.Held(service) }
+
 // Refresh brings the known fleet up to date: the coordinator that notes where a stream begins
 // may know upstreams that this host does not. It returns an error if that is not possible.
 func (s *Streams) Refresh(ctx context.Context) error {
@@ -184,8 +187,8 @@
 	return slices.Clone(s.notes[skip:])
 }
 
-// hurry makes the recorder write soon.
-func (s *Streams) hurry() {
+// Hurry makes the recorder write soon.
+func (s *Streams) Hurry() {
 	select {
 	case s.urgent <- struct{}{}:
 	default: // the recorder is about to write
--- a/internal/system/outofstep_test.go
+++ b/internal/system/outofstep_test.go
@@ -21,9 +21,11 @@
 	// step, and outOfStepPause the time between two tries.
 	outOfStepTries = 20
 	outOfStepPause = 150 * time.Millisecond
-	// joinedLife is the time from the registration of an upstream until it crashes, with all
-	// streams that it has begun.
-	joinedLife = 1200 * time.Millisecond
+	// joinedLife is the time for which callers begin streams at an upstream that has joined,
+	// until it crashes with all of them.
+	joinedLife = 800 * time.Millisecond
+	// spreadTime is the time in which all hosts learn of a change.
+	spreadTime = 400 * time.Millisecond
 	// minJoinedStreams is the number of streams that the upstream has to begin, of
 	// releaseStreams, for a play to show anything.
 	minJoinedStreams = 2
@@ -99,6 +101,16 @@
 	return cluster
 }
 
+// awaitOpen waits until upstreams of a release may begin streams, as all hosts that are in touch
+// know.
+func (c *soakCluster) awaitOpen(release string) {
+	await(c.t, "the release in the entry", func() bool {
+		entry, err := c.store.Get(c.ctx, "releases")
+		return err == nil && strings.Contains(string(entry.Value), release)
+	})
+	time.Sleep(spreadTime)
+}
+
 // play plays a trouble at the first host. Callers begin streams at the others and take up at
 // the first one what breaks off. It returns the streams that the new release has begun.
 func (c *soakCluster) play(ctx context.Context, p outOfStep) []*chat {
@@ -111,6 +123,7 @@
 	})
 	time.Sleep(p.join)
 	joined := c.addEngine("v2")
+	c.awaitOpen("v2")
 	running.Go(func() {
 		time.Sleep(joinedLife)
 		joined.forwarder.setFault(linkFault{
@@ -118,7 +131,6 @@
 		})
 		joined.forwarder.reset()
 	})
-	time.Sleep(joinedLife / 3) // until the other hosts know
 	streams := newChats()
 	eachChat(streams, func(i int, s *chat) {
 		other := c.hosts[1+i%(len(c.hosts)-1)]
@@ -148,14 +160,16 @@
 func TestReleaseJoinsWhileHostIsOutOfStep(t *testing.T) {
 	both, to, from := [2]bool{true, true}, [2]bool{true, false}, [2]bool{false, true}
 	tests := map[string]outOfStep{
-		"cut off, joins within":                {cut: both, length: 2500 * time.Millisecond, join: 200 * time.Millisecond},
-		"cut off, joins just before":           {cut: both, length: 3 * time.Second, join: -20 * time.Millisecond},
+		"cut off, joins within":                {cut: both, length: 4500 * time.Millisecond, join: 200 * time.Millisecond},
+		"cut off, joins just before":           {cut: both, length: 4500 * time.Millisecond, join: -20 * time.Millisecond},
+		"cut off, joins before, opens within":  {cut: both, length: 4500 * time.Millisecond, join: -600 * time.Millisecond},
 		"cut off, joins just after":            {cut: both, length: 400 * time.Millisecond, join: 400 * time.Millisecond},
-		"cut off for long":                     {cut: both, length: 10 * time.Second, join: 5 * time.Second},
-		"receives nothing, joins within":       {cut: to, length: 2500 * time.Millisecond, join: 200 * time.Millisecond},
-		"sends nothing, joins within":          {cut: from, length: 2500 * time.Millisecond, join: 200 * time.Millisecond},
-		"stands still, joins within":           {length: 2500 * time.Millisecond, join: 200 * time.Millisecond},
-		"stands still, joins just before":      {length: 2500 * time.Millisecond, join: -10 * time.Millisecond},
+		"cut off for long":                     {cut: both, length: 10 * time.Second, join: 4 * time.Second},
+		"receives nothing, joins within":       {cut: to, length: 4500 * time.Millisecond, join: 200 * time.Millisecond},
+		"sends nothing, joins within":          {cut: from, length: 4500 * time.Millisecond, join: 200 * time.Millisecond},
+		"stands still, joins within":           {length: 4500 * time.Millisecond, join: 200 * time.Millisecond},
+		"stands still, joins just before":      {length: 4500 * time.Millisecond, join: -10 * time.Millisecond},
+		"stands still, opens within":           {length: 4500 * time.Millisecond, join: -600 * time.Millisecond},
 		"stands still, joins just after":       {length: time.Second, join: time.Second},
 		"stands still for a tenth of a second": {length: 100 * time.Millisecond, join: 0},
 		"stands still for long":                {length: 10 * time.Second, join: 6 * time.Second},
@@ -201,14 +215,14 @@
 	setSoakFlags(t)
 	const (
 		shortest, longest = 100, 10_000 // of the trouble, in milliseconds
-		margin            = 200         // by which a join may come before or after it
+		before, after     = 2000, 200   // by which a join may come before or after it
 	)
 	rapid.Check(t, func(r *rapid.T) {
 		length := rapid.IntRange(shortest, longest).Draw(r, "length")
 		p := outOfStep{
 			cut:    [2]bool{rapid.Bool().Draw(r, "to"), rapid.Bool().Draw(r, "from")},
 			length: time.Duration(length) * time.Millisecond,
-			join:   time.Duration(rapid.IntRange(-margin, length+margin).Draw(r, "join")) * time.Millisecond,
+			join:   time.Duration(rapid.IntRange(-before, length+after).Draw(r, "join")) * time.Millisecond,
 		}
 		if _, joined := runOutOfStep(t, p); len(joined) > 0 {
 			r.Fatalf("%+v: %s", p, strings.Join(joined, "\n"))
@@ -270,7 +284,7 @@
 	cluster := startReleaseCluster(ctx, t)
 	backup := cluster.store.Backup()
 	joined := cluster.addEngine("v2")
-	time.Sleep(joinedLife) // until all hosts know
+	cluster.awaitOpen("v2")
 	streams := newChats()
 	killed := make(chan struct{})
 	time.AfterFunc(joinedLife, func() {
@@ -313,3 +327,46 @@
 	}
 	return streams
 }
+
+// Guards against streams that nobody continues because their hosts were killed a moment after the
+// first upstream of another release had joined, before they had recorded them (review/10).
+func TestHostsKilledWhenReleaseJoins(t *testing.T) {
+	deploymentSlots <- struct{}{}
+	defer func() { <-deploymentSlots }()
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	cluster := startReleaseCluster(ctx, t)
+	streams := newChats()
+	killed := make(chan struct{})
+	time.AfterFunc(joinedLife, func() {
+		defer close(killed)
+		cluster.addEngine("v2")
+		time.Sleep(spreadTime / 2)
+		eachHost(cluster, func(h *relayHost) {
+			if h.number > 0 {
+				cluster.restart(h, syscall.SIGKILL, 0)
+			}
+		})
+	})
+	eachChat(streams, func(i int, s *chat) {
+		_ = s.request(ctx, cluster.hosts[1+i%(soakHosts-1)], func() bool { return false }) // is broken off
+		for range takeUpTries {
+			if s.complete || s.lastEvent == 0 {
+				return
+			}
+			_ = s.request(ctx, cluster.hosts[0], func() bool { return false }) // may be refused
+			time.Sleep(outOfStepPause)
+		}
+	})
+	<-killed
+	complete := 0
+	for _, s := range streams {
+		c.Check(len(cluster.releasesOf(s)) <= 1, qt.IsTrue, qt.Commentf("stream %s, requests %s", s.origin, s.requests))
+		if s.complete {
+			complete++
+		}
+	}
+	c.Check(2*complete >= releaseStreams, qt.IsTrue, qt.Commentf("%d of %d streams complete", complete, releaseStreams))
+	c.Check(cluster.failures, qt.HasLen, 0)
+}
