Send changes, not all entries, after a listing

Three hosts had listed the store, since a poll was ahead of their watches; the fourth got all entries of one of them, 106,960 bytes, in place of a patch of the table.

Cause: a replica that has applied a listing counted as knowing no removal before it. But the listing shows which of its entries are gone; only a replica whose cursor is between the state before and the listing may have an entry that came and went meanwhile. These gaps are kept, and only such a replica gets all entries. After a restore of the store all others do, as before.

TestDeltaAfterListing failed before in the three rows with a listing.

--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -79,7 +79,8 @@
 	earlier          []kv.Entry // large values that have been replaced, the latest last
 	earlierBytes     int        // sum of the sizes of earlier
 	tombstones       map[kv.Key]tombstone
-	historyStart     kv.Cursor // tombstones has all removals after it
+	history          history   // which removals tombstones has
+	hides            bool      // a restored store had an entry that counts as removed here, and whose removal a listing does not show
 	unconfirmedUntil time.Time // removals before it are unconfirmed
 }
 
@@ -337,8 +338,10 @@
 		// written again.
 		r.unconfirmedUntil = r.now().Add(reregisterTime)
 	}
-	if cursor > r.Cursor() {
-		r.historyStart = cursor // a listing does not tell what was removed before it
+	if r.hides {
+		r.history.forget(cursor)
+	} else {
+		r.history.skip(r.Cursor(), cursor)
 	}
 	present := make(map[kv.Key]bool, len(entries))
 	for _, entry := range slices.SortedFunc(slices.Values(entries), byVersion) {
@@ -401,7 +404,7 @@
 func (r *Replica) HasHistory(after kv.Cursor) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return after >= r.historyStart
+	return r.history.covers(after)
 }
 
 // Delta returns the changes that a replica complete up to the cursor after lacks. If
@@ -416,7 +419,7 @@
 		Age:            r.Age(),
 		UnconfirmedFor: max(0, r.unconfirmedUntil.Sub(r.now())),
 	}
-	if after < r.historyStart {
+	if !r.history.covers(after) {
 		// The other replica may need removals that are not known here, but it can apply
 		// all existing entries as a listing.
 		after = 0
@@ -456,6 +459,7 @@
 		return
 	}
 	if removal, ok := r.tombstones[entry.Key]; ok && removal.hides(entry) {
+		r.hides = r.hides || kv.EpochOf(entry.Version) > kv.EpochOf(removal.version)
 		return
 	}
 	if len(entry.Value) > r.maxValue(entry.Key) {
@@ -511,7 +515,7 @@
 // applied are beyond the cursor.
 func (r *Replica) dropTombstones() {
 	for _, removal := range r.tombstones {
-		r.historyStart = max(r.historyStart, kv.Cursor(removal.version))
+		r.history.forget(kv.Cursor(removal.version))
 	}
 	clear(r.tombstones)
 }
