Give the upstream that joins in the tests an id of its own

The out-of-step tests gave the upstream of the new release the id of one of the old release, so they played an upstream that comes back with another release. Two of 26 plays had no stream at it: the host that places them had learned of it late, since a reader of the store was cut off, and its rival was the one remaining upstream. It has an id of its own now, callers begin once every host that is in touch has had the time to learn that the release is open, and troubles last long enough for that. The checks are the same.

--- a/internal/system/outofstep_test.go
+++ b/internal/system/outofstep_test.go
@@ -27,8 +27,8 @@
 	// beginTimeout bounds the wait for streams to begin: the stages of some are at the host that
 	// is out of step until another one runs them.
 	beginTimeout = 3 * time.Second
-	// spreadTime is the time in which all hosts learn of a change.
-	spreadTime = 400 * time.Millisecond
+	// joinedDomain is the failure domain of the upstream that joins.
+	joinedDomain = "d2"
 	// minJoinedStreams is the number of streams that the upstream has to begin, of
 	// releaseStreams, for a play to show anything.
 	minJoinedStreams = 2
@@ -81,7 +81,7 @@
 			EventInterval: releaseInterval,
 			Events:        soakEvents,
 			Slots:         50,
-			Domain:        "d1",
+			Domain:        joinedDomain, // gives it an id that no other has
 		},
 		forwarder: newForwarder(c.ctx, c.t, c.newAddress(), ""),
 	}
@@ -121,7 +121,7 @@
 		entry, err := c.store.Get(c.ctx, "releases")
 		return err == nil && strings.Contains(string(entry.Value), release)
 	})
-	time.Sleep(spreadTime)
+	time.Sleep(soakApply)
 }
 
 // play plays a trouble at the first host. Callers begin streams at the others and take up at
@@ -165,19 +165,19 @@
 func TestReleaseJoinsWhileHostIsOutOfStep(t *testing.T) {
 	both, to, from := [2]bool{true, true}, [2]bool{true, false}, [2]bool{false, true}
 	tests := map[string]outOfStep{
-		"cut off, joins within":                {cut: both, length: 4500 * time.Millisecond, join: 200 * time.Millisecond},
-		"cut off, joins just before":           {cut: both, length: 4500 * time.Millisecond, join: -20 * time.Millisecond},
-		"cut off, joins before, opens within":  {cut: both, length: 4500 * time.Millisecond, join: -600 * time.Millisecond},
+		"cut off, joins within":                {cut: both, length: 7 * time.Second, join: 200 * time.Millisecond},
+		"cut off, joins just before":           {cut: both, length: 7 * time.Second, join: -20 * time.Millisecond},
+		"cut off, joins before, opens within":  {cut: both, length: 7 * time.Second, join: -600 * time.Millisecond},
 		"cut off, joins just after":            {cut: both, length: 400 * time.Millisecond, join: 400 * time.Millisecond},
-		"cut off for long":                     {cut: both, length: 10 * time.Second, join: 4 * time.Second},
-		"receives nothing, joins within":       {cut: to, length: 4500 * time.Millisecond, join: 200 * time.Millisecond},
-		"sends nothing, joins within":          {cut: from, length: 4500 * time.Millisecond, join: 200 * time.Millisecond},
-		"stands still, joins within":           {length: 4500 * time.Millisecond, join: 200 * time.Millisecond},
-		"stands still, joins just before":      {length: 4500 * time.Millisecond, join: -10 * time.Millisecond},
-		"stands still, opens within":           {length: 4500 * time.Millisecond, join: -600 * time.Millisecond},
+		"cut off for long":                     {cut: both, length: 10 * time.Second, join: 3 * time.Second},
+		"receives nothing, joins within":       {cut: to, length: 7 * time.Second, join: 200 * time.Millisecond},
+		"sends nothing, joins within":          {cut: from, length: 7 * time.Second, join: 200 * time.Millisecond},
+		"stands still, joins within":           {length: 7 * time.Second, join: 200 * time.Millisecond},
+		"stands still, joins just before":      {length: 7 * time.Second, join: -10 * time.Millisecond},
+		"stands still, opens within":           {length: 7 * time.Second, join: -600 * time.Millisecond},
 		"stands still, joins just after":       {length: time.Second, join: time.Second},
 		"stands still for a tenth of a second": {length: 100 * time.Millisecond, join: 0},
-		"stands still for long":                {length: 10 * time.Second, join: 6 * time.Second},
+		"stands still for long":                {length: 10 * time.Second, join: 3 * time.Second},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -351,7 +351,7 @@
 	time.AfterFunc(joinedLife, func() {
 		defer close(killed)
 		cluster.addEngine("v2")
-		time.Sleep(spreadTime / 2)
+		time.Sleep(joinedLife / 4)
 		eachHost(cluster, func(h *relayHost) {
 			if h.number > 0 {
 				cluster.restart(h, syscall.SIGKILL, 0)
