Open a held release only after a moment without other upstreams

A host that starts applies the registrations of its first listing one by one. If the upstreams of the published release came after those of a new one, the host saw for an instant a service with no other upstreams, opened the new release for good, and could begin streams there that others take for the old release's.

The published releases now have to lack a usable upstream for 0.3 s. Two rows of TestReleaseIsHeld failed before (held: none, want v2).

--- a/internal/relay/resumption/releases.go
+++ b/internal/relay/resumption/releases.go
@@ -21,6 +21,9 @@
 	// openDelay is how long a release is known to the host that publishes it until it is open.
 	// All hosts learn of it, and record their streams, in less.
 	openDelay = 700 * time.Millisecond
+	// unusableTime is how long the published releases of a service have to lack a usable
+	// upstream until the others are open: a host that starts learns of upstreams one by one.
+	unusableTime = 300 * time.Millisecond
 	// MaxReleasesBytes is the largest entry with the releases in service.
 	MaxReleasesBytes = 64 << 10
 )
@@ -50,6 +53,9 @@
 	known    map[ident.ServiceName]map[fleet.Release]presence
 	// published has the releases in the latest entry of the store.
 	published inService
+	// unusable has the services of which no published release has a usable upstream, and since
+	// when.
+	unusable map[ident.ServiceName]time.Time
 }
 
 // NewReleases returns a Releases that follows a fleet. The function settled reports whether
@@ -61,6 +67,8 @@
 		settled: settled,
 		now:     now,
 		known:   make(map[ident.ServiceName]map[fleet.Release]presence),
+
+		unusable: make(map[ident.ServiceName]time.Time),
 	}
 }
 
@@ -126,7 +134,7 @@
 func (r *Releases) observe(settled bool) {
 	now := r.now()
 	latest := r.fleet()
-	if latest == r.latest && now.Sub(r.observed) < observeInterval {
+	if latest == r.latest && len(r.unusable) == 0 && now.Sub(r.observed) < observeInterval {
 		return
 	}
 	if r.latest != nil {
@@ -136,7 +144,7 @@
 		r.latest = latest
 		r.see(latest, now, settled)
 	}
-	r.openUnpublished()
+	r.openUnpublished(now)
 	r.observed = now
 	for _, releases := range r.known {
 		for release, p := range releases {
@@ -148,15 +156,25 @@
 	}
 }
 
-// openUnpublished opens the releases of services of which no published one has a usable upstream.
-// The caller holds the mutex.
-func (r *Releases) openUnpublished() {
+// openUnpublished opens the releases of services of which no published one has had a usable
+// upstream for unusableTime. The caller holds the mutex.
+func (r *Releases) openUnpublished(now time.Time) {
 	for service, published := range r.published {
-		usable := r.latest.Ready(service)
-		if len(published) == 0 || slices.ContainsFunc(usable, func(u fleet.Upstream) bool { return slices.Contains(published, u.Release) }) {
+		others := r.latest.Ready(service)
+		isPublished := func(u fleet.Upstream) bool { return slices.Contains(published, u.Release) }
+		if len(published) == 0 || len(others) == 0 || slices.ContainsFunc(others, isPublished) {
+			delete(r.unusable, service)
+			continue
+		}
+		since, ok := r.unusable[service]
+		if !ok {
+			since = now
+			r.unusable[service] = now
+		}
+		if now.Sub(since) < unusableTime {
 			continue
 		}
-		for _, upstream := range usable {
+		for _, upstream := range others {
 			r.open(service, []fleet.Release{upstream.Release})
 		}
 	}
@@ -237,9 +255,9 @@
 }
 
 // Entry returns the entry that should replace the present one, which is nil if there is
-// none. A release that joins others is in it once it has been known for openDelay. A release that has left stays in it until this host has missed it for releaseLife;
-// the entry has no times, since the clocks of hosts differ. It is nil while no upstream is
-// known.
+// none. A release that joins others is in it once it has been known for openDelay. A release
+// that has left stays in it until this host has missed it for releaseLife; the entry has no
+// times, since the clocks of hosts differ. It is nil while no upstream is known.
 func (r *Releases) Entry(present []byte) ([]byte, error) {
 	settled := r.settled() // not while the mutex is held
 	r.mu.Lock()
