Print why a response is not complete

TestWholeAnswers failed once with 78 of 80 responses and nothing that says why: the entry hosts log nothing at this level, and the error that the caller receives was not printed. Its checks are the same.

--- a/internal/system/chats_test.go
+++ b/internal/system/chats_test.go
@@ -109,6 +109,8 @@
 				}
 				if finished.complete {
 					complete++
+				} else {
+					t.Logf("%+v is not complete: %s", finished.chatRequest, finished.detail)
 				}
 			}
 			t.Logf("%d of %d responses are complete", complete, chatCount)
