Wrap a comment

A line of the comment of Log.Close was over a hundred characters long; found in reading the whole change. No code changes; lint and the build pass.

--- a/internal/relay/logging/logging.go
+++ b/internal/relay/logging/logging.go
@@ -134,7 +134,8 @@
 
 // Close writes the buffered lines and stops the logger. It waits for the lines itself, since
 // the ring buffer may miss those that are queued while it is being closed. If the output
-// blocks for flushTimeout, and then for as long again, it returns ErrBlocked: the process has to end although nobody reads its output.
+// blocks for flushTimeout, and then for as long again, it returns ErrBlocked: the process has
+// to end although nobody reads its output.
 func (l *Log) Close() error {
 	deadline := time.Now().Add(flushTimeout)
 	for l.output.lines.Load()+l.missed.Load() < l.queued.Load() && time.Now().Before(deadline) {
