review: case 14, a wrong verdict lasts once its two probes were refused

Cause: a probe counts as unanswered though no engine was chosen for it, and a verdict without rivals is probed twice at most.

--- a/review/harness3/deployment.go
+++ b/review/harness3/deployment.go
@@ -121,13 +121,19 @@
 	return fmt.Sprintf("127.%d.%d.%d", d.network, d.hosts/200, 10+d.hosts%200)
 }
 
-func freePort(ip string) string {
-	listener, err := net.Listen("tcp4", ip+":0")
-	if err != nil {
-		panic(err)
+// freePorts returns addresses with n free ports. All are taken at the same time, so that they
+// differ.
+func freePorts(ip string, n int) []string {
+	var addresses []string
+	for range n {
+		listener, err := net.Listen("tcp4", ip+":0")
+		if err != nil {
+			panic(err)
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return addresses
 }
 
 // stayCut waits until the relay is no longer cut off, and ends its call without an answer.
@@ -184,14 +190,14 @@
 func (d *deployment) addRelays(n int) {
 	var seeds []string
 	for i := range n {
-		ip := d.ip()
+		ports := freePorts(d.ip(), 4)
 		r := &relay{
 			name:    fmt.Sprintf("edge-%d", i+1),
 			zone:    zones[i%len(zones)],
-			callers: freePort(ip),
-			ready:   freePort(ip),
-			peers:   freePort(ip),
-			metrics: freePort(ip),
+			callers: ports[0],
+			ready:   ports[1],
+			peers:   ports[2],
+			metrics: ports[3],
 		}
 		r.store = d.serveStore(r)
 		d.relays = append(d.relays, r)
--- a/review/harness3/engine.go
+++ b/review/harness3/engine.go
@@ -55,7 +55,6 @@
 	begun   chan struct{} // has an element for each slot in use
 	mu      sync.Mutex
 	running int
-	handles int
 	born    time.Time
 	server  *http.Server
 	address string
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -18,6 +18,8 @@
 	"history":  history,
 	"limit":    limit,
 	"takeup":   takeup,
+	"crowd":    crowd,
+	"verdict":  verdict,
 	"parts":    parts,
 	"releases": releases,
 }
