--- a/review/harness3/main.go
+++ b/review/11/main.go
@@ -24,16 +24,17 @@
 	"releases": releases,
 }
 
-// main plays the case that its first argument names, and writes the record to the second.
+// main plays the case that its first argument names, and writes the record to the second. The
+// third one is 0 to leave out the disruption, as TROUBLE=0 does in the scripts, and otherwise 1.
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: harness3 CASE RECORD")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil || os.Args[3] != "0" && os.Args[3] != "1" {
+		fmt.Fprintln(os.Stderr, "usage: third CASE RECORD 0|1")
 		os.Exit(failed)
 	}
-	os.Exit(play(cases[os.Args[1]], os.Args[2]))
+	os.Exit(play(cases[os.Args[1]], os.Args[2], os.Args[3] == "1"))
 }
 
-func play(run func(d *deployment, trouble bool) (int, error), path string) int {
+func play(run func(d *deployment, trouble bool) (int, error), path string, trouble bool) int {
 	r, err := newRecord(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -46,7 +47,7 @@
 		return failed
 	}
 	defer d.stop()
-	result, err := run(d, os.Getenv("TROUBLE") != "0")
+	result, err := run(d, trouble)
 	if err != nil {
 		r.say("the case could not run: %v", err)
 		return failed
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,6 @@
 #!/bin/bash
-# Builds the stand-ins and clients of the scripts of the third review into target/review3/.
+# Builds the program of the scripted cases of the third review, with all of their stand-ins, in
+# the root of the repository, after the build of the deploy file.
 set -e
 cd "$(dirname "$0")/.."
-go build -tags review -o target/review3/ ./review/harness3
+go build -tags review -o target/third ./review/11
