Record the earlier streams of a service when it gets its second release

What callers saw: streams that began at a service with one release were refused when they were taken up after the end of their host, if a second release had joined meanwhile and another service had two releases already.

Cause: the recorder keeps one number up to which notes are in records, for all services. Notes of a service with one release are passed over, but the notes of another service that were written after them moved the number on. Only a host without any mixed service began anew when one became mixed.

Evidence: TestFindAfterOtherService failed before ("the release that began the stream is not known") and passes.

--- a/internal/relay/resumption/recorder.go
+++ b/internal/relay/resumption/recorder.go
@@ -50,11 +50,12 @@
 // releases.
 type Recorder struct {
 	config RecorderConfig
-	idle   bool        // no service has several releases
-	last   int         // number of the latest record
-	open   *openRecord // gets the next notes; nil if there is none
-	next   uint64      // number of the first note that is in no record
-	epoch  kv.Epoch    // of the records; a later one may have lost some
+	idle   bool                       // no service has several releases
+	mixed  map[ident.ServiceName]bool // services that had several releases at the latest look
+	last   int                        // number of the latest record
+	open   *openRecord                // gets the next notes; nil if there is none
+	next   uint64                     // number of the first note that is in no record
+	epoch  kv.Epoch                   // of the records; a later one may have lost some
 }
 
 // openRecord is a record that may get more notes.
@@ -121,14 +122,12 @@
 		r.epoch = epoch
 		r.open, r.next = nil, 0
 	}
-	mixed := r.config.Releases.Mixed()
-	r.idle = len(mixed) == 0
+	r.updateMixed()
 	if r.idle {
-		r.open, r.next = nil, 0
 		return nil
 	}
 	notes := r.config.Streams.notesFrom(r.next)
-	notes = slices.DeleteFunc(notes, func(n note) bool { return !mixed[n.Service] })
+	notes = slices.DeleteFunc(notes, func(n note) bool { return !r.mixed[n.Service] })
 	for len(notes) > 0 {
 		if err := r.openRecord(ctx); err != nil {
 			return err
@@ -142,6 +141,18 @@
 	return nil
 }
 
+// updateMixed finds out which services have several releases. Notes of a service that had one
+// release were not written, so all are written again when it has another.
+func (r *Recorder) updateMixed() {
+	mixed := r.config.Releases.Mixed()
+	for service := range mixed {
+		if !r.mixed[service] {
+			r.open, r.next = nil, 0
+		}
+	}
+	r.mixed, r.idle = mixed, len(mixed) == 0
+}
+
 // write adds notes to the open record.
 func (r *Recorder) write(ctx context.Context, notes []note) error {
 	value, err := encodeRecord(slices.Concat(r.open.notes, notes))
--- a/internal/relay/resumption/recorder_test.go
+++ b/internal/relay/resumption/recorder_test.go
@@ -41,6 +41,11 @@
 	h := newHost(time.Now())
 	h.register("a", "v1")
 	h.register("b", "v2")
+	return recordAt(t, h, name, store, backing)
+}
+
+// recordAt is recordingHost for a host with other releases.
+func recordAt(t *testing.T, h *host, name ident.HostID, store kv.Store, backing *memkv.Store) (*resumption.Streams, *resumption.Records) {
 	records := resumption.NewRecords(store, func() bool { return true }, zerolog.Nop())
 	streams := resumption.NewStreams(h.releases, records, verified, time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -220,6 +225,30 @@
 	c.Check(time.Duration(store.puts.Load()) <= time.Since(start)/(100*time.Millisecond)+1, qt.IsTrue, qt.Commentf("%d writes in %s", store.puts.Load(), time.Since(start)))
 }
 
+// Guards against streams of a service that nobody records when it gets its second release, because
+// those of another service were recorded meanwhile.
+func TestFindAfterOtherService(t *testing.T) {
+	c := qt.New(t)
+	store := memkv.New(time.Now)
+	h := newHost(time.Now())
+	h.register("a", "v1")
+	h.register("b", "v2")
+	h.registerAt("other", "c", "v1")
+	streams, records := recordAt(t, h, "host", store, store)
+	early := resumption.Stream{
+		Origin:  "r0",
+		Service: "other",
+	}
+	streams.NewRun(early).Sent("v1")
+	streams.NewRun(stream).Sent("v1")
+	time.Sleep(time.Second) // the second stream is recorded
+	h.registerAt("other", "d", "v2")
+	time.Sleep(time.Second)
+	found, err := records.Find(context.Background(), early)
+	c.Assert(err, qt.IsNil)
+	c.Check(found, qt.Equals, fleet.Release("v1"))
+}
+
 // verified states that the known fleet is complete.
 func verified(context.Context) error { return nil }
 
--- a/internal/relay/resumption/releases_test.go
+++ b/internal/relay/resumption/releases_test.go
@@ -32,11 +32,15 @@
 }
 
 func (h *host) register(id ident.UpstreamID, release fleet.Release) {
+	h.registerAt("s", id, release)
+}
+
+func (h *host) registerAt(service ident.ServiceName, id ident.UpstreamID, release fleet.Release) {
 	h.version++
 	h.directory.Put(fleet.Registration{
 		Upstream: fleet.Upstream{
 			ID:      id,
-			Service: "s",
+			Service: service,
 			Release: release,
 			State:   fleet.Ready,
 		},
