Record that a request moves to another release before it is sent there

Cause: the coordinator records the release that it has proposed, and the host that forwards records where else it sends the request, each alone and later than it acts. If the proposed upstream refuses, and the host ends before its own note is in the store, the records hold one release, which is taken for the one that began the stream. The store's refusals only make the 100 ms until that note longer.

Change: a request that goes to another release than one that may have been noted moves there. Its note counts more than all proposals and earlier moves, and the request is not sent before the store has it; if that takes a second, the request is refused and has not run. An event can so only come from a release that other hosts find. Urgent notes are written at once unless the host has written in the last 100 ms. Usual requests, which go where they were proposed, have no new step.

--- a/internal/relay/forward/resume.go
+++ b/internal/relay/forward/resume.go
@@ -49,6 +49,17 @@
 	return true
 }
 
+// handleUnrecorded ends a request that has not been sent to another release than before, since
+// nobody would find which one has begun the stream.
+func (e *exchange) handleUnrecorded(err error) {
+	if e.ran > 0 || e.progress.started || e.ctx.Err() != nil {
+		e.record.reason = err.Error()
+		e.concludeStream()
+		return
+	}
+	e.refuse(err.Error(), unknownReleaseRetryAfter+rand.N(unknownReleaseRetryAfter/2))
+}
+
 // hasRelease reports whether an upstream may run the rest of the stream.
 func (e *exchange) hasRelease() bool {
 	for _, upstream := range e.config.Fleet.Snapshot().Ready(e.service.Name) {
--- a/internal/relay/forward/resume_test.go
+++ b/internal/relay/forward/resume_test.go
@@ -157,3 +157,40 @@
 		})
 	}
 }
+
+// Guards against a stream that begins at another release than the coordinator has noted before
+// other hosts can find that: they would take it up at the release that was proposed (review/12).
+func TestRequestMovesOnceThatIsRecorded(t *testing.T) {
+	full := status(503, "Not-Run: 1\r\n")
+	whole := scriptedResponse{
+		text: stream + events(1, 2, 3) + endOfChunks,
+	}
+	tests := map[string]struct {
+		recorded bool
+		status   int
+		sentTo   []fleet.Release
+	}{
+		"recorded":     {recorded: true, status: 200, sentTo: []fleet.Release{"v1", "v2"}},
+		"not recorded": {status: 503, sentTo: []fleet.Release{"v1"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			store := memkv.New(time.Now)
+			f := startHost(t, store, []fleet.Release{"v1", "v2"}, 0, full, whole)
+			f.stager.upstream = "u0"
+			recorded := make(chan struct{})
+			go func() {
+				defer close(recorded)
+				if test.recorded {
+					f.record(store, "here")
+				}
+			}()
+			response := f.post(c, "/staged/x", map[string]string{"Pieces": "1"})
+			<-recorded
+			c.Check(response.status, qt.Equals, test.status)
+			c.Check(response.retryAfter, qt.Equals, test.status == 503)
+			c.Check(f.sentTo(), qt.DeepEquals, test.sentTo)
+		})
+	}
+}
--- a/internal/relay/forward/send.go
+++ b/internal/relay/forward/send.go
@@ -91,13 +91,21 @@
 	if len(e.tried) == 0 {
 		e.config.Budget.CountRequest(e.arrived, e.service.Name)
 	} else if !e.allowRetry() {
-		e.config.Chooser.Done(placed, placement.Abandoned, 0)
+		e.withdraw(placed)
 		return nil, false
 	}
 	e.tried = append(e.tried, placed.ID)
 	return placed, true
 }
 
+// withdraw gives up an upstream to which the request has not been sent.
+func (e *exchange) withdraw(placed *placement.Placed) {
+	e.config.Chooser.Done(placed, placement.Abandoned, 0)
+	if e.proposal != nil && e.proposal.placed == placed {
+		e.reportProposal(placement.Abandoned, 0)
+	}
+}
+
 // allowRetry reports whether the budget allows a retry of the request, and counts the
 // retry if so.
 func (e *exchange) allowRetry() bool {
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -86,6 +86,9 @@
 	defer results.release()
 	defer e.reportProposal(placement.Abandoned, 0)
 	e.run = e.newRun()
+	if e.release != "" || !e.route.Idempotent() {
+		e.run.Bind()
+	}
 	defer func() { e.run.End(e.record.result == meter.Served) }()
 	for {
 		if !results.ready {
@@ -98,6 +101,11 @@
 		if !ok {
 			break
 		}
+		if err := e.run.Sent(e.ctx, placed.Release); err != nil {
+			e.withdraw(placed)
+			e.handleUnrecorded(err)
+			return
+		}
 		switch e.streamFrom(placed, results) {
 		case streamComplete:
 			return
@@ -287,7 +295,6 @@
 	started := e.config.Now()
 	e.progress.upstreamEvents = 0
 	e.record.cacheSource = placed.Cache.ID
-	e.run.Sent(placed.Release)
 	response, err := e.send(e.ctx, placed, wire.Dispatch{
 		Inputs:    results.Inputs,
 		LastEvent: e.progress.lastEvent,
--- a/internal/relay/resumption/record.go
+++ b/internal/relay/resumption/record.go
@@ -12,8 +12,9 @@
 
 // origins are the streams that a release begins.
 type origins struct {
-	Sent  []ident.RequestID `json:"sent,omitempty"`  // being sent to an upstream when noted
-	Begun []ident.RequestID `json:"begun,omitempty"` // had begun when noted
+	Sent  []ident.RequestID       `json:"sent,omitempty"`  // being sent to an upstream when noted
+	Moved map[ident.RequestID]int `json:"moved,omitempty"` // have moved to the release, and by which of their moves
+	Begun []ident.RequestID       `json:"begun,omitempty"` // had begun when noted
 }
 
 // record is an entry of the store with the streams that a host has noted.
@@ -32,25 +33,42 @@
 			list = new(origins)
 			releases[n.release] = list
 		}
-		if n.begun {
-			list.Begun = append(list.Begun, n.Origin)
-		} else {
-			list.Sent = append(list.Sent, n.Origin)
-		}
+		list.add(n)
 	}
 	return json.Marshal(r)
 }
 
+// add adds a note.
+func (o *origins) add(n note) {
+	switch n.origin {
+	case sent:
+		o.Sent = append(o.Sent, n.Origin)
+	case moved:
+		if o.Moved == nil {
+			o.Moved = make(map[ident.RequestID]int)
+		}
+		o.Moved[n.Origin] = max(o.Moved[n.Origin], n.move)
+	case begun:
+		o.Begun = append(o.Begun, n.Origin)
+	}
+}
+
 // recorded is what the records of all hosts say of a stream: the releases to which it has
-// been sent, and those that have begun it. Hosts may retry it at another release until the
-// first event.
+// been sent, the one to which it has moved last, and those that have begun it. Hosts may retry
+// it at another release until the first event.
 type recorded struct {
-	sent, begun []fleet.Release
+	sent, moved, begun []fleet.Release
+	move               int // of moved
 }
 
-// release returns the release that began the stream, if that is certain.
+// release returns the release that began the stream, if that is certain. The latest move is
+// recorded before the stream can begin there, so it counts more than where the request was sent
+// or proposed before.
 func (r recorded) release() (fleet.Release, bool) {
 	releases := r.sent
+	if len(r.moved) > 0 {
+		releases = r.moved
+	}
 	if len(r.begun) > 0 {
 		releases = r.begun
 	}
@@ -60,6 +78,16 @@
 	return releases[0], true
 }
 
+// addMove adds a move to a release.
+func (r *recorded) addMove(release fleet.Release, move int) {
+	if move > r.move {
+		r.move, r.moved = move, nil
+	}
+	if move == r.move {
+		r.moved = addRelease(r.moved, release)
+	}
+}
+
 // decodeRecord adds the streams of a record to those of others.
 func decodeRecord(value []byte, streams map[Stream]*recorded) error {
 	var r record
@@ -75,6 +103,9 @@
 				known := knownAs(streams, origin, service)
 				known.sent = addRelease(known.sent, release)
 			}
+			for origin, move := range list.Moved {
+				knownAs(streams, origin, service).addMove(release, move)
+			}
 			for _, origin := range list.Begun {
 				known := knownAs(streams, origin, service)
 				known.begun = addRelease(known.begun, release)
--- a/internal/relay/resumption/recorder.go
+++ b/internal/relay/resumption/recorder.go
@@ -22,8 +22,8 @@
 	recordInterval = 400 * time.Millisecond
 	// idleInterval is the mean time between two looks for services with several releases.
 	idleInterval = time.Second
-	// minRecordInterval is the shortest time between two writes. Many streams may break off
-	// at the same time.
+	// minRecordInterval is the shortest time between two writes for urgent notes. Many streams
+	// may break off at the same time.
 	minRecordInterval = 100 * time.Millisecond
 	// maxRecordBackoff bounds the pause after a failed write.
 	maxRecordBackoff = 4 * time.Second
@@ -50,12 +50,13 @@
 // releases.
 type Recorder struct {
 	config RecorderConfig
-	idle   bool                       // no service has several releases
-	mixed  map[ident.ServiceName]bool // services that had several releases at the latest look
+	idle   bool                       // no service had several releases at the latest look
+	mixed  map[ident.ServiceName]bool // services that had
 	last   int                        // number of the latest record
 	open   *openRecord                // gets the next notes; nil if there is none
 	next   uint64                     // number of the first note that is in no record
 	epoch  kv.Epoch                   // of the records; a later one may have lost some
+	wrote  time.Time                  // when the latest write began
 }
 
 // openRecord is a record that may get more notes.
@@ -107,7 +108,7 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-urgent:
-		timer.Reset(minRecordInterval)
+		timer.Reset(minRecordInterval - time.Since(r.wrote))
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -115,34 +116,29 @@
 	}
 }
 
-// update writes the notes that are in no record. Those of services with one release are
-// written if another one comes.
+// update writes the notes that are in no record.
 func (r *Recorder) update(ctx context.Context) error {
 	if epoch := r.config.Epoch(); epoch != r.epoch {
 		r.epoch = epoch
 		r.open, r.next = nil, 0
 	}
 	r.updateMixed()
-	if r.idle {
+	notes := r.config.Streams.notesFrom(r.next)
+	if len(notes) == 0 {
 		return nil
 	}
-	notes := r.config.Streams.notesFrom(r.next)
-	notes = slices.DeleteFunc(notes, func(n note) bool { return !r.mixed[n.Service] })
-	for len(notes) > 0 {
-		if err := r.openRecord(ctx); err != nil {
-			return err
-		}
-		count := min(len(notes), recordNotes-len(r.open.notes))
-		if err := r.write(ctx, notes[:count]); err != nil {
-			return err
-		}
-		notes = notes[count:]
+	end := notes[len(notes)-1].number + 1
+	notes = slices.DeleteFunc(notes, func(n note) bool { return !r.needs(n) })
+	if err := r.writeAll(ctx, notes); err != nil {
+		return err
 	}
+	r.next = end
+	r.config.Streams.recordedUntil(end)
 	return nil
 }
 
 // updateMixed finds out which services have several releases. Notes of a service that had one
-// release were not written, so all are written again when it has another.
+// release were not written, so all are written again.
 func (r *Recorder) updateMixed() {
 	mixed := r.config.Releases.Mixed()
 	for service := range mixed {
@@ -153,12 +149,32 @@
 	r.mixed, r.idle = mixed, len(mixed) == 0
 }
 
+// needs reports whether other hosts need a note now. A move names another release than one that
+// a coordinator may have recorded, also if this host knows only one.
+func (r *Recorder) needs(n note) bool { return r.mixed[n.Service] || n.origin == moved }
+
+// writeAll writes notes to one or more records.
+func (r *Recorder) writeAll(ctx context.Context, notes []note) error {
+	for len(notes) > 0 {
+		if err := r.openRecord(ctx); err != nil {
+			return err
+		}
+		count := min(len(notes), recordNotes-len(r.open.notes))
+		if err := r.write(ctx, notes[:count]); err != nil {
+			return err
+		}
+		notes = notes[count:]
+	}
+	return nil
+}
+
 // write adds notes to the open record.
 func (r *Recorder) write(ctx context.Context, notes []note) error {
 	value, err := encodeRecord(slices.Concat(r.open.notes, notes))
 	if err != nil {
 		return err
 	}
+	r.wrote = time.Now()
 	version, err := r.config.Store.Put(ctx, kv.Put{
 		Key:    r.key(),
 		Value:  value,
--- a/internal/relay/resumption/run.go
+++ b/internal/relay/resumption/run.go
@@ -1,6 +1,7 @@
 package resumption
 
 import (
+	"context"
 	"slices"
 
 	"github.com/nutmegshift/nutmegshift/internal/relay/fleet"
@@ -11,6 +12,7 @@
 	streams *Streams
 	stream  Stream
 	known   *known // nil until an upstream is proposed or the request is sent
+	bound   bool   // the request cannot move to another release
 }
 
 // NewRun returns the handling of a stream by a request that has not been sent.
@@ -31,20 +33,66 @@
 	r.known.add(release)
 }
 
-// Sent records that an upstream of a release may begin the stream, so that the record is in
-// the store when the first event arrives.
-func (r *Run) Sent(release fleet.Release) {
+// Bind records that the request cannot move to another release: one has begun the stream, or
+// nobody may take it up.
+func (r *Run) Bind() { r.bound = true }
+
+// Sent records that an upstream of a release may begin the stream, before the request is sent
+// there. If other hosts would take another release for the one that began it, Sent waits until
+// they find this one. It returns ErrUnrecorded if that takes too long; the stream must not begin
+// at the release then.
+func (r *Run) Sent(ctx context.Context, release fleet.Release) error {
+	number, moves := r.send(release)
+	if !moves {
+		return nil
+	}
+	return r.streams.awaitRecorded(ctx, number)
+}
+
+// send notes that the request is sent to a release. If it moves there, send returns the number
+// of the note of the move.
+func (r *Run) send(release fleet.Release) (number uint64, moves bool) {
 	s := r.streams
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.attach(r)
-	if !r.known.add(release) {
-		return
+	k := r.known
+	isNew := k.add(release)
+	if r.isBound() || !k.movesTo(release) {
+		if isNew {
+			s.note(note{
+				Stream:  r.stream,
+				release: release,
+				origin:  sent,
+			})
+		}
+		return 0, false
 	}
-	s.note(r.stream, release, false)
-	if len(r.known.releases) > 1 {
-		s.Hurry() // what is recorded says that another release begins the stream
+	k.moves++
+	k.latest = release
+	number = s.note(note{
+		Stream:  r.stream,
+		release: release,
+		origin:  moved,
+		move:    k.moves,
+	})
+	s.Hurry() // the request waits for it
+	return number, true
+}
+
+// isBound reports whether the request cannot move, or nobody could find where it has. The caller
+// holds the mutex.
+func (r *Run) isBound() bool {
+	return r.bound || r.known.begun || len(r.stream.Origin) > maxOrigin
+}
+
+// movesTo reports whether a note has to say that the request goes to a release, since others
+// that may be recorded name another one.
+func (k *known) movesTo(release fleet.Release) bool {
+	if k.moves > 0 {
+		return k.latest != release
 	}
+	return len(k.releases) > 1
 }
 
 // First returns the release that was proposed, or to which the request was sent, first. A
@@ -67,8 +115,7 @@
 		return
 	}
 	if len(r.known.releases) > 1 {
-		s.note(r.stream, release, true)
-		s.Hurry()
+		s.noteBegun(r.stream, release)
 	}
 	r.known.begun = true
 	r.known.releases = []fleet.Release{release}
@@ -89,12 +136,21 @@
 	case !r.known.begun && r.known.active == 0:
 		delete(s.streams, r.stream)
 	case r.known.begun && !complete:
-		s.note(r.stream, r.known.releases[0], true) // its caller may take it up elsewhere now
-		s.Hurry()
+		s.noteBegun(r.stream, r.known.releases[0]) // its caller may take it up elsewhere now
 	}
 	r.known = nil
 }
 
+// noteBegun notes that a release has begun a stream. The caller holds the mutex.
+func (s *Streams) noteBegun(stream Stream, release fleet.Release) {
+	s.note(note{
+		Stream:  stream,
+		release: release,
+		origin:  begun,
+	})
+	s.Hurry()
+}
+
 // attach adds a run to its stream. If there are too many streams, this one is known to the
 // run only. The caller holds the mutex.
 func (s *Streams) attach(r *Run) {
--- a/internal/relay/resumption/streams.go
+++ b/internal/relay/resumption/streams.go
@@ -27,11 +27,16 @@
 	// decisionTimeout bounds the time that a request waits until the release of its stream is
 	// known.
 	decisionTimeout = time.Second
+	// moveTimeout bounds the time that a request waits until the store has the note of its move.
+	moveTimeout = time.Second
 )
 
 // ErrUnknown means that the release that began a stream is not known here and now.
 const ErrUnknown = errors.ConstError("the release that began the stream is not known")
 
+// ErrUnrecorded means that other hosts would not find the release of a stream if it began now.
+const ErrUnrecorded = errors.ConstError("the release that would begin the stream was not recorded in time")
+
 // Stream is known by the request that receives its first event.
 type Stream struct {
 	Origin  ident.RequestID
@@ -48,16 +53,31 @@
 type known struct {
 	releases []fleet.Release // that may have begun it
 	begun    bool            // releases has the one that has begun it
+	moves    int             // see note
+	latest   fleet.Release   // of the latest move
 	active   int             // runs that have not ended
 	until    time.Time       // when it is forgotten; valid while none is active
 }
 
+// origin says how certain it is that a release begins a stream.
+type origin uint8
+
+const (
+	// sent means that the request is being sent to an upstream of the release.
+	sent origin = iota + 1
+	// moved means that the request goes there and nowhere else until its next move.
+	moved
+	// begun means that the release has begun the stream.
+	begun
+)
+
 // note says which release begins a stream, for other hosts.
 type note struct {
 	Stream
 	number  uint64
 	release fleet.Release
-	begun   bool // it has begun; otherwise the request is being sent to an upstream
+	origin  origin
+	move    int // of the request, counted from 1; 0 unless it has moved
 	at      time.Time
 }
 
@@ -70,10 +90,11 @@
 	now      func() time.Time
 	urgent   chan struct{} // has an element after a note that other hosts may need soon
 
-	mu      sync.Mutex
-	streams map[Stream]*known
-	notes   []note // the latest ones, in the order of their numbers
-	next    uint64 // number of the next note
+	mu       sync.Mutex
+	streams  map[Stream]*known
+	notes    []note // the latest ones, in the order of their numbers
+	next     uint64 // number of the next note
+	recorded progress
 }
 
 // NewStreams returns a Streams without streams. The function verify returns nil once the known
@@ -87,6 +108,7 @@
 		now:      now,
 		urgent:   make(chan struct{}, 1),
 		streams:  make(map[Stream]*known),
+		recorded: newProgress(),
 	}
 }
 
@@ -152,13 +174,18 @@
 func (s *Streams) Propose(stream Stream, release fleet.Release) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.note(stream, release, false)
+	s.note(note{
+		Stream:  stream,
+		release: release,
+		origin:  sent,
+	})
 }
 
-// note adds a note. The caller holds the mutex.
-func (s *Streams) note(stream Stream, release fleet.Release, begun bool) {
-	if len(stream.Origin) > maxOrigin {
-		return // it cannot be taken up at another host
+// note adds a note and returns its number. The caller holds the mutex.
+func (s *Streams) note(n note) uint64 {
+	n.number = s.next
+	if len(n.Origin) > maxOrigin {
+		return n.number // it cannot be taken up at another host
 	}
 	now := s.now()
 	old := 0
@@ -168,14 +195,10 @@
 	if old == 0 && len(s.notes) == maxNotes {
 		old = 1
 	}
-	s.notes = append(s.notes[old:], note{
-		Stream:  stream,
-		number:  s.next,
-		release: release,
-		begun:   begun,
-		at:      now,
-	})
+	n.at = now
+	s.notes = append(s.notes[old:], n)
 	s.next++
+	return n.number
 }
 
 // notesFrom returns the recent notes from a number on.
@@ -187,6 +210,32 @@
 	return slices.Clone(s.notes[skip:])
 }
 
+// recordedUntil records that the store has all notes before a number.
+func (s *Streams) recordedUntil(next uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recorded.advance(next)
+}
+
+// awaitRecorded waits until other hosts find a note. It returns an error if they do not in time.
+func (s *Streams) awaitRecorded(ctx context.Context, number uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
+	defer cancel()
+	for {
+		s.mu.Lock()
+		next, advanced := s.recorded.next, s.recorded.advanced
+		s.mu.Unlock()
+		if number < next {
+			return nil
+		}
+		select {
+		case <-advanced:
+		case <-ctx.Done():
+			return ErrUnrecorded
+		}
+	}
+}
+
 // Hurry makes the recorder write soon.
 func (s *Streams) Hurry() {
 	select {
