Let other hosts record streams while the store does not serve this one

Cause: only the coordinator notes where a stream begins that goes where it was proposed, and writes that to the store itself. While the store does not serve it, the notes of all hosts of its cell stay in its memory. The same loses the notes of any host that the store turns away and that ends then.

Change: a recorder whose write fails, or takes more than 150 ms, sends its notes to two random other hosts, which write them as their own and reply once the store has them; it then tries the store once a second. The host writes its notes itself too once it can, so that nothing hangs on the other host. A host whose own latest write has failed takes none. Requests that move to another release wait for either. An urgent note is tried again after 400 ms while writes fail, not after up to 4 s. Calm costs no call.

TestOtherHostRecords guards the parts.

--- a/internal/relay/forward/resume_test.go
+++ b/internal/relay/forward/resume_test.go
@@ -69,6 +69,7 @@
 		Releases: f.releases,
 		Streams:  f.streams,
 		Epoch:    func() kv.Epoch { return 0 },
+		Share:    func(context.Context, []byte) error { return kv.ErrUnavailable },
 		Log:      zerolog.Nop(),
 	}).Run(ctx)
 }
--- a/internal/relay/grpcrelay/server.go
+++ b/internal/relay/grpcrelay/server.go
@@ -1,6 +1,7 @@
 package grpcrelay
 
 import (
+	"context"
 	"time"
 
 	"github.com/juju/errors"
@@ -18,21 +19,32 @@
 	UnimplementedRelayServer
 	coordinators func(id cell.ID) *coordinator.Coordinator
 	replica      *discovery.Replica
+	record       func(ctx context.Context, record []byte) error
 	transfers    *fullTransfers
 	patches      *patches
 	now          func() time.Time
 }
 
-// NewServer returns a server that submits jobs to the coordinators of their cells, and
-// sends the entries of a replica to other hosts. The function coordinators returns nil
-// while the host cannot coordinate.
-func NewServer(coordinators func(id cell.ID) *coordinator.Coordinator, replica *discovery.Replica, now func() time.Time) *Server {
+// ServerConfig holds the dependencies of a Server.
+type ServerConfig struct {
+	// Coordinators returns the coordinator of a cell, nil while the host cannot coordinate.
+	Coordinators func(id cell.ID) *coordinator.Coordinator
+	Replica      *discovery.Replica // whose entries are sent to other hosts
+	// Record returns nil once the store has a record of another host's streams. Its error is a
+	// NotValid one if the record is damaged.
+	Record func(ctx context.Context, record []byte) error
+	Now    func() time.Time
+}
+
+// NewServer returns a server.
+func NewServer(config ServerConfig) *Server {
 	return &Server{
-		coordinators: coordinators,
-		replica:      replica,
+		coordinators: config.Coordinators,
+		replica:      config.Replica,
+		record:       config.Record,
 		transfers:    newFullTransfers(),
 		patches:      newPatches(),
-		now:          now,
+		now:          config.Now,
 	}
 }
 
--- a/internal/relay/grpcrelay/sync_test.go
+++ b/internal/relay/grpcrelay/sync_test.go
@@ -43,7 +43,10 @@
 func TestFullTransfer(t *testing.T) {
 	c := qt.New(t)
 	replica := discovery.NewReplica(sink{}, time.Second, time.Now, anySize)
-	s := NewServer(nil, replica, time.Now)
+	s := NewServer(ServerConfig{
+		Replica: replica,
+		Now:     time.Now,
+	})
 	entries := registrations(1000)
 	replica.ApplyListing(entries, 1000)
 	plainBytes := 0
@@ -97,7 +100,10 @@
 			},
 		}},
 	})
-	s := NewServer(nil, replica, time.Now)
+	s := NewServer(ServerConfig{
+		Replica: replica,
+		Now:     time.Now,
+	})
 	for range maxFullTransfers {
 		s.transfers.slots <- struct{}{}
 	}
@@ -142,7 +148,10 @@
 			Version: kv.Version(i + 1),
 		}}, 1)
 	}
-	s := NewServer(nil, replica, time.Now)
+	s := NewServer(ServerConfig{
+		Replica: replica,
+		Now:     time.Now,
+	})
 	tests := map[string]struct {
 		after   kv.Cursor
 		key     kv.Key
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -168,7 +168,7 @@
 	h.responses = duty.NewResponses(time.Now)
 	leaders := duty.New(func(name duty.Name) bool { return !slices.Contains(readerDuties, name) }, h.responses)
 	h.leaders = leaders
-	h.peers = newPeers(s, h.replica, leaders, h.observe, h.poison, h.observeDraining, grpcrelay.NewServer(h.coordinatorForOthers, h.replica, time.Now), log)
+	h.peers = newPeers(s, h.replica, leaders, h.observe, h.poison, h.observeDraining, h.newRelayServer(), log)
 	sinks[membersKey] = h.peers
 	sinks[crashesKey] = crashSink{
 		Host: h,
@@ -290,6 +290,16 @@
 	})
 }
 
+// newRelayServer returns the server of the calls of other hosts.
+func (h *Host) newRelayServer() *grpcrelay.Server {
+	return grpcrelay.NewServer(grpcrelay.ServerConfig{
+		Coordinators: h.coordinatorForOthers,
+		Replica:      h.replica,
+		Record:       h.streams.Adopt,
+		Now:          time.Now,
+	})
+}
+
 // coordinatorForOthers returns the coordinator of a cell for the jobs of other hosts. It
 // returns nil until the first listing of the store has been applied: a job would otherwise
 // fail for lack of upstreams.
@@ -439,6 +449,7 @@
 		Releases: h.releases,
 		Streams:  h.streams,
 		Epoch:    func() kv.Epoch { return kv.EpochOf(h.replica.Cursor()) },
+		Share:    h.shareRecord,
 		Log:      h.log,
 	})
 	h.addComponent(componentCtx, &group, "recorder", recorder.Run)
--- a/internal/relay/host/peers.go
+++ b/internal/relay/host/peers.go
@@ -197,11 +197,7 @@
 // announceToSome announces this host to a number of random live hosts, and so learns whether
 // they have later documents. It returns once all of them have replied or failed to.
 func (p *peers) announceToSome(ctx context.Context, count int) {
-	others := slices.DeleteFunc(slices.Clone(p.table.Snapshot().Live()), func(row peer.Row) bool {
-		return row.Host == p.self || row.Address == ""
-	})
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	others = others[:min(len(others), count)]
+	others := p.some(count)
 	announced := make(chan struct{})
 	for _, row := range others {
 		go func(ctx context.Context) {
@@ -214,6 +210,15 @@
 	}
 }
 
+// some returns a number of random live hosts, fewer if there are not as many.
+func (p *peers) some(count int) []peer.Row {
+	others := slices.DeleteFunc(slices.Clone(p.table.Snapshot().Live()), func(row peer.Row) bool {
+		return row.Host == p.self || row.Address == ""
+	})
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(len(others), count)]
+}
+
 // ask asks a few hosts for later documents.
 func (p *peers) ask(ctx context.Context) {
 	p.announceToSome(ctx, askMessages)
--- a/internal/relay/host/releases.go
+++ b/internal/relay/host/releases.go
@@ -1,8 +1,11 @@
 package host
 
 import (
+	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/nutmegshift/nutmegshift/internal/relay/batch"
 	"github.com/nutmegshift/nutmegshift/internal/relay/coordinator"
 	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
@@ -16,6 +19,10 @@
 // streams that callers take up.
 const releasesKey kv.Key = "releases"
 
+// sharedHosts is the number of hosts that are asked to write a record for this one. If half of
+// them cannot, three of four calls are enough for one that can.
+const sharedHosts = 2
+
 // releasesSink follows the releases that the publishing host has seen.
 type releasesSink struct {
 	*Host
@@ -47,3 +54,20 @@
 		Service: upstream.Service,
 	}, upstream.Release)
 }
+
+// shareRecord makes other hosts write a record of streams, and returns once one of them has.
+func (h *Host) shareRecord(ctx context.Context, record []byte) error {
+	err := errors.NotFoundf("other live hosts")
+	rows := h.peers.some(sharedHosts)
+	results := make(chan error, len(rows))
+	for _, row := range rows {
+		go func(ctx context.Context) { results <- h.relayClient.Record(ctx, row.Address, record) }(ctx)
+	}
+	for range rows {
+		if err = <-results; err == nil {
+			break
+		}
+	}
+	h.log.Info().Err(err).Int("bytes", len(record)).Msg("resumption: streams recorded by another host, since the store does not serve this one")
+	return err
+}
--- a/internal/relay/resumption/record.go
+++ b/internal/relay/resumption/record.go
@@ -53,6 +53,53 @@
 	}
 }
 
+// decodeNotes returns the notes in a record of another host. Streams of which more than one
+// thing is noted have one note for each.
+func decodeNotes(value []byte) ([]note, error) {
+	var r record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return nil, errors.NewNotValid(err, "decode record of streams")
+	}
+	var notes []note
+	for service, releases := range r {
+		for release, list := range releases {
+			if list != nil {
+				notes = append(notes, list.notes(service, release)...)
+			}
+		}
+	}
+	if len(notes) == 0 || len(notes) > recordNotes {
+		return nil, errors.NotValidf("record with %d notes", len(notes))
+	}
+	return notes, nil
+}
+
+// notes returns the notes of the streams that a release of a service begins.
+func (o *origins) notes(service ident.ServiceName, release fleet.Release) []note {
+	var notes []note
+	add := func(id ident.RequestID, origin origin, move int) {
+		notes = append(notes, note{
+			Stream: Stream{
+				Origin:  id,
+				Service: service,
+			},
+			release: release,
+			origin:  origin,
+			move:    move,
+		})
+	}
+	for _, id := range o.Sent {
+		add(id, sent, 0)
+	}
+	for id, move := range o.Moved {
+		add(id, moved, move)
+	}
+	for _, id := range o.Begun {
+		add(id, begun, 0)
+	}
+	return notes
+}
+
 // recorded is what the records of all hosts say of a stream: the releases to which it has
 // been sent, the one to which it has moved last, and those that have begun it. Hosts may retry
 // it at another release until the first event.
--- a/internal/relay/resumption/recorder.go
+++ b/internal/relay/resumption/recorder.go
@@ -25,6 +25,10 @@
 	// minRecordInterval is the shortest time between two writes for urgent notes. Many streams
 	// may break off at the same time.
 	minRecordInterval = 100 * time.Millisecond
+	// storePatience is how long the store may take for a write before other hosts are asked to
+	// make it, and storeRetry the time after which it is tried again that they have made one.
+	storePatience = 150 * time.Millisecond
+	storeRetry    = time.Second
 	// maxRecordBackoff bounds the pause after a failed write.
 	maxRecordBackoff = 4 * time.Second
 	// A record gets no more notes after recordAge, or when it has recordNotes: each write
@@ -43,20 +47,24 @@
 	Releases *Releases
 	Streams  *Streams
 	Epoch    func() kv.Epoch // returns the epoch of the store, as far as known here
-	Log      zerolog.Logger
+	// Share returns nil once another host has written a record, which it does with Streams.Adopt.
+	Share func(ctx context.Context, record []byte) error
+	Log   zerolog.Logger
 }
 
 // Recorder writes the notes of a host to the store while their service has several
-// releases.
+// releases. If the store does not serve the host, other hosts write them.
 type Recorder struct {
 	config RecorderConfig
 	idle   bool                       // no service had several releases at the latest look
 	mixed  map[ident.ServiceName]bool // services that had
 	last   int                        // number of the latest record
 	open   *openRecord                // gets the next notes; nil if there is none
-	next   uint64                     // number of the first note that is in no record
+	next   uint64                     // number of the first note that is in no record of this host
+	shared uint64                     // number of the first note that other hosts have not recorded
+	tryAt  time.Time                  // before which the store is not tried, since other hosts write
 	epoch  kv.Epoch                   // of the records; a later one may have lost some
-	wrote  time.Time                  // when the latest write began
+	wrote  time.Time                  // when the latest attempt to write began
 }
 
 // openRecord is a record that may get more notes.
@@ -91,12 +99,11 @@
 	return nil
 }
 
-// wait waits for the next write. An urgent note ends the wait soon, unless the latest write
-// has failed.
+// wait waits for the next write. An urgent note ends the wait soon.
 func (r *Recorder) wait(ctx context.Context, backoff time.Duration) {
-	urgent := r.config.Streams.urgent
+	soon := minRecordInterval
 	if backoff > 0 {
-		urgent = nil
+		soon = recordInterval
 	}
 	pause := max(backoff, recordInterval)
 	if r.idle {
@@ -107,8 +114,8 @@
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
-	case <-urgent:
-		timer.Reset(minRecordInterval - time.Since(r.wrote))
+	case <-r.config.Streams.urgent:
+		timer.Reset(soon - time.Since(r.wrote))
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -116,11 +123,12 @@
 	}
 }
 
-// update writes the notes that are in no record.
+// update writes the notes that are in no record. If that fails or takes long, other hosts write
+// those of this host; it writes them too once it can.
 func (r *Recorder) update(ctx context.Context) error {
 	if epoch := r.config.Epoch(); epoch != r.epoch {
 		r.epoch = epoch
-		r.open, r.next = nil, 0
+		r.restart()
 	}
 	r.updateMixed()
 	notes := r.config.Streams.notesFrom(r.next)
@@ -129,29 +137,96 @@
 	}
 	end := notes[len(notes)-1].number + 1
 	notes = slices.DeleteFunc(notes, func(n note) bool { return !r.needs(n) })
-	if err := r.writeAll(ctx, notes); err != nil {
-		return err
+	r.wrote = time.Now()
+	if r.wrote.Before(r.tryAt) {
+		return r.share(ctx, notes, end)
+	}
+	writeCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	written := make(chan error, 1)
+	go func(ctx context.Context) { written <- r.writeAll(ctx, notes) }(writeCtx)
+	ended, err := awaitWrite(written)
+	if ended && err == nil {
+		r.setStored(end)
+		return nil
+	}
+	shareErr := r.share(ctx, notes, end)
+	if !ended {
+		if shareErr == nil {
+			cancel()
+		}
+		err = <-written
+	}
+	if err == nil {
+		r.setStored(end)
+		return nil
+	}
+	r.config.Streams.setFailing()
+	if shareErr == nil {
+		r.tryAt = time.Now().Add(storeRetry)
+	}
+	return shareErr
+}
+
+// awaitWrite waits for the end of a write, for storePatience at most.
+func awaitWrite(written <-chan error) (ended bool, err error) {
+	patience := time.NewTimer(storePatience)
+	defer patience.Stop()
+	select {
+	case err := <-written:
+		return true, err
+	case <-patience.C:
+		return false, nil
 	}
-	r.next = end
-	r.config.Streams.recordedUntil(end)
+}
+
+// setStored records that this host has written all notes before a number.
+func (r *Recorder) setStored(next uint64) {
+	r.next = next
+	r.config.Streams.setStored(next)
+}
+
+// share makes other hosts write the notes of this host that they have not yet. Those that this
+// host writes for others stay here. All of notes have numbers below end.
+func (r *Recorder) share(ctx context.Context, notes []note, end uint64) error {
+	own := slices.DeleteFunc(slices.Clone(notes), func(n note) bool { return n.adopted || n.number < r.shared })
+	for chunk := range slices.Chunk(own, recordNotes) {
+		record, err := encodeRecord(chunk)
+		if err != nil {
+			return err
+		}
+		if err := r.config.Share(ctx, record); err != nil {
+			return err
+		}
+	}
+	r.shared = end
+	r.config.Streams.setRecorded(end)
 	return nil
 }
 
+// restart makes all notes be written again.
+func (r *Recorder) restart() {
+	r.open, r.next, r.shared = nil, 0, 0
+}
+
 // updateMixed finds out which services have several releases. Notes of a service that had one
 // release were not written, so all are written again.
 func (r *Recorder) updateMixed() {
 	mixed := r.config.Releases.Mixed()
 	for service := range mixed {
 		if !r.mixed[service] {
-			r.open, r.next = nil, 0
+			r.restart()
 		}
 	}
 	r.mixed, r.idle = mixed, len(mixed) == 0
 }
 
 // needs reports whether other hosts need a note now. A move names another release than one that
-// a coordinator may have recorded, also if this host knows only one.
-func (r *Recorder) needs(n note) bool { return r.mixed[n.Service] || n.origin == moved }
+// a coordinator may have recorded, also if this host knows only one, and another host has found
+// that its notes are needed.
+func (r *Recorder) needs(n note) bool {
+	return r.mixed[n.Service] || n.origin == moved || n.adopted
+}
 
 // writeAll writes notes to one or more records.
 func (r *Recorder) writeAll(ctx context.Context, notes []note) error {
@@ -174,7 +249,6 @@
 	if err != nil {
 		return err
 	}
-	r.wrote = time.Now()
 	version, err := r.config.Store.Put(ctx, kv.Put{
 		Key:    r.key(),
 		Value:  value,
--- a/internal/relay/resumption/recorder_test.go
+++ b/internal/relay/resumption/recorder_test.go
@@ -25,6 +25,7 @@
 	puts    atomic.Int32
 	lose    atomic.Int32 // further responses to lose
 	refuses atomic.Bool  // every write
+	silent  atomic.Bool  // gives no response to a write
 }
 
 func (s *countingStore) Put(ctx context.Context, put kv.Put) (kv.Version, error) {
@@ -32,6 +33,10 @@
 	if s.refuses.Load() {
 		return 0, kv.ErrUnavailable
 	}
+	if s.silent.Load() {
+		<-ctx.Done()
+		return 0, errors.Annotate(kv.ErrUncertain, "no response")
+	}
 	version, err := s.Store.Put(ctx, put)
 	if err == nil && s.lose.Add(-1) >= 0 {
 		return 0, errors.Annotate(kv.ErrUncertain, "response is lost")
@@ -48,6 +53,9 @@
 	return recordAt(t, h, name, store, backing)
 }
 
+// unshared stands for other hosts that write nothing.
+func unshared(context.Context, []byte) error { return kv.ErrUnavailable }
+
 // recordAt is recordingHost for a host with other releases.
 func recordAt(t *testing.T, h *host, name ident.HostID, store kv.Store, backing *memkv.Store) (*resumption.Streams, *resumption.Records) {
 	records := resumption.NewRecords(store, func() bool { return true }, zerolog.Nop())
@@ -62,6 +70,7 @@
 			Releases: h.releases,
 			Streams:  streams,
 			Epoch:    backing.Epoch,
+			Share:    h.share,
 			Log:      zerolog.Nop(),
 		}).Run(ctx)
 	}(ctx)
@@ -196,6 +205,87 @@
 	}
 }
 
+// Guards against streams that no host can continue, since the store does not serve the only one
+// that has noted where they begin (review/13), and against requests that cannot move there.
+func TestOtherHostRecords(t *testing.T) {
+	tests := map[string]func(s *countingStore){
+		"the store refuses the host":    func(s *countingStore) { s.refuses.Store(true) },
+		"the store is silent":           func(s *countingStore) { s.silent.Store(true) },
+		"the store loses its responses": func(s *countingStore) { s.lose.Store(100) },
+		"the store serves the host":     func(*countingStore) {},
+	}
+	for name, disturb := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			backing := memkv.New(time.Now)
+			other, records := recordingHost(t, "other", backing, backing)
+			h := newHost(time.Now())
+			h.register("a", "v1")
+			h.register("b", "v2")
+			h.share = other.Adopt
+			store := &countingStore{
+				Store: backing,
+			}
+			disturb(store)
+			streams, _ := recordAt(t, h, "host", store, backing)
+			streams.Propose(stream, "v1")
+			time.Sleep(1200 * time.Millisecond)
+			found, err := records.Find(context.Background(), stream)
+			c.Assert(err, qt.IsNil)
+			c.Check(found, qt.Equals, fleet.Release("v1"))
+			run := streams.NewRun(stream)
+			run.Proposed("v1")
+			c.Assert(run.Sent(context.Background(), "v2"), qt.IsNil)
+			found, err = records.Find(context.Background(), stream)
+			c.Assert(err, qt.IsNil)
+			c.Check(found, qt.Equals, fleet.Release("v2"))
+		})
+	}
+}
+
+// Guards against a host that says to have recorded what it has not: a damaged record, or one for
+// which the store does not serve it either.
+func TestAdopt(t *testing.T) {
+	tests := map[string]struct {
+		record  string
+		refuses bool
+		want    error
+	}{
+		"recorded":       {record: `{"s":{"v1":{"sent":["r1"],"moved":{"r2":1},"begun":["r3"]}}}`},
+		"store refuses":  {record: `{"s":{"v1":{"sent":["r1"]}}}`, refuses: true, want: resumption.ErrUnrecorded},
+		"no record":      {record: `{`, want: errors.NotValid},
+		"without notes":  {record: `{"s":{"v1":null}}`, want: errors.NotValid},
+		"too many notes": {record: `{"s":{"v1":{"sent":[""` + strings.Repeat(`,""`, 1024) + `]}}}`, want: errors.NotValid},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			backing := memkv.New(time.Now)
+			store := &countingStore{
+				Store: backing,
+			}
+			store.refuses.Store(test.refuses)
+			streams, records := recordingHost(t, "other", store, backing)
+			err := streams.Adopt(context.Background(), []byte(test.record))
+			if test.want != nil {
+				c.Check(err, qt.ErrorIs, test.want)
+				return
+			}
+			c.Assert(err, qt.IsNil)
+			for _, origin := range []ident.RequestID{"r1", "r2", "r3"} {
+				found, err := records.Find(context.Background(), resumption.Stream{
+					Origin:  origin,
+					Service: "s",
+				})
+				c.Check(err, qt.IsNil)
+				c.Check(found, qt.Equals, fleet.Release("v1"))
+			}
+		})
+	}
+}
+
 // Guards against a release that is taken from a reading before the call: a host that stood still
 // since does not know how old that is, and the stream may have begun at another release.
 func TestFindAfterPause(t *testing.T) {
--- a/internal/relay/resumption/releases_test.go
+++ b/internal/relay/resumption/releases_test.go
@@ -1,6 +1,7 @@
 package resumption_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	releases  *resumption.Releases
 	settled   bool // the store is
 	version   kv.Version
+	share     func(ctx context.Context, record []byte) error // makes another host write a record
 }
 
 func newHost(now time.Time) *host {
@@ -26,6 +28,7 @@
 		now:       now,
 		directory: fleet.New(),
 		settled:   true,
+		share:     unshared,
 	}
 	h.releases = resumption.NewReleases(h.directory.Snapshot, func() bool { return h.settled }, func() time.Time { return h.now })
 	return h
--- a/internal/relay/resumption/run.go
+++ b/internal/relay/resumption/run.go
@@ -46,7 +46,7 @@
 	if !moves {
 		return nil
 	}
-	return r.streams.awaitRecorded(ctx, number)
+	return r.streams.await(ctx, &r.streams.recorded, number, moveTimeout)
 }
 
 // send notes that the request is sent to a release. If it moves there, send returns the number
--- a/internal/relay/resumption/streams.go
+++ b/internal/relay/resumption/streams.go
@@ -29,6 +29,8 @@
 	decisionTimeout = time.Second
 	// moveTimeout bounds the time that a request waits until the store has the note of its move.
 	moveTimeout = time.Second
+	// adoptTimeout bounds the time that another host waits until the store has its notes.
+	adoptTimeout = 400 * time.Millisecond
 )
 
 // ErrUnknown means that the release that began a stream is not known here and now.
@@ -77,7 +79,8 @@
 	number  uint64
 	release fleet.Release
 	origin  origin
-	move    int // of the request, counted from 1; 0 unless it has moved
+	move    int  // of the request, counted from 1; 0 unless it has moved
+	adopted bool // of another host
 	at      time.Time
 }
 
@@ -92,9 +95,11 @@
 
 	mu       sync.Mutex
 	streams  map[Stream]*known
-	notes    []note // the latest ones, in the order of their numbers
-	next     uint64 // number of the next note
-	recorded progress
+	notes    []note   // the latest ones, in the order of their numbers
+	next     uint64   // number of the next note
+	stored   progress // of the notes that this host has written
+	recorded progress // of those that this host or others have written
+	failing  bool     // the store has not taken the latest notes
 }
 
 // NewStreams returns a Streams without streams. The function verify returns nil once the known
@@ -108,6 +113,7 @@
 		now:      now,
 		urgent:   make(chan struct{}, 1),
 		streams:  make(map[Stream]*known),
+		stored:   newProgress(),
 		recorded: newProgress(),
 	}
 }
@@ -210,20 +216,67 @@
 	return slices.Clone(s.notes[skip:])
 }
 
-// recordedUntil records that the store has all notes before a number.
-func (s *Streams) recordedUntil(next uint64) {
+// Adopt notes the streams in the record of a host that cannot write it, and waits until the store
+// has them. It returns a NotValid error for a damaged record, and ErrUnrecorded if the store does
+// not take the notes of this host either.
+func (s *Streams) Adopt(ctx context.Context, record []byte) error {
+	notes, err := decodeNotes(record)
+	if err != nil {
+		return err
+	}
+	number, err := s.adopt(notes)
+	if err != nil {
+		return err
+	}
+	s.Hurry()
+	return s.await(ctx, &s.stored, number, adoptTimeout)
+}
+
+// adopt adds notes of another host, and returns the number of the last one.
+func (s *Streams) adopt(notes []note) (number uint64, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failing {
+		return 0, ErrUnrecorded
+	}
+	for _, n := range notes {
+		n.adopted = true
+		number = s.note(n)
+	}
+	return number, nil
+}
+
+// setStored records that this host has written all notes before a number.
+func (s *Streams) setStored(next uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.failing = false
+	s.stored.advance(next)
 	s.recorded.advance(next)
 }
 
-// awaitRecorded waits until other hosts find a note. It returns an error if they do not in time.
-func (s *Streams) awaitRecorded(ctx context.Context, number uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
+// setRecorded records that other hosts have written all notes of this host before a number.
+func (s *Streams) setRecorded(next uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recorded.advance(next)
+}
+
+// setFailing records that the store has not taken notes.
+func (s *Streams) setFailing() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing = true
+}
+
+// await waits until a note has come as far as p tells. It returns ErrUnrecorded if that takes
+// longer than a timeout.
+func (s *Streams) await(ctx context.Context, p *progress, number uint64, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for {
 		s.mu.Lock()
-		next, advanced := s.recorded.next, s.recorded.advanced
+		next, advanced := p.next, p.advanced
 		s.mu.Unlock()
 		if number < next {
 			return nil
--- a/internal/system/mixed_test.go
+++ b/internal/system/mixed_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/platform/standin"
@@ -178,13 +180,18 @@
 	return failures
 }
 
-// Guards against streams that go on at another release than the one that began them, when the
-// store does not serve a host, which is killed then (review/12).
+// Guards against streams that go on at another release than the one that began them, and against
+// streams that nobody continues, when the store does not serve one host and a host is killed
+// (review/12 and review/13).
 func TestStreamsTakenUpWhileStoreFailsOneHost(t *testing.T) {
 	const before, shed = 3 * time.Second, 0.7
 	tests := map[string]mixedTrouble{
-		"host turned away, and killed":         {same: true, before: before, shed: shed},
-		"host gets no response, and is killed": {same: true, silent: true, before: before, shed: shed},
+		"host turned away, and killed":                      {same: true, before: before, shed: shed},
+		"host gets no response, and is killed":              {same: true, silent: true, before: before, shed: shed},
+		"coordinator turned away, another one killed":       {coordinator: true, before: before},
+		"coordinator gets no response, another one killed":  {coordinator: true, silent: true, before: before},
+		"coordinator turned away, another one killed, shed": {coordinator: true, before: before, shed: shed},
+		"coordinator gets no response, and is killed":       {coordinator: true, same: true, silent: true, before: before, shed: shed},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -195,3 +202,26 @@
 		})
 	}
 }
+
+// TestSoakMixedReleases executes random plays like those of
+// TestStreamsTakenUpWhileStoreFailsOneHost. To run 50 new ones:
+//
+//	go test ./internal/system -run TestSoakMixedReleases -timeout 60m -rapid.checks=50 -rapid.seed=N
+func TestSoakMixedReleases(t *testing.T) {
+	deploymentSlots <- struct{}{}
+	defer func() { <-deploymentSlots }()
+	setSoakFlags(t)
+	const longest = 5000 // from the beginning of the trouble to the kill, in milliseconds
+	rapid.Check(t, func(r *rapid.T) {
+		p := mixedTrouble{
+			coordinator: rapid.Bool().Draw(r, "coordinator"),
+			same:        rapid.Bool().Draw(r, "same"),
+			silent:      rapid.Bool().Draw(r, "silent"),
+			before:      time.Duration(rapid.IntRange(0, longest).Draw(r, "before")) * time.Millisecond,
+			shed:        rapid.Float64Range(0, 1).Draw(r, "shed"),
+		}
+		if failures := runMixed(t, p); len(failures) > 0 {
+			r.Fatalf("%+v: %s", p, strings.Join(failures, "\n"))
+		}
+	})
+}
