Propose no upstream for a request whose host has given up on the coordinator

A coordinator that stood still receives the requests that waited in its sockets together with their ends. It chose at random between a proposal, which it notes for other hosts, and the end. Another coordinator has proposed an upstream by then, and the stream begins at the release of that.

Cause: Ticket.Wait selects between a job that is done, as one without stages is at once, and the end of its context.

Change: the end of the context goes first.

Evidence: TestNoProposalForCancelledRequest failed before and passes.

--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -317,7 +317,11 @@
 func (t *Ticket) Wait(ctx context.Context) (Prepared, error) {
 	select {
 	case end := <-t.done:
-		if end.Err != nil {
+		switch {
+		case ctx.Err() != nil:
+			t.Cancel() // the host that forwards the request has asked another coordinator
+			return Prepared{}, ctx.Err()
+		case end.Err != nil:
 			return Prepared{}, end.Err
 		}
 		return t.place(end), nil
--- a/internal/relay/coordinator/coordinator_test.go
+++ b/internal/relay/coordinator/coordinator_test.go
@@ -370,3 +370,22 @@
 		})
 	}
 }
+
+// Guards against a proposal that a coordinator notes for a request whose host has asked another
+// one, since it was busy or stood still: the stream begins at the release that the other proposes.
+func TestNoProposalForCancelledRequest(t *testing.T) {
+	c := qt.New(t)
+	started := start(c, fleet.New())
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 16 { // a select chooses one of two at random
+		ticket, err := started.Submit(coordinator.Job{
+			Job: batch.Job{
+				Request: "r",
+			},
+		})
+		c.Assert(err, qt.IsNil)
+		_, err = ticket.Wait(ctx)
+		c.Check(err, qt.ErrorIs, context.Canceled)
+	}
+}
