Record a stream that another coordinator may have noted at another release

A host whose coordinator does not reply sends the job to the next one. The first may have noted the release of an upstream that it has proposed, and recorded it, while the note of the second is not written yet. If the host ends then, the record names the first release only.

Cause: the host compares the release that it uses with what it has been told, not with what others may have noted.

Change: Stager.Prepare says whether an earlier coordinator may have received the job (ErrUnsent tells those that did not), and the request then goes to its first release by a recorded move, while its service has several.

Evidence: TestRequestMovesOnceThatIsRecorded ("contested, not recorded") fails without the call of Contest, and TestPrepare knows which orders of losses are contested.

--- a/internal/relay/cell/cell_test.go
+++ b/internal/relay/cell/cell_test.go
@@ -200,17 +200,20 @@
 		asked  int                                    // hosts that get the job
 		err    error
 		local  bool // this host coordinates the job
+
+		contested bool // two hosts may have proposed an upstream
 	}{
 		"done by the first":     {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){done, done}, asked: 1},
-		"first does not answer": {submit: []error{cell.ErrUnreachable, nil}, wait: []func() (coordinator.Prepared, error){nil, done}, asked: 2},
-		"first loses it":        {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){lost, done}, asked: 2},
+		"first does not answer": {submit: []error{cell.ErrUnreachable, nil}, wait: []func() (coordinator.Prepared, error){nil, done}, asked: 2, contested: true},
+		"first is not reached":  {submit: []error{errors.WithType(cell.ErrUnreachable, cell.ErrUnsent), nil}, wait: []func() (coordinator.Prepared, error){nil, done}, asked: 2},
+		"first loses it":        {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){lost, done}, asked: 2, contested: true},
 		"first leaves":          {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){slow, done}, leaves: true, asked: 1},
-		"first dies":            {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){nil, done}, dies: true, probe: cell.ErrUnreachable, asked: 2},
+		"first dies":            {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){nil, done}, dies: true, probe: cell.ErrUnreachable, asked: 2, contested: true},
 		"first is only busy":    {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){slow, done}, dies: true, asked: 1},
-		"first is silent":       {submit: []error{cell.ErrSilent, nil}, wait: []func() (coordinator.Prepared, error){nil, done}, asked: 2},
+		"first is silent":       {submit: []error{cell.ErrSilent, nil}, wait: []func() (coordinator.Prepared, error){nil, done}, asked: 2, contested: true},
 		"first refuses":         {submit: []error{batch.ErrOverload, nil}, wait: []func() (coordinator.Prepared, error){nil, done}, asked: 1, err: batch.ErrOverload},
 		"first fails":           {submit: []error{nil, nil}, wait: []func() (coordinator.Prepared, error){fails, done}, asked: 1, err: batch.ErrFailed},
-		"none answers":          {submit: []error{cell.ErrUnreachable, cell.ErrUnreachable}, wait: []func() (coordinator.Prepared, error){nil, nil}, asked: 2, local: true},
+		"none answers":          {submit: []error{cell.ErrUnreachable, cell.ErrUnreachable}, wait: []func() (coordinator.Prepared, error){nil, nil}, asked: 2, local: true, contested: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -244,6 +247,7 @@
 			}
 			c.Assert(err, qt.IsNil)
 			c.Check(prepared.Domain == "done", qt.Equals, !test.local)
+			c.Check(prepared.Contested, qt.Equals, test.contested)
 		})
 	}
 }
--- a/internal/relay/cell/stager.go
+++ b/internal/relay/cell/stager.go
@@ -24,6 +24,9 @@
 	ErrUnreachable = errors.ConstError("host did not respond")
 	// ErrSilent means that another host has not accepted a job in time.
 	ErrSilent = errors.ConstError("host did not respond in time")
+	// ErrUnsent means that another host has not received a job. It comes with ErrUnreachable or
+	// ErrSilent.
+	ErrUnsent = errors.ConstError("job was not sent")
 	// ErrNoCoordinator means that no host has accepted a job in time. The job has not run.
 	ErrNoCoordinator = errors.ConstError("no coordinator has accepted the stages in time")
 )
@@ -48,8 +51,8 @@
 // Remote submits jobs to the coordinators of other hosts.
 type Remote interface {
 	// Submit sends a job to the coordinator of a cell, which has to accept it within a
-	// time. Errors are those of package batch, ErrUnreachable and ErrSilent. The job is
-	// cancelled when the context is done.
+	// time. Errors are those of package batch, ErrUnreachable and ErrSilent, both of which
+	// may come with ErrUnsent. The job is cancelled when the context is done.
 	Submit(ctx context.Context, to ident.Address, id ID, job coordinator.Job, within time.Duration) (Ticket, error)
 }
 
@@ -122,10 +125,12 @@
 		hasWork:  job.HasWork(),
 		losses:   make(map[ident.HostID]int),
 	}
+	contested := false // a host that has received the job may propose an upstream
 	for {
 		switch next := s.situation(id, waiting).decide().(type) {
 		case submission:
 			prepared, err := s.prepareRemote(ctx, next, id, job)
+			prepared.Contested = contested
 			if !errors.Is(err, ErrUnreachable) && !errors.Is(err, ErrSilent) {
 				s.setAlone(id, "")
 				prepared.Coordinator = next.to.Host
@@ -134,6 +139,7 @@
 			if ctx.Err() != nil {
 				return coordinator.Prepared{}, ctx.Err()
 			}
+			contested = contested || !errors.Is(err, ErrUnsent)
 			waiting.losses[next.to.Host]++
 			if waiting.losses[next.to.Host] > 1 {
 				continue // one line for each host and job is enough
@@ -147,7 +153,9 @@
 			}
 		case local:
 			s.setAlone(id, next.reason)
-			return s.prepareLocal(ctx, id, job)
+			prepared, err := s.prepareLocal(ctx, id, job)
+			prepared.Contested = contested
+			return prepared, err
 		case refusal:
 			s.refused.Add(1)
 			return coordinator.Prepared{}, ErrNoCoordinator
--- a/internal/relay/coordinator/coordinator.go
+++ b/internal/relay/coordinator/coordinator.go
@@ -68,6 +68,7 @@
 	Cache       ident.UpstreamID    // upstream from which Upstream should fetch the prompt; empty if there is none
 	Release     func()              // drops the inputs once the upstream has read them; may be nil, and may be called more than once
 	Coordinator ident.HostID        // host that ran the stages
+	Contested   bool                // another host may have proposed an upstream too
 }
 
 // Config holds the dependencies of a Coordinator.
--- a/internal/relay/forward/fixture_test.go
+++ b/internal/relay/forward/fixture_test.go
@@ -103,6 +103,7 @@
 	mu       sync.Mutex
 	err      error
 	upstream ident.UpstreamID // proposed for every request
+	contests bool             // another coordinator may have proposed one too
 	prepared int
 	released int
 	dropped  int // results whose context ended before their release, which drops them
@@ -133,6 +134,7 @@
 		Inputs:      []wire.Handle{wire.Handle(fmt.Sprintf("h%d", s.prepared))},
 		Upstream:    s.upstream,
 		Coordinator: "coordinator",
+		Contested:   s.contests,
 		Release: func() {
 			once.Do(func() {
 				s.mu.Lock()
--- a/internal/relay/forward/resume_test.go
+++ b/internal/relay/forward/resume_test.go
@@ -159,27 +159,34 @@
 	}
 }
 
-// Guards against a stream that begins at another release than the coordinator has noted before
-// other hosts can find that: they would take it up at the release that was proposed (review/12).
+// Guards against a stream that begins at another release than a coordinator has noted before other
+// hosts can find that: they would take it up at the release that was proposed (review/12). The
+// coordinator may be one that has not replied.
 func TestRequestMovesOnceThatIsRecorded(t *testing.T) {
 	full := status(503, "Not-Run: 1\r\n")
 	whole := scriptedResponse{
 		text: stream + events(1, 2, 3) + endOfChunks,
 	}
 	tests := map[string]struct {
-		recorded bool
-		status   int
-		sentTo   []fleet.Release
+		software  []fleet.Release
+		responses []scriptedResponse
+		contests  bool
+		recorded  bool
+		status    int
+		sentTo    []fleet.Release
 	}{
-		"recorded":     {recorded: true, status: 200, sentTo: []fleet.Release{"v1", "v2"}},
-		"not recorded": {status: 503, sentTo: []fleet.Release{"v1"}},
+		"recorded":                {software: []fleet.Release{"v1", "v2"}, responses: []scriptedResponse{full, whole}, recorded: true, status: 200, sentTo: []fleet.Release{"v1", "v2"}},
+		"not recorded":            {software: []fleet.Release{"v1", "v2"}, responses: []scriptedResponse{full, whole}, status: 503, sentTo: []fleet.Release{"v1"}},
+		"contested, recorded":     {software: []fleet.Release{"v1", "v2"}, responses: []scriptedResponse{whole}, contests: true, recorded: true, status: 200, sentTo: []fleet.Release{"v1"}},
+		"contested, not recorded": {software: []fleet.Release{"v1", "v2"}, responses: []scriptedResponse{whole}, contests: true, status: 503},
+		"contested, one release":  {software: []fleet.Release{"v1", "v1"}, responses: []scriptedResponse{whole}, contests: true, status: 200, sentTo: []fleet.Release{"v1"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			store := memkv.New(time.Now)
-			f := startHost(t, store, []fleet.Release{"v1", "v2"}, 0, full, whole)
-			f.stager.upstream = "u0"
+			f := startHost(t, store, test.software, 0, test.responses...)
+			f.stager.upstream, f.stager.contests = "u0", test.contests
 			recorded := make(chan struct{})
 			go func() {
 				defer close(recorded)
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -186,6 +186,9 @@
 	e.config.Meter.Stages(e.route.Name, meter.Served, took)
 	results.Prepared = prepared
 	results.ready = true
+	if prepared.Contested {
+		e.run.Contest()
+	}
 	return e.setProposal(prepared)
 }
 
--- a/internal/relay/grpcrelay/client.go
+++ b/internal/relay/grpcrelay/client.go
@@ -37,7 +37,7 @@
 func (c *Client) Submit(ctx context.Context, to ident.Address, id cell.ID, job coordinator.Job, within time.Duration) (cell.Ticket, error) {
 	connection, err := c.connect(to)
 	if err != nil {
-		return nil, errors.Annotatef(cell.ErrUnreachable, "%v", err)
+		return nil, errors.WithType(errors.Annotatef(cell.ErrUnreachable, "%v", err), cell.ErrUnsent)
 	}
 	if r, ok := connection.(reconnecter); ok {
 		reconnect(ctx, r, within)
@@ -50,7 +50,11 @@
 		cancel()
 	}
 	if expired && ctx.Err() == nil {
-		return nil, errors.Annotatef(cell.ErrSilent, "accept job within %s", within)
+		silent := errors.Annotatef(cell.ErrSilent, "accept job within %s", within)
+		if errors.Is(err, cell.ErrUnsent) {
+			silent = errors.WithType(silent, cell.ErrUnsent)
+		}
+		return nil, silent
 	}
 	if err != nil {
 		return nil, err
@@ -85,7 +89,7 @@
 func (c *Client) submit(ctx context.Context, stub RelayClient, id cell.ID, job coordinator.Job) (*ticket, error) {
 	stream, err := stub.Prepare(ctx)
 	if err != nil {
-		return nil, errors.Annotatef(cell.ErrUnreachable, "open stream: %v", err)
+		return nil, errors.WithType(errors.Annotatef(cell.ErrUnreachable, "open stream: %v", err), cell.ErrUnsent)
 	}
 	if err := stream.Send(encodeJob(c.now(), id, job)); err != nil {
 		return nil, errors.Annotatef(cell.ErrUnreachable, "send job: %v", err)
--- a/internal/relay/resumption/run.go
+++ b/internal/relay/resumption/run.go
@@ -9,10 +9,11 @@
 
 // Run is the handling of a stream by one request. It is not safe for concurrent use.
 type Run struct {
-	streams *Streams
-	stream  Stream
-	known   *known // nil until an upstream is proposed or the request is sent
-	bound   bool   // the request cannot move to another release
+	streams   *Streams
+	stream    Stream
+	known     *known // nil until an upstream is proposed or the request is sent
+	bound     bool   // the request cannot move to another release
+	contested bool   // coordinators may have noted several releases
 }
 
 // NewRun returns the handling of a stream by a request that has not been sent.
@@ -37,6 +38,10 @@
 // nobody may take it up.
 func (r *Run) Bind() { r.bound = true }
 
+// Contest records that a coordinator may have noted a release, or may do so yet, which is not
+// known here: it has received the request, but not said what it proposes.
+func (r *Run) Contest() { r.contested = true }
+
 // Sent records that an upstream of a release may begin the stream, before the request is sent
 // there. If other hosts would take another release for the one that began it, Sent waits until
 // they find this one. It returns ErrUnrecorded if that takes too long; the stream must not begin
@@ -53,12 +58,13 @@
 // of the note of the move.
 func (r *Run) send(release fleet.Release) (number uint64, moves bool) {
 	s := r.streams
+	contested := r.contested && len(s.releases.Possible(r.stream.Service)) > 1
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.attach(r)
 	k := r.known
 	isNew := k.add(release)
-	if r.isBound() || !k.movesTo(release) {
+	if r.isBound() || !k.movesTo(release, contested) {
 		if isNew {
 			s.note(note{
 				Stream:  r.stream,
@@ -88,11 +94,11 @@
 
 // movesTo reports whether a note has to say that the request goes to a release, since others
 // that may be recorded name another one.
-func (k *known) movesTo(release fleet.Release) bool {
+func (k *known) movesTo(release fleet.Release, contested bool) bool {
 	if k.moves > 0 {
 		return k.latest != release
 	}
-	return len(k.releases) > 1
+	return contested || len(k.releases) > 1
 }
 
 // First returns the release that was proposed, or to which the request was sent, first. A
