Report all parts of prompts that may have crashed an upstream

Cause: a report on a crash had the first 16 fingerprints of each request that are not known as sound, and dropped the others in silence. A verdict could only name what is in a report.

Change: the fingerprints beyond 16 are reported by their first four bytes, and those in full come first that known crashes count against. A part that is in flight at two crashes is so known in full at the second, or the third if the news is late, and the short ones make the earlier crashes count too. A report has 16,384 short ones at most (64 KB; four prompts with all parts that a header of 16 KB can have, 14 with 1,100); requests whose responses had not begun come first, since the cause ends its upstream at its first bytes. What has no room is counted (relay_crash_parts_omitted). The table keeps the short ones of the latest 32 crashes, 16 MB at most. Each limit says what happens beyond it.

--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -247,6 +247,7 @@
 	h.meter.Gauge("relay_connections_evicted", func() float64 { return float64(h.connections.Evicted.Load()) })
 	h.meter.Gauge("relay_connections_refused", func() float64 { return float64(h.connections.Refused.Load()) })
 	h.meter.Gauge("relay_requests_blocked", func() float64 { return float64(h.poison.BlockedPatterns()) })
+	h.meter.Gauge("relay_crash_parts_omitted", func() float64 { return float64(h.poison.Omitted()) })
 	h.meter.Gauge("relay_replica_age_seconds", func() float64 { return h.replica.Age().Seconds() })
 	h.meter.Gauge("relay_replica_cursor", func() float64 { return float64(h.replica.Cursor()) })
 	h.meter.Gauge("relay_log_lines_dropped", func() float64 { return float64(out.Dropped()) })
--- a/internal/relay/poison/attempt.go
+++ b/internal/relay/poison/attempt.go
@@ -12,7 +12,8 @@
 	// settleTime is how long an upstream has to keep running after it has begun to
 	// respond to a request, before the request counts as sound.
 	settleTime = 250 * time.Millisecond
-	// maxAttempts bounds the attempts that are tracked for an upstream.
+	// maxAttempts bounds the attempts that are tracked for an upstream. The earliest one is
+	// dropped then; it has usually ended, or its response has begun.
 	maxAttempts = 256
 	// attemptRetention is how long an attempt that has ended is tracked, in case the
 	// upstream crashes or is seen running.
@@ -190,6 +191,7 @@
 		Incarnation: process.Incarnation,
 		At:          now,
 	}
+	var caused []*Attempt // that may have caused the crash
 	for other := range t.attempts {
 		if other.Upstream != process.Upstream {
 			continue
@@ -200,13 +202,13 @@
 				return false // has reached another process
 			}
 			if o.mayHaveCaused(crashedAt) {
-				report.Suspects = append(report.Suspects, t.suspect(now, o))
+				caused = append(caused, o)
 			}
 			return true
 		})
 	}
+	report.Suspects = t.suspects(now, caused)
 	t.mu.Unlock()
-	report.Suspects = report.Suspects[:min(len(report.Suspects), peer.MaxSuspects)]
 	if len(report.Suspects) == 0 || !t.merge(report) {
 		return 0
 	}
@@ -248,19 +250,3 @@
 	}
 	return nil
 }
-
-// suspect returns what is reported on an attempt at a process that has crashed, without
-// the fingerprints that are sound. The caller holds the mutex.
-func (t *Table) suspect(now time.Time, a *Attempt) peer.CrashSuspect {
-	fingerprints := []Fingerprint{a.request.contentFingerprint()}
-	for _, part := range a.request.parts {
-		if !t.sound.knownSince(part, now.Add(-soundPeriod)) {
-			fingerprints = append(fingerprints, part)
-		}
-	}
-	a.request.suspected = true
-	return peer.CrashSuspect{
-		Fingerprints: fingerprints[:min(len(fingerprints), peer.MaxFingerprints)],
-		Repeated:     a.repeated,
-	}
-}
--- a/internal/relay/poison/report.go
+++ b/internal/relay/poison/report.go
@@ -14,6 +14,11 @@
 	reportRetention = 15 * time.Minute
 	// maxCrashes bounds the crashes that a Table keeps; the oldest is dropped.
 	maxCrashes = 256
+	// maxRestCrashes bounds the latest crashes that keep the short fingerprints of their suspects,
+	// and maxRest those of one crash. Earlier crashes go on to count against fingerprints that any
+	// report has in full by then.
+	maxRestCrashes = 32
+	maxRest        = 4 * peer.MaxRest
 	// minDowntime is a time in which an upstream that has crashed does not run requests
 	// again. Reports on one upstream within this time are on the same crash.
 	minDowntime = 200 * time.Millisecond
@@ -26,7 +31,8 @@
 	at       time.Time // when the first host noticed it
 	reports  map[reportKey]bool
 	suspects []peer.CrashSuspect
-	all      map[Fingerprint]bool // fingerprints of the suspects; false if the crash does not count against one
+	all      map[Fingerprint]bool    // fingerprints of the suspects that any report has in full; false if the crash does not count against one
+	rest     []peer.ShortFingerprint // of all suspects, in ascending order
 }
 
 // reportKey identifies a report on a crash.
@@ -72,7 +78,7 @@
 // flight at another crash.
 func (c *crash) follows(f Fingerprint) bool {
 	return slices.ContainsFunc(c.suspects, func(s peer.CrashSuspect) bool {
-		return s.Repeated && slices.Contains(s.Fingerprints, f)
+		return s.Repeated && s.Has(f)
 	})
 }
 
@@ -102,11 +108,39 @@
 		c.at = report.At
 	}
 	for _, suspect := range report.Suspects {
+		if len(c.rest)+len(suspect.Rest) > maxRest {
+			suspect.Rest = nil
+		}
 		c.suspects = append(c.suspects, suspect)
+		c.rest = append(c.rest, suspect.Rest...)
 		for _, f := range suspect.Fingerprints {
 			if _, ok := c.all[f]; !ok {
 				c.all[f] = !sound(f)
 			}
 		}
 	}
+	slices.Sort(c.rest)
+	c.rest = slices.Compact(c.rest)
+}
+
+// mayHave reports whether a suspect has a fingerprint as a short one.
+func (c *crash) mayHave(f Fingerprint) bool {
+	_, found := slices.BinarySearch(c.rest, f.Short())
+	return found
+}
+
+// recognise makes the crash count against a fingerprint that its reports have as a short one, and
+// another one in full.
+func (c *crash) recognise(f Fingerprint, sound func(f Fingerprint) bool) {
+	if _, ok := c.all[f]; !ok && c.mayHave(f) {
+		c.all[f] = !sound(f)
+	}
+}
+
+// dropRest drops the short fingerprints.
+func (c *crash) dropRest() {
+	c.rest = nil
+	for i := range c.suspects {
+		c.suspects[i].Rest = nil
+	}
 }
--- a/internal/relay/poison/sound.go
+++ b/internal/relay/poison/sound.go
@@ -7,7 +7,8 @@
 	// in which a host usually serves the next request with a part that many requests
 	// share, so that such a part is not blamed when many upstreams crash together.
 	soundPeriod = 30 * time.Second
-	// maxSound bounds the fingerprints of each generation.
+	// maxSound bounds the fingerprints of each generation. Beyond, the older one is dropped
+	// sooner, and a part that is served seldom may be blamed until it is served again.
 	maxSound = 8192
 )
 
--- a/internal/relay/poison/table.go
+++ b/internal/relay/poison/table.go
@@ -51,6 +51,7 @@
 	verdict  verdict
 	probes   map[string]*probe // by the fingerprints of the pattern
 	watchers map[*watcher]bool
+	omitted  int // fingerprints that no report has had for lack of room
 }
 
 // watcher waits for a request to be blocked.
@@ -121,7 +122,10 @@
 			Incarnation: report.Incarnation,
 		}] = known
 	}
-	known.add(report, func(f Fingerprint) bool { return t.sound.knownSince(f, now.Add(-soundPeriod)) })
+	sound := func(f Fingerprint) bool { return t.sound.knownSince(f, now.Add(-soundPeriod)) }
+	known.add(report, sound)
+	t.dropOldestRest()
+	t.recognise(report, known, sound)
 	var publish []Fingerprint
 	for f, counts := range known.all {
 		if !counts && t.mustClear(now, f) {
@@ -176,6 +180,53 @@
 	delete(t.crashes, oldest)
 }
 
+// dropOldestRest drops the short fingerprints of all but the latest crashes. The caller holds the
+// mutex.
+func (t *Table) dropOldestRest() {
+	var with []*crash
+	for _, c := range t.crashes {
+		if len(c.rest) > 0 {
+			with = append(with, c)
+		}
+	}
+	if len(with) <= maxRestCrashes {
+		return
+	}
+	oldest := slices.MinFunc(with, func(a, b *crash) int { return a.at.Compare(b.at) })
+	oldest.dropRest()
+}
+
+// recognise makes crashes count against the fingerprints that some reports have as short ones, and
+// others, of which one is new, in full. The caller holds the mutex.
+func (t *Table) recognise(report peer.CrashReported, of *crash, sound func(f Fingerprint) bool) {
+	for _, c := range t.crashes {
+		if len(c.rest) == 0 {
+			continue
+		}
+		for _, suspect := range report.Suspects {
+			for _, f := range suspect.Fingerprints {
+				c.recognise(f, sound)
+			}
+		}
+	}
+	if len(of.rest) == 0 {
+		return
+	}
+	for _, c := range t.crashes {
+		for f := range c.all {
+			of.recognise(f, sound)
+		}
+	}
+}
+
+// Omitted returns the number of fingerprints that could not be reported, since too many requests
+// with too many parts were in flight at a crash.
+func (t *Table) Omitted() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.omitted
+}
+
 // expire drops the crashes that no longer count, and derives the verdict anew if there are any.
 // The caller holds the mutex, and calls notify without, see update.
 func (t *Table) expire(now time.Time) (notify func()) {
--- a/internal/relay/poison/verdict.go
+++ b/internal/relay/poison/verdict.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/nutmegshift/nutmegshift/peer"
 )
 
 const (
@@ -24,8 +26,8 @@
 	minRetryAfter = time.Second
 )
 
-// Pattern is a set of fingerprints. Requests that have all of them crash upstreams. There
-// are several if no reported request had one without the others.
+// Pattern is a set of fingerprints, peer.MaxFingerprints at most. Requests that have all of them
+// crash upstreams. There are several if no reported request had one without the others.
 type Pattern struct {
 	Fingerprints []Fingerprint
 	Crashes      []Process     // that the pattern explains, the latest first
@@ -103,19 +105,35 @@
 				tallies[f] = tallies[f].add(c.at, c.follows(f))
 			}
 		}
-		for _, suspect := range c.suspects {
-			for _, f := range suspect.Fingerprints {
-				if c.countsAgainst(f) {
-					t := tallies[f]
-					t.suspects++
-					tallies[f] = t
-				}
+		c.eachSuspected(func(f Fingerprint) {
+			if c.countsAgainst(f) {
+				t := tallies[f]
+				t.suspects++
+				tallies[f] = t
 			}
-		}
+		})
 	}
 	return tallies
 }
 
+// eachSuspected calls a function with the fingerprints of each suspect that any report has in
+// full.
+func (c *crash) eachSuspected(call func(f Fingerprint)) {
+	for _, suspect := range c.suspects {
+		for _, f := range suspect.Fingerprints {
+			call(f)
+		}
+		if len(suspect.Rest) == 0 {
+			continue
+		}
+		for f := range c.all {
+			if !slices.Contains(suspect.Fingerprints, f) && suspect.Has(f) {
+				call(f)
+			}
+		}
+	}
+}
+
 // mostLikely returns the fingerprint that is most likely the cause of crashes, see
 // conclude, if there is one with enough of them.
 func mostLikely(tallies map[Fingerprint]tally) (best Fingerprint, ok bool) {
@@ -142,24 +160,15 @@
 	pattern := Pattern{
 		concluded: tallies[best].concluded,
 	}
-	for _, c := range unexplained {
-		for _, suspect := range c.suspects {
-			if !slices.Contains(suspect.Fingerprints, best) || !c.countsAgainst(best) {
-				continue
-			}
-			if pattern.Fingerprints == nil {
-				for _, f := range suspect.Fingerprints {
-					if c.countsAgainst(f) && tallies[f] == tallies[best] {
-						pattern.Fingerprints = append(pattern.Fingerprints, f)
-					}
-				}
-				continue
-			}
-			pattern.Fingerprints = slices.DeleteFunc(pattern.Fingerprints, func(f Fingerprint) bool {
-				return !slices.Contains(suspect.Fingerprints, f)
-			})
+	for f, t := range tallies {
+		if t == tallies[best] && alwaysWith(f, best, unexplained) {
+			pattern.Fingerprints = append(pattern.Fingerprints, f)
 		}
 	}
+	slices.SortFunc(pattern.Fingerprints, func(a, b Fingerprint) int {
+		return cmp.Or(cmp.Compare(btoi(b == best), btoi(a == best)), bytes.Compare(a[:], b[:]))
+	})
+	pattern.Fingerprints = pattern.Fingerprints[:min(len(pattern.Fingerprints), peer.MaxFingerprints)]
 	for process, c := range unexplained {
 		if c.countsAgainst(best) {
 			pattern.Crashes = append(pattern.Crashes, process)
@@ -181,6 +190,22 @@
 	return pattern
 }
 
+// alwaysWith reports whether all suspects with the fingerprint best, in crashes that count against
+// it, have another one too.
+func alwaysWith(f, best Fingerprint, crashes map[Process]*crash) bool {
+	for _, c := range crashes {
+		if !c.countsAgainst(best) {
+			continue
+		}
+		for _, suspect := range c.suspects {
+			if suspect.Has(best) && !suspect.Has(f) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // blocks returns the pattern that blocks a request, if there is one.
 func (v verdict) blocks(request *Request) (Pattern, bool) {
 	if request.probes {
--- a/peer/grpcpeer/codec.go
+++ b/peer/grpcpeer/codec.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 	"unicode"
 
@@ -336,10 +337,14 @@
 		Age:         time.Since(c.At).Microseconds(),
 	}
 	for _, suspect := range c.Suspects {
-		crash.Suspects = append(crash.Suspects, &Suspect{
+		encoded := &Suspect{
 			Fingerprints: peer.JoinFingerprints(suspect.Fingerprints),
 			Repeated:     suspect.Repeated,
-		})
+		}
+		for _, short := range suspect.Rest {
+			encoded.Rest = append(encoded.Rest, uint32(short))
+		}
+		crash.Suspects = append(crash.Suspects, encoded)
 	}
 	return crash
 }
@@ -357,19 +362,38 @@
 		Incarnation: ident.Incarnation(c.GetIncarnation()),
 		At:          time.Now().Add(-time.Duration(max(0, min(c.GetAge(), maxCrashAge.Microseconds()))) * time.Microsecond),
 	}
+	rest := 0
 	for _, s := range c.GetSuspects() {
-		fingerprints, err := peer.SplitFingerprints(s.GetFingerprints())
+		suspect, err := decodeSuspect(s)
 		if err != nil {
 			return peer.CrashReported{}, err
 		}
-		reported.Suspects = append(reported.Suspects, peer.CrashSuspect{
-			Fingerprints: fingerprints,
-			Repeated:     s.GetRepeated(),
-		})
+		if rest += len(suspect.Rest); rest > peer.MaxRest {
+			return peer.CrashReported{}, errors.Errorf("%d short fingerprints, limit is %d", rest, peer.MaxRest)
+		}
+		reported.Suspects = append(reported.Suspects, suspect)
 	}
 	return reported, nil
 }
 
+func decodeSuspect(s *Suspect) (peer.CrashSuspect, error) {
+	fingerprints, err := peer.SplitFingerprints(s.GetFingerprints())
+	if err != nil {
+		return peer.CrashSuspect{}, err
+	}
+	suspect := peer.CrashSuspect{
+		Fingerprints: fingerprints,
+		Repeated:     s.GetRepeated(),
+	}
+	for _, short := range s.GetRest() {
+		suspect.Rest = append(suspect.Rest, peer.ShortFingerprint(short))
+	}
+	if !slices.IsSorted(suspect.Rest) {
+		return peer.CrashSuspect{}, errors.Errorf("short fingerprints are not in ascending order")
+	}
+	return suspect, nil
+}
+
 func encodeFingerprintStruck(s peer.FingerprintStruck) *Fingerprint {
 	return &Fingerprint{
 		Fingerprint: s.Fingerprint[:],
--- a/peer/grpcpeer/crash_test.go
+++ b/peer/grpcpeer/crash_test.go
@@ -34,6 +34,7 @@
 			Suspects: []peer.CrashSuspect{
 				{Fingerprints: []peer.Fingerprint{{1}, {2}}},
 				{Fingerprints: []peer.Fingerprint{{3}}, Repeated: true},
+				{Rest: []peer.ShortFingerprint{1, 2, 1 << 31}},
 			},
 		}
 		message.Rumours = []peer.Rumour{sent}
@@ -49,6 +50,8 @@
 		for name, suspects := range map[string][]peer.CrashSuspect{
 			"many suspects":     make([]peer.CrashSuspect, peer.MaxSuspects+1),
 			"many fingerprints": {{Fingerprints: make([]peer.Fingerprint, peer.MaxFingerprints+1)}},
+			"many short ones":   {{Rest: make([]peer.ShortFingerprint, peer.MaxRest)}, {Rest: make([]peer.ShortFingerprint, 1)}},
+			"in no order":       {{Rest: []peer.ShortFingerprint{2, 1}}},
 		} {
 			sent.Suspects = suspects
 			message.Rumours = []peer.Rumour{sent}
--- a/peer/rumour.go
+++ b/peer/rumour.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"encoding/binary"
 	"fmt"
 	"slices"
 	"time"
@@ -54,17 +55,44 @@
 	Incarnation ident.Incarnation
 }
 
-// MaxSuspects is the largest number of suspects in a CrashReported, and MaxFingerprints
-// the largest number of fingerprints of a suspect.
+// Limits of a CrashReported.
 const (
-	MaxSuspects     = 64
+	// MaxSuspects is the largest number of suspects. A host with more requests in flight reports
+	// those whose responses had not begun first.
+	MaxSuspects = 64
+	// MaxFingerprints is the largest number of fingerprints of a suspect. It has its others as
+	// short ones.
 	MaxFingerprints = 16
+	// MaxRest is the largest number of short fingerprints of all suspects, which take 64 KB. That
+	// is enough for four requests with the most parts that a header of 16 KB can have. Suspects
+	// beyond have no short ones.
+	MaxRest = 16384
 )
 
+// ShortFingerprint is the beginning of a Fingerprint. It tells whether a request may have had
+// that, not what it is.
+type ShortFingerprint uint32
+
+// Short returns the beginning of a fingerprint.
+func (f Fingerprint) Short() ShortFingerprint {
+	return ShortFingerprint(binary.BigEndian.Uint32(f[:]))
+}
+
 // CrashSuspect is one request that may have crashed an upstream.
 type CrashSuspect struct {
-	Fingerprints []Fingerprint // at most MaxFingerprints; those that the host knows as harmless may be missing
-	Repeated     bool          // the request was sent after it had been in flight at another crash
+	Fingerprints []Fingerprint      // at most MaxFingerprints; those that the host knows as harmless may be missing
+	Rest         []ShortFingerprint // of further fingerprints, in ascending order
+	Repeated     bool               // the request was sent after it had been in flight at another crash
+}
+
+// Has reports whether the suspect has a fingerprint. It may be wrong once in some hundred
+// thousand times if the suspect has thousands of short ones.
+func (s CrashSuspect) Has(f Fingerprint) bool {
+	if slices.Contains(s.Fingerprints, f) {
+		return true
+	}
+	_, found := slices.BinarySearch(s.Rest, f.Short())
+	return found
 }
 
 // JoinFingerprints returns the concatenated fingerprints.
