Accept jobs whose prompts have as many parts as a header can hold

Cause: a coordinator rejects a job with more than 1,024 parts as damaged. The host that sends it has no such limit, and passes the rejection on as a refusal.

Change: the limit is 4,096, the most that a header of 16 KB can have, and a host sends no more than that: a longer prompt is placed by its first ones. Excluded upstreams have a limit of their own.

--- a/internal/relay/grpcrelay/codec.go
+++ b/internal/relay/grpcrelay/codec.go
@@ -16,11 +16,16 @@
 )
 
 const (
-	// Limits on the fields of a job, against damaged messages. maxParts also limits the
-	// excluded upstreams; maxTokens applies to each number of tokens.
+	// Limits on the fields of a job, against damaged messages. maxTokens applies to each number of
+	// tokens.
 	maxStages = 64
 	maxPieces = 4096
-	maxParts  = 1024
+	// maxParts is the most parts that a header of 16 KB can have. A longer prompt is placed by
+	// its first ones.
+	maxParts = 4096
+	// maxExcluded limits the excluded upstreams. A host rejects a proposal of one that it could
+	// not send.
+	maxExcluded = 1024
 	maxTokens = 1 << 30
 	maxPause  = 24 * time.Hour
 	// maxOrganisation is the maximum length of the name of an organisation, in bytes.
@@ -85,15 +90,16 @@
 		Shared:  query.Shared.Key,
 		Tokens:  int64(query.Shared.Tokens),
 	}
-	for _, part := range query.Prompt.Parts {
+	parts := query.Prompt.Parts
+	for _, part := range parts[:min(len(parts), maxParts)] {
 		target.Parts = append(target.Parts, &Part{
 			Id:     string(part.ID),
 			Tokens: int64(part.Tokens),
 		})
 	}
 	for id := range query.Exclude {
-		if len(target.Exclude) == maxParts {
-			break // the host rejects a proposal that it cannot use
+		if len(target.Exclude) == maxExcluded {
+			break
 		}
 		target.Exclude = append(target.Exclude, string(id))
 	}
@@ -114,7 +120,7 @@
 			Tokens: int(target.GetTokens()),
 		},
 	}
-	if len(target.GetParts()) > maxParts || len(target.GetExclude()) > maxParts {
+	if len(target.GetParts()) > maxParts || len(target.GetExclude()) > maxExcluded {
 		return placement.Query{}, errors.NotValidf("target with %d parts and %d excluded upstreams", len(target.GetParts()), len(target.GetExclude()))
 	}
 	if min(target.GetInput(), target.GetOutput(), target.GetTokens()) < 0 || max(target.GetInput(), target.GetOutput(), target.GetTokens()) > maxTokens {
--- a/internal/relay/grpcrelay/codec_test.go
+++ b/internal/relay/grpcrelay/codec_test.go
@@ -1,6 +1,7 @@
 package grpcrelay
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -152,3 +153,42 @@
 		})
 	}
 }
+
+// Guards against a coordinator that rejects the job of a legal request, since its prompt has very
+// many parts or many upstreams are excluded.
+func TestLongJob(t *testing.T) {
+	tests := map[string]struct {
+		parts, excluded         int
+		wantParts, wantExcluded int
+	}{
+		"many parts":              {parts: 1100, wantParts: 1100},
+		"longest header":          {parts: maxParts, wantParts: maxParts},
+		"beyond":                  {parts: maxParts + 1, wantParts: maxParts},
+		"many excluded upstreams": {excluded: maxExcluded + 1, wantExcluded: maxExcluded},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			job := coordinator.Job{
+				Target: placement.Query{
+					Service: "pool",
+					Exclude: make(map[ident.UpstreamID]bool),
+				},
+			}
+			for i := range test.parts {
+				job.Target.Prompt.Parts = append(job.Target.Prompt.Parts, wire.Part{
+					ID:     wire.PartID(fmt.Sprint(i)),
+					Tokens: 1,
+				})
+			}
+			for i := range test.excluded {
+				job.Target.Exclude[ident.UpstreamID(fmt.Sprint(i))] = true
+			}
+			now := time.Unix(1_700_000_000, 0)
+			_, decoded, err := decodeJob(now, encodeJob(now, "", job))
+			c.Assert(err, qt.IsNil)
+			c.Check(decoded.Target.Prompt.Parts, qt.HasLen, test.wantParts)
+			c.Check(decoded.Target.Exclude, qt.HasLen, test.wantExcluded)
+		})
+	}
+}
