Count only probes of a verdict that an upstream has lost

Cause: a verdict without rivals is probed until two probes have ended without a response, and a probe counted that was refused for want of room at the stages, turned away by an upstream or left by its caller. Such a probe reached no upstream, or did not stay to show anything.

Change: a probe counts once an upstream that may have run it has lost it. Others are made every three seconds meanwhile. If one crashes an upstream, the verdict is confirmed and probes end, as before.

--- a/internal/relay/forward/send.go
+++ b/internal/relay/forward/send.go
@@ -181,7 +181,9 @@
 	switch ending {
 	case placement.Full, placement.Misdirected:
 		e.latest.Refused()
-	case placement.Served, placement.Failed, placement.Abandoned:
+	case placement.Abandoned:
+		e.latest.Abandoned()
+	case placement.Served, placement.Failed:
 		e.latest.End(ending == placement.Served)
 	}
 	if e.proposal != nil && e.proposal.placed == placed {
--- a/internal/relay/grpcrelay/codec.go
+++ b/internal/relay/grpcrelay/codec.go
@@ -26,8 +26,8 @@
 	// maxExcluded limits the excluded upstreams. A host rejects a proposal of one that it could
 	// not send.
 	maxExcluded = 1024
-	maxTokens = 1 << 30
-	maxPause  = 24 * time.Hour
+	maxTokens   = 1 << 30
+	maxPause    = 24 * time.Hour
 	// maxOrganisation is the maximum length of the name of an organisation, in bytes.
 	maxOrganisation = 256
 	// maxUsage limits the usage in Failed messages, in percent of a share.
--- a/internal/relay/poison/attempt.go
+++ b/internal/relay/poison/attempt.go
@@ -35,6 +35,7 @@
 	repeated    bool      // the request has been in flight at another crash before
 	respondedAt time.Time // when the response began; zero before
 	endedAt     time.Time // zero before the end
+	refused     bool      // the upstream did not run the request
 	incomplete  bool      // has ended without the whole response
 	settled     bool      // written and read by the caller of Responding only
 }
@@ -102,23 +103,35 @@
 func (a *Attempt) Refused() {
 	a.table.mu.Lock()
 	defer a.table.mu.Unlock()
+	a.refused = true
 	a.table.dropAttempts(a.process, func(other *Attempt) bool { return other == a })
 }
 
 // End records the end of the attempt. Complete tells whether the upstream has sent the
 // whole response.
 func (a *Attempt) End(complete bool) {
+	sound := a.end(complete, !complete)
+	a.table.publishSound(sound)
+}
+
+// Abandoned records that this host has ended the attempt, before the upstream has sent the whole
+// response.
+func (a *Attempt) Abandoned() { a.end(false, false) }
+
+// end records the end of the attempt, and whether the upstream has lost the request. It returns
+// the fingerprints that other hosts should know as sound.
+func (a *Attempt) end(complete, lost bool) (sound []Fingerprint) {
 	now := a.table.config.Now()
-	var sound []Fingerprint
 	a.table.mu.Lock()
+	defer a.table.mu.Unlock()
 	a.endedAt = now
 	a.incomplete = !complete
-	if complete {
-		a.request.served = true
-		sound = a.table.seenRunning(now, a.process)
+	a.request.lost = a.request.lost || lost && !a.refused
+	if !complete {
+		return nil
 	}
-	a.table.mu.Unlock()
-	a.table.publishSound(sound)
+	a.request.served = true
+	return a.table.seenRunning(now, a.process)
 }
 
 // seenRunning records that a process runs. It returns the fingerprints that other hosts
--- a/internal/relay/poison/probe.go
+++ b/internal/relay/poison/probe.go
@@ -11,8 +11,9 @@
 // probes. Fingerprints of bystanders are usually known to be sound by then.
 const probeInterval = 3 * time.Second
 
-// maxUnrivalled is the number of probes of a verdict without rivals that may end without a
-// response. Each of them may crash an upstream.
+// maxUnrivalled is the number of probes of a verdict without rivals that upstreams may lose. Each
+// of them may have crashed an upstream. One that was refused or abandoned has not, and shows
+// nothing.
 const maxUnrivalled = 2
 
 // probe holds the latest probe of a pattern, and which requests it blocks.
@@ -20,7 +21,7 @@
 	at         time.Time // zero before the first probe
 	request    *Request
 	crashes    int // that the pattern explained at the time
-	unanswered int // probes before the latest one that were not served
+	unanswered int // probes before the latest one that upstreams have lost
 
 	// Requests are counted in windows of probeInterval. Before the second window, only
 	// requests without rivals may probe.
@@ -61,7 +62,7 @@
 	if !p.at.IsZero() && (now.Sub(p.at) < p.interval() || len(pattern.Crashes) > p.crashes) {
 		return false
 	}
-	if !p.at.IsZero() && !p.request.served {
+	if !p.at.IsZero() && p.request.lost {
 		p.unanswered++
 	}
 	if len(pattern.rivals) == 0 && p.unanswered >= maxUnrivalled {
--- a/internal/relay/poison/probe_test.go
+++ b/internal/relay/poison/probe_test.go
@@ -83,6 +83,10 @@
 	}
 }
 
+// unseenProbes is the number of probes of a verdict that reach no upstream in a test, more than are
+// made that end without a response.
+const unseenProbes = 4
+
 // Guards against a wrong verdict that lasts because nothing else was in flight at two of the
 // crashes: upstreams crash one after the other for reasons of their own, while the first requests
 // of a kind are at all of them.
@@ -91,10 +95,23 @@
 		crashes bool // the probes crash their upstreams
 		silent  bool // they end without a response
 		probes  int
+
+		unseen func(h *host, request *poison.Request) // plays the first probes; nil if there are no others
 	}{
 		"the verdict is wrong": {probes: 1},
 		"the verdict is right": {crashes: true, probes: 1},
 		"nobody can tell":      {silent: true, probes: 2},
+
+		// No upstream has begun to run the first probes, so they show nothing (review/14).
+		"refused by the host":     {probes: unseenProbes + 1, unseen: func(*host, *poison.Request) {}},
+		"refused by the upstream": {probes: unseenProbes + 1, unseen: func(h *host, r *poison.Request) { h.Begin(process(3), r).Refused() }},
+		"not sent": {probes: unseenProbes + 1, unseen: func(h *host, r *poison.Request) {
+			attempt := h.Begin(process(3), r)
+			attempt.Refused()
+			attempt.End(false)
+		}},
+		"abandoned":                {probes: unseenProbes + 1, unseen: func(h *host, r *poison.Request) { h.Begin(process(3), r).Abandoned() }},
+		"right, refused by a host": {crashes: true, probes: unseenProbes + 1, unseen: func(*host, *poison.Request) {}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -115,6 +132,8 @@
 				}
 				probes++
 				switch {
+				case test.unseen != nil && probes <= unseenProbes:
+					test.unseen(h, request)
 				case test.crashes:
 					h.crash(process(3), request)
 				case test.silent:
--- a/internal/relay/poison/request.go
+++ b/internal/relay/poison/request.go
@@ -45,6 +45,7 @@
 	responding bool               // its present upstream has begun to respond
 	probes     bool               // is sent although it is blocked, see Table.Blocked
 	served     bool               // an upstream has sent the whole response
+	lost       bool               // an upstream that may have run it has not
 }
 
 // Probes reports whether the request is sent although requests like it are blocked. It is
