Do not take a host's own standstill for an outage of the store

Cause: a host that wakes finds that the store has not responded to it for longer than a lease may last without renewal, and takes removals for unconfirmed for 2.2 s: entries may have expired in an outage. It passes that on with the changes that it sends. But the store was there, only the host was not.

Change: the time in which the host stood still, seen by ticks twice a second that did not come for a second or more, is no silence of the store. The response that comes first after waking counts so too, before any tick.

Evidence: two new cases of TestRemovalsAreUnconfirmedAfterOutage fail with the silence of before; the others show that outages of a host that runs, before or after a standstill, leave removals unconfirmed.

--- a/internal/relay/discovery/replica.go
+++ b/internal/relay/discovery/replica.go
@@ -29,6 +29,9 @@
 	// maxEarlierBytes bounds the values that are kept for this. They are two of the largest,
 	// and more than ten of a table of 500 routes.
 	maxEarlierBytes = 2 * kv.MaxValueBytes
+	// minStandstill is the time between two ticks from which a host has stood still. A busy host
+	// is late by less.
+	minStandstill = time.Second
 	// neverConfirmed is the age of a replica that has not been confirmed, and the largest
 	// age of one that has.
 	neverConfirmed = time.Hour
@@ -103,6 +106,11 @@
 		xxhash.Sum64(entry.Value) == t.digest
 }
 
+// standstill is a time in which this host did not run.
+type standstill struct {
+	from, to time.Time
+}
+
 // syncState tells how far a replica is in sync with the store. Its mutex is not held
 // while the sink is called, so a goroutine that the sink waits for may use it.
 type syncState struct {
@@ -110,6 +118,8 @@
 	cursor    kv.Cursor
 	confirmed time.Time // when the cursor was last known to be the latest
 	responded time.Time // when the store last responded to any host, as far as known here, or when the first call failed
+	ticked    time.Time // when this host was last seen running; zero if nobody looks
+	still     standstill
 	epochAt   time.Time // when the cursor came into its epoch
 }
 
@@ -159,12 +169,12 @@
 }
 
 // recordResponse records a response of the store, and returns the time since the one
-// before; 0 for the first response.
+// before in which this host has run; 0 for the first response.
 func (s *syncState) recordResponse(at time.Time) (silence time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.responded.IsZero() {
-		silence = max(0, at.Sub(s.responded))
+		silence = max(0, at.Sub(s.responded)-s.stoodStill(at))
 	}
 	if at.After(s.responded) {
 		s.responded = at
@@ -172,6 +182,37 @@
 	return silence
 }
 
+// tick records that this host runs at the given time.
+func (s *syncState) tick(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.still = s.standstillAt(at)
+	s.ticked = at
+}
+
+// standstillAt returns the latest standstill of this host, which may last until the given time. The
+// caller holds the mutex.
+func (s *syncState) standstillAt(at time.Time) standstill {
+	if s.ticked.IsZero() || at.Sub(s.ticked) < minStandstill {
+		return s.still
+	}
+	return standstill{
+		from: s.ticked,
+		to:   at,
+	}
+}
+
+// stoodStill returns for how long this host has stood still since the last response. The caller
+// holds the mutex.
+func (s *syncState) stoodStill(at time.Time) time.Duration {
+	still := s.standstillAt(at)
+	from := still.from
+	if s.responded.After(from) {
+		from = s.responded
+	}
+	return max(0, still.to.Sub(from))
+}
+
 // advanceTo moves the cursor forward at the given time; it never moves it back.
 func (s *syncState) advanceTo(cursor kv.Cursor, at time.Time) {
 	s.mu.Lock()
@@ -307,6 +348,11 @@
 	r.state.advanceTo(changes.Cursor, r.now())
 }
 
+// Tick records that this host runs. It has to be called at intervals of half of minStandstill: a
+// host that stood still has had no response of the store for that time, which says nothing about
+// the store.
+func (r *Replica) Tick() { r.state.tick(r.now()) }
+
 // RecordFailure records that a call of this host to the store has failed. If no host is
 // known to have had a response before, an outage of the store has begun.
 func (r *Replica) RecordFailure() {
@@ -314,8 +360,8 @@
 }
 
 // RecordResponse records that the store has responded to this host. If it had responded
-// to no host for so long that entries may have expired, removals are unconfirmed for
-// some time.
+// to no host for so long, while this one ran, that entries may have expired, removals are
+// unconfirmed for some time.
 func (r *Replica) RecordResponse() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/discovery/replica_test.go
+++ b/internal/relay/discovery/replica_test.go
@@ -363,14 +363,21 @@
 	return discovery.NewReplica(newRecorder(), renewal, func() time.Time { return start }, anySize)
 }
 
+// tickInterval is the time between two looks at whether a host runs.
+const tickInterval = 500 * time.Millisecond
+
 // Guards against dropping a live upstream because its entry expired while the store
-// was unavailable, and against unconfirmed removals while the store is available.
+// was unavailable, and against unconfirmed removals while the store is available, also at a host
+// that has stood still (review/15).
 func TestRemovalsAreUnconfirmedAfterOutage(t *testing.T) {
 	tests := map[string]struct {
 		confirmed   time.Duration // by another host; time since the first listing
 		polled      time.Duration // when the store responded to a poll of this host; 0 for never
 		removed     time.Duration // when this host learns of the removal
 		unconfirmed time.Duration // how long the removal is unconfirmed
+
+		runs  bool             // this host is seen running, but for still
+		still [2]time.Duration // when it stands still
 	}{
 		"store was always available":                          {confirmed: 9 * time.Second, removed: 10 * time.Second},
 		"store was unavailable for all hosts":                 {confirmed: 3 * time.Second, removed: 10 * time.Second, unconfirmed: 2200 * time.Millisecond},
@@ -378,6 +385,12 @@
 		"silence that is too short for an outage":             {confirmed: 0, removed: 2200 * time.Millisecond},
 		"poll without outage, then the grace period of peers": {confirmed: 0, polled: 2200 * time.Millisecond, removed: 2600 * time.Millisecond},
 		"poll after an outage":                                {confirmed: 0, polled: 3 * time.Second, removed: 3400 * time.Millisecond, unconfirmed: 1800 * time.Millisecond},
+
+		"poll after a standstill":                {runs: true, still: [2]time.Duration{time.Second, 4 * time.Second}, polled: 4 * time.Second, removed: 4100 * time.Millisecond},
+		"poll some time after a standstill":      {runs: true, still: [2]time.Duration{time.Second, 4 * time.Second}, polled: 4700 * time.Millisecond, removed: 4700 * time.Millisecond},
+		"poll after a standstill and an outage":  {runs: true, still: [2]time.Duration{3 * time.Second, 6 * time.Second}, polled: 6 * time.Second, removed: 6 * time.Second, unconfirmed: 2200 * time.Millisecond},
+		"poll after an outage of a running host": {runs: true, polled: 4 * time.Second, removed: 4 * time.Second, unconfirmed: 2200 * time.Millisecond},
+		"standstill before an outage":            {runs: true, still: [2]time.Duration{time.Second, 4 * time.Second}, confirmed: 4500 * time.Millisecond, polled: 8 * time.Second, removed: 8 * time.Second, unconfirmed: 2200 * time.Millisecond},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -389,8 +402,24 @@
 				Key:     "servers/a",
 				Version: 1,
 			}}, 1)
-			now = start.Add(test.confirmed)
-			c.Assert(replica.Confirm(1, 0), qt.IsFalse)
+			confirmed := false
+			confirm := func() {
+				now, confirmed = start.Add(test.confirmed), true
+				c.Assert(replica.Confirm(1, 0), qt.IsFalse)
+			}
+			for at := time.Duration(0); test.runs && at < test.polled; at += tickInterval {
+				if at > test.still[0] && at < test.still[1] {
+					continue
+				}
+				if at >= test.confirmed && !confirmed {
+					confirm()
+				}
+				now = start.Add(at)
+				replica.Tick()
+			}
+			if !confirmed {
+				confirm()
+			}
 			if test.polled > 0 {
 				now = start.Add(test.polled)
 				replica.RecordResponse()
--- a/internal/relay/host/host.go
+++ b/internal/relay/host/host.go
@@ -504,6 +504,7 @@
 			limits.write(h, h.log)
 			return nil
 		case now := <-ticker.C:
+			h.replica.Tick()
 			limits.write(h, h.log)
 			h.fleet.Tick(now)
 			h.poison.Sweep()
