Count short fingerprints for which a crash has no room

Cause: the limit of one crash dropped the short fingerprints of a report in silence, unlike that of a report. Change: both are counted in relay_crash_parts_omitted. Measured: tests of the package pass.

--- a/internal/relay/poison/report.go
+++ b/internal/relay/poison/report.go
@@ -101,14 +101,16 @@
 	return report.Host != "" && !c.reports[keyOf(report)]
 }
 
-// add adds the report of another host. Fingerprints that are sound do not count.
-func (c *crash) add(report peer.CrashReported, sound func(f Fingerprint) bool) {
+// add adds the report of another host. Fingerprints that are sound do not count. It returns the
+// number of short fingerprints for which there is no room.
+func (c *crash) add(report peer.CrashReported, sound func(f Fingerprint) bool) (omitted int) {
 	c.reports[keyOf(report)] = true
 	if report.At.Before(c.at) {
 		c.at = report.At
 	}
 	for _, suspect := range report.Suspects {
 		if len(c.rest)+len(suspect.Rest) > maxRest {
+			omitted += len(suspect.Rest)
 			suspect.Rest = nil
 		}
 		c.suspects = append(c.suspects, suspect)
@@ -121,6 +123,7 @@
 	}
 	slices.Sort(c.rest)
 	c.rest = slices.Compact(c.rest)
+	return omitted
 }
 
 // mayHave reports whether a suspect has a fingerprint as a short one.
--- a/internal/relay/poison/table.go
+++ b/internal/relay/poison/table.go
@@ -51,7 +51,7 @@
 	verdict  verdict
 	probes   map[string]*probe // by the fingerprints of the pattern
 	watchers map[*watcher]bool
-	omitted  int // fingerprints that no report has had for lack of room
+	omitted  int // fingerprints for which a report or a crash had no room
 }
 
 // watcher waits for a request to be blocked.
@@ -123,7 +123,7 @@
 		}] = known
 	}
 	sound := func(f Fingerprint) bool { return t.sound.knownSince(f, now.Add(-soundPeriod)) }
-	known.add(report, sound)
+	t.omitted += known.add(report, sound)
 	t.dropOldestRest()
 	t.recognise(report, known, sound)
 	var publish []Fingerprint
@@ -219,8 +219,8 @@
 	}
 }
 
-// Omitted returns the number of fingerprints that could not be reported, since too many requests
-// with too many parts were in flight at a crash.
+// Omitted returns the number of fingerprints that could not be reported or kept, since too many
+// requests with too many parts were in flight at a crash.
 func (t *Table) Omitted() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
