Test that a restore of the store loses no move of a stream

Cause: a restore may bring back the proposal and lose the move; recorders write all notes again then, which no test showed for moves and for notes of other hosts. Change: TestMoveAfterRestore.

--- a/internal/relay/resumption/recorder_test.go
+++ b/internal/relay/resumption/recorder_test.go
@@ -341,6 +341,42 @@
 	c.Check(found, qt.Equals, fleet.Release("v2"))
 }
 
+// Guards against a move that a restore of the store has lost, while the proposal before it is in the
+// backup, whether the host has recorded it or another one.
+func TestMoveAfterRestore(t *testing.T) {
+	for name, refuses := range map[string]bool{
+		"recorded by the host":    false,
+		"recorded by another one": true,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			backing := memkv.New(time.Now)
+			other, records := recordingHost(t, "other", backing, backing)
+			h := newHost(time.Now())
+			h.register("a", "v1")
+			h.register("b", "v2")
+			h.share = other.Adopt
+			store := &countingStore{
+				Store: backing,
+			}
+			store.refuses.Store(refuses)
+			host, _ := recordAt(t, h, "host", store, backing)
+			other.Propose(stream, "v1")
+			time.Sleep(time.Second) // is recorded
+			backup := backing.Backup()
+			run := host.NewRun(stream)
+			run.Proposed("v1")
+			c.Assert(run.Sent(context.Background(), "v2"), qt.IsNil)
+			backing.Restore(backup)
+			time.Sleep(1500 * time.Millisecond) // is recorded again
+			found, err := records.Find(context.Background(), stream)
+			c.Assert(err, qt.IsNil)
+			c.Check(found, qt.Equals, fleet.Release("v2"))
+		})
+	}
+}
+
 // Guards against a caller whose long request ids keep the streams of all others from being
 // recorded, and against a write for each of many streams that break off.
 func TestRecordsUnderPressure(t *testing.T) {
