Let the stand-in of TestResetDuringUpload reset once the client sends

The stand-in reset a connection 5 ms after it had accepted it, also if the client had not returned from connect, which then reports the reset. That is no fault of the client, which has sent nothing and says so. Change: the stand-in waits for the first byte of the request before those 5 ms. The reset still comes during an upload of 32 MB, after the same text; no check is changed, so the test is as strict.

--- a/internal/relay/upstreamhttp/early_test.go
+++ b/internal/relay/upstreamhttp/early_test.go
@@ -25,14 +25,16 @@
 	reset   chan struct{} // receives an element when a connection has been reset
 }
 
-// serveEarly starts an upstream that writes a text and then resets the connection.
+// serveEarly starts an upstream that writes a text, and then resets the connection once the client
+// has begun to send.
 func serveEarly(t *testing.T, text string) early {
 	e := early{
 		reset: make(chan struct{}, 100),
 	}
 	e.address = tcp.Serve(t, func(conn *net.TCPConn) {
 		write(conn, text)
-		time.Sleep(5 * time.Millisecond) // the client fills the socket buffers
+		_, _ = conn.Read(make([]byte, 1)) // a reset before that may fail the client's connect
+		time.Sleep(5 * time.Millisecond)  // the client fills the socket buffers
 		_ = conn.SetLinger(0)
 		_ = conn.Close()
 		e.reset <- struct{}{}
