--- a/internal/system/soak_forwarder_test.go
+++ b/internal/system/soak_forwarder_test.go
@@ -12,6 +12,10 @@
 	"github.com/nutmegshift/nutmegshift/ident"
 )
 
+// listenTimeout is how long the port of a listener that has just been closed may stay in use: it is
+// freed when the goroutine that accepts has returned.
+const listenTimeout = time.Second
+
 // linkFault is a fault that a forwarder applies to its connections.
 type linkFault struct {
 	Delay  time.Duration // added to every chunk of data
@@ -70,6 +74,10 @@
 // listen starts to accept connections. The caller holds the mutex.
 func (f *forwarder) listen() {
 	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", string(f.address))
+	for deadline := time.Now().Add(listenTimeout); err != nil && time.Now().Before(deadline); {
+		time.Sleep(pollInterval)
+		listener, err = new(net.ListenConfig).Listen(context.Background(), "tcp4", string(f.address))
+	}
 	if err != nil {
 		f.t.Error(err)
 		return
