Read records of streams in one way, and let progress guard itself

The walk through a record stood twice (decodeRecord, decodeNotes); Streams guarded and waited for a progress that is passed by pointer; a type, a field and a struct were called origin beside the id Origin; Recorder.update was long, and started a goroutine and copied all notes each second on hosts that had nothing to write. Change: eachNote serves both; progress has its own mutex and await; the type is certainty; the write of notes is Recorder.store, and only notes that are needed are copied. Behaviour and assertions are as before.

--- a/internal/relay/resumption/record.go
+++ b/internal/relay/resumption/record.go
@@ -40,7 +40,7 @@
 
 // add adds a note.
 func (o *origins) add(n note) {
-	switch n.origin {
+	switch n.certainty {
 	case sent:
 		o.Sent = append(o.Sent, n.Origin)
 	case moved:
@@ -53,51 +53,45 @@
 	}
 }
 
-// decodeNotes returns the notes in a record of another host. Streams of which more than one
-// thing is noted have one note for each.
-func decodeNotes(value []byte) ([]note, error) {
+// eachNote calls a function with the notes in a record.
+func eachNote(value []byte, call func(n note)) error {
 	var r record
 	if err := json.Unmarshal(value, &r); err != nil {
-		return nil, errors.NewNotValid(err, "decode record of streams")
+		return errors.Annotate(err, "decode record of streams")
 	}
-	var notes []note
 	for service, releases := range r {
 		for release, list := range releases {
 			if list != nil {
-				notes = append(notes, list.notes(service, release)...)
+				list.each(service, release, call)
 			}
 		}
 	}
-	if len(notes) == 0 || len(notes) > recordNotes {
-		return nil, errors.NotValidf("record with %d notes", len(notes))
-	}
-	return notes, nil
+	return nil
 }
 
-// notes returns the notes of the streams that a release of a service begins.
-func (o *origins) notes(service ident.ServiceName, release fleet.Release) []note {
-	var notes []note
-	add := func(id ident.RequestID, origin origin, move int) {
-		notes = append(notes, note{
+// each calls a function with the notes of the streams that a release of a service begins.
+func (o *origins) each(service ident.ServiceName, release fleet.Release, call func(n note)) {
+	newNote := func(id ident.RequestID, certainty certainty) note {
+		return note{
 			Stream: Stream{
 				Origin:  id,
 				Service: service,
 			},
-			release: release,
-			origin:  origin,
-			move:    move,
-		})
+			release:   release,
+			certainty: certainty,
+		}
 	}
 	for _, id := range o.Sent {
-		add(id, sent, 0)
+		call(newNote(id, sent))
 	}
 	for id, move := range o.Moved {
-		add(id, moved, move)
+		n := newNote(id, moved)
+		n.move = move
+		call(n)
 	}
 	for _, id := range o.Begun {
-		add(id, begun, 0)
+		call(newNote(id, begun))
 	}
-	return notes
 }
 
 // recorded is what the records of all hosts say of a stream: the releases to which it has
@@ -125,55 +119,33 @@
 	return releases[0], true
 }
 
-// addMove adds a move to a release.
-func (r *recorded) addMove(release fleet.Release, move int) {
-	if move > r.move {
-		r.move, r.moved = move, nil
-	}
-	if move == r.move {
-		r.moved = addRelease(r.moved, release)
+// add adds a note.
+func (r *recorded) add(n note) {
+	switch n.certainty {
+	case sent:
+		r.sent = addRelease(r.sent, n.release)
+	case moved:
+		if n.move > r.move {
+			r.move, r.moved = n.move, nil
+		}
+		if n.move == r.move {
+			r.moved = addRelease(r.moved, n.release)
+		}
+	case begun:
+		r.begun = addRelease(r.begun, n.release)
 	}
 }
 
 // decodeRecord adds the streams of a record to those of others.
 func decodeRecord(value []byte, streams map[Stream]*recorded) error {
-	var r record
-	if err := json.Unmarshal(value, &r); err != nil {
-		return errors.Annotate(err, "decode record of streams")
-	}
-	for service, releases := range r {
-		for release, list := range releases {
-			if list == nil {
-				continue
-			}
-			for _, origin := range list.Sent {
-				known := knownAs(streams, origin, service)
-				known.sent = addRelease(known.sent, release)
-			}
-			for origin, move := range list.Moved {
-				knownAs(streams, origin, service).addMove(release, move)
-			}
-			for _, origin := range list.Begun {
-				known := knownAs(streams, origin, service)
-				known.begun = addRelease(known.begun, release)
-			}
+	return eachNote(value, func(n note) {
+		known, ok := streams[n.Stream]
+		if !ok {
+			known = new(recorded)
+			streams[n.Stream] = known
 		}
-	}
-	return nil
-}
-
-// knownAs returns what is recorded of a stream, which is added if it is new.
-func knownAs(streams map[Stream]*recorded, origin ident.RequestID, service ident.ServiceName) *recorded {
-	stream := Stream{
-		Origin:  origin,
-		Service: service,
-	}
-	known, ok := streams[stream]
-	if !ok {
-		known = new(recorded)
-		streams[stream] = known
-	}
-	return known
+		known.add(n)
+	})
 }
 
 func addRelease(releases []fleet.Release, release fleet.Release) []fleet.Release {
--- a/internal/relay/resumption/recorder.go
+++ b/internal/relay/resumption/recorder.go
@@ -131,26 +131,31 @@
 		r.restart()
 	}
 	r.updateMixed()
-	notes := r.config.Streams.notesFrom(r.next)
+	notes, next := r.config.Streams.notesFrom(r.next, r.needs)
 	if len(notes) == 0 {
+		r.setStored(next)
 		return nil
 	}
-	end := notes[len(notes)-1].number + 1
-	notes = slices.DeleteFunc(notes, func(n note) bool { return !r.needs(n) })
 	r.wrote = time.Now()
 	if r.wrote.Before(r.tryAt) {
-		return r.share(ctx, notes, end)
+		return r.share(ctx, notes, next)
 	}
+	return r.store(ctx, notes, next)
+}
+
+// store writes notes, and makes other hosts write them if that fails or takes long. All of them
+// have numbers below next.
+func (r *Recorder) store(ctx context.Context, notes []note, next uint64) error {
 	writeCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	written := make(chan error, 1)
 	go func(ctx context.Context) { written <- r.writeAll(ctx, notes) }(writeCtx)
 	ended, err := awaitWrite(written)
 	if ended && err == nil {
-		r.setStored(end)
+		r.setStored(next)
 		return nil
 	}
-	shareErr := r.share(ctx, notes, end)
+	shareErr := r.share(ctx, notes, next)
 	if !ended {
 		if shareErr == nil {
 			cancel()
@@ -158,10 +163,10 @@
 		err = <-written
 	}
 	if err == nil {
-		r.setStored(end)
+		r.setStored(next)
 		return nil
 	}
-	r.config.Streams.setFailing()
+	r.config.Streams.setFailing(true)
 	if shareErr == nil {
 		r.tryAt = time.Now().Add(storeRetry)
 	}
@@ -187,8 +192,8 @@
 }
 
 // share makes other hosts write the notes of this host that they have not yet. Those that this
-// host writes for others stay here. All of notes have numbers below end.
-func (r *Recorder) share(ctx context.Context, notes []note, end uint64) error {
+// host writes for others stay here. All of them have numbers below next.
+func (r *Recorder) share(ctx context.Context, notes []note, next uint64) error {
 	own := slices.DeleteFunc(slices.Clone(notes), func(n note) bool { return n.adopted || n.number < r.shared })
 	for chunk := range slices.Chunk(own, recordNotes) {
 		record, err := encodeRecord(chunk)
@@ -199,8 +204,8 @@
 			return err
 		}
 	}
-	r.shared = end
-	r.config.Streams.setRecorded(end)
+	r.shared = next
+	r.config.Streams.recorded.advance(next)
 	return nil
 }
 
@@ -225,7 +230,7 @@
 // a coordinator may have recorded, also if this host knows only one, and another host has found
 // that its notes are needed.
 func (r *Recorder) needs(n note) bool {
-	return r.mixed[n.Service] || n.origin == moved || n.adopted
+	return r.mixed[n.Service] || n.certainty == moved || n.adopted
 }
 
 // writeAll writes notes to one or more records.
--- a/internal/relay/resumption/recorder_test.go
+++ b/internal/relay/resumption/recorder_test.go
@@ -47,10 +47,30 @@
 // recordingHost returns the streams of a host that records them until the test ends, in a store
 // that keeps its entries in backing. Two releases are in service.
 func recordingHost(t *testing.T, name ident.HostID, store kv.Store, backing *memkv.Store) (*resumption.Streams, *resumption.Records) {
+	return recordAt(t, newMixedHost(), name, store, backing)
+}
+
+// newMixedHost returns a host with two releases in service.
+func newMixedHost() *host {
 	h := newHost(time.Now())
 	h.register("a", "v1")
 	h.register("b", "v2")
-	return recordAt(t, h, name, store, backing)
+	return h
+}
+
+// sharingHosts returns the streams of two hosts that record them. The first one's store may be
+// disturbed, and the second one records its notes then, in a store that keeps its entries in
+// backing.
+func sharingHosts(t *testing.T, disturb func(s *countingStore), backing *memkv.Store) (streams, other *resumption.Streams, records *resumption.Records) {
+	other, records = recordingHost(t, "other", backing, backing)
+	store := &countingStore{
+		Store: backing,
+	}
+	disturb(store)
+	h := newMixedHost()
+	h.share = other.Adopt
+	streams, _ = recordAt(t, h, "host", store, backing)
+	return streams, other, records
 }
 
 // unshared stands for other hosts that write nothing.
@@ -219,16 +239,7 @@
 			t.Parallel()
 			c := qt.New(t)
 			backing := memkv.New(time.Now)
-			other, records := recordingHost(t, "other", backing, backing)
-			h := newHost(time.Now())
-			h.register("a", "v1")
-			h.register("b", "v2")
-			h.share = other.Adopt
-			store := &countingStore{
-				Store: backing,
-			}
-			disturb(store)
-			streams, _ := recordAt(t, h, "host", store, backing)
+			streams, _, records := sharingHosts(t, disturb, backing)
 			streams.Propose(stream, "v1")
 			time.Sleep(1200 * time.Millisecond)
 			found, err := records.Find(context.Background(), stream)
@@ -352,16 +363,7 @@
 			t.Parallel()
 			c := qt.New(t)
 			backing := memkv.New(time.Now)
-			other, records := recordingHost(t, "other", backing, backing)
-			h := newHost(time.Now())
-			h.register("a", "v1")
-			h.register("b", "v2")
-			h.share = other.Adopt
-			store := &countingStore{
-				Store: backing,
-			}
-			store.refuses.Store(refuses)
-			host, _ := recordAt(t, h, "host", store, backing)
+			host, other, records := sharingHosts(t, func(s *countingStore) { s.refuses.Store(refuses) }, backing)
 			other.Propose(stream, "v1")
 			time.Sleep(time.Second) // is recorded
 			backup := backing.Backup()
@@ -412,9 +414,7 @@
 func TestFindAfterOtherService(t *testing.T) {
 	c := qt.New(t)
 	store := memkv.New(time.Now)
-	h := newHost(time.Now())
-	h.register("a", "v1")
-	h.register("b", "v2")
+	h := newMixedHost()
 	h.registerAt("other", "c", "v1")
 	streams, records := recordAt(t, h, "host", store, store)
 	early := resumption.Stream{
--- a/internal/relay/resumption/run.go
+++ b/internal/relay/resumption/run.go
@@ -51,7 +51,7 @@
 	if !moves {
 		return nil
 	}
-	return r.streams.await(ctx, &r.streams.recorded, number, moveTimeout)
+	return r.streams.recorded.await(ctx, number, moveTimeout)
 }
 
 // send notes that the request is sent to a release. If it moves there, send returns the number
@@ -67,9 +67,9 @@
 	if r.isBound() || !k.movesTo(release, contested) {
 		if isNew {
 			s.note(note{
-				Stream:  r.stream,
-				release: release,
-				origin:  sent,
+				Stream:    r.stream,
+				release:   release,
+				certainty: sent,
 			})
 		}
 		return 0, false
@@ -77,10 +77,10 @@
 	k.moves++
 	k.latest = release
 	number = s.note(note{
-		Stream:  r.stream,
-		release: release,
-		origin:  moved,
-		move:    k.moves,
+		Stream:    r.stream,
+		release:   release,
+		certainty: moved,
+		move:      k.moves,
 	})
 	s.Hurry() // the request waits for it
 	return number, true
@@ -150,9 +150,9 @@
 // noteBegun notes that a release has begun a stream. The caller holds the mutex.
 func (s *Streams) noteBegun(stream Stream, release fleet.Release) {
 	s.note(note{
-		Stream:  stream,
-		release: release,
-		origin:  begun,
+		Stream:    stream,
+		release:   release,
+		certainty: begun,
 	})
 	s.Hurry()
 }
--- a/internal/relay/resumption/streams.go
+++ b/internal/relay/resumption/streams.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -61,12 +60,12 @@
 	until    time.Time       // when it is forgotten; valid while none is active
 }
 
-// origin says how certain it is that a release begins a stream.
-type origin uint8
+// certainty says how certain it is that a release begins a stream.
+type certainty uint8
 
 const (
 	// sent means that the request is being sent to an upstream of the release.
-	sent origin = iota + 1
+	sent certainty = iota + 1
 	// moved means that the request goes there and nowhere else until its next move.
 	moved
 	// begun means that the release has begun the stream.
@@ -76,12 +75,12 @@
 // note says which release begins a stream, for other hosts.
 type note struct {
 	Stream
-	number  uint64
-	release fleet.Release
-	origin  origin
-	move    int  // of the request, counted from 1; 0 unless it has moved
-	adopted bool // of another host
-	at      time.Time
+	number    uint64
+	release   fleet.Release
+	certainty certainty
+	move      int  // of the request, counted from 1; 0 unless it has moved
+	adopted   bool // of another host
+	at        time.Time
 }
 
 // Streams remembers the recent streams of a host, and finds those of others. It is safe for
@@ -93,13 +92,14 @@
 	now      func() time.Time
 	urgent   chan struct{} // has an element after a note that other hosts may need soon
 
-	mu       sync.Mutex
-	streams  map[Stream]*known
-	notes    []note   // the latest ones, in the order of their numbers
-	next     uint64   // number of the next note
-	stored   progress // of the notes that this host has written
-	recorded progress // of those that this host or others have written
-	failing  bool     // the store has not taken the latest notes
+	stored   *progress // of the notes that this host has written
+	recorded *progress // of those that this host or others have written
+
+	mu      sync.Mutex
+	streams map[Stream]*known
+	notes   []note // the latest ones, in the order of their numbers
+	next    uint64 // number of the next note
+	failing bool   // the store has not taken the latest notes
 }
 
 // NewStreams returns a Streams without streams. The function verify returns nil once the known
@@ -181,9 +181,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.note(note{
-		Stream:  stream,
-		release: release,
-		origin:  sent,
+		Stream:    stream,
+		release:   release,
+		certainty: sent,
 	})
 }
 
@@ -207,29 +207,38 @@
 	return n.number
 }
 
-// notesFrom returns the recent notes from a number on.
-func (s *Streams) notesFrom(number uint64) []note {
+// notesFrom returns the recent notes from a number on that are needed, and the number of the next
+// note.
+func (s *Streams) notesFrom(number uint64, needed func(n note) bool) (notes []note, next uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	first := s.next - uint64(len(s.notes))
 	skip := min(max(number, first)-first, uint64(len(s.notes)))
-	return slices.Clone(s.notes[skip:])
+	for _, n := range s.notes[skip:] {
+		if needed(n) {
+			notes = append(notes, n)
+		}
+	}
+	return notes, s.next
 }
 
 // Adopt notes the streams in the record of a host that cannot write it, and waits until the store
 // has them. It returns a NotValid error for a damaged record, and ErrUnrecorded if the store does
 // not take the notes of this host either.
 func (s *Streams) Adopt(ctx context.Context, record []byte) error {
-	notes, err := decodeNotes(record)
-	if err != nil {
-		return err
+	var notes []note
+	if err := eachNote(record, func(n note) { notes = append(notes, n) }); err != nil {
+		return errors.NewNotValid(err, "")
+	}
+	if len(notes) == 0 || len(notes) > recordNotes {
+		return errors.NotValidf("record with %d notes", len(notes))
 	}
 	number, err := s.adopt(notes)
 	if err != nil {
 		return err
 	}
 	s.Hurry()
-	return s.await(ctx, &s.stored, number, adoptTimeout)
+	return s.stored.await(ctx, number, adoptTimeout)
 }
 
 // adopt adds notes of another host, and returns the number of the last one.
@@ -248,45 +257,16 @@
 
 // setStored records that this host has written all notes before a number.
 func (s *Streams) setStored(next uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.failing = false
+	s.setFailing(false)
 	s.stored.advance(next)
 	s.recorded.advance(next)
 }
 
-// setRecorded records that other hosts have written all notes of this host before a number.
-func (s *Streams) setRecorded(next uint64) {
+// setFailing records whether the store has taken the latest notes.
+func (s *Streams) setFailing(failing bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.recorded.advance(next)
-}
-
-// setFailing records that the store has not taken notes.
-func (s *Streams) setFailing() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.failing = true
-}
-
-// await waits until a note has come as far as p tells. It returns ErrUnrecorded if that takes
-// longer than a timeout.
-func (s *Streams) await(ctx context.Context, p *progress, number uint64, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	for {
-		s.mu.Lock()
-		next, advanced := p.next, p.advanced
-		s.mu.Unlock()
-		if number < next {
-			return nil
-		}
-		select {
-		case <-advanced:
-		case <-ctx.Done():
-			return ErrUnrecorded
-		}
-	}
+	s.failing = failing
 }
 
 // Hurry makes the recorder write soon.
