--- a/internal/relay/forward/proposal.go
+++ b/internal/relay/forward/proposal.go
@@ -33,7 +33,7 @@
 		coordinator: prepared.Coordinator,
 	}
 	upstream, known := e.config.Fleet.Snapshot().Upstream(prepared.Upstream)
-	if !known && e.release == "" && e.route.Idempotent() {
+	if !known && e.begins() {
 		if err := e.config.Streams.Refresh(e.ctx); err != nil {
 			return errors.Annotate(err, "the proposed upstream is not known")
 		}
--- a/internal/relay/forward/resume.go
+++ b/internal/relay/forward/resume.go
@@ -8,8 +8,8 @@
 	"github.com/nutmegshift/nutmegshift/internal/relay/resumption"
 )
 
-// unknownReleaseRetryAfter is the shortest Retry-After time if the release that began a
-// stream is not known: its host usually records it within this time, if that host is up.
+// unknownReleaseRetryAfter is the shortest Retry-After time if the release of a stream is not known
+// or not recorded: hosts that are up usually record it within this time.
 const unknownReleaseRetryAfter = 800 * time.Millisecond
 
 // resumes reports whether the caller takes up a stream of which it has received events.
@@ -38,7 +38,7 @@
 	})
 	e.record.releaseTime = e.config.Now().Sub(asked)
 	if err != nil {
-		e.refuse(err.Error(), unknownReleaseRetryAfter+rand.N(unknownReleaseRetryAfter/2))
+		e.refuseForRelease(err)
 		return false
 	}
 	e.release = release
@@ -57,6 +57,11 @@
 		e.concludeStream()
 		return
 	}
+	e.refuseForRelease(err)
+}
+
+// refuseForRelease refuses a request since the release of its stream is not known or not recorded.
+func (e *exchange) refuseForRelease(err error) {
 	e.refuse(err.Error(), unknownReleaseRetryAfter+rand.N(unknownReleaseRetryAfter/2))
 }
 
@@ -84,10 +89,17 @@
 	return others
 }
 
+// begins reports whether the request may begin a stream that its caller may take up.
+func (e *exchange) begins() bool { return e.release == "" && e.route.Idempotent() }
+
 // newRun returns the handling of the stream by this request.
 func (e *exchange) newRun() *resumption.Run {
-	return e.config.Streams.NewRun(resumption.Stream{
+	run := e.config.Streams.NewRun(resumption.Stream{
 		Origin:  e.origin(),
 		Service: e.service.Name,
 	})
+	if !e.begins() {
+		run.Bind()
+	}
+	return run
 }
--- a/internal/relay/forward/stream.go
+++ b/internal/relay/forward/stream.go
@@ -86,9 +86,6 @@
 	defer results.release()
 	defer e.reportProposal(placement.Abandoned, 0)
 	e.run = e.newRun()
-	if e.release != "" || !e.route.Idempotent() {
-		e.run.Bind()
-	}
 	defer func() { e.run.End(e.record.result == meter.Served) }()
 	for {
 		if !results.ready {
@@ -247,7 +244,7 @@
 		Exclude: make(map[ident.UpstreamID]bool, len(e.tried)),
 		Cold:    placement.HostColdRate(e.service.ColdRate, e.config.Hosts()),
 	}
-	if e.route.Kind == routes.Stream && e.route.Idempotent() && e.release == "" {
+	if e.route.Kind == routes.Stream && e.begins() {
 		query.Held = e.config.Streams.Held(e.service.Name)
 	}
 	if len(e.route.Homes) > 0 {
--- a/internal/relay/grpcrelay/client.go
+++ b/internal/relay/grpcrelay/client.go
@@ -33,6 +33,15 @@
 	}
 }
 
+// stub returns the stub of a host. Its error wraps cell.ErrUnreachable.
+func (c *Client) stub(to ident.Address) (RelayClient, error) {
+	connection, err := c.connect(to)
+	if err != nil {
+		return nil, errors.Annotatef(cell.ErrUnreachable, "%v", err)
+	}
+	return NewRelayClient(connection), nil
+}
+
 // Submit implements cell.Remote.
 func (c *Client) Submit(ctx context.Context, to ident.Address, id cell.ID, job coordinator.Job, within time.Duration) (cell.Ticket, error) {
 	connection, err := c.connect(to)
--- a/internal/relay/grpcrelay/record.go
+++ b/internal/relay/grpcrelay/record.go
@@ -21,11 +21,11 @@
 func (c *Client) Record(ctx context.Context, to ident.Address, record []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	connection, err := c.connect(to)
+	stub, err := c.stub(to)
 	if err != nil {
-		return errors.Annotatef(cell.ErrUnreachable, "%v", err)
+		return err
 	}
-	_, err = NewRelayClient(connection).Record(ctx, &RecordRequest{
+	_, err = stub.Record(ctx, &RecordRequest{
 		Record: record,
 	})
 	if err != nil {
--- a/internal/relay/grpcrelay/sync.go
+++ b/internal/relay/grpcrelay/sync.go
@@ -40,11 +40,11 @@
 func (c *Client) sync(ctx context.Context, from ident.Address, after kv.Cursor, base kv.Entry) (discovery.Delta, error) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	connection, err := c.connect(from)
+	stub, err := c.stub(from)
 	if err != nil {
-		return discovery.Delta{}, errors.Annotatef(cell.ErrUnreachable, "%v", err)
+		return discovery.Delta{}, err
 	}
-	reply, err := NewRelayClient(connection).Sync(ctx, &SyncRequest{
+	reply, err := stub.Sync(ctx, &SyncRequest{
 		After:   uint64(after),
 		Key:     string(base.Key),
 		Version: uint64(base.Version),
--- a/internal/relay/host/peers.go
+++ b/internal/relay/host/peers.go
@@ -215,8 +215,13 @@
 	others := slices.DeleteFunc(slices.Clone(p.table.Snapshot().Live()), func(row peer.Row) bool {
 		return row.Host == p.self || row.Address == ""
 	})
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	return others[:min(len(others), count)]
+	return sample(others, count)
+}
+
+// sample returns a number of random rows, fewer if there are not as many. It changes their order.
+func sample(rows []peer.Row, count int) []peer.Row {
+	rand.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
+	return rows[:min(len(rows), count)]
 }
 
 // ask asks a few hosts for later documents.
--- a/internal/relay/host/releases.go
+++ b/internal/relay/host/releases.go
@@ -19,8 +19,8 @@
 // streams that callers take up.
 const releasesKey kv.Key = "releases"
 
-// sharedHosts is the number of hosts that are asked to write a record for this one. If half of
-// them cannot, three of four calls are enough for one that can.
+// sharedHosts is the number of hosts that are asked to write a record for this one. While half of
+// the hosts cannot, three of four records reach one that can.
 const sharedHosts = 2
 
 // releasesSink follows the releases that the publishing host has seen.
@@ -68,6 +68,6 @@
 			break
 		}
 	}
-	h.log.Info().Err(err).Int("bytes", len(record)).Msg("resumption: streams recorded by another host, since the store does not serve this one")
+	h.log.Info().Err(err).Int("bytes", len(record)).Msg("resumption: streams passed to other hosts to record, since the store does not serve this one")
 	return err
 }
--- a/internal/relay/host/survey.go
+++ b/internal/relay/host/survey.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 
 	"github.com/nutmegshift/nutmegshift/ident"
 	"github.com/nutmegshift/nutmegshift/internal/relay/discovery"
@@ -29,9 +28,7 @@
 // survey asks the other hosts how far their replicas are. A reply that is ahead of this host's
 // replica makes it fetch the changes.
 func (h *Host) survey(ctx context.Context) discovery.Survey {
-	rows := h.peers.mayServe()
-	rand.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
-	rows = rows[:min(len(rows), maxSurveyed)]
+	rows := sample(h.peers.mayServe(), maxSurveyed)
 	survey := discovery.Survey{
 		Asked: len(rows),
 	}
--- a/internal/relay/poison/suspect.go
+++ b/internal/relay/poison/suspect.go
@@ -12,13 +12,18 @@
 // responses had not begun come first, in case there are too many: the cause ends its upstream when
 // that begins to respond. The caller holds the mutex.
 func (t *Table) suspects(now time.Time, attempts []*Attempt) []peer.CrashSuspect {
-	slices.SortStableFunc(attempts, func(a, b *Attempt) int {
-		return cmp.Compare(btoi(!a.respondedAt.IsZero()), btoi(!b.respondedAt.IsZero()))
-	})
+	var silent, responding []*Attempt
+	for _, a := range attempts {
+		if a.respondedAt.IsZero() {
+			silent = append(silent, a)
+		} else {
+			responding = append(responding, a)
+		}
+	}
 	var suspects []peer.CrashSuspect
 	var known map[peer.ShortFingerprint]int // crashes that count against fingerprints; nil until needed
 	rest := 0
-	for _, a := range attempts {
+	for _, a := range slices.Concat(silent, responding) {
 		a.request.suspected = true
 		if len(suspects) == peer.MaxSuspects {
 			t.omitted += 1 + len(a.request.parts)
@@ -91,11 +96,3 @@
 	}
 	return known
 }
-
-// btoi returns 1 for true.
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
--- a/internal/relay/poison/table.go
+++ b/internal/relay/poison/table.go
@@ -180,8 +180,8 @@
 	delete(t.crashes, oldest)
 }
 
-// dropOldestRest drops the short fingerprints of all but the latest crashes. The caller holds the
-// mutex.
+// dropOldestRest drops the short fingerprints of the oldest crash that has any, if a new report has
+// made these crashes too many. The caller holds the mutex.
 func (t *Table) dropOldestRest() {
 	var with []*crash
 	for _, c := range t.crashes {
@@ -196,9 +196,10 @@
 	oldest.dropRest()
 }
 
-// recognise makes crashes count against the fingerprints that some reports have as short ones, and
-// others, of which one is new, in full. The caller holds the mutex.
-func (t *Table) recognise(report peer.CrashReported, of *crash, sound func(f Fingerprint) bool) {
+// recognise makes crashes count against the fingerprints that their reports have as short ones, and
+// those of other crashes in full. Only what a new report adds to the crash that it is on is looked
+// at. The caller holds the mutex.
+func (t *Table) recognise(report peer.CrashReported, reported *crash, sound func(f Fingerprint) bool) {
 	for _, c := range t.crashes {
 		if len(c.rest) == 0 {
 			continue
@@ -209,12 +210,12 @@
 			}
 		}
 	}
-	if len(of.rest) == 0 {
+	if len(reported.rest) == 0 {
 		return
 	}
 	for _, c := range t.crashes {
 		for f := range c.all {
-			of.recognise(f, sound)
+			reported.recognise(f, sound)
 		}
 	}
 }
--- a/internal/relay/poison/verdict.go
+++ b/internal/relay/poison/verdict.go
@@ -145,7 +145,7 @@
 			cmp.Compare(t.moments, tallies[best].moments),
 			cmp.Compare(t.crashes, tallies[best].crashes),
 			cmp.Compare(tallies[best].suspects, t.suspects),
-			bytes.Compare(best[:], f[:]), // so that hosts with the same reports agree
+			compareFingerprints(best, f), // so that hosts with the same reports agree
 		)
 		if !ok || order > 0 {
 			best, ok = f, true
@@ -158,17 +158,9 @@
 // explains. The pattern includes the fingerprints that occur in the same suspects.
 func explain(best Fingerprint, tallies map[Fingerprint]tally, unexplained map[Process]*crash) Pattern {
 	pattern := Pattern{
-		concluded: tallies[best].concluded,
+		Fingerprints: inseparable(best, tallies, unexplained),
+		concluded:    tallies[best].concluded,
 	}
-	for f, t := range tallies {
-		if t == tallies[best] && alwaysWith(f, best, unexplained) {
-			pattern.Fingerprints = append(pattern.Fingerprints, f)
-		}
-	}
-	slices.SortFunc(pattern.Fingerprints, func(a, b Fingerprint) int {
-		return cmp.Or(cmp.Compare(btoi(b == best), btoi(a == best)), bytes.Compare(a[:], b[:]))
-	})
-	pattern.Fingerprints = pattern.Fingerprints[:min(len(pattern.Fingerprints), peer.MaxFingerprints)]
 	for process, c := range unexplained {
 		if c.countsAgainst(best) {
 			pattern.Crashes = append(pattern.Crashes, process)
@@ -186,10 +178,26 @@
 	for _, process := range pattern.Crashes {
 		delete(unexplained, process)
 	}
-	slices.SortFunc(pattern.Fingerprints, func(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) })
 	return pattern
 }
 
+// inseparable returns the fingerprint best and those that suspects have only together with it, in
+// order and peer.MaxFingerprints at most.
+func inseparable(best Fingerprint, tallies map[Fingerprint]tally, crashes map[Process]*crash) []Fingerprint {
+	var others []Fingerprint
+	for f, t := range tallies {
+		if f != best && t == tallies[best] && alwaysWith(f, best, crashes) {
+			others = append(others, f)
+		}
+	}
+	slices.SortFunc(others, compareFingerprints)
+	all := append(others[:min(len(others), peer.MaxFingerprints-1)], best)
+	slices.SortFunc(all, compareFingerprints)
+	return all
+}
+
+func compareFingerprints(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) }
+
 // alwaysWith reports whether all suspects with the fingerprint best, in crashes that count against
 // it, have another one too.
 func alwaysWith(f, best Fingerprint, crashes map[Process]*crash) bool {
--- a/internal/system/mixed_test.go
+++ b/internal/system/mixed_test.go
@@ -21,7 +21,7 @@
 	mixedInterval = 50 * time.Millisecond
 	// mixedBefore is how long streams begin before the trouble of a play.
 	mixedBefore = time.Second
-	// mixedShare is how many streams begin at the host that is killed for each one elsewhere.
+	// One of mixedShare streams begins at any of the hosts, the others at the one that is killed.
 	mixedShare = 3
 	// mixedDowntime is the time from the kill of a host to its start.
 	mixedDowntime = time.Second
@@ -139,7 +139,7 @@
 			if s.complete || s.lastEvent == 0 {
 				return
 			}
-			s.takeUp(ctx, func(try int) *relayHost { return c.inTouch(i+try, unserved, killed) })
+			s.takeUp(ctx, func(try int) *relayHost { return c.otherHost(i+try, unserved, killed) })
 			mu.Lock()
 			defer mu.Unlock()
 			result.takenUp++
@@ -183,11 +183,10 @@
 	}
 }
 
-// inTouch returns one of the hosts that are neither cut off from the store nor killed.
-func (c *soakCluster) inTouch(i int, others ...*relayHost) *relayHost {
+// otherHost returns the first host from the i-th one on that is not one of two.
+func (c *soakCluster) otherHost(i int, one, two *relayHost) *relayHost {
 	for ; ; i++ {
-		h := c.hosts[i%soakHosts]
-		if h != others[0] && h != others[1] {
+		if h := c.hosts[i%soakHosts]; h != one && h != two {
 			return h
 		}
 	}
--- a/internal/system/soak_forwarder_test.go
+++ b/internal/system/soak_forwarder_test.go
@@ -73,10 +73,13 @@
 
 // listen starts to accept connections. The caller holds the mutex.
 func (f *forwarder) listen() {
-	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", string(f.address))
-	for deadline := time.Now().Add(listenTimeout); err != nil && time.Now().Before(deadline); {
+	ctx, cancel := context.WithTimeout(context.Background(), listenTimeout)
+	defer cancel()
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp4", string(f.address))
+	for err != nil && ctx.Err() == nil {
 		time.Sleep(pollInterval)
-		listener, err = new(net.ListenConfig).Listen(context.Background(), "tcp4", string(f.address))
+		listener, err = config.Listen(ctx, "tcp4", string(f.address))
 	}
 	if err != nil {
 		f.t.Error(err)
